--- /dev/null
+++ b/choice/hash.go
@@ -0,0 +1,19 @@
+package choice
+
+import (
+	"hash/fnv"
+	"io"
+)
+
+// hash turns a text into a number that is the same at every balancer.
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	io.WriteString(h, text)
+	return h.Sum64()
+}
+
+// mix spreads the bits: hashes of texts that differ in their ends only are near each other.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	return (x ^ x>>27) * 0x94d049bb133111eb >> 1
+}
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,84 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Balancer decides for one client process. It is a deterministic state machine: equal settings, seed and
+// events give equal actions. It is not safe for concurrent use. A restart is a new Balancer.
+type Balancer struct {
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	actions   []Action
+	servers   []*server // those of the list, in the order it first named them
+	byID      map[string]*server
+	requests  map[string]*request // open, or with attempts in flight
+	timers    map[uint64]*request
+	token     uint64
+	horizon   time.Duration // the longest aim: how far back averages over time look
+	usual     []float64     // mean time to an answer, a class each
+	least     []float64     // least usual time to an answer, a class each
+	budget    float64       // further attempts that may be made
+	tries     int           // subscriptions that failed in a row
+	trialBy   Effect        // the least harmful effect among the classes
+	tightest  time.Duration // the shortest aim
+	jam       float64       // part of the slack used, averaged
+	use       float64       // mean use by the reports of late
+	known     float64       // servers whose reports hold, by trust
+	jamWeight float64       // of a new sample in it
+	total     float64       // capacity of all at present
+	well      float64       // and of those that are not ejected
+	served    float64       // own answers a second, averaged
+	worth     float64       // mean worth of a request lately
+}
+
+// server is all that is known of one server.
+type server struct {
+	Server
+	inFlight []*attempt    // own, oldest first
+	rate     float64       // capacity in requests a second; 0 without an estimate
+	trust    float64       // in the estimate: 1 after a report, less with time
+	capacity float64       // the estimate, or the mean of the others where that is old
+	done     float64       // reported requests a second, smoothed
+	util     float64       // reported use, smoothed
+	used     float64       // and as last reported
+	reported time.Duration // the latest report
+	held     float64       // requests in hand when last asked, and own ones sent since
+	seen     time.Duration // its latest answer to a probe
+	asked    time.Duration // the latest probe
+	asking   []*request    // that wait for its answer
+	hash     uint64        // of its id
+	rank     float64       // its place in this balancer's order of all servers
+	far      bool          // not in the subset
+	heard    time.Duration // the latest sign of life or, if later, the first send that waits for one
+	failing  float64       // share of failures among the latest outcomes
+	until    time.Duration // ejected to then; 0 when not
+	trial    bool          // one trial is under way
+	spare    float64       // sends it may get while cold
+	weight   float64       // capacity at present, for the request at hand
+}
+
+type request struct {
+	Request
+	class    *Class
+	attempts []*attempt
+	drawn    []*server     // for the next attempt
+	home     *server       // the one drawn for its key
+	since    time.Duration // when they were asked; later reports are fresh
+	waits    int           // answers to probes that it waits for
+	late     uint64        // token of the timer that ends the wait
+	due      uint64        // token of the timer at the deadline
+	out      int           // attempts in flight
+	closed   bool
+}
+
+type attempt struct {
+	req      *request
+	srv      *server
+	n        int
+	sent     time.Duration
+	out      bool
+	neverRan bool
+}
--- /dev/null
+++ b/internal/wire/decode.go
@@ -0,0 +1,355 @@
+// Package wire reads the simulator's lines and prints the replies. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"olivemux/choice"
+)
+
+// Kind says what a Message is.
+type Kind int
+
+// The kinds of messages.
+const (
+	Turn     Kind = iota // a batch begins at Now
+	YourTurn             // a batch ends; the reply is due
+	Launch               // an instance begins, with Settings and Seed
+	Killed               // an instance is gone
+	Event                // an instance has an event
+)
+
+// Message is one decoded line.
+type Message struct {
+	Kind     Kind
+	Now      time.Duration
+	Instance string
+	Settings choice.Settings
+	Seed     uint64
+	Event    choice.Event
+}
+
+// lists is how many numbered lists there are at a time.
+const lists = 16
+
+// Decoder reads messages.
+type Decoder struct {
+	in        *bufio.Reader
+	long      []byte
+	line      int
+	inTurn    bool
+	parser    fastjson.Parser
+	rows      [lists][]choice.Server
+	instances map[string][]string // each one's report fields
+	names     map[string]string   // ids that come again and again, to keep one copy
+	bad       error               // the first fault in the line at hand
+}
+
+// NewDecoder returns a Decoder that reads from r.
+func NewDecoder(r io.Reader) *Decoder {
+	return &Decoder{in: bufio.NewReaderSize(r, 1<<20), instances: map[string][]string{}, names: map[string]string{}}
+}
+
+// Next returns the next message, or io.EOF at the end of the input. Other errors name the line and the fault.
+func (d *Decoder) Next() (Message, error) {
+	for {
+		text, err := d.read()
+		if err == io.EOF && d.inTurn {
+			return Message{}, fmt.Errorf("line %d: the input ends without YourTurn", d.line)
+		}
+		if err != nil {
+			return Message{}, err
+		}
+		if len(text) == 0 {
+			continue
+		}
+		m, skip, err := d.decode(text)
+		if err != nil {
+			return Message{}, fmt.Errorf("line %d: %w", d.line, err)
+		}
+		if !skip {
+			return m, nil
+		}
+	}
+}
+
+// read returns the next line without its end, however long it is.
+func (d *Decoder) read() ([]byte, error) {
+	d.long = d.long[:0]
+	for {
+		part, err := d.in.ReadSlice('\n')
+		if err == bufio.ErrBufferFull {
+			d.long = append(d.long, part...)
+			continue
+		}
+		if err != nil && (err != io.EOF || len(part)+len(d.long) == 0) {
+			return nil, err
+		}
+		d.line++
+		if len(d.long) > 0 {
+			part = append(d.long, part...)
+			d.long = part
+		}
+		return bytes.TrimSpace(part), nil
+	}
+}
+
+// decode decodes one line; skip says that it holds no message of its own.
+func (d *Decoder) decode(text []byte) (m Message, skip bool, err error) {
+	v, err := d.parser.ParseBytes(text)
+	if err != nil {
+		return m, false, fmt.Errorf("broken JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return m, false, errors.New("not an object")
+	}
+	d.bad = nil
+	kind := d.bytes(v, "type")
+	switch string(kind) {
+	case "Turn":
+		if d.inTurn {
+			return m, false, errors.New("a Turn inside a Turn: YourTurn is missing")
+		}
+		d.inTurn = true
+		return Message{Kind: Turn, Now: d.time(v, "WallNs")}, false, d.bad
+	case "YourTurn":
+		if !d.inTurn {
+			return m, false, errors.New("YourTurn without a Turn")
+		}
+		d.inTurn = false
+		return Message{Kind: YourTurn}, false, nil
+	}
+	if !d.inTurn {
+		return m, false, fmt.Errorf("%q outside a Turn", kind)
+	}
+	if string(kind) == "Census" {
+		d.census(v)
+		return m, true, d.bad
+	}
+	m.Instance = d.name(v, "I")
+	switch string(kind) {
+	case "Launch":
+		m.Kind, m.Seed = Launch, d.uint(v, "Seed")
+		m.Settings = d.launch(m.Instance, v.Get("BootInfo"))
+		return m, false, d.bad
+	case "Killed":
+		m.Kind = Killed
+	default:
+		m.Kind = Event
+	}
+	fields, ok := d.instances[m.Instance]
+	if !ok {
+		return m, false, fmt.Errorf("instance %q was never launched", m.Instance)
+	}
+	if m.Kind == Event {
+		m.Event = d.event(string(kind), v, fields)
+	} else {
+		delete(d.instances, m.Instance)
+	}
+	return m, false, d.bad
+}
+
+func (d *Decoder) event(kind string, v *fastjson.Value, fields []string) choice.Event {
+	switch kind {
+	case "Members":
+		return d.members(v)
+	case "Inbound":
+		return choice.Request{ID: d.str(v, "Tid"), Class: d.int(v, "Category"), Tenant: d.int(v, "Billing"),
+			Key: d.str(v, "Resource"), Deadline: d.time(v, "ExpiresNs"), Again: d.flag(v, "Repeat")}
+	case "Answer":
+		return choice.Outcome{Request: d.str(v, "Tid"), Attempt: d.int(v, "RoundNo"), Server: d.name(v, "Backend"),
+			Result: d.result(v), Took: d.time(v, "LagNs"), Closed: d.flag(v, "Last"), Report: d.report(v, fields)}
+	case "Established":
+		return choice.Streaming{Request: d.str(v, "Tid"), Attempt: d.int(v, "RoundNo")}
+	case "Dropped":
+		return choice.ClientGone{Request: d.str(v, "Tid")}
+	case "Health":
+		return choice.Probed{Server: d.name(v, "Backend"), Result: d.result(v), Took: d.time(v, "LagNs"),
+			Report: d.report(v, fields)}
+	case "Message":
+		data, err := base64.StdEncoding.DecodeString(d.str(v, "Blob"))
+		if err != nil {
+			d.fault("Blob is not base64: %v", err)
+		}
+		return choice.PeerMessage{From: d.int(v, "Who"), Data: data}
+	case "TimeoutFired":
+		return choice.TimerFired{Token: d.uint(v, "Handle")}
+	}
+	d.fault("unknown type %q", kind)
+	return nil
+}
+
+func (d *Decoder) members(v *fastjson.Value) choice.Event {
+	form := string(d.bytes(v, "Form"))
+	switch form {
+	case "unavailable":
+		return choice.ListUnavailable{}
+	case "update", "replace", "restored":
+	default:
+		d.fault("unknown Form %q", form)
+	}
+	n := d.int(v, "Buffer")
+	if n < 0 || n >= lists || d.rows[n] == nil {
+		d.fault("unknown list number %d", n)
+		return nil
+	}
+	return choice.ServerList{Full: form != "update", Servers: d.rows[n]}
+}
+
+// census keeps a numbered list. Each gets rows of its own, since events decoded before may still refer to the
+// rows that had the number.
+func (d *Decoder) census(v *fastjson.Value) {
+	n := d.int(v, "Buffer")
+	if n < 0 || n >= lists {
+		d.fault("list number %d is not from 0 to %d", n, lists-1)
+		return
+	}
+	rows := []choice.Server{}
+	for _, e := range d.array(v, "RowsIn") {
+		s := choice.Server{ID: d.name(e, "Backend"), Zone: d.int(e, "RegionPart"), Cell: d.int(e, "Pack"),
+			Weight: d.float(e, "Units"), Started: d.time(e, "CameUpNs")}
+		switch mode := string(d.bytes(e, "Mode")); mode {
+		case "ready":
+			s.State = choice.Ready
+		case "draining":
+			s.State = choice.Draining
+		case "gone":
+			s.State = choice.Gone
+		default:
+			d.fault("unknown Mode %q", mode)
+		}
+		rows = append(rows, s)
+	}
+	d.rows[n] = rows
+}
+
+var results = map[int]choice.Result{10: choice.OK, 20: choice.Failed, 30: choice.Rejected, 40: choice.TimedOut,
+	50: choice.ConnectFailed, 60: choice.Reset, 70: choice.Cancelled, 80: choice.NotSent}
+
+func (d *Decoder) result(v *fastjson.Value) choice.Result {
+	n := d.int(v, "Result")
+	r, ok := results[n]
+	if !ok {
+		d.fault("unknown Result %d", n)
+	}
+	return r
+}
+
+func (d *Decoder) report(v *fastjson.Value, fields []string) choice.Report {
+	r := choice.NoReport
+	for i, e := range d.array(v, "Usage") {
+		x, err := e.Float64()
+		if err != nil {
+			d.fault("Usage: %v", err)
+		}
+		if i >= len(fields) {
+			break
+		}
+		switch fields[i] {
+		case "util":
+			r.Util = x
+		case "qps":
+			r.Rate = x
+		case "eps":
+			r.Errors = x
+		case "inflight":
+			r.InFlight = x
+		case "queue":
+			r.Queue = x
+		}
+	}
+	return r
+}
+
+func (d *Decoder) fault(format string, args ...any) {
+	if d.bad == nil {
+		d.bad = fmt.Errorf(format, args...)
+	}
+}
+
+// get returns a field, or nil when it is absent or null.
+func (d *Decoder) get(v *fastjson.Value, key string) *fastjson.Value {
+	f := v.Get(key)
+	if f == nil || f.Type() == fastjson.TypeNull {
+		return nil
+	}
+	return f
+}
+
+// field converts a field of v; an absent one is the zero value.
+func field[T any](d *Decoder, v *fastjson.Value, key string, convert func(*fastjson.Value) (T, error)) (t T) {
+	if f := d.get(v, key); f != nil {
+		var err error
+		if t, err = convert(f); err != nil {
+			d.fault("%s: %v", key, err)
+		}
+	}
+	return t
+}
+
+func (d *Decoder) bytes(v *fastjson.Value, key string) []byte {
+	return field(d, v, key, (*fastjson.Value).StringBytes)
+}
+
+func (d *Decoder) int(v *fastjson.Value, key string) int {
+	return field(d, v, key, (*fastjson.Value).Int)
+}
+
+func (d *Decoder) uint(v *fastjson.Value, key string) uint64 {
+	return field(d, v, key, (*fastjson.Value).Uint64)
+}
+
+func (d *Decoder) time(v *fastjson.Value, key string) time.Duration {
+	return time.Duration(field(d, v, key, (*fastjson.Value).Int64))
+}
+
+func (d *Decoder) float(v *fastjson.Value, key string) float64 {
+	return field(d, v, key, (*fastjson.Value).Float64)
+}
+
+func (d *Decoder) flag(v *fastjson.Value, key string) bool {
+	return field(d, v, key, (*fastjson.Value).Bool)
+}
+
+func (d *Decoder) array(v *fastjson.Value, key string) []*fastjson.Value {
+	return field(d, v, key, (*fastjson.Value).Array)
+}
+
+func (d *Decoder) str(v *fastjson.Value, key string) string { return string(d.bytes(v, key)) }
+
+// name is str for the ids of servers and instances, of which there are few.
+func (d *Decoder) name(v *fastjson.Value, key string) string {
+	text := d.bytes(v, key)
+	s, ok := d.names[string(text)]
+	if !ok {
+		s = string(text)
+		d.names[s] = s
+	}
+	return s
+}
+
+func (d *Decoder) launch(instance string, v *fastjson.Value) choice.Settings {
+	if v == nil || v.Type() != fastjson.TypeObject {
+		d.fault("Launch without BootInfo")
+		return choice.Settings{}
+	}
+	var boot bootInfo
+	if err := json.Unmarshal(v.MarshalTo(nil), &boot); err != nil {
+		d.fault("BootInfo: %v", err)
+	}
+	set, err := boot.settings()
+	if err != nil {
+		d.fault("BootInfo: %v", err)
+	}
+	d.instances[instance] = boot.Report.Fields
+	return set
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,76 @@
+package wire
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"olivemux/choice"
+)
+
+// bootInfo is the start-up object of an instance, as far as the module has a use for it.
+type bootInfo struct {
+	Balancers int
+	Classes   []struct {
+		Name, Effect, Group         string
+		AimNs, DeadlineNs, WindowNs int64
+		Worth                       float64
+	}
+	Ceilings struct {
+		MayCancel, ParallelTries, Probes, RetryAfter bool
+		MaxRetryAfterNs                              int64
+		MostTries                                    int
+	}
+	Discovery string
+	Domain    struct{ WarmKeys bool }
+	Prices    struct{ CrossZone, Probe float64 }
+	Report    struct{ Fields []string }
+	Rules     struct {
+		ColdFrom float64
+		ColdNs   int64
+	}
+	TickNs     int64
+	WeightKind string
+	Zone       int
+}
+
+var (
+	effects = []string{choice.Safe: "repeatable", choice.Keyed: "by_key", choice.Unsafe: "once"}
+	groups  = []string{choice.GroupAll: "all", choice.GroupZone: "zone", choice.GroupCell: "cell"}
+)
+
+func (b *bootInfo) settings() (choice.Settings, error) {
+	s := choice.Settings{
+		Balancers:      b.Balancers,
+		Tick:           time.Duration(b.TickNs),
+		Zone:           b.Zone,
+		CrossZonePrice: b.Prices.CrossZone,
+		ListWeights:    b.WeightKind == "nominal" || b.WeightKind == "rough",
+		Subscribe:      b.Discovery == "subscribe",
+		WarmKeys:       b.Domain.WarmKeys,
+		Probes:         b.Ceilings.Probes,
+		ProbePrice:     b.Prices.Probe,
+		ReportsLoad:    slices.Contains(b.Report.Fields, "inflight"),
+		MaxAttempts:    b.Ceilings.MostTries,
+		ParallelCopies: b.Ceilings.ParallelTries,
+		CanCancel:      b.Ceilings.MayCancel,
+		ColdFrom:       b.Rules.ColdFrom,
+		ColdFor:        time.Duration(b.Rules.ColdNs),
+	}
+	if b.Ceilings.RetryAfter {
+		s.MaxRetryAfter = time.Duration(b.Ceilings.MaxRetryAfterNs)
+	}
+	for _, c := range b.Classes {
+		effect, group := slices.Index(effects, c.Effect), slices.Index(groups, c.Group)
+		if effect < 0 {
+			return s, fmt.Errorf("class %q has the unknown Effect %q", c.Name, c.Effect)
+		}
+		if group < 0 && c.Group != "" {
+			return s, fmt.Errorf("class %q has the unknown Group %q", c.Name, c.Group)
+		}
+		s.Classes = append(s.Classes, choice.Class{Name: c.Name, Effect: choice.Effect(effect),
+			Group: choice.Group(max(group, 0)), Window: time.Duration(c.WindowNs), Aim: time.Duration(c.AimNs),
+			Deadline: time.Duration(c.DeadlineNs), Worth: c.Worth})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/policy_test.go
@@ -0,0 +1,75 @@
+// Package olivemux holds checks of the repository as a whole; the library is in choice.
+package olivemux
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+// The limits of the users: every decision in one module of so many non-blank lines, comments included.
+const (
+	mostLines  = 550
+	mostLength = 110
+)
+
+// policyFiles are the files that the deploy file names as policy.
+func policyFiles(t *testing.T) []string {
+	t.Helper()
+	text, err := os.ReadFile("deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := regexp.MustCompile(`(?m)^policy = \[(.*)\]$`).FindSubmatch(text)
+	if list == nil {
+		t.Fatal("deploy/balancer.toml names no policy files")
+	}
+	var names []string
+	for _, name := range regexp.MustCompile(`"([^"]+)"`).FindAllSubmatch(list[1], -1) {
+		names = append(names, string(name[1]))
+	}
+	if len(names) == 0 {
+		t.Fatal("the list of policy files is empty")
+	}
+	return names
+}
+
+// measure counts the lines that are not blank and lists the numbers of those that are too long.
+func measure(text string) (lines int, long []int) {
+	for i, l := range strings.Split(text, "\n") {
+		if strings.TrimSpace(l) != "" {
+			lines++
+		}
+		if utf8.RuneCountInString(l) > mostLength {
+			long = append(long, i+1)
+		}
+	}
+	return lines, long
+}
+
+func TestPolicySize(t *testing.T) {
+	total := 0
+	for _, name := range policyFiles(t) {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines, long := measure(string(text))
+		total += lines
+		if len(long) > 0 {
+			t.Errorf("%s: lines over %d characters: %v", name, mostLength, long)
+		}
+	}
+	if total > mostLines {
+		t.Errorf("the policy files hold %d lines that are not blank, %d at most", total, mostLines)
+	}
+}
+
+func TestMeasure(t *testing.T) {
+	lines, long := measure("a\n\n\t \n// b\n" + strings.Repeat("é", mostLength) + "\n\t" + strings.Repeat("x", mostLength) + "\n")
+	if lines != 4 || len(long) != 1 || long[0] != 6 {
+		t.Errorf("%d lines, too long: %v", lines, long)
+	}
+}
