--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,170 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"olivemux/choice"
+	"olivemux/internal/wire"
+)
+
+// Limits are what the platform grants the agent.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is all that an agent is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Limits    Limits
+
+	seed   uint64
+	known  endpointList
+	module choice.Settings // as the simulator's adapter reads them
+	fields []string        // the figures in a load report
+	host   hostSettings
+}
+
+// hostSettings are those of the settings that bind the host and do not concern the module.
+type hostSettings struct {
+	Classes []struct {
+		Name     string
+		Streamed bool
+	}
+	Ceilings struct {
+		ConnIdleNs, ConnectTimeoutNs int64
+		MostHeld                     int
+	}
+	Tenants []struct{ Name string }
+	Zones   []string
+}
+
+// LoadConfig reads the file that NODE_CONFIG names. Addresses in the environment go before those in the file.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, errors.New("NODE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	cfg, err := parseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	for name, field := range map[string]*string{"NODE_NAME": &cfg.Name, "NODE_LISTEN": &cfg.Listen,
+		"NODE_DISCOVERY": &cfg.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	if cfg.Listen == "" || cfg.Discovery == "" {
+		return nil, fmt.Errorf("configuration %s: listen and discovery must be given", path)
+	}
+	return cfg, nil
+}
+
+func parseConfig(text []byte) (*Config, error) {
+	var file struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        Limits
+		Known                         endpointList
+		Settings                      json.RawMessage
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, err
+	}
+	if len(file.Settings) == 0 {
+		return nil, errors.New("no settings")
+	}
+	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits,
+		known: file.Known}
+	cfg.known.Full = true
+	var err error
+	if cfg.seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		h := fnv.New64a() // any text will do as a seed
+		h.Write([]byte(file.Seed))
+		cfg.seed = h.Sum64()
+	}
+	if cfg.module, cfg.fields, err = wire.ParseSettings(file.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := json.Unmarshal(file.Settings, &cfg.host); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	for _, c := range cfg.host.Classes {
+		if c.Streamed {
+			return nil, fmt.Errorf("settings: class %q is streamed, which this agent cannot serve", c.Name)
+		}
+	}
+	if cfg.module.Probes {
+		return nil, errors.New("settings: probes are allowed, which this agent cannot send")
+	}
+	if cfg.Limits.Sockets <= 0 {
+		cfg.Limits.Sockets = 1024
+	}
+	if cfg.Limits.Sockets < leastSockets {
+		return nil, fmt.Errorf("limits: %d sockets are too few, %d are needed", cfg.Limits.Sockets, leastSockets)
+	}
+	return cfg, nil
+}
+
+// leastSockets is the smallest limit on descriptors under which an agent can work.
+const leastSockets = 64
+
+// Descriptors that are neither clients' nor backends': the listener, the watch, the poller, standard streams
+// and one connection more while another closes.
+const spareSockets = 24
+
+// clientSockets and backendSockets share out the descriptors.
+func (c *Config) clientSockets() int  { return (c.Limits.Sockets - spareSockets) / 2 }
+func (c *Config) backendSockets() int { return (c.Limits.Sockets - spareSockets) / 2 }
+
+// connectTimeout bounds the dial of a backend.
+func (c *Config) connectTimeout() time.Duration {
+	if ns := c.host.Ceilings.ConnectTimeoutNs; ns > 0 {
+		return time.Duration(ns)
+	}
+	return time.Second
+}
+
+// idleFor is how long an idle connection to a backend may still be used. A backend closes one after
+// ConnIdleNs; a request written just then would be reset, so the agent drops it well before.
+func (c *Config) idleFor() time.Duration {
+	if ns := c.host.Ceilings.ConnIdleNs; ns > 0 {
+		return time.Duration(ns) * 4 / 5
+	}
+	return 10 * time.Second
+}
+
+// longestDeadline is the longest that a client may wait for an answer.
+func (c *Config) longestDeadline() (longest time.Duration) {
+	for _, class := range c.module.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
+
+// class returns the position of a class, or -1.
+func (c *Config) class(name string) int {
+	return slices.IndexFunc(c.module.Classes, func(class choice.Class) bool { return class.Name == name })
+}
+
+// tenant returns the position of a tenant, or -1. Where there are none, any is the first.
+func (c *Config) tenant(name string) int {
+	if len(c.host.Tenants) == 0 {
+		return 0
+	}
+	return slices.IndexFunc(c.host.Tenants, func(t struct{ Name string }) bool { return t.Name == name })
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -5,7 +5,6 @@
 	"bufio"
 	"bytes"
 	"encoding/base64"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -254,18 +253,7 @@
 		if i >= len(fields) {
 			break
 		}
-		switch fields[i] {
-		case "util":
-			r.Util = x
-		case "qps":
-			r.Rate = x
-		case "eps":
-			r.Errors = x
-		case "inflight":
-			r.InFlight = x
-		case "queue":
-			r.Queue = x
-		}
+		SetField(&r, fields[i], x)
 	}
 	return r
 }
@@ -342,14 +330,10 @@
 		d.fault("Launch without BootInfo")
 		return choice.Settings{}
 	}
-	var boot bootInfo
-	if err := json.Unmarshal(v.MarshalTo(nil), &boot); err != nil {
-		d.fault("BootInfo: %v", err)
-	}
-	set, err := boot.settings()
+	set, fields, err := ParseSettings(v.MarshalTo(nil))
 	if err != nil {
 		d.fault("BootInfo: %v", err)
 	}
-	d.instances[instance] = boot.Report.Fields
+	d.instances[instance] = fields
 	return set
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -39,6 +40,33 @@
 	groups  = []string{choice.GroupAll: "all", choice.GroupZone: "zone", choice.GroupCell: "cell"}
 )
 
+// ParseSettings reads the settings object of an instance. It returns the module's settings and the names of the
+// figures in a load report, in their order. The simulator's adapter and the real agent both read it here.
+func ParseSettings(data []byte) (choice.Settings, []string, error) {
+	var boot bootInfo
+	if err := json.Unmarshal(data, &boot); err != nil {
+		return choice.Settings{}, nil, err
+	}
+	set, err := boot.settings()
+	return set, boot.Report.Fields, err
+}
+
+// SetField puts a named figure into a load report; names that the module has no use for are passed over.
+func SetField(r *choice.Report, name string, x float64) {
+	switch name {
+	case "util":
+		r.Util = x
+	case "qps":
+		r.Rate = x
+	case "eps":
+		r.Errors = x
+	case "inflight":
+		r.InFlight = x
+	case "queue":
+		r.Queue = x
+	}
+}
+
 func (b *bootInfo) settings() (choice.Settings, error) {
 	s := choice.Settings{
 		Balancers:      b.Balancers,
