--- /dev/null
+++ b/cmd/ternbeam/main_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const settings = `{"Balancers":1,"Classes":[{"Name":"form-check","Effect":"repeatable","Group":"all",
+	"AimNs":600000000,"DeadlineNs":20000000000,"Worth":2}],
+	"Ceilings":{"ConnIdleNs":15000000000,"ConnectTimeoutNs":5000000000,"MostHeld":100,"MostTries":5},
+	"Discovery":"automatic","Report":{"Fields":["util","qps","eps"]},"TickNs":5000000,"WeightKind":"silent",
+	"Tenants":[{"Name":"rosyth-port"}],"Zones":["z"]}`
+
+// program starts the agent as the deploy file does, from what RUN_ROOT holds, or else one built here.
+func program(t *testing.T, env ...string) (*exec.Cmd, *bytes.Buffer) {
+	t.Helper()
+	command, root := "", os.Getenv("RUN_ROOT")
+	if root != "" {
+		text, err := os.ReadFile(filepath.Join(root, "deploy/balancer.toml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		run := regexp.MustCompile(`(?m)^run = "(.*)"$`).FindSubmatch(text)
+		if run == nil {
+			t.Fatal("deploy/balancer.toml names no run")
+		}
+		command = string(run[1])
+	} else {
+		root = t.TempDir()
+		if out, err := exec.Command("go", "build", "-o", root, ".").CombinedOutput(); err != nil {
+			t.Fatalf("%v\n%s", err, out)
+		}
+		command = "exec ./ternbeam"
+	}
+	cmd := exec.Command("/bin/sh", "-c", command)
+	cmd.Dir, cmd.Env = root, append(os.Environ(), env...)
+	var log bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &log, &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return cmd, &log
+}
+
+// The program, on loopback peers: ready, a request served by a backend that only the watch names, and a gentle end.
+func TestProgram(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "checked %s", r.URL.Path)
+	}))
+	defer backend.Close()
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"version":1,"full":true,"servers":[{"id":"s","addr":"%s","zone":"z","state":"in_service"}]}`+"\n",
+			backend.Listener.Addr())
+		for r.Context().Err() == nil {
+			w.(http.Flusher).Flush()
+			time.Sleep(100 * time.Millisecond)
+			fmt.Fprintln(w)
+		}
+	}))
+	defer discovery.CloseClientConnections()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := l.Addr().String()
+	l.Close()
+	config := filepath.Join(t.TempDir(), "config.json")
+	text, err := json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": "1f",
+		"discovery": discovery.Listener.Addr().String(), "settings": json.RawMessage(settings),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":  map[string]any{"version": 0, "full": true, "servers": []any{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd, log := program(t, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	defer cmd.Process.Kill()
+
+	get := func(path string) (int, string, error) {
+		req, err := http.NewRequest(http.MethodGet, "http://"+listen+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, value := range map[string]string{"X-Correlation-Id": "9b1f03aa5c7e2d41", "X-Service-Class": "form-check",
+			"X-Account": "rosyth-port", "X-Time-Left": "15"} {
+			req.Header.Set(name, value)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, "", err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(body), err
+	}
+	until := func(what, path, want string) {
+		t.Helper()
+		for end := time.Now().Add(time.Minute); ; time.Sleep(20 * time.Millisecond) {
+			status, body, err := get(path)
+			if err == nil && status == 200 && body == want {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: answered %d %q, %v", what, status, body, err)
+			}
+		}
+	}
+	until("ready", "/ready", "")
+	until("served", "/form-check/a1", "checked /form-check/a1") // refused until the watch has named the backend
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v\n%s", err, log)
+		}
+	case <-time.After(time.Minute):
+		t.Error("the agent does not end")
+	}
+}
+
+func TestBadConfigurationEndsTheProgram(t *testing.T) {
+	cmd, log := program(t, "NODE_CONFIG="+filepath.Join(t.TempDir(), "nothing.json"))
+	if err := cmd.Wait(); err == nil {
+		t.Error("no error")
+	}
+	if line := strings.TrimSpace(log.String()); !strings.HasPrefix(line, "ternbeam: ") || strings.Contains(line, "\n") {
+		t.Errorf("said %q", line)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,7 +25,6 @@
 	events   chan func()
 	started  time.Time
 	origin   time.Duration // module time at the start: Unix time, so that starts of backends need no mapping
-	draining atomic.Bool   // the process is about to end: connections of clients are closed gently
 
 	// What follows belongs to the loop.
 	balancer  *choice.Balancer
@@ -43,7 +42,7 @@
 // stats are counts since the start, for the log.
 type stats struct {
 	Requests, Served, Refused, Failed, Gone int
-	Attempts                                int
+	Attempts, Reports                       int
 	Results                                 [choice.NotSent + 1]int
 }
 
@@ -189,7 +188,7 @@
 func (a *Agent) report() {
 	s := &a.stats
 	a.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
-		"gone", s.Gone, "attempts", s.Attempts, "results", s.Results, "open", a.open, "held", len(a.requests),
+		"gone", s.Gone, "attempts", s.Attempts, "reports", s.Reports, "results", s.Results, "open", a.open, "held", len(a.requests),
 		"timers", len(a.timers), "backends", len(a.backends), "connections", a.upstream.count())
 }
 
@@ -208,6 +207,8 @@
 	a.queue, a.handling = a.queue[:0], false
 }
 
+// perform carries out the module's actions. It has no case for probes and messages to peers: the configuration
+// rules the ones out, and the module sends none of the others.
 func (a *Agent) perform(actions []choice.Action) {
 	for _, act := range actions {
 		switch act.Kind {
@@ -279,6 +280,9 @@
 	r.attempts[at.n] = nil
 	r.out--
 	a.stats.Results[res.result]++
+	if res.report != choice.NoReport {
+		a.stats.Reports++
+	}
 	if res.result == choice.OK && a.finish(r.ID, answer{status: http.StatusOK, contentType: res.contentType,
 		body: res.body}) {
 		a.stats.Served++
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,554 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"olivemux/choice"
+)
+
+// patience bounds every wait for something that must happen; nothing is expected to take nearly so long.
+const patience = 20 * time.Second
+
+// settings are those of the tests: a class of each effect.
+const settings = `{"Balancers":1,"Classes":[
+	{"Name":"check","Effect":"repeatable","Group":"all","AimNs":600000000,"DeadlineNs":%[1]d,"Worth":2},
+	{"Name":"record","Effect":"by_key","Group":"cell","WindowNs":2000000000,"AimNs":600000000,"DeadlineNs":%[1]d,"Worth":10},
+	{"Name":"pay","Effect":"once","AimNs":600000000,"DeadlineNs":%[1]d,"Worth":10}],
+	"Ceilings":{"ConnIdleNs":%[2]d,"ConnectTimeoutNs":5000000000,"MayCancel":true,"MostHeld":1000,"MostTries":%[3]d},
+	"Discovery":"automatic","Report":{"Fields":["util","qps","eps"]},"TickNs":5000000,"WeightKind":"silent",
+	"Tenants":[{"Name":"leith"},{"Name":"oban"}],"Zones":["z"]}`
+
+// trial is what a test varies.
+type trial struct {
+	deadline, idle time.Duration
+	tries, sockets int
+	known          []endpoint
+}
+
+func (tr trial) config(t *testing.T) *Config {
+	t.Helper()
+	if tr.deadline == 0 {
+		tr.deadline = patience
+	}
+	if tr.idle == 0 {
+		tr.idle = time.Minute
+	}
+	if tr.tries == 0 {
+		tr.tries = 3
+	}
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": tr.sockets},
+		"known":    endpointList{Version: 7, Full: true, Servers: tr.known},
+		"settings": json.RawMessage(fmt.Sprintf(settings, int64(tr.deadline), int64(tr.idle), tr.tries))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := parseConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// running is an agent under test.
+type running struct {
+	*Agent
+	url  string
+	end  context.CancelFunc
+	done chan error
+}
+
+// start runs an agent; one that the test did not end is ended after it.
+func start(t *testing.T, cfg *Config) *running {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Listen = l.Addr().String()
+	l.Close()
+	a, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Agent: a, url: "http://" + cfg.Listen, end: cancel, done: make(chan error, 1)}
+	go func() { r.done <- a.Run(ctx) }()
+	t.Cleanup(cancel)
+	eventually(t, "the agent is ready", func() bool {
+		resp, err := http.Get(r.url + "/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return r
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
+// held asks the loop how many requests and timers it keeps.
+func (r *running) held() (requests, open int) {
+	done := make(chan struct{})
+	r.post(func() { requests, open = len(r.requests), r.open; close(done) })
+	<-done
+	return requests, open
+}
+
+// newBackend runs a backend and returns its entry in the list.
+func newBackend(t *testing.T, id string, serve http.HandlerFunc) endpoint {
+	t.Helper()
+	s := httptest.NewServer(serve)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return endpoint{ID: id, Addr: s.Listener.Addr().String(), Zone: "z", Cell: 1, State: "in_service", Weight: 1}
+}
+
+// ask words a request of a class.
+func (r *running) ask(class, id string, left float64, body string) *http.Request {
+	method := http.MethodPost
+	if class == "check" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequest(method, r.url+"/"+class+"/7f3a%2F9c?q=1", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("X-Correlation-Id", id)
+	req.Header.Set("X-Service-Class", class)
+	req.Header.Set("X-Account", "oban")
+	req.Header.Set("X-Time-Left", fmt.Sprint(left))
+	if class == "record" {
+		req.Header.Set("Idempotency-Key", "key-"+id)
+	}
+	return req
+}
+
+func do(t *testing.T, req *http.Request) (status int, body string) {
+	t.Helper()
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("broken answer: %v", err)
+	}
+	return resp.StatusCode, string(text)
+}
+
+// attempts counts what backends receive, by request id.
+type attempts struct {
+	mu   sync.Mutex
+	seen map[string]int
+}
+
+func (a *attempts) add(r *http.Request) int {
+	io.Copy(io.Discard, r.Body)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.seen == nil {
+		a.seen = map[string]int{}
+	}
+	a.seen[r.Header.Get("X-Correlation-Id")]++
+	return a.seen[r.Header.Get("X-Correlation-Id")]
+}
+
+func (a *attempts) of(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.seen[id]
+}
+
+func hangUp(w http.ResponseWriter) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		c.Close()
+	}
+}
+
+func TestPassesRequestAndAnswerOn(t *testing.T) {
+	var got http.Header
+	var line, body string
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		got, line, body = r.Header.Clone(), r.Method+" "+r.RequestURI, string(text)
+		w.Header().Set("X-Backend-Load", "TEXT util=0.5, qps=40, eps=0")
+		fmt.Fprint(w, "the answer")
+	})
+	r := start(t, trial{known: []endpoint{e}}.config(t))
+	status, answer := do(t, r.ask("record", "id1", 5, "a form"))
+	if status != 200 || answer != "the answer" {
+		t.Errorf("answered %d %q", status, answer)
+	}
+	if line != "POST /record/7f3a%2F9c?q=1" || body != "a form" {
+		t.Errorf("the backend got %q with %q", line, body)
+	}
+	if got.Get("X-Correlation-Id") != "id1" || got.Get("Idempotency-Key") != "key-id1" {
+		t.Errorf("the backend got the headers %v", got)
+	}
+	if left := got.Get("X-Time-Left"); left > "5.000" || left < "4" {
+		t.Errorf("the backend got X-Time-Left %q", left)
+	}
+	if held, open := r.held(); held != 0 || open != 0 {
+		t.Errorf("%d requests kept, %d open, after all were answered", held, open)
+	}
+	if r.stats.Reports != 1 {
+		t.Errorf("%d load reports read", r.stats.Reports)
+	}
+}
+
+// A pool that sends again by itself when a reused connection breaks makes an attempt that the module never ordered.
+func TestNeverSendsAgainByItself(t *testing.T) {
+	for _, class := range []string{"check", "record"} {
+		t.Run(class, func(t *testing.T) {
+			var seen attempts
+			e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+				if seen.add(r); r.Header.Get("X-Correlation-Id") == "second" {
+					hangUp(w)
+				}
+			})
+			r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+			if status, _ := do(t, r.ask(class, "first", 5, "")); status != 200 {
+				t.Fatalf("the first request was answered %d", status)
+			}
+			if r.upstream.count() != 1 {
+				t.Fatalf("%d connections kept", r.upstream.count())
+			}
+			status, _ := do(t, r.ask(class, "second", 5, ""))
+			if n := seen.of("second"); n != 1 {
+				t.Errorf("the backend got the request %d times", n)
+			}
+			// A keyed request that may have run must not be refused.
+			if refused := status == 503; status == 200 || refused != (class == "check") {
+				t.Errorf("answered %d", status)
+			}
+		})
+	}
+}
+
+// Only an answer that says so proves that the request never ran, and no backend's status gets to the client.
+func TestStatusOfBackends(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		status        int
+		unprocessed   bool
+		body, promise string
+		want          int
+	}{
+		{name: "turned away", status: 503, unprocessed: true, want: 503},
+		{name: "over already", status: 504, unprocessed: true, want: 503},
+		{name: "may have run", status: 503, want: 502},
+		{name: "too many", status: 429, want: 502},
+		{name: "error that claims not to have run", status: 500, unprocessed: true, want: 502},
+		{name: "other success", status: 204, want: 502},
+		{name: "cut short", status: 200, body: "half", promise: "9", want: 502},
+		{name: "too long", status: 200, body: strings.Repeat("x", maxBody+1), want: 502},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				if c.unprocessed {
+					w.Header().Set("X-Unprocessed", "1")
+				}
+				if c.promise != "" {
+					w.Header().Set("Content-Length", c.promise)
+				}
+				w.WriteHeader(c.status)
+				io.WriteString(w, c.body)
+			})
+			r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+			if status, _ := do(t, r.ask("pay", "id", 5, "")); status != c.want {
+				t.Errorf("answered %d, not %d", status, c.want)
+			}
+		})
+	}
+}
+
+// An answer that only the end of the connection ends may have been cut short.
+func TestUnframedAnswerIsNotServed(t *testing.T) {
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+		c, _, _ := w.(http.Hijacker).Hijack()
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nperhaps all")
+		c.Close()
+	})
+	r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+	if status, body := do(t, r.ask("record", "id", 5, "")); status != 502 {
+		t.Errorf("answered %d %q", status, body)
+	}
+}
+
+func TestRefusedConnectionGoesElsewhere(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := endpoint{ID: "dead", Addr: l.Addr().String(), Zone: "z", Cell: 2, State: "in_service", Weight: 1}
+	l.Close()
+	live := newBackend(t, "live", func(w http.ResponseWriter, r *http.Request) {})
+	r := start(t, trial{known: []endpoint{dead, live}}.config(t))
+	for i := range 8 {
+		if status, _ := do(t, r.ask("pay", fmt.Sprint(i), 5, "")); status != 200 {
+			t.Errorf("request %d was answered %d", i, status)
+		}
+	}
+	if r.held(); r.stats.Results[choice.ConnectFailed] == 0 {
+		t.Error("the dead backend was never tried")
+	}
+}
+
+// A backend that takes requests and says nothing costs an answer at the deadline, and leaves nothing behind.
+func TestSilentBackend(t *testing.T) {
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+	var all sync.WaitGroup
+	for i := range 20 {
+		all.Go(func() {
+			begin := time.Now()
+			resp, err := http.DefaultTransport.RoundTrip(r.ask("record", fmt.Sprint(i), 0.3, ""))
+			if err != nil {
+				t.Errorf("no answer: %v", err)
+				return
+			}
+			resp.Body.Close()
+			if took := time.Since(begin); resp.StatusCode != 502 || took < 250*time.Millisecond {
+				t.Errorf("answered %d after %v", resp.StatusCode, took)
+			}
+		})
+	}
+	all.Wait()
+	eventually(t, "requests and connections are dropped", func() bool {
+		held, open := r.held()
+		return held == 0 && open == 0 && r.upstream.count() == 0
+	})
+}
+
+func TestMalformedRequests(t *testing.T) {
+	var seen attempts
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) { seen.add(r) })
+	r := start(t, trial{known: []endpoint{e}}.config(t))
+	for name, spoil := range map[string]func(*http.Request){
+		"no id":          func(q *http.Request) { q.Header.Del("X-Correlation-Id") },
+		"two ids":        func(q *http.Request) { q.Header.Add("X-Correlation-Id", "other") },
+		"no class":       func(q *http.Request) { q.Header.Del("X-Service-Class") },
+		"unknown class":  func(q *http.Request) { q.Header.Set("X-Service-Class", "nothing") },
+		"other path":     func(q *http.Request) { q.URL.Path, q.URL.RawPath = "/check/a", "" },
+		"unknown tenant": func(q *http.Request) { q.Header.Set("X-Account", "nobody") },
+		"no time":        func(q *http.Request) { q.Header.Del("X-Time-Left") },
+		"time in words":  func(q *http.Request) { q.Header.Set("X-Time-Left", "soon") },
+		"no number":      func(q *http.Request) { q.Header.Set("X-Time-Left", "NaN") },
+		"for ever":       func(q *http.Request) { q.Header.Set("X-Time-Left", "Inf") },
+		"over already":   func(q *http.Request) { q.Header.Set("X-Time-Left", "-1") },
+		"no key":         func(q *http.Request) { q.Header.Del("Idempotency-Key") },
+		"safe method":    func(q *http.Request) { q.Method = http.MethodGet },
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := r.ask("record", "id", 5, "")
+			spoil(req)
+			if status, _ := do(t, req); status < 400 || status > 499 || status == 429 {
+				t.Errorf("answered %d", status)
+			}
+		})
+	}
+	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", maxBody+1))); status != 413 {
+		t.Errorf("an oversized body was answered %d", status)
+	}
+	if n := seen.of("id"); n != 0 {
+		t.Errorf("%d malformed requests were passed on", n)
+	}
+	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", maxBody))); status != 200 {
+		t.Errorf("the largest body was answered %d", status)
+	}
+}
+
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	cfg := trial{}.config(t)
+	cfg.module.MaxRetryAfter = time.Second
+	r := start(t, cfg) // knows no backend
+	begin := time.Now()
+	resp, err := http.DefaultTransport.RoundTrip(r.ask("pay", "id", 10, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "0.300" || time.Since(begin) > 5*time.Second {
+		t.Errorf("answered %d with %v after %v", resp.StatusCode, resp.Header, time.Since(begin))
+	}
+}
+
+func TestClientThatLeaves(t *testing.T) {
+	arrived := make(chan struct{})
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	})
+	r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+	ctx, leave := context.WithCancel(context.Background())
+	go func() { <-arrived; leave() }()
+	if resp, err := http.DefaultTransport.RoundTrip(r.ask("pay", "id", 10, "").WithContext(ctx)); err == nil {
+		t.Fatalf("answered %d", resp.StatusCode)
+	}
+	eventually(t, "the request is over", func() bool { _, open := r.held(); return open == 0 })
+	if r.stats.Gone != 1 {
+		t.Errorf("%d clients left", r.stats.Gone)
+	}
+}
+
+func TestRepeatedIDIsTurnedDown(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-release
+	})
+	r := start(t, trial{known: []endpoint{e}}.config(t))
+	first := make(chan int)
+	go func() { status, _ := do(t, r.ask("pay", "id", 10, "")); first <- status }()
+	<-arrived
+	if status, _ := do(t, r.ask("pay", "id", 10, "")); status != 409 {
+		t.Errorf("the repeat was answered %d", status)
+	}
+	close(release)
+	if status := <-first; status != 200 {
+		t.Errorf("the first was answered %d", status)
+	}
+}
+
+// A backend closes idle connections after a known time. The agent drops them before: a request written at that
+// moment would be reset.
+func TestIdleConnectionsAreDropped(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	s.Start()
+	defer s.Close()
+	e := endpoint{ID: "b", Addr: s.Listener.Addr().String(), Zone: "z", State: "in_service"}
+	r := start(t, trial{known: []endpoint{e}, idle: 100 * time.Millisecond}.config(t))
+	if status, _ := do(t, r.ask("pay", "id", 10, "")); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+	select {
+	case <-closed:
+	case <-time.After(patience):
+		t.Error("the idle connection was kept")
+	}
+	eventually(t, "the connection is no longer counted", func() bool { return r.upstream.count() == 0 })
+}
+
+// An ending agent goes on accepting for a while, answers all it took and asks clients to close.
+func TestEndsGently(t *testing.T) {
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		fmt.Fprint(w, "done")
+	})
+	r := start(t, trial{known: []endpoint{e}}.config(t))
+	answers := make(chan *http.Response, 2)
+	ask := func(id string) {
+		resp, err := new(http.Transport).RoundTrip(r.ask("pay", id, 15, ""))
+		if err != nil {
+			t.Errorf("%s: %v", id, err)
+			resp = &http.Response{}
+		}
+		answers <- resp
+	}
+	go ask("before")
+	<-arrived
+	r.end()
+	go ask("after")
+	<-arrived
+	time.Sleep(lingering + 100*time.Millisecond) // both are to outlast the time of accepting
+	close(release)
+	for range 2 {
+		if resp := <-answers; resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("answered %d, connection to be closed: %t", resp.StatusCode, resp.Close)
+		}
+	}
+	select {
+	case err := <-r.done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("the agent goes on")
+	}
+	if c, err := net.Dial("tcp", r.cfg.Listen); err == nil {
+		c.Close()
+		t.Error("the agent still accepts")
+	}
+}
+
+// Clients that keep more connections than there are descriptors lose the idle ones, never an answer.
+func TestIdleClientsGiveWay(t *testing.T) {
+	e := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
+	cfg := trial{known: []endpoint{e}, sockets: leastSockets}.config(t)
+	r := start(t, cfg)
+	for i := range 3 * cfg.clientSockets() {
+		client := &http.Transport{}
+		defer client.CloseIdleConnections()
+		resp, err := client.RoundTrip(r.ask("pay", fmt.Sprint(i), 10, ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Fatalf("request %d was answered %d", i, resp.StatusCode)
+		}
+	}
+}
+
+func TestBadConfigurations(t *testing.T) {
+	good := fmt.Sprintf(settings, int64(time.Second), int64(time.Second), 1)
+	for name, text := range map[string]string{
+		"no JSON":     `{`,
+		"no settings": `{}`,
+		"effect":      `{"settings":` + strings.Replace(good, "repeatable", "maybe", 1) + `}`,
+		"streams":     `{"settings":` + strings.Replace(good, `"check",`, `"check","Streamed":true,`, 1) + `}`,
+		"probes":      `{"settings":` + strings.Replace(good, `"MayCancel"`, `"Probes":true,"MayCancel"`, 1) + `}`,
+		"sockets":     `{"limits":{"sockets":10},"settings":` + good + `}`,
+	} {
+		if _, err := parseConfig([]byte(text)); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
+		t.Error("no error without NODE_CONFIG")
+	}
+}
+
+// forwardable is a request as the loop would hand it to the upstream.
+func forwardable(id string) *request {
+	u, _ := url.Parse("/pay/x")
+	return &request{Request: choice.Request{ID: id}, method: http.MethodPost, url: u,
+		header: http.Header{"X-Correlation-Id": {id}}}
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -60,12 +60,13 @@
 type discovery struct {
 	addr    string
 	version int64
+	silence time.Duration // after which a watch is dead
 	client  *http.Client
 	log     *slog.Logger
 }
 
 func newDiscovery(addr string, version int64, log *slog.Logger) *discovery {
-	return &discovery{addr: addr, version: version, log: log, client: &http.Client{
+	return &discovery{addr: addr, version: version, silence: watchSilence, log: log, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -98,7 +99,7 @@
 func (d *discovery) watch(ctx context.Context, deliver func(endpointList)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(watchSilence, func() { cancel(fmt.Errorf("silent for %v", watchSilence)) })
+	silence := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("silent for %v", d.silence)) })
 	defer silence.Stop()
 
 	url := fmt.Sprintf("http://%s/v1/endpoints?stream=1&index=%d", d.addr, d.version)
@@ -120,7 +121,7 @@
 	// Empty lines mean nothing to the decoder, but every read shows that the watch is alive.
 	lines := json.NewDecoder(readerFunc(func(p []byte) (int, error) {
 		n, err := resp.Body.Read(p)
-		silence.Reset(watchSilence)
+		silence.Reset(d.silence)
 		return n, err
 	}))
 	for {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -63,8 +63,7 @@
 // After that, what was taken is answered, for so long as it may take.
 func (s *server) stop(lingering, atMost time.Duration) {
 	end := time.Now().Add(atMost)
-	s.agent.draining.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
+	s.http.SetKeepAlivesEnabled(false) // closes what is idle, and the others with their answers
 	time.Sleep(lingering)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -89,6 +88,9 @@
 		delete(s.idle, c)
 	case http.StateIdle:
 		s.idle[c] = time.Now()
+		if s.open >= s.most-1 { // one that waits to be accepted makes no state of its own
+			s.evictLocked()
+		}
 	case http.StateClosed, http.StateHijacked:
 		s.open--
 		delete(s.idle, c)
@@ -143,9 +145,6 @@
 		h.Set("Retry-After", strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Length", strconv.Itoa(len(ans.body)))
-	if s.agent.draining.Load() {
-		h.Set("Connection", "close")
-	}
 	w.WriteHeader(ans.status)
 	w.Write(ans.body) // a failed write means that the client has gone
 }
@@ -158,6 +157,11 @@
 func (s *server) parse(w http.ResponseWriter, in *http.Request, arrival time.Duration) (*request, error) {
 	cfg, h := s.agent.cfg, in.Header
 	r := &request{method: in.Method, url: in.URL, header: h, reply: make(chan answer, 1)}
+	for _, name := range []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key"} {
+		if len(h[name]) > 1 {
+			return nil, fmt.Errorf("%s given %d times", name, len(h[name]))
+		}
+	}
 	if r.ID = h.Get("X-Correlation-Id"); r.ID == "" {
 		return nil, errors.New("no X-Correlation-Id")
 	}
@@ -177,7 +181,7 @@
 		return nil, fmt.Errorf("unknown X-Account %q", h.Get("X-Account"))
 	}
 	left, err := strconv.ParseFloat(h.Get("X-Time-Left"), 64)
-	if err != nil || math.IsNaN(left) || left <= 0 {
+	if err != nil || math.IsNaN(left) || math.IsInf(left, 0) || left <= 0 {
 		return nil, fmt.Errorf("X-Time-Left %q is no time above 0", h.Get("X-Time-Left"))
 	}
 	longest := cfg.module.Classes[r.Class].Deadline
