--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -527,6 +527,45 @@
 	}
 }
 
+// One that waits to be accepted while every place is taken gets in once another has nothing to wait for.
+func TestWaitingClientGetsIn(t *testing.T) {
+	release := make(chan struct{})
+	var busy sync.WaitGroup
+	e := newBackend(t, "b", func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Correlation-Id") != "late" {
+			busy.Done()
+			<-release
+		}
+	})
+	cfg := trial{known: []endpoint{e}, sockets: leastSockets}.config(t)
+	r := start(t, cfg)
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections() // the one that asked whether it is ready
+	ask := func(id string) {
+		client := &http.Transport{} // which keeps its connection
+		t.Cleanup(client.CloseIdleConnections)
+		ctx, cancel := context.WithTimeout(context.Background(), patience) // well under idleTimeout, which would free a place
+		defer cancel()
+		resp, err := client.RoundTrip(r.ask("pay", id, 15, "").WithContext(ctx))
+		if err != nil {
+			t.Errorf("%s: %v", id, err)
+			return
+		}
+		if resp.Body.Close(); resp.StatusCode != 200 {
+			t.Errorf("%s was answered %d", id, resp.StatusCode)
+		}
+	}
+	var all sync.WaitGroup
+	for i := range cfg.clientSockets() {
+		busy.Add(1)
+		all.Go(func() { ask(fmt.Sprint(i)) })
+	}
+	busy.Wait()
+	all.Go(func() { ask("late") })
+	time.Sleep(100 * time.Millisecond) // for it to wait; sooner or later makes no difference to the verdict
+	close(release)
+	all.Wait()
+}
+
 func TestBadConfigurations(t *testing.T) {
 	good := fmt.Sprintf(settings, int64(time.Second), int64(time.Second), 1)
 	for name, text := range map[string]string{
