A test for discovery that must be asked for

Seen: nothing had run the module's Subscribe and the news of a failed call through the agent. The test answers the first call with 503; the agent tells the module, which asks again, and serves from the list of the second. No change to the agent.

--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -85,6 +85,32 @@
 	}
 }
 
+// Where the list must be asked for, the module says when: at the start, and again after a call that failed.
+func TestModuleAsksForTheList(t *testing.T) {
+	backend := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
+	calls := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintf(w, `{"version":8,"full":true,"servers":[{"id":"b","addr":"%s","state":"in_service"}]}`+"\n", backend.Addr)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	defer s.CloseClientConnections()
+	cfg := trial{}.config(t)
+	cfg.module.Subscribe, cfg.Discovery = true, s.Listener.Addr().String()
+	r := start(t, cfg)
+	n := 0
+	eventually(t, "a request is served", func() bool {
+		n++
+		status, _ := do(t, r.ask("pay", fmt.Sprint(n), 10, ""))
+		return status == 200
+	})
+}
+
 func wait(t *testing.T, c <-chan struct{}) {
 	t.Helper()
 	select {
