SIGHUP reads the configuration again and switches discovery

Blame: cmd/ternbeam/main.go subscribed to SIGTERM and SIGINT only; agent.go bound the watch to one address for good. Lists of the old watch that are still queued are dropped, as the watch's context has ended by then.

--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -1,5 +1,6 @@
 // Command ternbeam is a client-side load-balancing agent. The environment tells where it listens and where its
-// configuration is; it serves until SIGTERM or SIGINT and then answers what it has taken.
+// configuration is; it serves until SIGTERM or SIGINT and then answers what it has taken. SIGHUP makes it read the
+// configuration again.
 package main
 
 import (
@@ -26,6 +27,9 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	reload := make(chan os.Signal, 1) // one that waits stands for any number
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	cfg, err := agent.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -35,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	return a.Run(ctx)
+	return a.Run(ctx, reload)
 }
 
 // limit keeps the runtime within what the platform grants. The live heap is small, so rare collections cost
--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -124,6 +124,12 @@
 	}
 	until("ready", "/ready", "")
 	until("served", "/form-check/a1", "checked /form-check/a1") // refused until the watch has named the backend
+	for range 2 { // SIGHUP reads the configuration again, as often as it comes
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		until("served after SIGHUP", "/form-check/a1", "checked /form-check/a1")
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,7 @@
 	log      *slog.Logger
 	upstream *upstream
 	events   chan func()
+	ready    chan struct{} // closed when the application may begin
 	started  time.Time
 	origin   time.Duration // module time at the start: Unix time, so that starts of backends need no mapping
 
@@ -33,8 +35,10 @@
 	timers    timerHeap
 	requests  map[string]*request // not answered yet, or with attempts in flight
 	backends  map[string]*backend
-	open      int // requests not answered yet
-	watch     func()
+	open      int    // requests not answered yet
+	discovery string // the address that is followed
+	watch     func() // begins a watch there
+	unwatch   func() // ends it; nothing that it has delivered is applied from then on
 	haveWatch bool
 	stats     stats
 }
@@ -75,7 +79,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	now := time.Now()
-	return &Agent{cfg: cfg, log: log, upstream: newUpstream(cfg), events: make(chan func(), 1024),
+	return &Agent{cfg: cfg, log: log, upstream: newUpstream(cfg), events: make(chan func(), 1024), ready: make(chan struct{}),
 		started: now, origin: time.Duration(now.UnixNano()), balancer: balancer,
 		requests: map[string]*request{}, backends: map[string]*backend{}}, nil
 }
@@ -89,26 +93,30 @@
 	closing = 600 * time.Millisecond
 )
 
-// Run serves until ctx ends, then answers what it has taken and returns.
-func (a *Agent) Run(ctx context.Context) error {
+// Run serves until ctx ends, then answers what it has taken and returns. Whenever reload says so, it reads the
+// configuration again.
+func (a *Agent) Run(ctx context.Context, reload <-chan os.Signal) error {
 	listener, err := net.Listen("tcp", a.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for the application: %w", err)
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	ready := make(chan struct{})
-	go a.loop(work, ready)
-	server := newServer(a, ready)
+	go a.loop(work)
+	server := newServer(a)
 	failed := make(chan error, 1)
 	go func() { failed <- server.serve(listener) }()
 	a.log.Info("started", "name", a.cfg.Name, "listen", listener.Addr().String(), "discovery", a.cfg.Discovery,
 		"backends", len(a.cfg.known.Servers), "cores", a.cfg.Limits.Cores, "memory_mb", a.cfg.Limits.MemoryMB,
 		"sockets", a.cfg.Limits.Sockets)
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serving the application: %w", err)
-	case <-ctx.Done():
+	for ctx.Err() == nil {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serving the application: %w", err)
+		case <-reload:
+			a.reload(work)
+		case <-ctx.Done():
+		}
 	}
 	a.log.Info("ending")
 	server.stop(lingering, a.cfg.longestDeadline()+closing)
@@ -133,21 +141,14 @@
 )
 
 // loop owns the Balancer: it takes one event after the other, and timers when they are due.
-func (a *Agent) loop(ctx context.Context, ready chan struct{}) {
-	d := newDiscovery(a.cfg.Discovery, a.cfg.known.Version, a.log)
-	deliver := func(l endpointList) { a.post(func() { a.list(l); a.markReady(ready) }) }
-	a.watch = func() { // asked for by the module
-		if err := d.watch(ctx, deliver); ctx.Err() == nil {
-			a.log.Warn("the watch ended", "error", err)
-			a.post(func() { a.haveWatch = false; a.handle(choice.ListUnavailable{}) })
-		}
-	}
+func (a *Agent) loop(ctx context.Context) {
+	a.follow(ctx, a.cfg.Discovery, a.cfg.known.Version)
 	a.perform(a.balancer.Start(a.now()))
 	a.list(a.cfg.known)
 	if !a.cfg.module.Subscribe {
-		go d.keepWatching(ctx, deliver)
+		a.beginWatch()
 	}
-	first := time.AfterFunc(firstList, func() { a.post(func() { a.markReady(ready) }) })
+	first := time.AfterFunc(firstList, func() { a.post(a.markReady) })
 	defer first.Stop()
 	sweep, report := time.NewTicker(sweepEvery), time.NewTicker(reportEvery)
 	defer sweep.Stop()
@@ -176,12 +177,65 @@
 	}
 }
 
-func (a *Agent) markReady(ready chan struct{}) {
+func (a *Agent) markReady() {
 	select {
-	case <-ready:
+	case <-a.ready:
 	default:
-		close(ready)
+		close(a.ready)
+	}
+}
+
+// reload takes a changed configuration: discovery may have moved. One that can't be read changes nothing.
+func (a *Agent) reload(ctx context.Context) {
+	addr, err := a.cfg.newDiscovery()
+	if err != nil {
+		a.log.Error("keeping the old configuration", "error", err)
+		return
 	}
+	a.post(func() {
+		a.log.Info("new configuration", "discovery", addr, "before", a.discovery)
+		if addr != a.discovery {
+			a.follow(ctx, addr, unknown)
+			if a.haveWatch {
+				a.beginWatch()
+			}
+		}
+	})
+}
+
+// follow sets the discovery that is watched from now on; the watch on another ends. Lists of that one may still be
+// queued: they count by other versions and must not be applied after the first list of the new one.
+func (a *Agent) follow(ctx context.Context, addr string, version int64) {
+	if a.unwatch != nil {
+		a.unwatch()
+	}
+	ctx, a.unwatch = context.WithCancel(ctx)
+	a.discovery = addr
+	d := newDiscovery(addr, version, a.log)
+	current := func(event func()) {
+		a.post(func() {
+			if ctx.Err() == nil {
+				event()
+			}
+		})
+	}
+	deliver := func(l endpointList) { current(func() { a.list(l); a.markReady() }) }
+	a.watch = func() { d.keepWatching(ctx, deliver) }
+	if a.cfg.module.Subscribe {
+		a.watch = func() { // each time that the module asks for it
+			err := d.watch(ctx, deliver)
+			current(func() {
+				a.log.Warn("the watch ended", "error", err)
+				a.haveWatch = false
+				a.handle(choice.ListUnavailable{})
+			})
+		}
+	}
+}
+
+func (a *Agent) beginWatch() {
+	a.haveWatch = true
+	go a.watch()
 }
 
 // report logs the counts.
@@ -216,8 +270,7 @@
 			heap.Push(&a.timers, timer{at: a.now() + act.After, token: act.Token})
 		case choice.Subscribe:
 			if !a.haveWatch {
-				a.haveWatch = true
-				go a.watch()
+				a.beginWatch()
 			}
 		case choice.Send:
 			if r := a.requests[act.Request]; r != nil {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -70,6 +71,8 @@
 	url  string
 	end  context.CancelFunc
 	done chan error
+
+	reload chan os.Signal
 }
 
 // start runs an agent; one that the test did not end is ended after it.
@@ -86,8 +89,9 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{Agent: a, url: "http://" + cfg.Listen, end: cancel, done: make(chan error, 1)}
-	go func() { r.done <- a.Run(ctx) }()
+	r := &running{Agent: a, url: "http://" + cfg.Listen, end: cancel, done: make(chan error, 1),
+		reload: make(chan os.Signal, 1)}
+	go func() { r.done <- a.Run(ctx, r.reload) }()
 	t.Cleanup(cancel)
 	eventually(t, "the agent is ready", func() bool {
 		resp, err := http.Get(r.url + "/ready")
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -28,6 +28,7 @@
 	Discovery string
 	Limits    Limits
 
+	path   string // of the file that it was read from
 	seed   uint64
 	known  endpointList
 	module choice.Settings // as the simulator's adapter reads them
@@ -49,7 +50,8 @@
 	Zones   []string
 }
 
-// LoadConfig reads the file that NODE_CONFIG names. Addresses in the environment go before those in the file.
+// LoadConfig reads the file that NODE_CONFIG names. Addresses in the environment go before those in the file, as
+// it is at the start.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
@@ -63,6 +65,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	cfg.path = path
 	for name, field := range map[string]*string{"NODE_NAME": &cfg.Name, "NODE_LISTEN": &cfg.Listen,
 		"NODE_DISCOVERY": &cfg.Discovery} {
 		if v := getenv(name); v != "" {
@@ -75,6 +78,23 @@
 	return cfg, nil
 }
 
+// newDiscovery reads the file again and returns the address of discovery that it holds now. The environment is as
+// old as the process and has no say in it; nothing else in the file can change while the agent runs.
+func (c *Config) newDiscovery() (string, error) {
+	text, err := os.ReadFile(c.path)
+	if err != nil {
+		return "", err
+	}
+	fresh, err := parseConfig(text)
+	if err != nil {
+		return "", err
+	}
+	if fresh.Discovery == "" {
+		return "", errors.New("no discovery")
+	}
+	return fresh.Discovery, nil
+}
+
 func parseConfig(text []byte) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -59,12 +61,16 @@
 // discovery watches the list of backends.
 type discovery struct {
 	addr    string
-	version int64
+	version int64         // of the latest list; nothing is known of this discovery's versions where it is unknown
 	silence time.Duration // after which a watch is dead
 	client  *http.Client
 	log     *slog.Logger
 }
 
+// unknown stands for the version of a list where none has come from that discovery yet: another one may count
+// otherwise.
+const unknown = -1
+
 func newDiscovery(addr string, version int64, log *slog.Logger) *discovery {
 	return &discovery{addr: addr, version: version, silence: watchSilence, log: log, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
@@ -102,17 +108,31 @@
 	silence := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("silent for %v", d.silence)) })
 	defer silence.Stop()
 
-	url := fmt.Sprintf("http://%s/v1/endpoints?stream=1&index=%d", d.addr, d.version)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	alive := func() { silence.Reset(d.silence) }
+	if d.version == unknown {
+		if err := d.read(ctx, "", alive, func(l endpointList) {
+			l.Full = true
+			d.version = l.Version
+			deliver(l)
+		}); !errors.Is(err, io.EOF) {
+			return err
+		}
+	}
+	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.version), alive, func(l endpointList) {
+		d.version = l.Version
+		deliver(l)
+	})
+}
+
+// read takes the lists of one answer until it ends; it always ends with an error.
+func (d *discovery) read(ctx context.Context, query string, alive func(), take func(endpointList)) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			return cause
-		}
-		return err
+		return cmp.Or(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -121,19 +141,15 @@
 	// Empty lines mean nothing to the decoder, but every read shows that the watch is alive.
 	lines := json.NewDecoder(readerFunc(func(p []byte) (int, error) {
 		n, err := resp.Body.Read(p)
-		silence.Reset(d.silence)
+		alive()
 		return n, err
 	}))
 	for {
 		var list endpointList
 		if err := lines.Decode(&list); err != nil {
-			if cause := context.Cause(ctx); cause != nil {
-				return cause
-			}
-			return fmt.Errorf("reading the watch: %w", err)
+			return cmp.Or(context.Cause(ctx), fmt.Errorf("reading the list: %w", err))
 		}
-		d.version = list.Version
-		deliver(list)
+		take(list)
 	}
 }
 
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -36,7 +36,7 @@
 	open int
 }
 
-func newServer(a *Agent, ready <-chan struct{}) *server {
+func newServer(a *Agent) *server {
 	s := &server{agent: a, most: a.cfg.clientSockets(), idle: map[net.Conn]time.Time{}}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
@@ -45,7 +45,7 @@
 			return
 		}
 		select {
-		case <-ready:
+		case <-a.ready:
 			w.WriteHeader(http.StatusOK)
 		default:
 			w.WriteHeader(http.StatusTooEarly)
