Turn away requests whose end can be told in two ways

Blame: server.go read such a request as net/http hands it over: Transfer-Encoding set, Content-Length dropped, so the body that was passed on ended where the chunks end. In HTTP/1.0 net/http drops the Transfer-Encoding instead. Every malformed request's connection is closed, since what follows can't be trusted. Test: TestHiddenRequestIsNotPassedOn, seven forms; without the mend the chunked and the HTTP/1.0 ones are passed on.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"net/http/httptest"
 	"net/url"
 	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -391,6 +393,54 @@
 	}
 }
 
+// raw sends bytes on a connection of their own and returns all that comes back until it is closed.
+func (r *running) raw(t *testing.T, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", r.cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, text)
+	answer, err := io.ReadAll(c)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the connection stays open after %q", answer)
+	}
+	return string(answer)
+}
+
+// Where two readings of a request's end are possible, one of them may hide a second request in the body.
+func TestHiddenRequestIsNotPassedOn(t *testing.T) {
+	var seen attempts
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) { seen.add(r) })
+	r := start(t, trial{known: []endpoint{e}}.config(t))
+	head := func(proto string) string {
+		return "POST /pay/x HTTP/" + proto + "\r\nHost: s\r\nX-Correlation-Id: outer\r\nX-Service-Class: pay\r\n" +
+			"X-Account: oban\r\nX-Time-Left: 5\r\n"
+	}
+	inner := strings.Replace(head("1.1"), "outer", "inner", 1) + "\r\n"
+	for name, text := range map[string]string{
+		"length and chunks":      head("1.1") + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + inner,
+		"chunks and length":      head("1.1") + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+		"chunks":                 head("1.1") + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"unknown coding":         head("1.1") + "Transfer-Encoding: xchunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + inner,
+		"both, in old HTTP":      head("1.0") + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+		"two lengths":            head("1.1") + "Content-Length: 5\r\nContent-Length: 0\r\n\r\n0\r\n\r\n" + inner,
+		"body of a safe request": strings.NewReplacer("POST /pay", "GET /check", ": pay", ": check").Replace(head("1.1")) + "Content-Length: 5\r\n\r\n0\r\n\r\n" + inner,
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := r.raw(t, text); strings.Count(got, "HTTP/1.") != 1 ||
+				!regexp.MustCompile(`^HTTP/1\.[01] [45]`).MatchString(got) {
+				t.Errorf("answered %q", got)
+			}
+			if seen.of("outer")+seen.of("inner") != 0 {
+				t.Error("it was passed on")
+			}
+		})
+	}
+}
+
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
 	cfg := trial{}.config(t)
 	cfg.module.MaxRetryAfter = time.Second
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -116,10 +116,14 @@
 	r, err := s.parse(w, in, arrival)
 	if err != nil {
 		status := http.StatusBadRequest
-		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		switch tooLarge := (*http.MaxBytesError)(nil); {
+		case errors.As(err, &tooLarge):
 			status = http.StatusRequestEntityTooLarge
+		case errors.Is(err, errFraming):
+			status = http.StatusLengthRequired
 		}
 		s.agent.log.Debug("malformed request", "error", err)
+		w.Header().Set("Connection", "close") // whoever sent this may have sent anything behind it
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -153,8 +157,16 @@
 var methods = map[choice.Effect]string{choice.Safe: http.MethodGet, choice.Keyed: http.MethodPost,
 	choice.Unsafe: http.MethodPost}
 
+// errFraming is why a request is turned away whose end may be told in two ways. net/http drops the Content-Length
+// beside a Transfer-Encoding before anybody can see it, and in HTTP/1.0 the Transfer-Encoding; the two may disagree
+// on where the request ends and so hide another in its body. The application sends neither.
+var errFraming = errors.New("requests are taken without Transfer-Encoding and as HTTP 1.1 only")
+
 // parse reads a request whole. What it returns as an error is the client's fault.
 func (s *server) parse(w http.ResponseWriter, in *http.Request, arrival time.Duration) (*request, error) {
+	if len(in.TransferEncoding) > 0 || !in.ProtoAtLeast(1, 1) {
+		return nil, errFraming
+	}
 	cfg, h := s.agent.cfg, in.Header
 	r := &request{method: in.Method, url: in.URL, header: h, reply: make(chan answer, 1)}
 	for _, name := range []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key"} {
@@ -174,6 +186,9 @@
 	if in.Method != methods[effect] {
 		return nil, fmt.Errorf("method %s for class %q", in.Method, name)
 	}
+	if effect == choice.Safe && in.ContentLength != 0 {
+		return nil, fmt.Errorf("a body for class %q", name)
+	}
 	if keyed := h.Get("Idempotency-Key") != ""; keyed != (effect == choice.Keyed) {
 		return nil, fmt.Errorf("Idempotency-Key given: %t, for class %q", keyed, name)
 	}
