Own connections to the backends: an exchange writes one request and reads one answer

A body that stops short held its attempt till the deadline. Blame: upstream.go, exchange over http.ClientConn. Probes (uncommitted log lines): all backends' answers come with Content-Length only; bodies do not begin with the request's id, so nothing ties an answer to its request; 36 of 273 extra bytes were there with the answer, the rest came before the connection was taken again.

--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -1,24 +1,16 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"math"
 	"net"
-	"net/http"
-	"net/url"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"olivemux/choice"
-	"olivemux/internal/wire"
 )
 
 // maxBody is the most that a request's or an answer's body may hold.
@@ -56,98 +48,54 @@
 	body        []byte
 }
 
-// upstream keeps the connections to the backends. Each carries one request at a time.
+// upstream keeps the connections to the backends. Each carries one request at a time. They are the agent's own, not
+// those of an http.Transport: that sends a safe or keyed request again by itself when a reused connection breaks, an
+// attempt that the module never ordered, and takes bytes behind one answer for the next one.
 type upstream struct {
-	transport *http.Transport
-	fields    []string
-	timeout   time.Duration // of a dial
-	idleFor   time.Duration
-	most      int // connections
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
+	fields  []string
+	timeout time.Duration // of a dial
+	idleFor time.Duration
+	stall   time.Duration // an answer that has begun may pause for so long
+	most    int           // connections
 
 	mu   sync.Mutex
 	open int
 	used map[*backend]bool // those with idle connections
 }
 
+// answerStall is how long an answer that has begun may pause. Backends send theirs in one go; one whose rest does
+// not come is spoilt, and to learn that at the deadline only would be too late for another attempt.
+const answerStall = 300 * time.Millisecond
+
 func newUpstream(cfg *Config) *upstream {
-	dialer := &net.Dialer{Timeout: cfg.connectTimeout()}
-	return &upstream{
-		// The transport only makes connections: its own pool would send a safe or keyed request again by itself
-		// when a reused connection breaks, an attempt that the module never ordered.
-		transport: &http.Transport{
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxBody,
-			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := dialer.DialContext(ctx, network, addr)
-				if err != nil {
-					return nil, err
-				}
-				m := &meteredConn{Conn: c}
-				if out, ok := ctx.Value(meterKey{}).(**meteredConn); ok {
-					*out = m
-				}
-				return m, nil
-			},
-		},
-		fields: cfg.fields, timeout: cfg.connectTimeout(), idleFor: cfg.idleFor(), most: cfg.backendSockets(),
-		used: map[*backend]bool{},
-	}
+	return &upstream{dial: new(net.Dialer).DialContext, fields: cfg.fields, timeout: cfg.connectTimeout(),
+		idleFor: cfg.idleFor(), stall: answerStall, most: cfg.backendSockets(), used: map[*backend]bool{}}
 }
 
 // conn is a connection to a backend.
 type conn struct {
-	*http.ClientConn
-	meter *meteredConn
-	since time.Time // idle since
-}
-
-type meterKey struct{}
-
-// meteredConn knows whether a request can have been written whole.
-type meteredConn struct {
 	net.Conn
-	mu     sync.Mutex
-	closed bool
-	begun  int  // writes begun for the request at hand
-	failed bool // one of them fell short
+	since time.Time // idle since
 }
 
-func (m *meteredConn) Write(p []byte) (int, error) {
-	m.mu.Lock()
-	if m.closed {
-		m.mu.Unlock()
-		return 0, net.ErrClosed
+// silent reports whether nothing has come on an idle connection, not even its end. What comes unasked is no
+// answer, and would be taken for that of the next request.
+func (c *conn) silent() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
 	}
-	m.begun++
-	m.mu.Unlock()
-	n, err := m.Conn.Write(p)
-	if n < len(p) {
-		m.mu.Lock()
-		m.failed = true
-		m.mu.Unlock()
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
 	}
-	return n, err
-}
-
-func (m *meteredConn) Close() error {
-	m.mu.Lock()
-	m.closed = true
-	m.mu.Unlock()
-	return m.Conn.Close()
-}
-
-func (m *meteredConn) reset() {
-	m.mu.Lock()
-	m.begun, m.failed = 0, false
-	m.mu.Unlock()
-}
-
-// incomplete reports whether the request's last byte was certainly not written. It holds for a closed
-// connection only: on an open one a write may still begin.
-func (m *meteredConn) incomplete() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.closed && (m.begun == 0 || m.failed)
+	var peeked error
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && errors.Is(peeked, syscall.EAGAIN)
 }
 
 // acquire returns an idle connection or dials a new one.
@@ -156,9 +104,8 @@
 	for len(b.idle) > 0 {
 		c := b.idle[len(b.idle)-1]
 		b.idle = b.idle[:len(b.idle)-1]
-		if c.Err() == nil && time.Since(c.since) < u.idleFor {
+		if time.Since(c.since) < u.idleFor && c.silent() {
 			u.mu.Unlock()
-			c.meter.reset()
 			return c, nil
 		}
 		u.closeLocked(c)
@@ -170,24 +117,23 @@
 	u.open++
 	u.mu.Unlock()
 
-	var meter *meteredConn
-	ctx, cancel := context.WithTimeout(context.WithValue(ctx, meterKey{}, &meter), u.timeout)
+	ctx, cancel := context.WithTimeout(ctx, u.timeout)
 	defer cancel()
-	cc, err := u.transport.NewClientConn(ctx, "http", b.addr)
+	c, err := u.dial(ctx, "tcp", b.addr)
 	if err != nil {
 		u.mu.Lock()
 		u.open--
 		u.mu.Unlock()
 		return nil, err
 	}
-	return &conn{ClientConn: cc, meter: meter}, nil
+	return &conn{Conn: c}, nil
 }
 
 // release takes a connection back, to be used again or to be closed.
 func (u *upstream) release(b *backend, c *conn, reuse bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !reuse || c.Err() != nil || b.closed.Load() {
+	if !reuse || b.closed.Load() {
 		u.closeLocked(c)
 		return
 	}
@@ -223,7 +169,7 @@
 	defer u.mu.Unlock()
 	for b := range u.used {
 		b.idle = slices.DeleteFunc(b.idle, func(c *conn) bool {
-			stale := c.Err() != nil || time.Since(c.since) >= u.idleFor
+			stale := time.Since(c.since) >= u.idleFor || !c.silent()
 			if stale {
 				u.closeLocked(c)
 			}
@@ -271,98 +217,13 @@
 		u.release(b, c, false)
 		return ended(choice.ConnectFailed)
 	}
-	out, reuse, err := u.exchange(ctx, c, a)
-	if err == nil {
-		u.release(b, c, reuse)
-		return out
-	}
-	u.release(b, c, false) // closes it: no write begins from here on
-	switch {
-	case errors.Is(context.Cause(ctx), errWithdrawn):
-		out.result = choice.Cancelled
-	case c.meter.incomplete():
-		out.result = choice.ConnectFailed
-	case ctx.Err() != nil:
-		out.result = choice.TimedOut
-	default:
-		out.result = choice.Reset
-	}
+	out, reuse := u.exchange(ctx, c, a)
+	u.release(b, c, reuse)
 	return out
 }
 
 func ended(r choice.Result) attemptResult { return attemptResult{result: r, report: choice.NoReport} }
 
-// exchange sends the request and reads the answer whole. With an error the request may have run, unless the
-// meter says otherwise.
-func (u *upstream) exchange(ctx context.Context, c *conn, a *attempt) (out attemptResult, reuse bool, err error) {
-	out = ended(choice.Failed)
-	resp, err := c.RoundTrip(a.req.forward(ctx, a.backend.addr))
-	if err != nil {
-		return out, false, err
-	}
-	defer resp.Body.Close()
-	out.report = parseReport(resp.Header.Get("X-Backend-Load"), u.fields)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil {
-		return out, false, err
-	}
-	if len(body) > maxBody {
-		return out, false, nil // an error of the backend's; the rest is not worth reading
-	}
-	framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
-	switch {
-	case resp.StatusCode == http.StatusOK && !framed:
-		// The end of the connection ends such an answer, so that nobody can tell whether it is whole.
-		return out, false, fmt.Errorf("answer of unknown length from %s", a.backend.id)
-	case resp.StatusCode == http.StatusOK:
-		out.result, out.body, out.contentType = choice.OK, body, resp.Header.Get("Content-Type")
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Unprocessed") == "1":
-		out.result = choice.Rejected
-	}
-	return out, !resp.Close, nil
-}
-
-// forward words the request for a backend.
-func (r *request) forward(ctx context.Context, addr string) *http.Request {
-	u := url.URL{Scheme: "http", Host: addr, Path: r.url.Path, RawPath: r.url.RawPath, RawQuery: r.url.RawQuery,
-		ForceQuery: r.url.ForceQuery}
-	out := &http.Request{Method: r.method, URL: &u, Host: addr, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: http.Header{"User-Agent": nil}, Body: http.NoBody}
-	for _, name := range []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "Idempotency-Key",
-		"X-Repeat", "X-Weight-Hint", "X-Facts", "Content-Type"} {
-		if v, ok := r.header[name]; ok {
-			out.Header[name] = v
-		}
-	}
-	if end, ok := ctx.Deadline(); ok {
-		left := max(time.Until(end), 0)
-		out.Header.Set("X-Time-Left", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
-	}
-	if len(r.body) > 0 {
-		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(r.body)), int64(len(r.body))
-	}
-	return out.WithContext(ctx)
-}
-
-// parseReport reads a load report such as "TEXT util=0.61, qps=40". What can't be read is passed over.
-func parseReport(text string, fields []string) choice.Report {
-	report := choice.NoReport
-	text, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT ")
-	if !ok {
-		return report
-	}
-	for part := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(part, "=")
-		x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if name = strings.TrimSpace(name); err == nil && !math.IsNaN(x) && !math.IsInf(x, 0) &&
-			x >= 0 && slices.Contains(fields, name) {
-			wire.SetField(&report, name, x)
-		}
-	}
-	return report
-}
-
 // count returns the number of connections.
 func (u *upstream) count() int {
 	u.mu.Lock()
