A door of its own for clients: silent connections give way, unfinished requests end within 2.5 s

Silent clients filled LimitListener's places, so usual ones stood in the kernel's queue and their idle connections were evicted; a silent one was closed after 5 s, not within 3 s. Blame: server.go: netutil.LimitListener, connState (knew idle connections only), headTimeout, no time for the body. Now door.go accepts always; over the limit (two fifths of the descriptors, as usual clients hold a third at most) the oldest connection that has said nothing closes, then the longest idle, a busy one never; one peek tells whether a request has begun to come. 2 s for a head, 2.5 s with the body, 5 s idle; over 64 KiB turned away unread; malformed ones counted, not logged. The write deadline is the server's, anew for each request. At the end the kernel's queue is taken first, and who has said nothing then is not waited for.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,13 +20,14 @@
 // Agent is one client-side balancer. One goroutine, the loop, owns the Balancer and all the tables; everything
 // else posts events to it.
 type Agent struct {
-	cfg      *Config
-	log      *slog.Logger
-	upstream *upstream
-	events   chan func()
-	ready    chan struct{} // closed when the application may begin
-	started  time.Time
-	origin   time.Duration // module time at the start: Unix time, so that starts of backends need no mapping
+	cfg       *Config
+	log       *slog.Logger
+	upstream  *upstream
+	events    chan func()
+	malformed atomic.Int64  // malformed requests, which the loop never sees
+	ready     chan struct{} // closed when the application may begin
+	started   time.Time
+	origin    time.Duration // module time at the start: Unix time, so that starts of backends need no mapping
 
 	// What follows belongs to the loop.
 	balancer  *choice.Balancer
@@ -103,9 +104,9 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	go a.loop(work)
-	server := newServer(a)
+	server := newServer(a, listener.(*net.TCPListener))
 	failed := make(chan error, 1)
-	go func() { failed <- server.serve(listener) }()
+	go func() { failed <- server.serve() }()
 	a.log.Info("started", "name", a.cfg.Name, "listen", listener.Addr().String(), "discovery", a.cfg.Discovery,
 		"backends", len(a.cfg.known.Servers), "cores", a.cfg.Limits.Cores, "memory_mb", a.cfg.Limits.MemoryMB,
 		"sockets", a.cfg.Limits.Sockets)
@@ -242,7 +243,7 @@
 func (a *Agent) report() {
 	s := &a.stats
 	a.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
-		"gone", s.Gone, "attempts", s.Attempts, "reports", s.Reports, "results", s.Results, "open", a.open, "held", len(a.requests),
+		"gone", s.Gone, "malformed", a.malformed.Load(), "attempts", s.Attempts, "reports", s.Reports, "results", s.Results, "open", a.open, "held", len(a.requests),
 		"timers", len(a.timers), "backends", len(a.backends), "connections", a.upstream.count())
 }
 
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -147,9 +147,10 @@
 // and one connection more while another closes.
 const spareSockets = 24
 
-// clientSockets and backendSockets share out the descriptors.
-func (c *Config) clientSockets() int  { return (c.Limits.Sockets - spareSockets) / 2 }
-func (c *Config) backendSockets() int { return (c.Limits.Sockets - spareSockets) / 2 }
+// clientSockets and backendSockets share out the descriptors. Clients hold a third at most for requests; the rest
+// of theirs is for those that are idle or have said nothing yet.
+func (c *Config) clientSockets() int  { return c.Limits.Sockets * 2 / 5 }
+func (c *Config) backendSockets() int { return c.Limits.Sockets - spareSockets - c.clientSockets() }
 
 // connectTimeout bounds the dial of a backend.
 func (c *Config) connectTimeout() time.Duration {
--- /dev/null
+++ b/internal/agent/door_test.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+func openDoor(t *testing.T, most int) *door {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return newDoor(l.(*net.TCPListener), most)
+}
+
+// visitor connects and says something, which has come before the connection is accepted.
+func visitor(t *testing.T, d *door, words string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", d.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, words); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func accept(t *testing.T, d *door) net.Conn {
+	t.Helper()
+	c, err := d.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// closed reports whether the other side has closed a connection; it waits a little for that.
+func closed(c net.Conn, wait time.Duration) bool {
+	c.SetReadDeadline(time.Now().Add(wait))
+	_, err := c.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, net.ErrClosed) && !isTimeout(err)
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// Clients that connect by hundreds and say nothing must not keep usual ones out, whose idle connections stay.
+func TestSilentConnectionsGiveWayFirst(t *testing.T) {
+	d := openDoor(t, 4)
+	idle := visitor(t, d, "")
+	accepted := accept(t, d)
+	d.note(accepted, http.StateActive)
+	d.note(accepted, http.StateIdle)
+	begun := visitor(t, d, "GET /")
+	accept(t, d)
+	var mute []net.Conn
+	for range 10 {
+		mute = append(mute, visitor(t, d, ""))
+		accept(t, d)
+	}
+	if n := d.count(); n != 4 {
+		t.Errorf("%d connections", n)
+	}
+	for i, c := range mute {
+		if gone := i < 8; closed(c, map[bool]time.Duration{true: patience, false: time.Millisecond}[gone]) != gone {
+			t.Errorf("silent connection %d closed: %t", i, !gone)
+		}
+	}
+	if closed(idle, time.Millisecond) || closed(begun, time.Millisecond) {
+		t.Error("a usual client's connection was closed")
+	}
+}
+
+// Where nobody is silent the one that has been idle for longest goes, and a newcomer only if all are busy.
+func TestIdleConnectionsGiveWayInTurn(t *testing.T) {
+	d := openDoor(t, 2)
+	var clients, conns []net.Conn
+	for range 2 {
+		clients = append(clients, visitor(t, d, ""))
+		conns = append(conns, accept(t, d))
+		d.note(conns[len(conns)-1], http.StateActive)
+	}
+	newcomer := visitor(t, d, "")
+	accept(t, d)
+	if !closed(newcomer, patience) || d.count() != 2 {
+		t.Errorf("%d connections with two busy ones", d.count())
+	}
+	d.note(conns[1], http.StateIdle)
+	d.note(conns[0], http.StateIdle)
+	visitor(t, d, "")
+	accept(t, d)
+	if !closed(clients[1], patience) || closed(clients[0], time.Millisecond) {
+		t.Error("not the one that was idle for longest was closed")
+	}
+}
+
+// What the kernel has accepted before the end is taken, however late the agent gets to it.
+func TestQueueIsTakenAtTheEnd(t *testing.T) {
+	d := openDoor(t, 10)
+	for range 3 {
+		visitor(t, d, "GET /")
+	}
+	go d.closeAfter(-time.Second)
+	for !d.ending.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	for range 3 {
+		accept(t, d)
+	}
+	if _, err := d.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("error %v", err)
+	}
+	<-d.closed
+}
+
+// At the end those that say nothing are not waited for, but who has begun a request is.
+func TestSilentConnectionsAreDroppedAtTheEnd(t *testing.T) {
+	d := openDoor(t, 10)
+	mute, begun := visitor(t, d, ""), visitor(t, d, "GET /")
+	accept(t, d)
+	accept(t, d)
+	d.dropSilent()
+	if !closed(mute, patience) || closed(begun, time.Millisecond) || d.count() != 1 {
+		t.Errorf("%d connections", d.count())
+	}
+}
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	maxHead    = 16 << 10 // of an answer, those of 1xx ahead of it included
-	inlineSend = 8 << 10  // more than this is written while the answer is awaited: it may come before all is taken
+	inlineSend = 8 << 10 // more than this is written while the answer is awaited: it may come before all is taken
 	stallGrace = 10 * time.Millisecond
 )
 
@@ -155,7 +154,7 @@
 
 // answer reads one answer.
 func (f *inflow) answer(r *bufio.Reader) (reply, error) {
-	for room := maxHead; ; {
+	for room := maxHead; ; { // for the heads of 1xx answers too
 		f.expect(false)
 		if _, err := r.Peek(1); err != nil {
 			return reply{}, err
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -11,33 +11,30 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"olivemux/choice"
 )
 
 const (
-	headTimeout = 5 * time.Second  // for a request's head, once it has begun
-	idleTimeout = 90 * time.Second // of a client's connection
-	lateWrite   = time.Second      // how long after the deadline an answer may still be written
+	// An error or a close is owed within 3 s of connecting to whoever sends nothing or not all.
+	headTimeout = 2 * time.Second
+	readTimeout = 2500 * time.Millisecond // for head and body
+	// A client opens another connection when it needs one; those that never will keep theirs for good.
+	idleTimeout = 5 * time.Second
+	lateWrite   = time.Second // how long after the deadline an answer may still be written
+	maxHead     = 16 << 10    // of a request or an answer
 )
 
 // server is the application's side of the agent.
 type server struct {
 	agent *Agent
 	http  *http.Server
-	most  int
-
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time // connections without a request, since when
-	open int
+	door  *door
 }
 
-func newServer(a *Agent) *server {
-	s := &server{agent: a, most: a.cfg.clientSockets(), idle: map[net.Conn]time.Time{}}
+func newServer(a *Agent, l *net.TCPListener) *server {
+	s := &server{agent: a, door: newDoor(l, a.cfg.clientSockets())}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
 		if in.URL.Path != "/ready" {
@@ -51,69 +48,36 @@
 			w.WriteHeader(http.StatusTooEarly)
 		}
 	}
-	s.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: 16 << 10, ConnState: s.connState, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelWarn)}
+	s.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: a.cfg.longestDeadline() + lateWrite, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
+		ConnState: s.door.note, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelWarn)}
 	return s
 }
 
-func (s *server) serve(l net.Listener) error { return s.http.Serve(netutil.LimitListener(l, s.most)) }
+func (s *server) serve() error { return s.http.Serve(s.door) }
 
 // stop ends the server gently. Clients hear of it a little later, so new connections are accepted for a while;
 // those that wait for nothing are closed at once, while a client that just wrote to one can still come anew.
-// After that, what was taken is answered, for so long as it may take.
+// After that, what was taken is answered, for so long as it may take; who has said nothing by then is not waited
+// for.
 func (s *server) stop(lingering, atMost time.Duration) {
 	end := time.Now().Add(atMost)
 	s.http.SetKeepAlivesEnabled(false) // closes what is idle, and the others with their answers
-	time.Sleep(lingering)
+	s.door.closeAfter(lingering)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	silent := time.AfterFunc(lastWords, s.door.dropSilent)
+	defer silent.Stop()
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.agent.log.Warn("connections were still open at the end", "error", err)
 		s.http.Close()
 	}
 }
 
-// connState keeps account of the connections. When almost all descriptors for clients are in use, the
-// connection that has been idle for longest gives way; the client opens another when it needs one.
-func (s *server) connState(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		s.open++
-		if s.open >= s.most-1 {
-			s.evictLocked()
-		}
-	case http.StateActive:
-		delete(s.idle, c)
-	case http.StateIdle:
-		s.idle[c] = time.Now()
-		if s.open >= s.most-1 { // one that waits to be accepted makes no state of its own
-			s.evictLocked()
-		}
-	case http.StateClosed, http.StateHijacked:
-		s.open--
-		delete(s.idle, c)
-	}
-}
-
-func (s *server) evictLocked() {
-	var oldest net.Conn
-	for c, since := range s.idle {
-		if oldest == nil || since.Before(s.idle[oldest]) {
-			oldest = c
-		}
-	}
-	if oldest != nil {
-		delete(s.idle, oldest)
-		oldest.Close()
-	}
-}
-
 // request serves one request of the application.
 func (s *server) request(w http.ResponseWriter, in *http.Request) {
 	arrival := s.agent.now() // before the body: the client's time runs from its send
-	r, err := s.parse(w, in, arrival)
+	r, err := s.parse(in, arrival)
 	if err != nil {
 		status := http.StatusBadRequest
 		switch tooLarge := (*http.MaxBytesError)(nil); {
@@ -122,12 +86,12 @@
 		case errors.Is(err, errFraming):
 			status = http.StatusLengthRequired
 		}
-		s.agent.log.Debug("malformed request", "error", err)
+		s.agent.malformed.Add(1)              // no line each: they may come by the thousand
 		w.Header().Set("Connection", "close") // whoever sent this may have sent anything behind it
 		http.Error(w, err.Error(), status)
 		return
 	}
-	http.NewResponseController(w).SetWriteDeadline(s.agent.at(r.Deadline + lateWrite))
+	http.NewResponseController(w).SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
 	s.agent.post(func() { s.agent.arrived(r) })
 	select {
 	case ans := <-r.reply:
@@ -163,7 +127,7 @@
 var errFraming = errors.New("requests are taken without Transfer-Encoding and as HTTP 1.1 only")
 
 // parse reads a request whole. What it returns as an error is the client's fault.
-func (s *server) parse(w http.ResponseWriter, in *http.Request, arrival time.Duration) (*request, error) {
+func (s *server) parse(in *http.Request, arrival time.Duration) (*request, error) {
 	if len(in.TransferEncoding) > 0 || !in.ProtoAtLeast(1, 1) {
 		return nil, errFraming
 	}
@@ -206,13 +170,14 @@
 	}
 	r.Again = h.Get("X-Repeat") == "1"
 
-	control := http.NewResponseController(w)
+	if in.ContentLength > maxBody {
+		return nil, &http.MaxBytesError{Limit: maxBody} // without reading it
+	}
 	if in.ContentLength != 0 {
-		control.SetReadDeadline(s.agent.at(r.Deadline))
-		if r.body, err = io.ReadAll(http.MaxBytesReader(w, in.Body, maxBody)); err != nil {
+		r.body = make([]byte, in.ContentLength)
+		if _, err = io.ReadFull(in.Body, r.body); err != nil {
 			return nil, fmt.Errorf("reading the body: %w", err)
 		}
-		control.SetReadDeadline(time.Time{}) // or waiting for the client to leave would end at the deadline
 	}
 	return r, nil
 }
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -59,9 +59,10 @@
 	stall   time.Duration // an answer that has begun may pause for so long
 	most    int           // connections
 
-	mu   sync.Mutex
-	open int
-	used map[*backend]bool // those with idle connections
+	mu    sync.Mutex
+	open  int               // places for connections that are taken
+	queue []chan struct{}   // attempts that wait for a place
+	used  map[*backend]bool // those with idle connections
 }
 
 // answerStall is how long an answer that has begun may pause. Backends send theirs in one go; one whose rest does
@@ -79,10 +80,9 @@
 	since time.Time // idle since
 }
 
-// silent reports whether nothing has come on an idle connection, not even its end. What comes unasked is no
-// answer, and would be taken for that of the next request.
-func (c *conn) silent() bool {
-	socket, ok := c.Conn.(syscall.Conn)
+// silent reports whether nothing has come on a connection that nobody reads, not even its end.
+func silent(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -91,9 +91,8 @@
 		return false
 	}
 	var peeked error
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
 	})
 	return err == nil && errors.Is(peeked, syscall.EAGAIN)
 }
@@ -104,25 +103,24 @@
 	for len(b.idle) > 0 {
 		c := b.idle[len(b.idle)-1]
 		b.idle = b.idle[:len(b.idle)-1]
-		if time.Since(c.since) < u.idleFor && c.silent() {
+		if time.Since(c.since) < u.idleFor && silent(c.Conn) { // what comes unasked would pass for the next answer
 			u.mu.Unlock()
 			return c, nil
 		}
 		u.closeLocked(c)
 	}
-	if u.open >= u.most && !u.evictLocked() {
+	ctx, cancel := context.WithTimeout(ctx, u.timeout)
+	defer cancel()
+	if err := u.placeLocked(ctx); err != nil {
 		u.mu.Unlock()
-		return nil, errNoSocket
+		return nil, err
 	}
-	u.open++
 	u.mu.Unlock()
 
-	ctx, cancel := context.WithTimeout(ctx, u.timeout)
-	defer cancel()
 	c, err := u.dial(ctx, "tcp", b.addr)
 	if err != nil {
 		u.mu.Lock()
-		u.open--
+		u.freeLocked()
 		u.mu.Unlock()
 		return nil, err
 	}
@@ -133,7 +131,7 @@
 func (u *upstream) release(b *backend, c *conn, reuse bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !reuse || b.closed.Load() {
+	if !reuse || b.closed.Load() || len(u.queue) > 0 {
 		u.closeLocked(c)
 		return
 	}
@@ -144,7 +142,43 @@
 
 func (u *upstream) closeLocked(c *conn) {
 	c.Close()
-	u.open--
+	u.freeLocked()
+}
+
+// freeLocked gives up a place, to whoever has waited for longest.
+func (u *upstream) freeLocked() {
+	if len(u.queue) == 0 {
+		u.open--
+		return
+	}
+	close(u.queue[0])
+	u.queue = slices.Delete(u.queue, 0, 1)
+}
+
+// placeLocked takes a place for a connection: a free one, that of the connection that has been idle for longest, or
+// the next that is given up. Backends that take requests and are silent hold many for as long as a request may
+// take, so an end at once would cost those requests that a short wait would serve.
+func (u *upstream) placeLocked(ctx context.Context) error {
+	if u.open < u.most || u.evictLocked() {
+		u.open++
+		return nil
+	}
+	turn := make(chan struct{})
+	u.queue = append(u.queue, turn)
+	u.mu.Unlock()
+	select {
+	case <-turn:
+		u.mu.Lock()
+		return nil
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	if i := slices.Index(u.queue, turn); i >= 0 {
+		u.queue = slices.Delete(u.queue, i, i+1)
+	} else {
+		u.freeLocked()
+	}
+	return errNoSocket
 }
 
 // evictLocked closes the connection that has been idle for longest, if there is one.
@@ -169,7 +203,7 @@
 	defer u.mu.Unlock()
 	for b := range u.used {
 		b.idle = slices.DeleteFunc(b.idle, func(c *conn) bool {
-			stale := time.Since(c.since) >= u.idleFor || !c.silent()
+			stale := time.Since(c.since) >= u.idleFor || !silent(c.Conn)
 			if stale {
 				u.closeLocked(c)
 			}
