First answers end their connection where client connections get short

Checked: the door's places each second: 153 taken = 25 silent + 118 idle + 10 busy, that is exactly 128 = a third of 384 held by clients, one request on each new connection. Blame: server.go kept a connection after its first answer, however many of them stood idle. Now: a first answer carries Connection: close once those who have asked hold a fourth of the descriptors; who has come back keeps the connection. Idle connections close after 2 s, as they may. Test: TestConnectionsEndWithTheAnswerWhereCrowded.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -606,6 +606,39 @@
 	}
 }
 
+// Clients that ask once and keep their connection must not use up the third of the descriptors that clients may hold:
+// from a fourth on a first answer ends its connection. Who has come back before may go on.
+func TestConnectionsEndWithTheAnswerWhereCrowded(t *testing.T) {
+	e := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
+	r := start(t, trial{known: []endpoint{e}, sockets: leastSockets}.config(t))
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections() // the one that asked whether it is ready
+	ask := func(client *http.Transport, id string) (closes bool) {
+		t.Helper()
+		resp, err := client.RoundTrip(r.ask("pay", id, 10, ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Fatalf("%s was answered %d", id, resp.StatusCode)
+		}
+		return resp.Close
+	}
+	closed := 0
+	for i := range leastSockets / 2 {
+		client := &http.Transport{}
+		defer client.CloseIdleConnections()
+		if ask(client, fmt.Sprint(i)) {
+			closed++
+		} else if ask(client, fmt.Sprint(i, " again")) {
+			t.Error("one that has come back was closed")
+		}
+	}
+	if closed == 0 {
+		t.Errorf("all of %d connections were kept", leastSockets/2)
+	}
+}
+
 func TestBadConfigurations(t *testing.T) {
 	good := fmt.Sprintf(settings, int64(time.Second), int64(time.Second), 1)
 	for name, text := range map[string]string{
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -19,7 +19,7 @@
 // first the oldest of those that have not said anything yet, then the one that has been idle for longest.
 type door struct {
 	*net.TCPListener
-	most int
+	most int // two fifths of the descriptors
 
 	mu      sync.Mutex
 	waiting map[net.Conn]*list.Element // in fresh or idle; nil with a request
@@ -133,6 +133,14 @@
 	}
 }
 
+// crowded reports whether those that have asked something hold a fourth of the descriptors. At a third no client
+// gets another connection, however many of theirs are idle.
+func (d *door) crowded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiting)-d.fresh.Len() >= d.most*5/8
+}
+
 // count returns the number of connections.
 func (d *door) count() int {
 	d.mu.Lock()
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -20,8 +20,9 @@
 	// An error or a close is owed within 3 s of connecting to whoever sends nothing or not all.
 	headTimeout = 2 * time.Second
 	readTimeout = 2500 * time.Millisecond // for head and body
-	// A client opens another connection when it needs one; those that never will keep theirs for good.
-	idleTimeout = 5 * time.Second
+	// From 2 s on an idle connection may be closed. Clients that ask once keep theirs for good, and all clients
+	// together hold a third of the descriptors at most: each that stays longer keeps another client out.
+	idleTimeout = 2050 * time.Millisecond
 	lateWrite   = time.Second // how long after the deadline an answer may still be written
 	maxHead     = 16 << 10    // of a request or an answer
 )
@@ -50,10 +51,17 @@
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: a.cfg.longestDeadline() + lateWrite, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
-		ConnState: s.door.note, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelWarn)}
+		ConnState: s.door.note, ConnContext: countAsked, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelWarn)}
 	return s
 }
 
+type askedKey struct{}
+
+// countAsked lets the requests on a connection be counted.
+func countAsked(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, askedKey{}, new(int))
+}
+
 func (s *server) serve() error { return s.http.Serve(s.door) }
 
 // stop ends the server gently. Clients hear of it a little later, so new connections are accepted for a while;
@@ -93,6 +101,12 @@
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
 	s.agent.post(func() { s.agent.arrived(r) })
+	asked := in.Context().Value(askedKey{}).(*int)
+	// Some clients ask once and keep their connection for good. Where places get short it ends with the answer; a
+	// client that does come back opens another.
+	if *asked++; *asked == 1 && s.door.crowded() {
+		w.Header().Set("Connection", "close")
+	}
 	select {
 	case ans := <-r.reply:
 		s.answer(w, ans)
