Copies of late attempts while servers lose some, and what they lose is no jam

Checked with probes (results by backend each second; every attempt with connection, class, key and time): seven of ten backends answer most in the usual 50 to 100 ms and a fifth to a third never, mixed at random; not tied to connection (first use 32 % of the lost, about its share then), class or key. Ruled out: CPU (0.15 of 0.25), descriptors (216 of 384), queues (p50 of those backends unchanged), ejection (they answer others, as the code says). Blame: choice.go judge and jamNow took each lost attempt for a jam and so refused work where capacity was left; nothing was sent again before the client's time was up. Now: an attempt that its server has passed over (it answered one sent a usual time later) is no jam, neither while it is out nor when it times out. While such losses are seen, an attempt late by twice the usual time is copied, within the budget for further attempts and where copies are allowed; the copy that is not needed is withdrawn. Design: the ordinary path (draws, pick, ties) is as it was. Tests: TestLateAttemptsAreCopiedWhileSomeGetLost, TestLostAttemptIsNoJam.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,8 @@
 	missedMost  = 16   // answers that a server may owe, by the usual time to one, before it is ejected
 	failWeight  = 0.3  // weight of a new sample in a server's share of failures
 	failEject   = 0.6  // ejected above it: three failures in a row, from nothing
+	lostFrom    = 0.03 // share of attempts lost at servers that answer others, from which late ones are copied
+	copyTimes   = 2    // usual times to an answer after which an attempt counts as late then
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
 	retryShare  = 0.1  // further attempts as a share of first ones
 	retrySaved  = 10   // most further attempts saved up
@@ -98,8 +100,7 @@
 	}
 }
 
-// resubscribe asks again, later each time and at random: balancers that lost the list together must not
-// swamp it together.
+// resubscribe asks again, later each time and at random: those that lost the list together must not swamp it.
 func (b *Balancer) resubscribe() {
 	wait := float64(b.horizon) * math.Exp2(float64(min(b.tries, 4))) * (0.5 + b.rng.Float64()) / 2
 	b.tries++
@@ -233,9 +234,6 @@
 	return best
 }
 
-// load is what the server would bear for its capacity with one request more.
-func (s *server) load() float64 { return float64(len(s.inFlight)+1) / s.weight }
-
 // asks reports whether the servers drawn are asked for their load before a request is sent.
 func (b *Balancer) asks() bool { return b.set.Probes && b.set.ProbePrice*2 <= askCost }
 
@@ -284,9 +282,6 @@
 	}
 }
 
-// fresh reports whether the server has told its load since the request asked.
-func (r *request) fresh(s *server) bool { return s.seen > 0 && s.seen >= r.since }
-
 // left is the part of its capacity that a server has left for this balancer, by what it has just said. Where
 // it states the requests in hand, the load by own counts becomes the load by all, as the paper's placer sees
 // it.
@@ -336,14 +331,17 @@
 		s.trial = false
 		return
 	case o.Result == OK:
-		s.heard, bad = b.now, 0
+		s.heard, s.passed, bad = b.now, max(s.passed, a.sent), 0
 		b.usual[c] += learn * (float64(o.Took) - b.usual[c])
 		b.least[c] += learn * (min(float64(o.Took), b.least[c]*(1+learn)) - b.least[c])
 		b.served += 1 / (shareTime * b.horizon.Seconds())
 	case o.Result == TimedOut && s.heard > a.sent && s.until == 0:
-		bad = 0 // it answers others: the request is costly, not the server ill
+		bad = 0 // it answers others: the request is costly, or this server loses some
+		b.lost += learn
 	}
-	if late := o.Result == TimedOut || o.Result == Rejected; late || bad == 0 { // a dead server is no jam
+	b.lost -= learn * b.lost
+	late := o.Result == Rejected || o.Result == TimedOut && !a.passedOver(b.usual[c])
+	if late || o.Result == OK { // a dead server is no jam, nor is one that loses some
 		b.jam += b.jamWeight * (b.slackUsed(a, late) - b.jam)
 	}
 	s.failing += failWeight * (bad - s.failing)
@@ -362,14 +360,30 @@
 func (b *Balancer) rescue(s *server) {
 	for _, a := range s.inFlight {
 		a.req.out-- // as it will be then
-		elsewhere := func(o *server) bool { return o != s && !b.ejected(o) && b.maySend(a.req, o) }
-		if b.set.CanCancel && b.budget >= 1 && slices.ContainsFunc(b.servers, elsewhere) {
+		if b.set.CanCancel && b.elsewhere(a) {
 			b.act(Action{Kind: Cancel, Request: a.req.ID, Attempt: a.n})
 		}
 		a.req.out++
 	}
 }
 
+// copyLate sends a second copy of what a server owes for long, while servers that answer others lose some.
+func (b *Balancer) copyLate(s *server) {
+	for _, a := range slices.Clone(s.inFlight) {
+		late := float64(b.now-a.sent) > copyTimes*b.usual[a.req.Class]
+		if late && b.lost > lostFrom && b.jam < shedFrom && a.req.out == 1 && b.elsewhere(a) {
+			b.budget--
+			b.try(a.req)
+		}
+	}
+}
+
+// elsewhere reports whether an attempt may be made again at another server.
+func (b *Balancer) elsewhere(a *attempt) bool {
+	may := func(o *server) bool { return o != a.srv && !b.ejected(o) && b.maySend(a.req, o) }
+	return b.budget >= 1 && slices.ContainsFunc(b.servers, may)
+}
+
 // missed is how many answers the server would have given, at the usual pace, since it gave the last one, over
 // all that is in flight: one late answer is a costly request, many are a silent server.
 func (b *Balancer) missed(s *server) (n float64) {
@@ -386,6 +400,7 @@
 			b.eject(s)
 			b.rescue(s)
 		}
+		b.copyLate(s)
 		s.trust *= math.Exp(-1.0 / ticks / reportTime)
 	}
 }
@@ -405,15 +420,6 @@
 
 // Slow start.
 
-// coldShare is the part of its capacity that a server has at least, so long after its start.
-func (s *server) coldShare(b *Balancer) float64 {
-	age := b.now - s.Started
-	if s.Started == 0 || age >= b.set.ColdFor {
-		return 1
-	}
-	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.ColdFor))
-}
-
 // fillSpare adds to what cold servers may get, by their part of every attempt: idle as they are they would
 // draw everything, from all balancers at once.
 func (b *Balancer) fillSpare() {
@@ -448,14 +454,6 @@
 	return true
 }
 
-// mayHaveRun is the first attempt that is not known to have had no effect.
-func (r *request) mayHaveRun() *attempt {
-	if i := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.neverRan }); i >= 0 {
-		return r.attempts[i]
-	}
-	return nil
-}
-
 // mayRefuse reports whether the client may be told that trying again does no harm.
 func (r *request) mayRefuse() bool {
 	return r.mayHaveRun() == nil || r.class.Effect == Safe ||
@@ -505,6 +503,12 @@
 	b.judge(a, o)
 	switch {
 	case r.closed || o.Closed:
+		for _, other := range r.attempts { // of two copies one is enough; the earlier one is late or lost
+			if other.out && o.Result == OK && b.set.CanCancel {
+				b.lost += learn * max(0, float64(a.n-other.n))
+				b.act(Action{Kind: Cancel, Request: r.ID, Attempt: other.n})
+			}
+		}
 		b.close(r)
 	case r.out > 0: // the other copy goes on
 	case b.budget >= 1 && o.Result != NotSent:
@@ -552,7 +556,9 @@
 	jam := b.jam
 	for _, s := range b.servers {
 		for _, a := range s.inFlight {
-			jam += b.jamWeight * max(0, b.slackUsed(a, false)-jam)
+			if !a.passedOver(b.usual[a.req.Class]) {
+				jam += b.jamWeight * max(0, b.slackUsed(a, false)-jam)
+			}
 		}
 	}
 	return jam
@@ -571,8 +577,7 @@
 	return float64(len(s.inFlight)+1) / now / b.tightest.Seconds()
 }
 
-// refused draws whether a request gives way, where the share refused at mean worth is given: what is worth
-// little goes first, and early, when it has cost no server anything.
+// refused draws whether a request gives way, by the share at mean worth: what is worth little goes first.
 func (b *Balancer) refused(worth, share float64) bool {
 	return b.rng.Float64() < share*b.worth/worth
 }
@@ -590,11 +595,3 @@
 	b.act(Action{Kind: kind, Request: r.ID, After: min(b.set.MaxRetryAfter, r.class.Aim/2)})
 	b.close(r)
 }
-
-// close marks the request as ended; it is kept while attempts are in flight.
-func (b *Balancer) close(r *request) {
-	r.closed = true
-	if r.out == 0 {
-		delete(b.requests, r.ID)
-	}
-}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -871,3 +871,88 @@
 		}
 	}
 }
+
+// Guards against a server that answers most and loses some: a late attempt there is copied to another one, but only
+// while such losses are seen, not in a jam, and within the budget for further attempts.
+func TestLateAttemptsAreCopiedWhileSomeGetLost(t *testing.T) {
+	lose := func(h *bench) { // one request is lost at a server that answers a later one
+		type sent struct{ id, to string }
+		var all []sent
+		for range len(h.servers) + 1 { // so that one server has two
+			id, to := h.ask(0)
+			all = append(all, sent{id, to})
+			h.at += time.Millisecond
+		}
+		for i, early := range all {
+			late := slices.IndexFunc(all[i+1:], func(s sent) bool { return s.to == early.to })
+			if late < 0 {
+				continue
+			}
+			later := all[i+1+late]
+			h.end(later.id, later.to, 0, OK, NoReport)
+			h.Handle(h.at, Outcome{Request: early.id, Server: early.to, Result: TimedOut, Closed: true, Report: NoReport})
+			all = slices.DeleteFunc(all, func(s sent) bool { return s == early || s == later })
+			break
+		}
+		for _, s := range all {
+			h.end(s.id, s.to, 0, OK, NoReport)
+		}
+	}
+	for name, c := range map[string]struct {
+		before func(h *bench)
+		jam    float64
+		copied bool
+	}{
+		"nothing lost": {func(*bench) {}, 0, false},
+		"some lost":    {lose, 0, true},
+		"jam":          {lose, 0.9, false},
+		"no budget":    {func(h *bench) { lose(h); h.budget = 0 }, 0, false},
+		"no copies":    {func(h *bench) { lose(h); h.set.ParallelCopies = false }, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set := testSettings()
+			set.ParallelCopies = true
+			h := newBench(t, set, 1, 1, 1)
+			c.before(h)
+			id, to := h.ask(0)
+			jam := max(h.jam, c.jam)
+			var copies []Action
+			for range 2 * ticks {
+				h.jam = jam
+				for _, a := range h.tick(h.horizon / ticks) {
+					if a.Kind == Send {
+						copies = append(copies, a)
+					}
+				}
+			}
+			if c.copied != (len(copies) == 1) || len(copies) > 1 {
+				t.Fatalf("%d copies", len(copies))
+			}
+			if c.copied && (copies[0].Request != id || copies[0].Server == to) {
+				t.Errorf("%v is the copy of what %s has", copies[0], to)
+			}
+		})
+	}
+}
+
+// Guards against refusing work for a jam where there is none: an attempt that its server has passed over, as it
+// answered one sent much later, is lost or costly and counts neither while it is out nor when its time is up.
+func TestLostAttemptIsNoJam(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		h := newBench(t, testSettings(), 1) // one server, so that all go there
+		early, to := h.ask(0)
+		h.at += h.horizon
+		later, _ := h.ask(0)
+		if answers {
+			h.end(later, to, 0, OK, NoReport)
+		}
+		if jam := h.jamNow() > h.jam; jam == answers {
+			t.Errorf("later one answered: %t, the late one counts as a jam: %t", answers, jam)
+		}
+		before := h.jam
+		h.Handle(h.at, Outcome{Request: early, Server: to, Result: TimedOut, Closed: true, Report: NoReport})
+		if jam := h.jam > before; jam == answers {
+			t.Errorf("later one answered: %t, the lost one counts as a jam: %t", answers, jam)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -30,6 +31,7 @@
 	jamWeight float64       // of a new sample in it
 	total     float64       // capacity of all at present
 	well      float64       // and of those that are not ejected
+	lost      float64       // share of attempts lost at servers that answer others
 	served    float64       // own answers a second, averaged
 	worth     float64       // mean worth of a request lately
 }
@@ -53,6 +55,7 @@
 	rank     float64       // its place in this balancer's order of all servers
 	far      bool          // not in the subset
 	heard    time.Duration // the latest sign of life or, if later, the first send that waits for one
+	passed   time.Duration // when the latest sent of those that it has answered was sent
 	failing  float64       // share of failures among the latest outcomes
 	until    time.Duration // ejected to then; 0 when not
 	trial    bool          // one trial is under way
@@ -82,3 +85,38 @@
 	out      bool
 	neverRan bool
 }
+
+// mayHaveRun is the first attempt that is not known to have had no effect.
+func (r *request) mayHaveRun() *attempt {
+	if i := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.neverRan }); i >= 0 {
+		return r.attempts[i]
+	}
+	return nil
+}
+
+// load is what the server would bear for its capacity with one request more.
+func (s *server) load() float64 { return float64(len(s.inFlight)+1) / s.weight }
+
+// fresh reports whether the server has told its load since the request asked.
+func (r *request) fresh(s *server) bool { return s.seen > 0 && s.seen >= r.since }
+
+// close marks the request as ended; it is kept while attempts are in flight.
+func (b *Balancer) close(r *request) {
+	r.closed = true
+	if r.out == 0 {
+		delete(b.requests, r.ID)
+	}
+}
+
+// coldShare is the part of its capacity that a server has at least, so long after its start.
+func (s *server) coldShare(b *Balancer) float64 {
+	age := b.now - s.Started
+	if s.Started == 0 || age >= b.set.ColdFor {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.ColdFor))
+}
+
+// passedOver reports whether the server has answered one that it was sent longer after this one than is usual for
+// an answer: that is no queue, this one is lost or costly.
+func (a *attempt) passedOver(usual float64) bool { return float64(a.srv.passed-a.sent) > usual }
