--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -124,7 +124,7 @@
 	}
 	until("ready", "/ready", "")
 	until("served", "/form-check/a1", "checked /form-check/a1") // refused until the watch has named the backend
-	for range 2 { // SIGHUP reads the configuration again, as often as it comes
+	for range 2 {                                               // SIGHUP reads the configuration again, as often as it comes
 		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 			t.Fatal(err)
 		}
