The budget for further attempts grows with the share that gets lost

Probe (module state each second): jam 0.15 to 0.27, so copies were not stopped by it, lost 0.17 to 0.30, but the budget at 0.1 to 2.5 all along: a tenth of the first attempts could be made again, a fifth to a third got lost. Ruled out before: CPU, memory, descriptors, list delays. Blame: choice.go request: budget+retryShare alone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,7 +30,7 @@
 	lostFrom    = 0.03 // share of attempts lost at servers that answer others, from which late ones are copied
 	copyTimes   = 2    // usual times to an answer after which an attempt counts as late then
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
-	retryShare  = 0.1  // further attempts as a share of first ones
+	retryShare  = 0.1  // further attempts as a share of first ones, besides what gets lost
 	retrySaved  = 10   // most further attempts saved up
 	jamWeight   = 0.3  // most weight of a new sample in the part of the slack used
 	jamTime     = 2    // horizons over which the slack used is averaged
@@ -527,7 +527,7 @@
 	}
 	r := &request{Request: e, class: &b.set.Classes[e.Class]}
 	b.requests[e.ID] = r
-	b.budget = min(b.budget+retryShare, retrySaved)
+	b.budget = min(b.budget+retryShare+b.lost, retrySaved)
 	b.worth += learn * (r.class.Worth - b.worth)
 	r.due = b.timerFor(r, r.Deadline-b.now)
 	// In a jam all cheap work may be refused, but an idle server must not wait for its trial till the end.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -956,3 +956,14 @@
 		}
 	}
 }
+
+// Guards against a budget that ends while a server loses more than the usual share of what it takes.
+func TestBudgetGrowsWithWhatGetsLost(t *testing.T) {
+	for _, lost := range []float64{0, 0.2} {
+		h := newBench(t, testSettings(), 1, 1)
+		h.budget, h.lost = 0, lost
+		if h.ask(0); math.Abs(h.budget-retryShare-lost) > 1e-9 {
+			t.Errorf("a first attempt adds %v with %v lost", h.budget, lost)
+		}
+	}
+}
