The Go module is called ternbeam, as the project is

The module still carried the name of the program that it grew from; import paths of what comes next would have spread it.

--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -14,7 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"olivemux/internal/agent"
+	"ternbeam/internal/agent"
 )
 
 func main() {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"olivemux/choice"
-	"olivemux/internal/wire"
+	"ternbeam/choice"
+	"ternbeam/internal/wire"
 )
 
 func main() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"olivemux/choice"
+	"ternbeam/choice"
 )
 
 // Agent is one client-side balancer. One goroutine, the loop, owns the Balancer and all the tables; everything
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
-	"olivemux/choice"
-	"olivemux/internal/wire"
+	"ternbeam/choice"
+	"ternbeam/internal/wire"
 )
 
 // Limits are what the platform grants the agent.
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"olivemux/choice"
+	"ternbeam/choice"
 )
 
 // endpointList is a list of backends, or a change of one, as discovery words it.
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -19,8 +19,8 @@
 	"sync"
 	"time"
 
-	"olivemux/choice"
-	"olivemux/internal/wire"
+	"ternbeam/choice"
+	"ternbeam/internal/wire"
 )
 
 const (
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"olivemux/choice"
+	"ternbeam/choice"
 )
 
 const (
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"olivemux/choice"
+	"ternbeam/choice"
 )
 
 // maxBody is the most that a request's or an answer's body may hold.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -12,7 +12,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"olivemux/choice"
+	"ternbeam/choice"
 )
 
 // Kind says what a Message is.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strconv"
 
-	"olivemux/choice"
+	"ternbeam/choice"
 )
 
 // AppendAction appends the line of an instance's action.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"olivemux/choice"
+	"ternbeam/choice"
 )
 
 // bootInfo is the start-up object of an instance, as far as the module has a use for it.
