--- a/choice/api.go
+++ b/choice/api.go
@@ -87,6 +87,9 @@
 	return nil
 }
 
+// Protocols is a set of protocols, one bit each. What a bit stands for is the host's matter.
+type Protocols uint32
+
 // State is what the list says of a server.
 type State int
 
@@ -105,6 +108,7 @@
 	Cell    int           // a small set of servers that drop each other's repeats
 	Weight  float64       // the list's figure for its size
 	Started time.Duration // its latest start, on the clock of the events; 0 for long ago
+	Speaks  Protocols
 }
 
 // Report is what a server says of its own load. A negative figure is one that it does not state.
@@ -155,6 +159,7 @@
 		Key           string        // what it is about; may be empty
 		Deadline      time.Duration // when the client gives this try up, on the clock of the events
 		Again         bool          // the client's own repeat, where clients say so
+		Needs         Protocols     // all of these a server must speak to be sent it; 0 where any will do
 	}
 	// Outcome ends one attempt. Every Send gets one. The first OK answers the client by itself.
 	Outcome struct {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -90,13 +90,15 @@
 }
 
 // narrow keeps the draws to a subset, each balancer's own and of its zone first: of a fleet that it meets too
-// seldom it would only know what is long past.
+// seldom it would only know what is long past. Servers of other protocols are fleets of their own.
 func (b *Balancer) narrow() {
 	n := max(subsetLeast, int(b.served*subsetTime*b.horizon.Seconds()))
 	order := slices.DeleteFunc(slices.Clone(b.servers), func(s *server) bool { return s.State != Ready })
 	slices.SortFunc(order, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
-	for i, s := range order {
-		s.far = i >= n
+	near := map[Protocols]int{}
+	for _, s := range order {
+		s.far = near[s.Speaks] >= n
+		near[s.Speaks]++
 	}
 }
 
@@ -434,8 +436,8 @@
 
 // maySend is the one place that says what may be sent where; every send passes it.
 func (b *Balancer) maySend(r *request, s *server) bool {
-	if r.closed || b.now >= r.Deadline || s.State != Ready || len(r.attempts) >= b.set.MaxAttempts ||
-		r.out > 1 || r.out == 1 && !b.set.ParallelCopies {
+	if r.closed || b.now >= r.Deadline || s.State != Ready || r.Needs&^s.Speaks != 0 ||
+		len(r.attempts) >= b.set.MaxAttempts || r.out > 1 || r.out == 1 && !b.set.ParallelCopies {
 		return false
 	}
 	first := r.mayHaveRun()
--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"ternbeam/internal/agent"
+	"ternbeam/internal/config"
 )
 
 func main() {
@@ -30,7 +31,7 @@
 	reload := make(chan os.Signal, 1) // one that waits stands for any number
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	cfg, err := agent.LoadConfig(os.Getenv)
+	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -44,7 +45,7 @@
 
 // limit keeps the runtime within what the platform grants. The live heap is small, so rare collections cost
 // little memory; near the limit they come more often.
-func limit(l agent.Limits) {
+func limit(l config.Limits) {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/url"
 	"os"
 	"regexp"
 	"strings"
@@ -19,6 +18,9 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/config"
+	"ternbeam/internal/discovery"
+	"ternbeam/internal/httpback"
 )
 
 // patience bounds every wait for something that must happen; nothing is expected to take nearly so long.
@@ -37,10 +39,10 @@
 type trial struct {
 	deadline, idle time.Duration
 	tries, sockets int
-	known          []endpoint
+	known          []discovery.Entry
 }
 
-func (tr trial) config(t *testing.T) *Config {
+func (tr trial) config(t *testing.T) *config.Config {
 	t.Helper()
 	if tr.deadline == 0 {
 		tr.deadline = patience
@@ -53,12 +55,12 @@
 	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": tr.sockets},
-		"known":    endpointList{Version: 7, Full: true, Servers: tr.known},
+		"known":    discovery.List{Version: 7, Full: true, Servers: tr.known},
 		"settings": json.RawMessage(fmt.Sprintf(settings, int64(tr.deadline), int64(tr.idle), tr.tries))})
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg, err := parseConfig(text)
+	cfg, err := config.Parse(text)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +80,7 @@
 }
 
 // start runs an agent; one that the test did not end is ended after it.
-func start(t *testing.T, cfg *Config) *running {
+func start(t *testing.T, cfg *config.Config) *running {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -118,18 +120,22 @@
 
 // held asks the loop how many requests and timers it keeps.
 func (r *running) held() (requests, open int) {
-	done := make(chan struct{})
-	r.post(func() { requests, open = len(r.requests), r.open; close(done) })
-	<-done
-	return requests, open
+	s := r.core.Snapshot()
+	return s.Held, s.Open
+}
+
+// connections is the number of those to servers.
+func (r *running) connections() int {
+	open, _, _ := r.pool.Count()
+	return open
 }
 
 // newBackend runs a backend and returns its entry in the list.
-func newBackend(t *testing.T, id string, serve http.HandlerFunc) endpoint {
+func newBackend(t *testing.T, id string, serve http.HandlerFunc) discovery.Entry {
 	t.Helper()
 	s := httptest.NewServer(serve)
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return endpoint{ID: id, Addr: s.Listener.Addr().String(), Zone: "z", Cell: 1, State: "in_service", Weight: 1}
+	return discovery.Entry{ID: id, Addr: s.Listener.Addr().String(), Zone: "z", Cell: 1, State: "in_service", Weight: 1}
 }
 
 // ask words a request of a class.
@@ -205,7 +211,7 @@
 		w.Header().Set("X-Backend-Load", "TEXT util=0.5, qps=40, eps=0")
 		fmt.Fprint(w, "the answer")
 	})
-	r := start(t, trial{known: []endpoint{e}}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}}.config(t))
 	status, answer := do(t, r.ask("record", "id1", 5, "a form"))
 	if status != 200 || answer != "the answer" {
 		t.Errorf("answered %d %q", status, answer)
@@ -222,8 +228,8 @@
 	if held, open := r.held(); held != 0 || open != 0 {
 		t.Errorf("%d requests kept, %d open, after all were answered", held, open)
 	}
-	if r.stats.Reports != 1 {
-		t.Errorf("%d load reports read", r.stats.Reports)
+	if r.core.Snapshot().Stats.Reports != 1 {
+		t.Errorf("%d load reports read", r.core.Snapshot().Stats.Reports)
 	}
 }
 
@@ -237,12 +243,12 @@
 					hangUp(w)
 				}
 			})
-			r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+			r := start(t, trial{known: []discovery.Entry{e}, tries: 1}.config(t))
 			if status, _ := do(t, r.ask(class, "first", 5, "")); status != 200 {
 				t.Fatalf("the first request was answered %d", status)
 			}
-			if r.upstream.count() != 1 {
-				t.Fatalf("%d connections kept", r.upstream.count())
+			if r.connections() != 1 {
+				t.Fatalf("%d connections kept", r.connections())
 			}
 			status, _ := do(t, r.ask(class, "second", 5, ""))
 			if n := seen.of("second"); n != 1 {
@@ -272,7 +278,7 @@
 		{name: "error that claims not to have run", status: 500, unprocessed: true, want: 502},
 		{name: "other success", status: 204, want: 502},
 		{name: "cut short", status: 200, body: "half", promise: "9", want: 502},
-		{name: "too long", status: 200, body: strings.Repeat("x", maxBody+1), want: 502},
+		{name: "too long", status: 200, body: strings.Repeat("x", httpback.MaxBody+1), want: 502},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
@@ -286,7 +292,7 @@
 				w.WriteHeader(c.status)
 				io.WriteString(w, c.body)
 			})
-			r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+			r := start(t, trial{known: []discovery.Entry{e}, tries: 1}.config(t))
 			if status, _ := do(t, r.ask("pay", "id", 5, "")); status != c.want {
 				t.Errorf("answered %d, not %d", status, c.want)
 			}
@@ -301,7 +307,7 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nperhaps all")
 		c.Close()
 	})
-	r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}, tries: 1}.config(t))
 	if status, body := do(t, r.ask("record", "id", 5, "")); status != 502 {
 		t.Errorf("answered %d %q", status, body)
 	}
@@ -312,16 +318,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	dead := endpoint{ID: "dead", Addr: l.Addr().String(), Zone: "z", Cell: 2, State: "in_service", Weight: 1}
+	dead := discovery.Entry{ID: "dead", Addr: l.Addr().String(), Zone: "z", Cell: 2, State: "in_service", Weight: 1}
 	l.Close()
 	live := newBackend(t, "live", func(w http.ResponseWriter, r *http.Request) {})
-	r := start(t, trial{known: []endpoint{dead, live}}.config(t))
+	r := start(t, trial{known: []discovery.Entry{dead, live}}.config(t))
 	for i := range 8 {
 		if status, _ := do(t, r.ask("pay", fmt.Sprint(i), 5, "")); status != 200 {
 			t.Errorf("request %d was answered %d", i, status)
 		}
 	}
-	if r.held(); r.stats.Results[choice.ConnectFailed] == 0 {
+	if r.core.Snapshot().Stats.Results[choice.ConnectFailed] == 0 {
 		t.Error("the dead backend was never tried")
 	}
 }
@@ -332,7 +338,7 @@
 		io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	})
-	r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}, tries: 1}.config(t))
 	var all sync.WaitGroup
 	for i := range 20 {
 		all.Go(func() {
@@ -351,14 +357,14 @@
 	all.Wait()
 	eventually(t, "requests and connections are dropped", func() bool {
 		held, open := r.held()
-		return held == 0 && open == 0 && r.upstream.count() == 0
+		return held == 0 && open == 0 && r.connections() == 0
 	})
 }
 
 func TestMalformedRequests(t *testing.T) {
 	var seen attempts
 	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) { seen.add(r) })
-	r := start(t, trial{known: []endpoint{e}}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}}.config(t))
 	for name, spoil := range map[string]func(*http.Request){
 		"no id":          func(q *http.Request) { q.Header.Del("X-Correlation-Id") },
 		"two ids":        func(q *http.Request) { q.Header.Add("X-Correlation-Id", "other") },
@@ -382,13 +388,13 @@
 			}
 		})
 	}
-	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", maxBody+1))); status != 413 {
+	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", httpback.MaxBody+1))); status != 413 {
 		t.Errorf("an oversized body was answered %d", status)
 	}
 	if n := seen.of("id"); n != 0 {
 		t.Errorf("%d malformed requests were passed on", n)
 	}
-	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", maxBody))); status != 200 {
+	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", httpback.MaxBody))); status != 200 {
 		t.Errorf("the largest body was answered %d", status)
 	}
 }
@@ -414,7 +420,7 @@
 func TestHiddenRequestIsNotPassedOn(t *testing.T) {
 	var seen attempts
 	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) { seen.add(r) })
-	r := start(t, trial{known: []endpoint{e}}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}}.config(t))
 	head := func(proto string) string {
 		return "POST /pay/x HTTP/" + proto + "\r\nHost: s\r\nX-Correlation-Id: outer\r\nX-Service-Class: pay\r\n" +
 			"X-Account: oban\r\nX-Time-Left: 5\r\n"
@@ -468,7 +474,7 @@
 
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
 	cfg := trial{}.config(t)
-	cfg.module.MaxRetryAfter = time.Second
+	cfg.Module.MaxRetryAfter = time.Second
 	r := start(t, cfg) // knows no backend
 	begin := time.Now()
 	resp, err := http.DefaultTransport.RoundTrip(r.ask("pay", "id", 10, ""))
@@ -487,15 +493,15 @@
 		close(arrived)
 		<-r.Context().Done()
 	})
-	r := start(t, trial{known: []endpoint{e}, tries: 1}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}, tries: 1}.config(t))
 	ctx, leave := context.WithCancel(context.Background())
 	go func() { <-arrived; leave() }()
 	if resp, err := http.DefaultTransport.RoundTrip(r.ask("pay", "id", 10, "").WithContext(ctx)); err == nil {
 		t.Fatalf("answered %d", resp.StatusCode)
 	}
 	eventually(t, "the request is over", func() bool { _, open := r.held(); return open == 0 })
-	if r.stats.Gone != 1 {
-		t.Errorf("%d clients left", r.stats.Gone)
+	if r.core.Snapshot().Stats.Gone != 1 {
+		t.Errorf("%d clients left", r.core.Snapshot().Stats.Gone)
 	}
 }
 
@@ -505,7 +511,7 @@
 		close(arrived)
 		<-release
 	})
-	r := start(t, trial{known: []endpoint{e}}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}}.config(t))
 	first := make(chan int)
 	go func() { status, _ := do(t, r.ask("pay", "id", 10, "")); first <- status }()
 	<-arrived
@@ -530,8 +536,8 @@
 	}
 	s.Start()
 	defer s.Close()
-	e := endpoint{ID: "b", Addr: s.Listener.Addr().String(), Zone: "z", State: "in_service"}
-	r := start(t, trial{known: []endpoint{e}, idle: 100 * time.Millisecond}.config(t))
+	e := discovery.Entry{ID: "b", Addr: s.Listener.Addr().String(), Zone: "z", State: "in_service"}
+	r := start(t, trial{known: []discovery.Entry{e}, idle: 100 * time.Millisecond}.config(t))
 	if status, _ := do(t, r.ask("pay", "id", 10, "")); status != 200 {
 		t.Fatalf("answered %d", status)
 	}
@@ -540,7 +546,7 @@
 	case <-time.After(patience):
 		t.Error("the idle connection was kept")
 	}
-	eventually(t, "the connection is no longer counted", func() bool { return r.upstream.count() == 0 })
+	eventually(t, "the connection is no longer counted", func() bool { return r.connections() == 0 })
 }
 
 // An ending agent goes on accepting for a while, answers all it took and asks clients to close.
@@ -551,7 +557,7 @@
 		<-release
 		fmt.Fprint(w, "done")
 	})
-	r := start(t, trial{known: []endpoint{e}}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}}.config(t))
 	answers := make(chan *http.Response, 2)
 	ask := func(id string) {
 		resp, err := new(http.Transport).RoundTrip(r.ask("pay", id, 15, ""))
@@ -590,9 +596,9 @@
 // Clients that keep more connections than there are descriptors lose the idle ones, never an answer.
 func TestIdleClientsGiveWay(t *testing.T) {
 	e := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
-	cfg := trial{known: []endpoint{e}, sockets: leastSockets}.config(t)
+	cfg := trial{known: []discovery.Entry{e}, sockets: config.LeastSockets}.config(t)
 	r := start(t, cfg)
-	for i := range 3 * cfg.clientSockets() {
+	for i := range 3 * cfg.ClientSockets() {
 		client := &http.Transport{}
 		defer client.CloseIdleConnections()
 		resp, err := client.RoundTrip(r.ask("pay", fmt.Sprint(i), 10, ""))
@@ -610,7 +616,7 @@
 // from a fourth on a first answer ends its connection. Who has come back before may go on.
 func TestConnectionsEndWithTheAnswerWhereCrowded(t *testing.T) {
 	e := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
-	r := start(t, trial{known: []endpoint{e}, sockets: leastSockets}.config(t))
+	r := start(t, trial{known: []discovery.Entry{e}, sockets: config.LeastSockets}.config(t))
 	http.DefaultTransport.(*http.Transport).CloseIdleConnections() // the one that asked whether it is ready
 	ask := func(client *http.Transport, id string) (closes bool) {
 		t.Helper()
@@ -625,7 +631,7 @@
 		return resp.Close
 	}
 	closed := 0
-	for i := range leastSockets / 2 {
+	for i := range config.LeastSockets / 2 {
 		client := &http.Transport{}
 		defer client.CloseIdleConnections()
 		if ask(client, fmt.Sprint(i)) {
@@ -635,7 +641,7 @@
 		}
 	}
 	if closed == 0 {
-		t.Errorf("all of %d connections were kept", leastSockets/2)
+		t.Errorf("all of %d connections were kept", config.LeastSockets/2)
 	}
 }
 
@@ -649,18 +655,11 @@
 		"probes":      `{"settings":` + strings.Replace(good, `"MayCancel"`, `"Probes":true,"MayCancel"`, 1) + `}`,
 		"sockets":     `{"limits":{"sockets":10},"settings":` + good + `}`,
 	} {
-		if _, err := parseConfig([]byte(text)); err == nil {
+		if _, err := config.Parse([]byte(text)); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 	}
-	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
+	if _, err := config.Load(func(string) string { return "" }); err == nil {
 		t.Error("no error without NODE_CONFIG")
 	}
 }
-
-// forwardable is a request as the loop would hand it to the upstream.
-func forwardable(id string) *request {
-	u, _ := url.Parse("/pay/x")
-	return &request{Request: choice.Request{ID: id}, method: http.MethodPost, url: u,
-		header: http.Header{"X-Correlation-Id": {id}}}
-}
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,21 +11,23 @@
 	"sync"
 	"syscall"
 	"testing"
+
+	"ternbeam/internal/discovery"
 )
 
 // registry is a discovery that pushes what it is given to those who watch, and counts versions in its own way.
 type registry struct {
 	*httptest.Server
-	changes chan endpointList
+	changes chan discovery.List
 
 	mu    sync.Mutex
-	list  endpointList
+	list  discovery.List
 	calls []string
 }
 
-func newRegistry(t *testing.T, version int64, servers ...endpoint) *registry {
+func newRegistry(t *testing.T, version int64, servers ...discovery.Entry) *registry {
 	t.Helper()
-	d := &registry{changes: make(chan endpointList), list: endpointList{Version: version, Full: true, Servers: servers}}
+	d := &registry{changes: make(chan discovery.List), list: discovery.List{Version: version, Full: true, Servers: servers}}
 	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.mu.Lock()
 		d.calls = append(d.calls, r.URL.String())
@@ -60,15 +61,8 @@
 }
 
 // known lists the ids of the backends that can be sent to.
-func (r *running) known() (ids []string) {
-	done := make(chan struct{})
-	r.post(func() {
-		for id := range r.backends {
-			ids = append(ids, id)
-		}
-		close(done)
-	})
-	<-done
+func (r *running) known() []string {
+	ids := r.core.Snapshot().Servers
 	slices.Sort(ids)
 	return ids
 }
@@ -82,55 +76,62 @@
 	}
 }
 
+// Where the list must be asked for, the module says when: at the start, and again after a call that failed.
+func TestModuleAsksForTheList(t *testing.T) {
+	backend := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
+	calls := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintf(w, `{"version":8,"full":true,"servers":[{"id":"b","addr":"%s","state":"in_service"}]}`+"\n", backend.Addr)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	defer s.CloseClientConnections()
+	cfg := trial{}.config(t)
+	cfg.Module.Subscribe, cfg.Discovery = true, s.Listener.Addr().String()
+	r := start(t, cfg)
+	n := 0
+	eventually(t, "a request is served", func() bool {
+		n++
+		status, _ := do(t, r.ask("pay", fmt.Sprint(n), 10, ""))
+		return status == 200
+	})
+}
+
 // A new configuration names another discovery, which counts versions otherwise: the agent asks it for the whole
 // list and watches from there. A file that can't be read changes nothing.
 func TestReloadSwitchesDiscovery(t *testing.T) {
-	entry := func(id string) endpoint { return endpoint{ID: id, Addr: "127.0.0.1:1", State: "in_service"} }
+	entry := func(id string) discovery.Entry {
+		return discovery.Entry{ID: id, Addr: "127.0.0.1:1", State: "in_service"}
+	}
 	first, second := newRegistry(t, 40, entry("old")), newRegistry(t, 3, entry("new"))
 	cfg := trial{}.config(t)
-	cfg.Discovery, cfg.path = first.addr(), filepath.Join(t.TempDir(), "config.json")
+	cfg.Discovery, cfg.Path = first.addr(), filepath.Join(t.TempDir(), "config.json")
 	r := start(t, cfg)
 	eventually(t, "the first is watched", func() bool { return len(first.asked()) == 1 })
-	first.changes <- endpointList{Version: 41, Full: true, Servers: []endpoint{entry("old")}}
+	first.changes <- discovery.List{Version: 41, Full: true, Servers: []discovery.Entry{entry("old")}}
 	eventually(t, "its list is taken", func() bool { return slices.Equal(r.known(), []string{"old"}) })
 
 	r.reload <- syscall.SIGHUP // there is no file
-	if err := os.WriteFile(cfg.path, []byte(`{"discovery":`), 0o600); err != nil {
+	if err := os.WriteFile(cfg.Path, []byte(`{"discovery":`), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	r.reload <- syscall.SIGHUP
-	first.changes <- endpointList{Version: 42, Servers: []endpoint{entry("older")}}
+	first.changes <- discovery.List{Version: 42, Servers: []discovery.Entry{entry("older")}}
 	eventually(t, "the first is still heeded", func() bool { return slices.Equal(r.known(), []string{"old", "older"}) })
 
-	rewrite(t, cfg.path, second.addr())
+	rewrite(t, cfg.Path, second.addr())
 	for range 2 { // the second says nothing new
 		r.reload <- syscall.SIGHUP
 	}
 	eventually(t, "the second's list is taken", func() bool { return slices.Equal(r.known(), []string{"new"}) })
-	second.changes <- endpointList{Version: 4, Servers: []endpoint{entry("newer")}}
+	second.changes <- discovery.List{Version: 4, Servers: []discovery.Entry{entry("newer")}}
 	eventually(t, "its changes are taken", func() bool { return slices.Equal(r.known(), []string{"new", "newer"}) })
 	if got, want := second.asked(), []string{"/v1/endpoints", "/v1/endpoints?stream=1&index=3"}; !slices.Equal(got, want) {
 		t.Errorf("the second was asked for %q, not %q", got, want)
 	}
 }
-
-// What the old discovery has delivered and waits in the queue behind the switch must not undo the new list.
-func TestQueuedListOfTheOldDiscoveryIsDropped(t *testing.T) {
-	entry := endpoint{ID: "late", Addr: "127.0.0.1:1", State: "in_service"}
-	old := newRegistry(t, 40)
-	cfg := trial{}.config(t)
-	cfg.Discovery = old.addr()
-	r := start(t, cfg)
-	eventually(t, "it is watched", func() bool { return len(old.asked()) == 1 })
-	gate := make(chan struct{})
-	r.post(func() {
-		<-gate
-		r.follow(context.Background(), "127.0.0.1:1", unknown)
-	})
-	old.changes <- endpointList{Version: 41, Servers: []endpoint{entry}}
-	eventually(t, "its list is queued", func() bool { return len(r.events) > 0 })
-	close(gate)
-	if got := r.known(); len(got) != 0 {
-		t.Errorf("knows %q", got)
-	}
-}
--- a/internal/agent/config.go
+++ b/internal/config/config.go
@@ -1,4 +1,5 @@
-package agent
+// Package config reads what the platform tells an agent at its start.
+package config
 
 import (
 	"encoding/json"
@@ -11,6 +12,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/discovery"
 	"ternbeam/internal/wire"
 )
 
@@ -28,16 +30,16 @@
 	Discovery string
 	Limits    Limits
 
-	path   string // of the file that it was read from
-	seed   uint64
-	known  endpointList
-	module choice.Settings // as the simulator's adapter reads them
-	fields []string        // the figures in a load report
-	host   hostSettings
+	Path   string // of the file that it was read from
+	Seed   uint64
+	Known  discovery.List
+	Module choice.Settings // as the simulator's adapter reads them
+	Fields []string        // the figures in a load report
+	Host   HostSettings
 }
 
-// hostSettings are those of the settings that bind the host and do not concern the module.
-type hostSettings struct {
+// HostSettings are those of the settings that bind the host and do not concern the module.
+type HostSettings struct {
 	Classes []struct {
 		Name     string
 		Streamed bool
@@ -50,9 +52,9 @@
 	Zones   []string
 }
 
-// LoadConfig reads the file that NODE_CONFIG names. Addresses in the environment go before those in the file, as
+// Load reads the file that NODE_CONFIG names. Addresses in the environment go before those in the file, as
 // it is at the start.
-func LoadConfig(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG is not set")
@@ -61,11 +63,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
 	}
-	cfg, err := parseConfig(text)
+	cfg, err := Parse(text)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	cfg.path = path
+	cfg.Path = path
 	for name, field := range map[string]*string{"NODE_NAME": &cfg.Name, "NODE_LISTEN": &cfg.Listen,
 		"NODE_DISCOVERY": &cfg.Discovery} {
 		if v := getenv(name); v != "" {
@@ -78,14 +80,14 @@
 	return cfg, nil
 }
 
-// newDiscovery reads the file again and returns the address of discovery that it holds now. The environment is as
+// NewDiscovery reads the file again and returns the address of discovery that it holds now. The environment is as
 // old as the process and has no say in it; nothing else in the file can change while the agent runs.
-func (c *Config) newDiscovery() (string, error) {
-	text, err := os.ReadFile(c.path)
+func (c *Config) NewDiscovery() (string, error) {
+	text, err := os.ReadFile(c.Path)
 	if err != nil {
 		return "", err
 	}
-	fresh, err := parseConfig(text)
+	fresh, err := Parse(text)
 	if err != nil {
 		return "", err
 	}
@@ -95,11 +97,12 @@
 	return fresh.Discovery, nil
 }
 
-func parseConfig(text []byte) (*Config, error) {
+// Parse reads a configuration.
+func Parse(text []byte) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        Limits
-		Known                         endpointList
+		Known                         discovery.List
 		Settings                      json.RawMessage
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
@@ -109,83 +112,83 @@
 		return nil, errors.New("no settings")
 	}
 	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits,
-		known: file.Known}
-	cfg.known.Full = true
+		Known: file.Known}
+	cfg.Known.Full = true
 	var err error
-	if cfg.seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+	if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		h := fnv.New64a() // any text will do as a seed
 		h.Write([]byte(file.Seed))
-		cfg.seed = h.Sum64()
+		cfg.Seed = h.Sum64()
 	}
-	if cfg.module, cfg.fields, err = wire.ParseSettings(file.Settings); err != nil {
+	if cfg.Module, cfg.Fields, err = wire.ParseSettings(file.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if err := json.Unmarshal(file.Settings, &cfg.host); err != nil {
+	if err := json.Unmarshal(file.Settings, &cfg.Host); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	for _, c := range cfg.host.Classes {
+	for _, c := range cfg.Host.Classes {
 		if c.Streamed {
 			return nil, fmt.Errorf("settings: class %q is streamed, which this agent cannot serve", c.Name)
 		}
 	}
-	if cfg.module.Probes {
+	if cfg.Module.Probes {
 		return nil, errors.New("settings: probes are allowed, which this agent cannot send")
 	}
 	if cfg.Limits.Sockets <= 0 {
 		cfg.Limits.Sockets = 1024
 	}
-	if cfg.Limits.Sockets < leastSockets {
-		return nil, fmt.Errorf("limits: %d sockets are too few, %d are needed", cfg.Limits.Sockets, leastSockets)
+	if cfg.Limits.Sockets < LeastSockets {
+		return nil, fmt.Errorf("limits: %d sockets are too few, %d are needed", cfg.Limits.Sockets, LeastSockets)
 	}
 	return cfg, nil
 }
 
-// leastSockets is the smallest limit on descriptors under which an agent can work.
-const leastSockets = 64
+// LeastSockets is the smallest limit on descriptors under which an agent can work.
+const LeastSockets = 64
 
 // Descriptors that are neither clients' nor backends': the listener, the watch, the poller, standard streams
 // and one connection more while another closes.
 const spareSockets = 24
 
-// clientSockets and backendSockets share out the descriptors. Clients hold a third at most for requests; the rest
+// ClientSockets and BackendSockets share out the descriptors. Clients hold a third at most for requests; the rest
 // of theirs is for those that are idle or have said nothing yet.
-func (c *Config) clientSockets() int  { return c.Limits.Sockets * 2 / 5 }
-func (c *Config) backendSockets() int { return c.Limits.Sockets - spareSockets - c.clientSockets() }
+func (c *Config) ClientSockets() int  { return c.Limits.Sockets * 2 / 5 }
+func (c *Config) BackendSockets() int { return c.Limits.Sockets - spareSockets - c.ClientSockets() }
 
-// connectTimeout bounds the dial of a backend.
-func (c *Config) connectTimeout() time.Duration {
-	if ns := c.host.Ceilings.ConnectTimeoutNs; ns > 0 {
+// ConnectTimeout bounds the dial of a backend.
+func (c *Config) ConnectTimeout() time.Duration {
+	if ns := c.Host.Ceilings.ConnectTimeoutNs; ns > 0 {
 		return time.Duration(ns)
 	}
 	return time.Second
 }
 
-// idleFor is how long an idle connection to a backend may still be used. A backend closes one after
+// IdleFor is how long an idle connection to a backend may still be used. A backend closes one after
 // ConnIdleNs; a request written just then would be reset, so the agent drops it well before.
-func (c *Config) idleFor() time.Duration {
-	if ns := c.host.Ceilings.ConnIdleNs; ns > 0 {
+func (c *Config) IdleFor() time.Duration {
+	if ns := c.Host.Ceilings.ConnIdleNs; ns > 0 {
 		return time.Duration(ns) * 4 / 5
 	}
 	return 10 * time.Second
 }
 
-// longestDeadline is the longest that a client may wait for an answer.
-func (c *Config) longestDeadline() (longest time.Duration) {
-	for _, class := range c.module.Classes {
+// LongestDeadline is the longest that a client may wait for an answer.
+func (c *Config) LongestDeadline() (longest time.Duration) {
+	for _, class := range c.Module.Classes {
 		longest = max(longest, class.Deadline)
 	}
 	return longest
 }
 
-// class returns the position of a class, or -1.
-func (c *Config) class(name string) int {
-	return slices.IndexFunc(c.module.Classes, func(class choice.Class) bool { return class.Name == name })
+// Class returns the position of a class, or -1.
+func (c *Config) Class(name string) int {
+	return slices.IndexFunc(c.Module.Classes, func(class choice.Class) bool { return class.Name == name })
 }
 
-// tenant returns the position of a tenant, or -1. Where there are none, any is the first.
-func (c *Config) tenant(name string) int {
-	if len(c.host.Tenants) == 0 {
+// Tenant returns the position of a tenant, or -1. Where there are none, any is the first.
+func (c *Config) Tenant(name string) int {
+	if len(c.Host.Tenants) == 0 {
 		return 0
 	}
-	return slices.IndexFunc(c.host.Tenants, func(t struct{ Name string }) bool { return t.Name == name })
+	return slices.IndexFunc(c.Host.Tenants, func(t struct{ Name string }) bool { return t.Name == name })
 }
--- /dev/null
+++ b/internal/core/list.go
@@ -0,0 +1,96 @@
+package core
+
+import (
+	"context"
+
+	"ternbeam/choice"
+	"ternbeam/internal/discovery"
+	"ternbeam/internal/pool"
+)
+
+// Follow watches another discovery from now on; the same one changes nothing.
+func (c *Core) Follow(ctx context.Context, addr string) {
+	c.post(func() {
+		c.log.Info("new configuration", "discovery", addr, "before", c.discovery)
+		if addr != c.discovery {
+			c.follow(ctx, addr, discovery.Unknown)
+			if c.haveWatch {
+				c.beginWatch()
+			}
+		}
+	})
+}
+
+// follow sets the discovery that is watched from now on; the watch on another ends. Lists of that one may still be
+// queued: they count by other versions and must not be applied after the first list of the new one.
+func (c *Core) follow(ctx context.Context, addr string, version int64) {
+	if c.unwatch != nil {
+		c.unwatch()
+	}
+	ctx, c.unwatch = context.WithCancel(ctx)
+	c.discovery = addr
+	d := discovery.New(addr, version, c.log)
+	current := func(event func()) {
+		c.post(func() {
+			if ctx.Err() == nil {
+				event()
+			}
+		})
+	}
+	deliver := func(l discovery.List) { current(func() { c.list(l); c.markReady() }) }
+	c.watch = func() { d.KeepWatching(ctx, deliver) }
+	if c.set.Module.Subscribe {
+		c.watch = func() { // each time that the module asks for it
+			err := d.Watch(ctx, deliver)
+			current(func() {
+				c.log.Warn("the watch ended", "error", err)
+				c.haveWatch = false
+				c.handle(choice.ListUnavailable{})
+			})
+		}
+	}
+}
+
+func (c *Core) beginWatch() {
+	c.haveWatch = true
+	go c.watch()
+}
+
+// list applies the list of servers or a change of it, here and in the module.
+func (c *Core) list(l discovery.List) {
+	ev := choice.ServerList{Full: l.Full}
+	named := make(map[string]bool, len(l.Servers))
+	for _, e := range l.Servers {
+		s, err := e.Server(c.set.Zones)
+		if err != nil {
+			c.log.Error("passing over an entry of the list", "error", err)
+			continue
+		}
+		ev.Servers = append(ev.Servers, s)
+		named[e.ID] = true
+		c.entry(e, s)
+	}
+	for id, s := range c.servers {
+		if l.Full && !named[id] {
+			c.set.Pool.Retire(s)
+			delete(c.servers, id)
+		}
+	}
+	c.log.Info("list", "version", l.Version, "full", l.Full, "entries", len(l.Servers), "backends", len(c.servers))
+	c.handle(ev)
+}
+
+// entry applies one entry of a list. A server that restarted, moved or speaks otherwise gets new connections.
+func (c *Core) entry(e discovery.Entry, now choice.Server) {
+	s := c.servers[e.ID]
+	if s != nil && (s.Addr != e.Addr || s.Started != e.StartedMS || s.Speaks != now.Speaks ||
+		s.Multiplexed != e.Multiplexed || now.State != choice.Ready) {
+		c.set.Pool.Retire(s)
+		delete(c.servers, e.ID)
+		s = nil
+	}
+	if s == nil && now.State == choice.Ready {
+		c.servers[e.ID] = &pool.Server{ID: e.ID, Addr: e.Addr, Started: e.StartedMS, Speaks: now.Speaks,
+			Multiplexed: e.Multiplexed}
+	}
+}
--- /dev/null
+++ b/internal/core/list_test.go
@@ -0,0 +1,106 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"ternbeam/choice"
+	"ternbeam/internal/discovery"
+	"ternbeam/internal/pool"
+	"ternbeam/internal/protocol"
+)
+
+// newCore returns a Core that knows the servers of a list; its transports do nothing but what the test says.
+func newCore(t *testing.T, addr string, known ...discovery.Entry) *Core {
+	t.Helper()
+	c, err := New(Settings{Module: choice.Settings{Tick: time.Millisecond, MaxAttempts: 2,
+		Classes: []choice.Class{{Name: "pay", Effect: choice.Unsafe, Aim: time.Second, Deadline: time.Minute, Worth: 1}}},
+		Known: discovery.List{Full: true, Servers: known}, Discovery: addr, Log: slog.New(slog.DiscardHandler),
+		Pool: pool.New(pool.Settings{DialTimeout: time.Second, IdleFor: time.Minute, Most: 10})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// What the old discovery has delivered and waits in the queue behind the switch must not undo the new list.
+func TestQueuedListOfTheOldDiscoveryIsDropped(t *testing.T) {
+	asked, push := make(chan struct{}), make(chan struct{})
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		close(asked)
+		<-push
+		fmt.Fprintln(w, `{"version":41,"servers":[{"id":"late","addr":"127.0.0.1:1","state":"in_service"}]}`)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer old.Close()
+	defer old.CloseClientConnections()
+	c := newCore(t, old.Listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx)
+	<-asked
+	gate, waits := make(chan struct{}), make(chan struct{})
+	c.post(func() {
+		close(waits)
+		<-gate
+		c.follow(context.Background(), "127.0.0.1:1", discovery.Unknown)
+	})
+	<-waits
+	close(push)
+	for end := time.Now().Add(20 * time.Second); len(c.events) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("its list is not queued")
+		}
+	}
+	close(gate)
+	if got := c.Snapshot().Servers; len(got) != 0 {
+		t.Errorf("knows %q", got)
+	}
+}
+
+// A server that the list says has restarted, moved or speaks otherwise is another one, with connections of its own.
+func TestRestartedServerIsAnother(t *testing.T) {
+	e := discovery.Entry{ID: "b", Addr: "127.0.0.1:1", Zone: "z", State: "in_service", StartedMS: 5}
+	for name, change := range map[string]func(*discovery.Entry){
+		"nothing": func(*discovery.Entry) {}, "restarted": func(e *discovery.Entry) { e.StartedMS = 6 },
+		"moved":  func(e *discovery.Entry) { e.Addr = "127.0.0.1:2" },
+		"speaks": func(e *discovery.Entry) { e.Protocol = "thrift" },
+		"drains": func(e *discovery.Entry) { e.State = "terminating" },
+		"gone":   func(e *discovery.Entry) { e.State = "terminated" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCore(t, "127.0.0.1:1")
+			c.list(discovery.List{Full: true, Servers: []discovery.Entry{e}})
+			old, next := c.servers["b"], e
+			change(&next)
+			c.list(discovery.List{Servers: []discovery.Entry{next}})
+			now := c.servers["b"]
+			if kept := now == old; kept != (name == "nothing") || old.Retired() == kept {
+				t.Errorf("the same: %t, retired: %t", kept, old.Retired())
+			}
+			if known := now != nil; known != (name != "drains" && name != "gone") {
+				t.Errorf("it can be sent to: %t", known)
+			}
+		})
+	}
+}
+
+// An entry that cannot be read costs nothing but itself.
+func TestUnreadableEntries(t *testing.T) {
+	c := newCore(t, "127.0.0.1:1")
+	c.list(discovery.List{Full: true, Servers: []discovery.Entry{
+		{ID: "a", Addr: "127.0.0.1:1", State: "in_service", Protocol: "gopher"},
+		{ID: "b", Addr: "127.0.0.1:1", State: "in_service", Multiplexed: true},
+		{ID: "c", Addr: "nowhere", State: "in_service"},
+		{ID: "d", Addr: "127.0.0.1:1", State: "in_service", Protocol: "thrift-compact", Multiplexed: true}}})
+	if s := c.servers["d"]; len(c.servers) != 1 || s == nil || s.Speaks != protocol.ThriftCompact || !s.Multiplexed {
+		t.Errorf("knows %v", c.servers)
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,5 @@
-package agent
+// Package discovery reads the list of servers: as a whole, and as a watch on its changes.
+package discovery
 
 import (
 	"cmp"
@@ -14,39 +15,50 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/protocol"
 )
 
-// endpointList is a list of backends, or a change of one, as discovery words it.
-type endpointList struct {
-	Version int64      `json:"version"`
-	Full    bool       `json:"full"`
-	Servers []endpoint `json:"servers"`
+// List is a list of servers, or a change of one, as discovery words it.
+type List struct {
+	Version int64   `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
 }
 
-type endpoint struct {
-	ID        string  `json:"id"`
-	Addr      string  `json:"addr"`
-	Zone      string  `json:"zone"`
-	Cell      int     `json:"cell"`
-	State     string  `json:"state"`
-	Weight    float64 `json:"weight"`
-	StartedMS int64   `json:"started_ms"`
+// Entry is a server in a List.
+type Entry struct {
+	ID          string  `json:"id"`
+	Addr        string  `json:"addr"`
+	Zone        string  `json:"zone"`
+	Cell        int     `json:"cell"`
+	State       string  `json:"state"`
+	Weight      float64 `json:"weight"`
+	StartedMS   int64   `json:"started_ms"`
+	Protocol    string  `json:"protocol,omitempty"`    // HTTP/1.1 where absent
+	Multiplexed bool    `json:"multiplexed,omitempty"` // takes several calls at a time on a connection
 }
 
-var endpointStates = map[string]choice.State{"in_service": choice.Ready, "terminating": choice.Draining,
+var states = map[string]choice.State{"in_service": choice.Ready, "terminating": choice.Draining,
 	"terminated": choice.Gone}
 
-// server words an entry for the module. Module time is Unix time, so a start needs no mapping, and 0 stays
+// Server words an entry for the module. Module time is Unix time, so a start needs no mapping, and 0 stays
 // 'long ago'.
-func (e endpoint) server(zones []string) (choice.Server, error) {
-	state, ok := endpointStates[e.State]
+func (e Entry) Server(zones []string) (choice.Server, error) {
+	state, ok := states[e.State]
 	if !ok {
-		return choice.Server{}, fmt.Errorf("backend %q has the unknown state %q", e.ID, e.State)
+		return choice.Server{}, fmt.Errorf("backend %q has the Unknown state %q", e.ID, e.State)
 	}
 	if _, _, err := net.SplitHostPort(e.Addr); err != nil && state != choice.Gone {
 		return choice.Server{}, fmt.Errorf("backend %q: %w", e.ID, err)
 	}
-	return choice.Server{ID: e.ID, State: state, Zone: max(slices.Index(zones, e.Zone), 0), Cell: e.Cell,
+	speaks, err := protocol.Parse(e.Protocol)
+	if err != nil {
+		return choice.Server{}, fmt.Errorf("backend %q: %w", e.ID, err)
+	}
+	if e.Multiplexed && speaks&protocol.HTTP != 0 {
+		return choice.Server{}, fmt.Errorf("backend %q: HTTP/1.1 is not multiplexed", e.ID)
+	}
+	return choice.Server{ID: e.ID, Speaks: speaks, State: state, Zone: max(slices.Index(zones, e.Zone), 0), Cell: e.Cell,
 		Weight: e.Weight, Started: time.Duration(e.StartedMS) * time.Millisecond}, nil
 }
 
@@ -58,8 +70,8 @@
 	mostBackoff  = 500 * time.Millisecond
 )
 
-// discovery watches the list of backends.
-type discovery struct {
+// Client watches the list of one discovery.
+type Client struct {
 	addr    string
 	version int64         // of the latest list; nothing is known of this discovery's versions where it is unknown
 	silence time.Duration // after which a watch is dead
@@ -67,25 +79,26 @@
 	log     *slog.Logger
 }
 
-// unknown stands for the version of a list where none has come from that discovery yet: another one may count
+// Unknown stands for the version of a list where none has come from that discovery yet: another one may count
 // otherwise.
-const unknown = -1
+const Unknown = -1
 
-func newDiscovery(addr string, version int64, log *slog.Logger) *discovery {
-	return &discovery{addr: addr, version: version, silence: watchSilence, log: log, client: &http.Client{
+// New returns a Client that has the list of a version, or Unknown.
+func New(addr string, version int64, log *slog.Logger) *Client {
+	return &Client{addr: addr, version: version, silence: watchSilence, log: log, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
-// keepWatching watches until ctx ends, again and again from the last version. An agent goes on with the list
+// KeepWatching watches until ctx ends, again and again from the last version. An agent goes on with the list
 // that it has while there is no watch.
-func (d *discovery) keepWatching(ctx context.Context, deliver func(endpointList)) {
+func (d *Client) KeepWatching(ctx context.Context, deliver func(List)) {
 	wait := leastBackoff
 	for ctx.Err() == nil {
 		before := d.version
-		err := d.watch(ctx, deliver)
+		err := d.Watch(ctx, deliver)
 		if d.version != before {
 			wait = leastBackoff
 		}
@@ -101,16 +114,16 @@
 	}
 }
 
-// watch delivers lists in order until the watch ends; it always ends with an error.
-func (d *discovery) watch(ctx context.Context, deliver func(endpointList)) error {
+// Watch delivers lists in order until the watch ends; it always ends with an error.
+func (d *Client) Watch(ctx context.Context, deliver func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("silent for %v", d.silence)) })
 	defer silence.Stop()
 
 	alive := func() { silence.Reset(d.silence) }
-	if d.version == unknown {
-		if err := d.read(ctx, "", alive, func(l endpointList) {
+	if d.version == Unknown {
+		if err := d.read(ctx, "", alive, func(l List) {
 			l.Full = true
 			d.version = l.Version
 			deliver(l)
@@ -118,14 +131,14 @@
 			return err
 		}
 	}
-	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.version), alive, func(l endpointList) {
+	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.version), alive, func(l List) {
 		d.version = l.Version
 		deliver(l)
 	})
 }
 
 // read takes the lists of one answer until it ends; it always ends with an error.
-func (d *discovery) read(ctx context.Context, query string, alive func(), take func(endpointList)) error {
+func (d *Client) read(ctx context.Context, query string, alive func(), take func(List)) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return err
@@ -145,7 +158,7 @@
 		return n, err
 	}))
 	for {
-		var list endpointList
+		var list List
 		if err := lines.Decode(&list); err != nil {
 			return cmp.Or(context.Cause(ctx), fmt.Errorf("reading the list: %w", err))
 		}
--- a/internal/agent/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,8 +1,9 @@
-package agent
+package discovery
 
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -10,8 +11,12 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/protocol"
 )
 
+// patience bounds every wait for something that must happen.
+const patience = 20 * time.Second
+
 // A watch that ends, and one that stays open and is silent, are both begun again from the last version.
 func TestWatchIsBegunAgain(t *testing.T) {
 	calls := make(chan string, 8)
@@ -32,11 +37,11 @@
 	defer s.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := newDiscovery(s.Listener.Addr().String(), 7, quiet())
+	d := New(s.Listener.Addr().String(), 7, slog.New(slog.DiscardHandler))
 	d.silence = 300 * time.Millisecond
 	var got []string
 	delivered := make(chan struct{}, 8)
-	go d.keepWatching(ctx, func(l endpointList) {
+	go d.KeepWatching(ctx, func(l List) {
 		got = append(got, fmt.Sprintln(l.Version, l.Full, l.Servers[0].ID))
 		delivered <- struct{}{}
 	})
@@ -75,42 +80,16 @@
 	defer s.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := newDiscovery(s.Listener.Addr().String(), 7, quiet())
+	d := New(s.Listener.Addr().String(), 7, slog.New(slog.DiscardHandler))
 	d.silence = 2 * time.Second // the list comes after 3 s
 	delivered := make(chan struct{}, 8)
-	go d.keepWatching(ctx, func(endpointList) { delivered <- struct{}{} })
+	go d.KeepWatching(ctx, func(List) { delivered <- struct{}{} })
 	wait(t, delivered)
 	if len(calls) != 1 {
 		t.Errorf("%d watches", len(calls))
 	}
 }
 
-// Where the list must be asked for, the module says when: at the start, and again after a call that failed.
-func TestModuleAsksForTheList(t *testing.T) {
-	backend := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
-	calls := 0
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if calls++; calls == 1 {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		fmt.Fprintf(w, `{"version":8,"full":true,"servers":[{"id":"b","addr":"%s","state":"in_service"}]}`+"\n", backend.Addr)
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	}))
-	defer s.Close()
-	defer s.CloseClientConnections()
-	cfg := trial{}.config(t)
-	cfg.module.Subscribe, cfg.Discovery = true, s.Listener.Addr().String()
-	r := start(t, cfg)
-	n := 0
-	eventually(t, "a request is served", func() bool {
-		n++
-		status, _ := do(t, r.ask("pay", fmt.Sprint(n), 10, ""))
-		return status == 200
-	})
-}
-
 func wait(t *testing.T, c <-chan struct{}) {
 	t.Helper()
 	select {
@@ -121,16 +100,18 @@
 }
 
 func TestEntries(t *testing.T) {
-	good := endpoint{ID: "s", Addr: "127.0.0.1:8000", Zone: "b", Cell: 3, State: "in_service", Weight: 1.5, StartedMS: 2000}
-	got, err := good.server([]string{"a", "b"})
-	want := choice.Server{ID: "s", State: choice.Ready, Zone: 1, Cell: 3, Weight: 1.5, Started: 2 * time.Second}
+	good := Entry{ID: "s", Addr: "127.0.0.1:8000", Zone: "b", Cell: 3, State: "in_service", Weight: 1.5, StartedMS: 2000}
+	got, err := good.Server([]string{"a", "b"})
+	want := choice.Server{ID: "s", State: choice.Ready, Zone: 1, Cell: 3, Weight: 1.5, Started: 2 * time.Second,
+		Speaks: protocol.HTTP}
 	if err != nil || got != want {
 		t.Errorf("%+v, %v", got, err)
 	}
-	for _, spoil := range []func(*endpoint){func(e *endpoint) { e.State = "odd" }, func(e *endpoint) { e.Addr = "x" }} {
+	for _, spoil := range []func(*Entry){func(e *Entry) { e.State = "odd" }, func(e *Entry) { e.Addr = "x" },
+		func(e *Entry) { e.Protocol = "x" }, func(e *Entry) { e.Multiplexed = true }} {
 		e := good
 		spoil(&e)
-		if _, err := e.server(nil); err == nil {
+		if _, err := e.Server(nil); err == nil {
 			t.Errorf("no error for %+v", e)
 		}
 	}
--- a/internal/agent/door_test.go
+++ b/internal/door/door_test.go
@@ -1,26 +1,28 @@
-package agent
+package door
 
 import (
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 )
 
-func openDoor(t *testing.T, most int) *door {
+// patience bounds every wait for something that must happen.
+const patience = 20 * time.Second
+
+func openDoor(t *testing.T, most int) *Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return newDoor(l.(*net.TCPListener), most)
+	return New(most).Listen(l.(*net.TCPListener))
 }
 
 // visitor connects and says something, which has come before the connection is accepted.
-func visitor(t *testing.T, d *door, words string) net.Conn {
+func visitor(t *testing.T, d *Listener, words string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", d.Addr().String())
 	if err != nil {
@@ -33,7 +35,7 @@
 	return c
 }
 
-func accept(t *testing.T, d *door) net.Conn {
+func accept(t *testing.T, d *Listener) net.Conn {
 	t.Helper()
 	c, err := d.Accept()
 	if err != nil {
@@ -60,8 +62,8 @@
 	d := openDoor(t, 4)
 	idle := visitor(t, d, "")
 	accepted := accept(t, d)
-	d.note(accepted, http.StateActive)
-	d.note(accepted, http.StateIdle)
+	d.door.Busy(accepted)
+	d.door.Idle(accepted)
 	begun := visitor(t, d, "GET /")
 	accept(t, d)
 	var mute []net.Conn
@@ -69,7 +71,7 @@
 		mute = append(mute, visitor(t, d, ""))
 		accept(t, d)
 	}
-	if n := d.count(); n != 4 {
+	if n := d.door.Count(); n != 4 {
 		t.Errorf("%d connections", n)
 	}
 	for i, c := range mute {
@@ -89,15 +91,15 @@
 	for range 2 {
 		clients = append(clients, visitor(t, d, ""))
 		conns = append(conns, accept(t, d))
-		d.note(conns[len(conns)-1], http.StateActive)
+		d.door.Busy(conns[len(conns)-1])
 	}
 	newcomer := visitor(t, d, "")
 	accept(t, d)
-	if !closed(newcomer, patience) || d.count() != 2 {
-		t.Errorf("%d connections with two busy ones", d.count())
+	if !closed(newcomer, patience) || d.door.Count() != 2 {
+		t.Errorf("%d connections with two busy ones", d.door.Count())
 	}
-	d.note(conns[1], http.StateIdle)
-	d.note(conns[0], http.StateIdle)
+	d.door.Idle(conns[1])
+	d.door.Idle(conns[0])
 	visitor(t, d, "")
 	accept(t, d)
 	if !closed(clients[1], patience) || closed(clients[0], time.Millisecond) {
@@ -111,7 +113,7 @@
 	for range 3 {
 		visitor(t, d, "GET /")
 	}
-	go d.closeAfter(-time.Second)
+	go d.CloseAfter(-time.Second)
 	for !d.ending.Load() {
 		time.Sleep(time.Millisecond)
 	}
@@ -130,8 +132,8 @@
 	mute, begun := visitor(t, d, ""), visitor(t, d, "GET /")
 	accept(t, d)
 	accept(t, d)
-	d.dropSilent()
-	if !closed(mute, patience) || closed(begun, time.Millisecond) || d.count() != 1 {
-		t.Errorf("%d connections", d.count())
+	d.DropSilent()
+	if !closed(mute, patience) || closed(begun, time.Millisecond) || d.door.Count() != 1 {
+		t.Errorf("%d connections", d.door.Count())
 	}
 }
--- a/internal/agent/upstream_test.go
+++ b/internal/httpback/httpback_test.go
@@ -1,4 +1,4 @@
-package agent
+package httpback
 
 import (
 	"bufio"
@@ -9,40 +9,106 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/core"
+	"ternbeam/internal/exchange"
+	"ternbeam/internal/peek"
+	"ternbeam/internal/pool"
 )
 
+// patience bounds every wait for something that must happen.
+const patience = 20 * time.Second
+
+// newTransport returns a transport over a pool of its own; what the settings leave out is ample.
+func newTransport(set pool.Settings) *exchange.Transport {
+	if set.DialTimeout == 0 {
+		set.DialTimeout = patience
+	}
+	if set.Most == 0 {
+		set.Most = 100
+	}
+	set.IdleFor = time.Minute
+	return New(pool.New(set), []string{"util", "qps", "eps"})
+}
+
+func attempt(id string, s *pool.Server) *core.Attempt {
+	return &core.Attempt{Call: &core.Call{Request: choice.Request{ID: id}, Payload: &Request{Method: http.MethodPost,
+		URL: &url.URL{Path: "/pay/x"}, Header: http.Header{"X-Correlation-Id": {id}}}}, Server: s}
+}
+
+func count(u *exchange.Transport) int { open, _, _ := u.Pool.Count(); return open }
+func idle(u *exchange.Transport) int  { _, idle, _ := u.Pool.Count(); return idle }
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
+// server runs one that serves so.
+func server(t *testing.T, serve http.HandlerFunc) *pool.Server {
+	t.Helper()
+	s := httptest.NewServer(serve)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return &pool.Server{ID: "b", Addr: s.Listener.Addr().String()}
+}
+
+// attempts counts what servers receive, by id.
+type attempts struct {
+	mu   sync.Mutex
+	seen map[string]int
+}
+
+func (a *attempts) add(r *http.Request) {
+	io.Copy(io.Discard, r.Body)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.seen == nil {
+		a.seen = map[string]int{}
+	}
+	a.seen[r.Header.Get("X-Correlation-Id")]++
+}
+
+func (a *attempts) of(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.seen[id]
+}
+
 // A dial takes time, and meanwhile the request may have ended, its time may be up, the module may have withdrawn
 // it or the backend may have begun to drain: then nothing may be sent.
 func TestNothingIsSentAfterASlowDial(t *testing.T) {
 	for name, c := range map[string]struct {
-		meanwhile func(a *attempt, withdraw context.CancelCauseFunc)
+		meanwhile func(u *exchange.Transport, a *core.Attempt, withdraw context.CancelCauseFunc)
 		want      choice.Result
 	}{
-		"nothing":      {func(*attempt, context.CancelCauseFunc) {}, choice.OK},
-		"answered":     {func(a *attempt, _ context.CancelCauseFunc) { a.req.over.Store(true) }, choice.NotSent},
-		"drains":       {func(a *attempt, _ context.CancelCauseFunc) { a.backend.closed.Store(true) }, choice.ConnectFailed},
-		"withdrawn":    {func(_ *attempt, w context.CancelCauseFunc) { w(errWithdrawn) }, choice.Cancelled},
-		"time is over": {func(_ *attempt, w context.CancelCauseFunc) { w(context.DeadlineExceeded) }, choice.NotSent},
+		"nothing":      {func(*exchange.Transport, *core.Attempt, context.CancelCauseFunc) {}, choice.OK},
+		"answered":     {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.End() }, choice.NotSent},
+		"drains":       {func(u *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { u.Pool.Retire(a.Server) }, choice.ConnectFailed},
+		"withdrawn":    {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(core.ErrWithdrawn) }, choice.Cancelled},
+		"time is over": {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(context.DeadlineExceeded) }, choice.NotSent},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var seen attempts
-			e := newBackend(t, "b", func(_ http.ResponseWriter, r *http.Request) { seen.add(r) })
-			u := newUpstream(trial{}.config(t))
 			ctx, withdraw := context.WithCancelCause(context.Background())
-			a := &attempt{req: forwardable("id"), backend: &backend{id: "b", addr: e.Addr}}
-			dial := u.dial
-			u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-				conn, err := dial(ctx, network, addr)
-				c.meanwhile(a, withdraw)
+			a := attempt("id", server(t, func(_ http.ResponseWriter, r *http.Request) { seen.add(r) }))
+			var u *exchange.Transport
+			u = newTransport(pool.Settings{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+				c.meanwhile(u, a, withdraw)
 				return conn, err
-			}
-			got, sent := u.do(ctx, a).result, seen.of("id")
+			}})
+			got, sent := u.Attempt(ctx, a).Result, seen.of("id")
 			if want := map[bool]int{true: 1}[c.want == choice.OK]; got != c.want || sent != want {
 				t.Errorf("result %d, not %d; the backend got %d requests, not %d", got, c.want, sent, want)
 			}
@@ -54,37 +120,34 @@
 // it did not.
 func TestBreaks(t *testing.T) {
 	var seen attempts
-	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
+	b := server(t, func(w http.ResponseWriter, r *http.Request) {
 		if seen.add(r); r.Header.Get("X-Correlation-Id") != "whole" {
-			hangUp(w)
+			if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				c.Close()
+			}
 		}
 	})
-	u := newUpstream(trial{}.config(t))
 	var breaks atomic.Bool
-	dial := u.dial
-	u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dial(ctx, network, addr)
+	u := newTransport(pool.Settings{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
 		return failingWrites{c.(*net.TCPConn), &breaks}, nil
-	}
-	b := &backend{id: "b", addr: e.Addr}
-	do := func(id string) choice.Result {
-		return u.do(context.Background(), &attempt{req: forwardable(id), backend: b}).result
-	}
+	}})
+	do := func(id string) choice.Result { return u.Attempt(context.Background(), attempt(id, b)).Result }
 	if got := do("read and closed"); got != choice.Reset {
 		t.Errorf("result %d of a request that was read", got)
 	}
-	if got := do("whole"); got != choice.OK || len(b.idle) != 1 {
-		t.Fatalf("result %d, %d idle connections", got, len(b.idle))
+	if got := do("whole"); got != choice.OK || idle(u) != 1 {
+		t.Fatalf("result %d, %d idle connections", got, idle(u))
 	}
 	breaks.Store(true)
 	if got := do("half written"); got != choice.ConnectFailed || seen.of("half written") != 0 {
 		t.Errorf("result %d of a request whose write fell short", got)
 	}
-	if u.count() != 0 {
-		t.Errorf("%d broken connections are kept", u.count())
+	if count(u) != 0 {
+		t.Errorf("%d broken connections are kept", count(u))
 	}
 }
 
@@ -103,7 +166,7 @@
 
 // script runs a backend that answers each request on a connection with the next of these texts, as they are, and
 // then leaves the connection open and silent.
-func script(t *testing.T, answers ...string) (e endpoint, accepted *atomic.Int32) {
+func script(t *testing.T, answers ...string) (s *pool.Server, accepted *atomic.Int32) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -133,14 +196,21 @@
 			}()
 		}
 	}()
-	return endpoint{ID: "b", Addr: l.Addr().String(), Zone: "z", Cell: 1, State: "in_service"}, accepted
+	return &pool.Server{ID: "b", Addr: l.Addr().String()}, accepted
 }
 
-func exchangeOnce(t *testing.T, u *upstream, b *backend, id string) attemptResult {
+func body(e core.Ending) string {
+	if r, ok := e.Reply.(*Reply); ok {
+		return string(r.Body)
+	}
+	return ""
+}
+
+func exchangeOnce(t *testing.T, u *exchange.Transport, b *pool.Server, id string) core.Ending {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return u.do(ctx, &attempt{req: forwardable(id), backend: b})
+	return u.Attempt(ctx, attempt(id, b))
 }
 
 // A spoilt answer is an attempt that may have run. It is known for one well before the time is up, while the
@@ -167,13 +237,13 @@
 		"other protocol":    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			e, _ := script(t, answer)
-			u := newUpstream(trial{}.config(t))
-			got := exchangeOnce(t, u, &backend{id: "b", addr: e.Addr}, "id")
-			if got.result != choice.Failed && got.result != choice.Reset {
-				t.Errorf("result %d", got.result)
+			b, _ := script(t, answer)
+			u := newTransport(pool.Settings{})
+			got := exchangeOnce(t, u, b, "id")
+			if got.Result != choice.Failed && got.Result != choice.Reset {
+				t.Errorf("result %d", got.Result)
 			}
-			if u.count() != 0 {
+			if count(u) != 0 {
 				t.Error("the connection is kept")
 			}
 		})
@@ -190,11 +260,11 @@
 		"unreadable report": strings.Replace(good, "\r\n", "\r\nX-Backend-Load: TEXT util=\x80, qps\r\n", 1),
 	} {
 		t.Run(name, func(t *testing.T) {
-			e, _ := script(t, answer)
-			u := newUpstream(trial{}.config(t))
-			got := exchangeOnce(t, u, &backend{id: "b", addr: e.Addr}, "id")
-			if got.result != choice.OK || string(got.body) != "ok" || got.report != choice.NoReport {
-				t.Errorf("result %d, %q, report %+v", got.result, got.body, got.report)
+			b, _ := script(t, answer)
+			u := newTransport(pool.Settings{})
+			got := exchangeOnce(t, u, b, "id")
+			if got.Result != choice.OK || body(got) != "ok" || got.Report != choice.NoReport {
+				t.Errorf("result %d, %q, report %+v", got.Result, body(got), got.Report)
 			}
 		})
 	}
@@ -203,28 +273,26 @@
 // The time that one exchange may take says nothing of how long its connection may be idle.
 func TestIdleConnectionIsUsedAgain(t *testing.T) {
 	const good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-	e, accepted := script(t, good, good)
-	u := newUpstream(trial{}.config(t))
-	u.stall = 50 * time.Millisecond
-	b := &backend{id: "b", addr: e.Addr}
+	b, accepted := script(t, good, good)
+	u := newTransport(pool.Settings{})
+	u.Stall = 50 * time.Millisecond
 	exchangeOnce(t, u, b, "first")
-	time.Sleep(3 * u.stall)
-	if got := exchangeOnce(t, u, b, "second"); got.result != choice.OK || accepted.Load() != 1 {
-		t.Errorf("result %d, %d connections", got.result, accepted.Load())
+	time.Sleep(3 * u.Stall)
+	if got := exchangeOnce(t, u, b, "second"); got.Result != choice.OK || accepted.Load() != 1 {
+		t.Errorf("result %d, %d connections", got.Result, accepted.Load())
 	}
 }
 
 // What stands behind an answer must not be taken for the answer to the next request.
 func TestBytesBehindAnAnswerEndItsConnection(t *testing.T) {
 	const good = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
-	u := newUpstream(trial{}.config(t))
+	u := newTransport(pool.Settings{})
 	for name, more := range map[string]string{"a second copy": good, "noise": "\x00\x01"} {
 		t.Run(name, func(t *testing.T) {
-			e, accepted := script(t, good+more)
-			b := &backend{id: "b", addr: e.Addr}
+			b, accepted := script(t, good+more)
 			for i := range 2 {
-				if got := exchangeOnce(t, u, b, fmt.Sprint(i)); got.result != choice.OK || string(got.body) != "first" {
-					t.Errorf("request %d: result %d, %q", i, got.result, got.body)
+				if got := exchangeOnce(t, u, b, fmt.Sprint(i)); got.Result != choice.OK || body(got) != "first" {
+					t.Errorf("request %d: result %d, %q", i, got.Result, body(got))
 				}
 			}
 			if n := accepted.Load(); n != 2 {
@@ -245,18 +313,23 @@
 	}
 	s.Start()
 	defer s.Close()
-	u := newUpstream(trial{}.config(t))
-	b := &backend{id: "b", addr: s.Listener.Addr().String()}
-	if got := exchangeOnce(t, u, b, "first"); got.result != choice.OK || len(b.idle) != 1 {
-		t.Fatalf("result %d, %d idle connections", got.result, len(b.idle))
+	var dialled net.Conn
+	u := newTransport(pool.Settings{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
+		dialled = c
+		return c, err
+	}})
+	b := &pool.Server{ID: "b", Addr: s.Listener.Addr().String()}
+	if got := exchangeOnce(t, u, b, "first"); got.Result != choice.OK || idle(u) != 1 {
+		t.Fatalf("result %d, %d idle connections", got.Result, idle(u))
 	}
-	first := b.idle[0]
+	first := dialled
 	io.WriteString(<-conns, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
-	eventually(t, "it has come", func() bool { return !silent(first.Conn) })
-	if got := exchangeOnce(t, u, b, "second"); got.result != choice.OK || len(got.body) != 0 {
-		t.Errorf("result %d, %q", got.result, got.body)
+	eventually(t, "it has come", func() bool { return !peek.Silent(first) })
+	if got := exchangeOnce(t, u, b, "second"); got.Result != choice.OK || len(body(got)) != 0 {
+		t.Errorf("result %d, %q", got.Result, body(got))
 	}
-	if len(b.idle) != 1 || b.idle[0] == first {
+	if idle(u) != 1 || dialled == first {
 		t.Error("the connection was used again")
 	}
 }
@@ -278,21 +351,19 @@
 		l.Accept() // reads nothing till the test ends
 		c.Close()
 	}()
-	u := newUpstream(trial{}.config(t))
-	dial := u.dial
-	u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dial(ctx, network, addr)
+	u := newTransport(pool.Settings{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
 		if err == nil {
 			c.(*net.TCPConn).SetWriteBuffer(4 << 10)
 		}
 		return c, err
-	}
-	a := &attempt{req: forwardable("id"), backend: &backend{id: "b", addr: l.Addr().String()}}
-	a.req.body = make([]byte, maxBody)
+	}})
+	a := attempt("id", &pool.Server{ID: "b", Addr: l.Addr().String()})
+	a.Call.Payload.(*Request).Body = make([]byte, MaxBody)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if got := u.do(ctx, a).result; got != choice.Rejected || u.count() != 0 {
-		t.Errorf("result %d, %d connections", got, u.count())
+	if got := u.Attempt(ctx, a).Result; got != choice.Rejected || count(u) != 0 {
+		t.Errorf("result %d, %d connections", got, count(u))
 	}
 }
 
@@ -307,65 +378,40 @@
 			<-hold
 		}
 	}
-	x, y := newBackend(t, "x", serve), newBackend(t, "y", serve)
-	u := newUpstream(trial{}.config(t))
-	u.most = 1
-	do := func(id string, e endpoint) choice.Result {
-		return exchangeOnce(t, u, &backend{id: e.ID, addr: e.Addr}, id).result
+	x, y := server(t, serve), server(t, serve)
+	var patient atomic.Bool
+	u := newTransport(pool.Settings{Most: 1})
+	do := func(id string, b *pool.Server) choice.Result {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		if patient.Load() {
+			ctx = context.Background()
+		}
+		return u.Attempt(ctx, attempt(id, b)).Result
 	}
-	if a, b := do("a", x), do("b", y); a != choice.OK || b != choice.OK || u.count() != 1 {
-		t.Errorf("results %d and %d, %d connections", a, b, u.count())
+	patient.Store(true)
+	if a, b := do("a", x), do("b", y); a != choice.OK || b != choice.OK || count(u) != 1 {
+		t.Errorf("results %d and %d, %d connections", a, b, count(u))
 	}
 	first, waiting := make(chan choice.Result, 1), make(chan choice.Result, 2)
 	go func() { first <- do("held", x) }()
 	<-arrived
-	u.timeout = 10 * time.Millisecond
-	if got := do("c", y); got != choice.NotSent || len(u.queue) != 0 {
-		t.Errorf("result %d with every connection in use, %d wait", got, len(u.queue))
+	patient.Store(false)
+	queued := func() int { _, _, n := u.Pool.Count(); return n }
+	if got := do("c", y); got != choice.NotSent || queued() != 0 {
+		t.Errorf("result %d with every connection in use, %d wait", got, queued())
 	}
-	u.timeout = patience
+	patient.Store(true)
 	for _, id := range []string{"d", "e"} {
 		go func() { waiting <- do(id, y) }()
 	}
-	eventually(t, "two wait", func() bool {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		return len(u.queue) == 2
-	})
+	eventually(t, "two wait", func() bool { return queued() == 2 })
 	close(hold)
 	if a, b, c := <-first, <-waiting, <-waiting; a != choice.OK || b != choice.OK || c != choice.OK {
 		t.Errorf("results %d of the one that was in use, %d and %d of those that waited", a, b, c)
 	}
-	if u.count() > 1 {
-		t.Errorf("%d connections", u.count())
-	}
-}
-
-// A backend that the list says has restarted or moved is another one, with connections of its own.
-func TestRestartedBackendGetsNewConnections(t *testing.T) {
-	e := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
-	a, err := New(trial{}.config(t), quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
-	a.list(endpointList{Full: true, Servers: []endpoint{e}})
-	old := a.backends["b"]
-	if got := a.upstream.do(context.Background(), &attempt{req: forwardable("id"), backend: old}); got.result != choice.OK {
-		t.Fatalf("result %d", got.result)
-	}
-	a.list(endpointList{Servers: []endpoint{e}})
-	if a.backends["b"] != old || len(old.idle) != 1 {
-		t.Error("an entry without news cost the connections")
-	}
-	e.StartedMS = time.Now().UnixMilli()
-	a.list(endpointList{Servers: []endpoint{e}})
-	if a.backends["b"] == old || !old.closed.Load() || a.upstream.count() != 0 {
-		t.Error("the connections of its earlier life are kept")
-	}
-	e.State = "terminating"
-	a.list(endpointList{Servers: []endpoint{e}})
-	if len(a.backends) != 0 {
-		t.Error("a draining backend can still be sent to")
+	if count(u) > 1 {
+		t.Errorf("%d connections", count(u))
 	}
 }
 
--- a/internal/agent/server.go
+++ b/internal/httpfront/front.go
@@ -1,4 +1,5 @@
-package agent
+// Package httpfront takes calls in HTTP/1.1 and gives their final answers.
+package httpfront
 
 import (
 	"context"
@@ -14,6 +15,11 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/config"
+	"ternbeam/internal/core"
+	"ternbeam/internal/door"
+	"ternbeam/internal/httpback"
+	"ternbeam/internal/protocol"
 )
 
 const (
@@ -24,35 +30,50 @@
 	// together hold a third of the descriptors at most: each that stays longer keeps another client out.
 	idleTimeout = 2050 * time.Millisecond
 	lateWrite   = time.Second // how long after the deadline an answer may still be written
-	maxHead     = 16 << 10    // of a request or an answer
 )
 
-// server is the application's side of the agent.
-type server struct {
-	agent *Agent
-	http  *http.Server
-	door  *door
+// Front is the HTTP/1.1 side of the agent towards its clients.
+type Front struct {
+	cfg    *config.Config
+	core   *core.Core
+	log    *slog.Logger
+	http   *http.Server
+	door   *door.Door
+	listen *door.Listener
 }
 
-func newServer(a *Agent, l *net.TCPListener) *server {
-	s := &server{agent: a, door: newDoor(l, a.cfg.clientSockets())}
+// New returns a Front that takes the connections of a listener through a door.
+func New(cfg *config.Config, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
+	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l)}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
 		if in.URL.Path != "/ready" {
-			s.request(w, in)
+			f.request(w, in)
 			return
 		}
 		select {
-		case <-a.ready:
+		case <-c.Ready():
 			w.WriteHeader(http.StatusOK)
 		default:
 			w.WriteHeader(http.StatusTooEarly)
 		}
 	}
-	s.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout,
-		WriteTimeout: a.cfg.longestDeadline() + lateWrite, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
-		ConnState: s.door.note, ConnContext: countAsked, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelWarn)}
-	return s
+	f.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: cfg.LongestDeadline() + lateWrite, IdleTimeout: idleTimeout, MaxHeaderBytes: httpback.MaxHead,
+		ConnState: f.note, ConnContext: countAsked, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	return f
+}
+
+// note follows a connection through the server, as its ConnState.
+func (f *Front) note(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		f.door.Busy(c)
+	case http.StateIdle:
+		f.door.Idle(c)
+	case http.StateClosed, http.StateHijacked:
+		f.door.Leave(c)
+	}
 }
 
 type askedKey struct{}
@@ -62,30 +83,31 @@
 	return context.WithValue(ctx, askedKey{}, new(int))
 }
 
-func (s *server) serve() error { return s.http.Serve(s.door) }
+// Serve takes calls until Stop; it always ends with an error.
+func (f *Front) Serve() error { return f.http.Serve(f.listen) }
 
-// stop ends the server gently. Clients hear of it a little later, so new connections are accepted for a while;
+// Stop ends the front gently. Clients hear of it a little later, so new connections are accepted for a while;
 // those that wait for nothing are closed at once, while a client that just wrote to one can still come anew.
 // After that, what was taken is answered, for so long as it may take; who has said nothing by then is not waited
 // for.
-func (s *server) stop(lingering, atMost time.Duration) {
+func (f *Front) Stop(lingering, atMost time.Duration) {
 	end := time.Now().Add(atMost)
-	s.http.SetKeepAlivesEnabled(false) // closes what is idle, and the others with their answers
-	s.door.closeAfter(lingering)
+	f.http.SetKeepAlivesEnabled(false) // closes what is idle, and the others with their answers
+	f.listen.CloseAfter(lingering)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	silent := time.AfterFunc(lastWords, s.door.dropSilent)
+	silent := time.AfterFunc(door.LastWords, f.listen.DropSilent)
 	defer silent.Stop()
-	if err := s.http.Shutdown(ctx); err != nil {
-		s.agent.log.Warn("connections were still open at the end", "error", err)
-		s.http.Close()
+	if err := f.http.Shutdown(ctx); err != nil {
+		f.log.Warn("connections were still open at the end", "error", err)
+		f.http.Close()
 	}
 }
 
 // request serves one request of the application.
-func (s *server) request(w http.ResponseWriter, in *http.Request) {
-	arrival := s.agent.now() // before the body: the client's time runs from its send
-	r, err := s.parse(in, arrival)
+func (f *Front) request(w http.ResponseWriter, in *http.Request) {
+	arrival := f.core.Now() // before the body: the client's time runs from its send
+	call, err := f.parse(in, arrival)
 	if err != nil {
 		status := http.StatusBadRequest
 		switch tooLarge := (*http.MaxBytesError)(nil); {
@@ -94,41 +116,49 @@
 		case errors.Is(err, errFraming):
 			status = http.StatusLengthRequired
 		}
-		s.agent.malformed.Add(1)              // no line each: they may come by the thousand
+		f.core.Malformed()                    // no line each: they may come by the thousand
 		w.Header().Set("Connection", "close") // whoever sent this may have sent anything behind it
 		http.Error(w, err.Error(), status)
 		return
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
-	s.agent.post(func() { s.agent.arrived(r) })
+	answers := make(chan core.Answer, 1)
+	call.Answer = func(ans core.Answer) { answers <- ans }
+	f.core.Take(call)
 	asked := in.Context().Value(askedKey{}).(*int)
 	// Some clients ask once and keep their connection for good. Where places get short it ends with the answer; a
 	// client that does come back opens another.
-	if *asked++; *asked == 1 && s.door.crowded() {
+	if *asked++; *asked == 1 && f.door.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	select {
-	case ans := <-r.reply:
-		s.answer(w, ans)
+	case ans := <-answers:
+		answer(w, ans)
 	case <-in.Context().Done():
-		s.agent.post(func() { s.agent.left(r) })
+		f.core.Left(call)
 		// Nobody should be there to read this; whoever is must not take the silence for an empty answer.
-		s.answer(w, answer{status: http.StatusBadGateway})
+		answer(w, core.Answer{Kind: core.Failed})
 	}
 }
 
-func (s *server) answer(w http.ResponseWriter, ans answer) {
-	h := w.Header()
+// statuses are those of the final answers.
+var statuses = [...]int{core.Served: http.StatusOK, core.Refused: http.StatusServiceUnavailable,
+	core.Failed: http.StatusBadGateway, core.Duplicate: http.StatusConflict}
+
+func answer(w http.ResponseWriter, ans core.Answer) {
+	h, body := w.Header(), []byte(nil)
 	h["Content-Type"] = nil // no guess from the body
-	if ans.contentType != "" {
-		h.Set("Content-Type", ans.contentType)
+	if reply, ok := ans.Reply.(*httpback.Reply); ok {
+		if body = reply.Body; reply.ContentType != "" {
+			h["Content-Type"] = []string{reply.ContentType}
+		}
 	}
-	if ans.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', 3, 64))
+	if ans.After > 0 {
+		h["Retry-After"] = []string{strconv.FormatFloat(ans.After.Seconds(), 'f', 3, 64)}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(ans.body)))
-	w.WriteHeader(ans.status)
-	w.Write(ans.body) // a failed write means that the client has gone
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.WriteHeader(statuses[ans.Kind])
+	w.Write(body) // a failed write means that the client has gone
 }
 
 // methods are those of the classes' effects.
@@ -140,27 +170,32 @@
 // on where the request ends and so hide another in its body. The application sends neither.
 var errFraming = errors.New("requests are taken without Transfer-Encoding and as HTTP 1.1 only")
 
+// once are the headers that a request may hold one of.
+var once = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key"}
+
 // parse reads a request whole. What it returns as an error is the client's fault.
-func (s *server) parse(in *http.Request, arrival time.Duration) (*request, error) {
+func (f *Front) parse(in *http.Request, arrival time.Duration) (*core.Call, error) {
 	if len(in.TransferEncoding) > 0 || !in.ProtoAtLeast(1, 1) {
 		return nil, errFraming
 	}
-	cfg, h := s.agent.cfg, in.Header
-	r := &request{method: in.Method, url: in.URL, header: h, reply: make(chan answer, 1)}
-	for _, name := range []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key"} {
+	cfg, h := f.cfg, in.Header
+	payload := &httpback.Request{Method: in.Method, URL: in.URL, Header: h}
+	call := &core.Call{Payload: payload}
+	call.Needs = protocol.HTTP
+	for _, name := range once {
 		if len(h[name]) > 1 {
 			return nil, fmt.Errorf("%s given %d times", name, len(h[name]))
 		}
 	}
-	if r.ID = h.Get("X-Correlation-Id"); r.ID == "" {
+	if call.ID = h.Get("X-Correlation-Id"); call.ID == "" {
 		return nil, errors.New("no X-Correlation-Id")
 	}
 	parts := strings.Split(strings.Trim(in.URL.Path, "/"), "/")
 	name := h.Get("X-Service-Class")
-	if r.Class = cfg.class(name); r.Class < 0 || parts[0] != name {
+	if call.Class = cfg.Class(name); call.Class < 0 || parts[0] != name {
 		return nil, fmt.Errorf("class %q in X-Service-Class, %q in the path", name, parts[0])
 	}
-	effect := cfg.module.Classes[r.Class].Effect
+	effect := cfg.Module.Classes[call.Class].Effect
 	if in.Method != methods[effect] {
 		return nil, fmt.Errorf("method %s for class %q", in.Method, name)
 	}
@@ -170,28 +205,28 @@
 	if keyed := h.Get("Idempotency-Key") != ""; keyed != (effect == choice.Keyed) {
 		return nil, fmt.Errorf("Idempotency-Key given: %t, for class %q", keyed, name)
 	}
-	if r.Tenant = cfg.tenant(h.Get("X-Account")); r.Tenant < 0 {
+	if call.Tenant = cfg.Tenant(h.Get("X-Account")); call.Tenant < 0 {
 		return nil, fmt.Errorf("unknown X-Account %q", h.Get("X-Account"))
 	}
 	left, err := strconv.ParseFloat(h.Get("X-Time-Left"), 64)
 	if err != nil || math.IsNaN(left) || math.IsInf(left, 0) || left <= 0 {
 		return nil, fmt.Errorf("X-Time-Left %q is no time above 0", h.Get("X-Time-Left"))
 	}
-	longest := cfg.module.Classes[r.Class].Deadline
-	r.Deadline = arrival + time.Duration(min(left, longest.Seconds())*float64(time.Second))
+	longest := cfg.Module.Classes[call.Class].Deadline
+	call.Deadline = arrival + time.Duration(min(left, longest.Seconds())*float64(time.Second))
 	if len(parts) > 1 {
-		r.Key = parts[len(parts)-1]
+		call.Key = parts[len(parts)-1]
 	}
-	r.Again = h.Get("X-Repeat") == "1"
+	call.Again = h.Get("X-Repeat") == "1"
 
-	if in.ContentLength > maxBody {
-		return nil, &http.MaxBytesError{Limit: maxBody} // without reading it
+	if in.ContentLength > httpback.MaxBody {
+		return nil, &http.MaxBytesError{Limit: httpback.MaxBody} // without reading it
 	}
 	if in.ContentLength != 0 {
-		r.body = make([]byte, in.ContentLength)
-		if _, err = io.ReadFull(in.Body, r.body); err != nil {
+		payload.Body = make([]byte, in.ContentLength)
+		if _, err = io.ReadFull(in.Body, payload.Body); err != nil {
 			return nil, fmt.Errorf("reading the body: %w", err)
 		}
 	}
-	return r, nil
+	return call, nil
 }
