--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	limit(cfg.Limits)
-	a, err := agent.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	a, err := agent.New(cfg, nil, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/deploy/deploy.go
@@ -0,0 +1,9 @@
+// Package deploy holds the sample configurations, for the demo and for tests.
+package deploy
+
+import _ "embed"
+
+// Thrift is the sample of a Thrift service's configuration.
+//
+//go:embed thrift.toml
+var Thrift string
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,15 +17,19 @@
 	"ternbeam/internal/httpfront"
 	"ternbeam/internal/pool"
 	"ternbeam/internal/protocol"
+	"ternbeam/internal/thriftback"
+	"ternbeam/internal/thriftfront"
+	"ternbeam/internal/thriftmap"
 )
 
 // Agent is one client-side balancer on real sockets.
 type Agent struct {
-	cfg  *config.Config
-	log  *slog.Logger
-	core *core.Core
-	pool *pool.Pool
-	door *door.Door
+	cfg    *config.Config
+	thrift *thriftmap.Map // nil where Thrift is off
+	log    *slog.Logger
+	core   *core.Core
+	pool   *pool.Pool
+	door   *door.Door
 }
 
 // front takes the calls of one listener.
@@ -34,16 +38,21 @@
 	Stop(lingering, atMost time.Duration)
 }
 
-// New returns an Agent that is ready to Run.
-func New(cfg *config.Config, log *slog.Logger) (*Agent, error) {
+// New returns an Agent that is ready to Run. With a Thrift service, which may be nil, it takes calls in Thrift too.
+func New(cfg *config.Config, service *thriftmap.Map, log *slog.Logger) (*Agent, error) {
 	p := pool.New(pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleFor: cfg.IdleFor(), Most: cfg.BackendSockets()})
+	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(p, cfg.Fields)}
+	if service != nil {
+		t := thriftback.New(p, service)
+		transports[protocol.ThriftBinary], transports[protocol.ThriftCompact] = t, t
+	}
 	c, err := core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
 		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Pool: p, Log: log,
-		Transports: map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(p, cfg.Fields)}})
+		Transports: transports})
 	if err != nil {
 		return nil, err
 	}
-	return &Agent{cfg: cfg, log: log, core: c, pool: p, door: door.New(cfg.ClientSockets())}, nil
+	return &Agent{cfg: cfg, thrift: service, log: log, core: c, pool: p, door: door.New(cfg.ClientSockets())}, nil
 }
 
 const (
@@ -61,6 +70,15 @@
 		return fmt.Errorf("listening for the application: %w", err)
 	}
 	fronts := []front{httpfront.New(a.cfg, a.core, a.door, listener.(*net.TCPListener), a.log)}
+	if a.thrift != nil {
+		l, err := net.Listen("tcp", a.thrift.Listen)
+		if err != nil {
+			listener.Close()
+			return fmt.Errorf("listening for Thrift: %w", err)
+		}
+		a.log.Info("taking Thrift", "listen", l.Addr().String())
+		fronts = append(fronts, thriftfront.New(a.cfg, a.thrift, a.core, a.door, l.(*net.TCPListener), a.log))
+	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	go a.core.Run(work)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -21,6 +21,7 @@
 	"ternbeam/internal/config"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/httpback"
+	"ternbeam/internal/thriftmap"
 )
 
 // patience bounds every wait for something that must happen; nothing is expected to take nearly so long.
@@ -80,15 +81,13 @@
 }
 
 // start runs an agent; one that the test did not end is ended after it.
-func start(t *testing.T, cfg *config.Config) *running {
+func start(t *testing.T, cfg *config.Config) *running { return startWith(t, cfg, nil) }
+
+// startWith runs one that takes Thrift too.
+func startWith(t *testing.T, cfg *config.Config, service *thriftmap.Map) *running {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg.Listen = l.Addr().String()
-	l.Close()
-	a, err := New(cfg, quiet())
+	cfg.Listen = free(t)
+	a, err := New(cfg, service, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/conffile/conffile.go
@@ -0,0 +1,105 @@
+// Package conffile reads configuration files in TOML so that every complaint names its line and key.
+package conffile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// File is a file that was read, and what is wrong with it.
+type File struct {
+	lines    map[string]int // by key
+	problems []problem
+}
+
+type problem struct {
+	line int
+	text string
+}
+
+// Read reads a text into a struct. Keys that the struct does not have are problems, as are values of other types.
+func Read(text []byte, into any) *File {
+	f := &File{lines: lines(text)}
+	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	err := d.Decode(into)
+	var strict *toml.StrictMissingError
+	var broken *toml.DecodeError
+	switch {
+	case errors.As(err, &strict):
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			f.problems = append(f.problems, problem{row, fmt.Sprintf("%s: no such key", strings.Join(e.Key(), "."))})
+		}
+	case errors.As(err, &broken):
+		row, column := broken.Position()
+		key := strings.Join(broken.Key(), ".")
+		if key == "" {
+			key = fmt.Sprintf("column %d", column)
+		}
+		f.problems = append(f.problems, problem{row, fmt.Sprintf("%s: %v", key, broken)})
+	case err != nil:
+		f.problems = append(f.problems, problem{1, err.Error()})
+	}
+	return f
+}
+
+// lines finds the line of every key and table. A text that is no TOML has those before the first fault.
+func lines(text []byte) map[string]int {
+	at := map[string]int{}
+	var p unstable.Parser
+	p.Reset(text)
+	var table []string
+	for p.NextExpression() {
+		e := p.Expression()
+		var key []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			n := it.Node()
+			key = append(key, string(n.Data))
+			if line == 0 {
+				line = p.Shape(n.Raw).Start.Line
+			}
+		}
+		switch e.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			table = key
+		case unstable.KeyValue:
+			key = append(slices.Clone(table), key...)
+		}
+		at[strings.Join(key, ".")] = line
+	}
+	return at
+}
+
+// Problem notes what is wrong with a key. One that the file does not have stands at the line of the table that
+// should have it.
+func (f *File) Problem(key, format string, args ...any) {
+	line, at := 1, key
+	for at != "" {
+		if l := f.lines[at]; l > 0 {
+			line = l
+			break
+		}
+		at = at[:max(0, strings.LastIndexByte(at, '.'))]
+	}
+	f.problems = append(f.problems, problem{line, fmt.Sprintf("%s: %s", key, fmt.Sprintf(format, args...))})
+}
+
+// Has reports whether the file has a key.
+func (f *File) Has(key string) bool { return f.lines[key] > 0 }
+
+// Err returns all problems, by their lines, or nil.
+func (f *File) Err() error {
+	slices.SortStableFunc(f.problems, func(a, b problem) int { return a.line - b.line })
+	var all []error
+	for _, p := range f.problems {
+		all = append(all, fmt.Errorf("line %d: %s", p.line, p.text))
+	}
+	return errors.Join(all...)
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -48,7 +48,7 @@
 
 // Attempt is core.Transport's.
 func (t *Transport) Attempt(ctx context.Context, at *core.Attempt) core.Ending {
-	c, err := t.Pool.Acquire(ctx, at.Server)
+	c, err := t.Pool.Acquire(ctx, at.Server, at.Call.Needs)
 	if err == nil {
 		// A dial takes time: what was right to send before may not be any more.
 		if e := Unsent(ctx, at); e != nil {
@@ -99,40 +99,18 @@
 	c.SetDeadline(end)
 	undisturbed := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	message := talk.Message(end)
-	n := -1
-	var written chan int
-	write := func() int {
-		n, err := c.Write(message)
-		if err != nil {
-			c.Close() // it never ran; there is no answer to wait for
-		}
-		return n
-	}
-	if len(message) <= inlineSend {
-		n = write()
-	} else {
-		written = make(chan int, 1)
-		go func() { written <- write() }()
-	}
 	in := inflows.Get().(*Inflow)
 	defer inflows.Put(in)
 	in.reset(ctx, c.Conn, end, t.Stall)
+	in.send(message)
 	e, reusable, err := talk.Answer(in)
 	reuse = undisturbed() && err == nil && reusable && in.Buffered() == 0
-	if n < 0 {
-		select {
-		case n = <-written:
-		default: // an answer to what is not sent whole
-		}
-	}
-	if reuse = reuse && n == len(message); !reuse {
-		c.Close() // ends a write that still goes on
-		if n < 0 {
-			n = <-written
-		}
-	} else {
+	if reuse = reuse && in.sent(false) == len(message); reuse {
 		c.SetDeadline(time.Time{}) // it may be idle for longer
+	} else {
+		c.Close() // ends a write that still goes on
 	}
+	n := in.sent(!reuse)
 	switch {
 	case err == nil:
 		return e, reuse
@@ -151,11 +129,14 @@
 // Inflow is what comes back on a connection.
 type Inflow struct {
 	*bufio.Reader
-	conn  net.Conn
-	ctx   context.Context
-	end   time.Time     // of the waiting for an answer
-	stall time.Duration // from an answer's first byte to its last
-	begun bool
+	conn    net.Conn
+	ctx     context.Context
+	end     time.Time     // of the waiting for an answer
+	stall   time.Duration // from an answer's first byte to its last
+	begun   bool
+	size    int      // of the message
+	n       int      // bytes of it that were written, -1 while that goes on
+	written chan int // brings them
 }
 
 func (f *Inflow) reset(ctx context.Context, c net.Conn, end time.Time, stall time.Duration) {
@@ -163,6 +144,47 @@
 	f.Reader.Reset(source{f})
 }
 
+// send writes the message. A long one is written while the answer is awaited.
+func (f *Inflow) send(message []byte) {
+	conn := f.conn
+	write := func() int {
+		n, err := conn.Write(message)
+		if err != nil {
+			conn.Close() // it never ran; there is no answer to wait for
+		}
+		return n
+	}
+	if f.size = len(message); f.size <= inlineSend {
+		f.n = write()
+		return
+	}
+	written := make(chan int, 1)
+	f.n, f.written = -1, written
+	go func() { written <- write() }()
+}
+
+// sent returns how many bytes of the message were written, or -1 while that goes on and is not waited for.
+func (f *Inflow) sent(wait bool) int {
+	if f.n < 0 {
+		select {
+		case f.n = <-f.written:
+		default:
+			if wait {
+				f.n = <-f.written
+			}
+		}
+	}
+	return f.n
+}
+
+// Sent waits until the message is written whole, for a Talk that no answer comes to.
+func (f *Inflow) Sent() error {
+	if n := f.sent(true); n < f.size {
+		return fmt.Errorf("%d of %d bytes written", n, f.size)
+	}
+	return nil
+}
+
 // Begin waits for the first byte of an answer, or of its next part, for as long as the attempt has. From then on the
 // answer must go on.
 func (f *Inflow) Begin() error {
--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"net/http/httputil"
 	"net/url"
@@ -198,16 +197,10 @@
 			continue
 		}
 		x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if err != nil || !Sane(x) {
+		if err != nil || !wire.Sane(x) {
 			return choice.NoReport
 		}
 		wire.SetField(&report, name, x)
 	}
 	return report
 }
-
-// Sane reports whether a figure of a load report can be true.
-func Sane(x float64) bool {
-	const most = 1e6 // more than any can be
-	return !math.IsNaN(x) && x >= 0 && x <= most
-}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,7 +36,8 @@
 // Conn is a connection to a server.
 type Conn struct {
 	net.Conn
-	Session any       // what its transport keeps with it
+	Session any // what its transport keeps with it
+	speaks  choice.Protocols
 	since   time.Time // idle since
 }
 
@@ -66,12 +67,16 @@
 	return &Pool{set: set, used: map[*Server]bool{}}
 }
 
-// Acquire returns an idle connection or dials a new one.
-func (p *Pool) Acquire(ctx context.Context, s *Server) (*Conn, error) {
+// Acquire returns an idle connection on which the protocol was spoken, or dials a new one: a server that speaks
+// several keeps to one on each connection.
+func (p *Pool) Acquire(ctx context.Context, s *Server, speaks choice.Protocols) (*Conn, error) {
 	p.mu.Lock()
-	for len(s.idle) > 0 {
-		c := s.idle[len(s.idle)-1]
-		s.idle = s.idle[:len(s.idle)-1]
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		c := s.idle[i]
+		if c.speaks != speaks {
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
 		if time.Since(c.since) < p.set.IdleFor && peek.Silent(c.Conn) { // what comes unasked would pass for the next answer
 			p.mu.Unlock()
 			return c, nil
@@ -93,7 +98,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &Conn{Conn: c}, nil
+	return &Conn{Conn: c, speaks: speaks}, nil
 }
 
 // Release takes a connection back, to be used again or to be closed.
--- /dev/null
+++ b/internal/standin/http.go
@@ -0,0 +1,54 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// httpFace words replies in HTTP/1.1.
+type httpFace struct{}
+
+func readHTTP(in *bufio.Reader) (Call, face, error) {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return Call{}, nil, err
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return Call{}, nil, err
+	}
+	parts := strings.Split(r.URL.Path, "/")
+	left, _ := strconv.ParseFloat(r.Header.Get("X-Time-Left"), 64)
+	method := slices.Index(Classes[:], r.Header.Get("X-Service-Class"))
+	if method < 0 {
+		return Call{}, nil, fmt.Errorf("class %q", r.Header.Get("X-Service-Class"))
+	}
+	return Call{Method: Method(method), ID: r.Header.Get("X-Correlation-Id"), Key: parts[len(parts)-1],
+		Idempotency: r.Header.Get("Idempotency-Key"), Left: time.Duration(left * float64(time.Second)),
+		Text: string(body)}, httpFace{}, nil
+}
+
+func (httpFace) reply(r reply) []byte {
+	var head strings.Builder
+	switch r.fault {
+	case Reject:
+		head.WriteString("HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\n")
+	case Error:
+		head.WriteString("HTTP/1.1 500 Internal Server Error\r\n")
+	case WrongSeq:
+		return []byte("a reply to something else")
+	default:
+		head.WriteString("HTTP/1.1 200 OK\r\n")
+	}
+	if l := r.load; l != nil {
+		fmt.Fprintf(&head, "X-Backend-Load: TEXT util=%g, qps=%g, eps=%g\r\n", l.util, l.qps, l.eps)
+	}
+	fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n%s", len(r.text), r.text)
+	return []byte(head.String())
+}
--- /dev/null
+++ b/internal/standin/kiosk.go
@@ -0,0 +1,257 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apache/thrift/lib/go/thrift"
+
+	"ternbeam/internal/formapi"
+)
+
+// Ask is what a kiosk asks.
+type Ask struct {
+	Method      Method
+	ID          string
+	Tenant      string
+	Key         string
+	Idempotency string // of a Record
+	Left        time.Duration
+	Text        string
+	Repeat      bool
+}
+
+// Kind is what a kiosk was told.
+type Kind int
+
+// The kinds of answers.
+const (
+	Served Kind = iota
+	Refused
+	Failed
+	TurnedDown // as malformed, or unknown
+	Lost       // the connection ended without an answer
+	Sent       // a oneway: nothing is told
+)
+
+func (k Kind) String() string {
+	return [...]string{"served", "refused", "failed", "turned down", "lost", "sent"}[k]
+}
+
+// Answer is what a kiosk was told.
+type Answer struct {
+	Kind       Kind
+	Text       string
+	RetryAfter time.Duration
+	Took       time.Duration
+	Err        error
+}
+
+// Kiosk asks over connections that it keeps. It may be used by several goroutines.
+type Kiosk interface {
+	Ask(Ask) Answer
+	Close()
+}
+
+// slack is how long a kiosk waits beyond the time that it states.
+const slack = 2 * time.Second
+
+// NewKiosk returns one that speaks http, thrift-binary or thrift-compact.
+func NewKiosk(protocol, addr string) (Kiosk, error) {
+	switch protocol {
+	case "http":
+		return &httpKiosk{addr: addr, client: &http.Transport{MaxIdleConnsPerHost: 1000}}, nil
+	case "thrift-binary", "thrift-compact":
+		return &thriftKiosk{addr: addr, compact: protocol == "thrift-compact"}, nil
+	}
+	return nil, fmt.Errorf("no kiosk speaks %q", protocol)
+}
+
+type httpKiosk struct {
+	addr   string
+	client *http.Transport
+}
+
+func (k *httpKiosk) Close() { k.client.CloseIdleConnections() }
+
+func (k *httpKiosk) Ask(a Ask) Answer {
+	begin := time.Now()
+	ans := k.ask(a)
+	ans.Took = time.Since(begin)
+	return ans
+}
+
+func (k *httpKiosk) ask(a Ask) Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Left+slack)
+	defer cancel()
+	method, body := http.MethodPost, io.Reader(strings.NewReader(a.Text))
+	if a.Method == Check || a.Method == Note {
+		method, body = http.MethodGet, nil
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+k.addr+"/"+Classes[a.Method]+"/"+a.Key, body)
+	if err != nil {
+		return Answer{Kind: Lost, Err: err}
+	}
+	for name, value := range map[string]string{"X-Correlation-Id": a.ID, "X-Service-Class": Classes[a.Method],
+		"X-Account": a.Tenant, "X-Time-Left": strconv.FormatFloat(a.Left.Seconds(), 'f', 3, 64),
+		"Idempotency-Key": a.Idempotency} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	if a.Repeat {
+		req.Header.Set("X-Repeat", "1")
+	}
+	resp, err := k.client.RoundTrip(req)
+	if err != nil {
+		return Answer{Kind: Lost, Err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Answer{Kind: Lost, Err: err}
+	}
+	ans := Answer{Kind: Failed, Text: string(text)}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		ans.Kind = Served
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		ans.Kind = Refused
+		after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		ans.RetryAfter = time.Duration(after * float64(time.Second))
+	case resp.StatusCode < 500:
+		ans.Kind = TurnedDown
+	}
+	return ans
+}
+
+// thriftKiosk is the Apache library's client, one connection for each call under way.
+type thriftKiosk struct {
+	addr    string
+	compact bool
+
+	mu   sync.Mutex
+	idle []*thriftConn
+}
+
+type thriftConn struct {
+	net.Conn
+	client *formapi.FormServiceClient
+}
+
+// ThriftClient returns the generated client on a connection.
+func ThriftClient(c net.Conn, compact bool) *formapi.FormServiceClient {
+	framed := thrift.NewTFramedTransportConf(thrift.NewTSocketFromConnConf(c, nil), nil)
+	var factory thrift.TProtocolFactory = thrift.NewTBinaryProtocolFactoryConf(nil)
+	if compact {
+		factory = thrift.NewTCompactProtocolFactoryConf(nil)
+	}
+	return formapi.NewFormServiceClientFactory(framed, factory)
+}
+
+func (k *thriftKiosk) Close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range k.idle {
+		c.Close()
+	}
+	k.idle = nil
+}
+
+func (k *thriftKiosk) get() (*thriftConn, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if n := len(k.idle); n > 0 {
+		c := k.idle[n-1]
+		k.idle = k.idle[:n-1]
+		return c, nil
+	}
+	c, err := net.DialTimeout("tcp", k.addr, slack)
+	if err != nil {
+		return nil, err
+	}
+	return &thriftConn{Conn: c, client: ThriftClient(c, k.compact)}, nil
+}
+
+func (k *thriftKiosk) Ask(a Ask) Answer {
+	begin := time.Now()
+	c, err := k.get()
+	if err != nil {
+		return Answer{Kind: Lost, Err: err, Took: time.Since(begin)}
+	}
+	c.SetDeadline(begin.Add(a.Left + slack))
+	ans := ask(c.client, a)
+	ans.Took = time.Since(begin)
+	if ans.Kind == Lost {
+		c.Close()
+		return ans
+	}
+	c.SetDeadline(time.Time{})
+	k.mu.Lock()
+	k.idle = append(k.idle, c)
+	k.mu.Unlock()
+	return ans
+}
+
+func optional(s string) *string {
+	if s == "" {
+		return nil
+	}
+	return &s
+}
+
+// ask makes one call through the generated client.
+func ask(c *formapi.FormServiceClient, a Ask) Answer {
+	ctx := context.Background()
+	left := a.Left.Milliseconds()
+	h := &formapi.Header{CorrelationId: a.ID, Tenant: a.Tenant, Key: optional(a.Key),
+		IdempotencyKey: optional(a.Idempotency), TimeLeftMs: &left}
+	if a.Repeat {
+		h.Repeat = &a.Repeat
+	}
+	var text string
+	var err error
+	switch a.Method {
+	case Check:
+		var r *formapi.FormResult_
+		if r, err = c.FormCheck(ctx, h, []byte(a.Text)); err == nil {
+			text = r.Text
+		}
+	case Record:
+		var r *formapi.Receipt
+		if r, err = c.RefundRecord(ctx, h, 1250, a.Text); err == nil {
+			text = r.ReceiptId
+		}
+	case Pay:
+		var r *formapi.Receipt
+		if r, err = c.PayOut(ctx, h, 1250); err == nil {
+			text = r.ReceiptId
+		}
+	case Note:
+		if err = c.Note(ctx, h, a.Text); err == nil {
+			return Answer{Kind: Sent}
+		}
+	}
+	var refused *formapi.Refused
+	var failed *formapi.Failed
+	var application thrift.TApplicationException
+	switch {
+	case err == nil:
+		return Answer{Kind: Served, Text: text}
+	case errors.As(err, &refused):
+		return Answer{Kind: Refused, RetryAfter: time.Duration(refused.GetRetryAfterMs()) * time.Millisecond}
+	case errors.As(err, &failed):
+		return Answer{Kind: Failed, Text: failed.GetReason(), Err: err}
+	case errors.As(err, &application):
+		return Answer{Kind: TurnedDown, Text: application.Error(), Err: err}
+	}
+	return Answer{Kind: Lost, Err: err}
+}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,118 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"ternbeam/internal/discovery"
+)
+
+// List is a list of servers that agents watch.
+type List struct {
+	listen net.Listener
+	http   *http.Server
+
+	mu      sync.Mutex
+	entries map[string]discovery.Entry
+	version int64
+	log     []discovery.Entry // changes; the one at i made version i+1
+	changed chan struct{}     // closed at the next change
+}
+
+// heartbeat is how often a watch carries a line while nothing changes.
+const heartbeat = 2 * time.Second
+
+// NewList runs a list on a free loopback port until Close.
+func NewList(entries ...discovery.Entry) (*List, error) {
+	listen, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &List{listen: listen, entries: map[string]discovery.Entry{}, changed: make(chan struct{})}
+	l.http = &http.Server{Handler: http.HandlerFunc(l.serve), ReadHeaderTimeout: 5 * time.Second}
+	l.Tell(entries...)
+	go l.http.Serve(listen)
+	return l, nil
+}
+
+// Addr returns where it listens.
+func (l *List) Addr() string { return l.listen.Addr().String() }
+
+// Close ends it and the watches.
+func (l *List) Close() { l.http.Close() }
+
+// Tell adds or changes entries, and tells those that watch.
+func (l *List) Tell(entries ...discovery.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range entries {
+		if l.version++; e.State == "terminated" {
+			delete(l.entries, e.ID)
+		} else {
+			l.entries[e.ID] = e
+		}
+		l.log = append(l.log, e)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Full returns the whole list.
+func (l *List) Full() discovery.List {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fullLocked()
+}
+
+func (l *List) fullLocked() discovery.List {
+	full := discovery.List{Version: l.version, Full: true, Servers: []discovery.Entry{}}
+	for _, e := range l.entries {
+		full.Servers = append(full.Servers, e)
+	}
+	return full
+}
+
+// since returns what changed after a version, or the whole list where that is unknown, and what is closed at the
+// next change.
+func (l *List) since(version int64) (discovery.List, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version < 0 || version > l.version {
+		return l.fullLocked(), l.changed
+	}
+	return discovery.List{Version: l.version, Servers: append([]discovery.Entry{}, l.log[version:]...)}, l.changed
+}
+
+func (l *List) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/endpoints" {
+		http.NotFound(w, r)
+		return
+	}
+	lines := json.NewEncoder(w)
+	if !r.URL.Query().Has("stream") {
+		lines.Encode(l.Full())
+		return
+	}
+	version := int64(-1)
+	fmt.Sscan(r.URL.Query().Get("index"), &version)
+	flush := http.NewResponseController(w).Flush
+	for {
+		change, changed := l.since(version)
+		if change.Full || len(change.Servers) > 0 {
+			lines.Encode(change)
+			version = change.Version
+		}
+		flush()
+		select {
+		case <-changed:
+		case <-time.After(heartbeat):
+			fmt.Fprintln(w)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/thrift.go
@@ -0,0 +1,141 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/apache/thrift/lib/go/thrift"
+
+	"ternbeam/internal/formapi"
+)
+
+// thriftFace words the replies to one call.
+type thriftFace struct {
+	protocol func(thrift.TTransport) thrift.TProtocol
+	name     string
+	seq      int32
+	oneway   bool
+	method   Method
+}
+
+// protocolOf returns the Apache library's protocol of a frame, by its first byte.
+func protocolOf(frame []byte) func(thrift.TTransport) thrift.TProtocol {
+	if frame[0] == thrift.COMPACT_PROTOCOL_ID {
+		return func(t thrift.TTransport) thrift.TProtocol { return thrift.NewTCompactProtocolConf(t, nil) }
+	}
+	return func(t thrift.TTransport) thrift.TProtocol { return thrift.NewTBinaryProtocolConf(t, nil) }
+}
+
+func readThrift(in *bufio.Reader) (Call, face, error) {
+	var prefix [4]byte
+	if _, err := io.ReadFull(in, prefix[:]); err != nil {
+		return Call{}, nil, err
+	}
+	n := binary.BigEndian.Uint32(prefix[:])
+	if n == 0 || n > 1<<20 {
+		return Call{}, nil, fmt.Errorf("frame of %d bytes", n)
+	}
+	frame := make([]byte, n)
+	if _, err := io.ReadFull(in, frame); err != nil {
+		return Call{}, nil, err
+	}
+	ctx := context.Background()
+	f := &thriftFace{protocol: protocolOf(frame)}
+	buf := thrift.NewTMemoryBufferLen(0)
+	buf.Write(frame)
+	p := f.protocol(buf)
+	name, kind, seq, err := p.ReadMessageBegin(ctx)
+	if err != nil {
+		return Call{}, nil, err
+	}
+	f.name, f.seq, f.oneway = name, seq, kind == thrift.ONEWAY
+	var call Call
+	var h *formapi.Header
+	switch name {
+	case "formCheck":
+		args := formapi.NewFormServiceFormCheckArgs()
+		err = args.Read(ctx, p)
+		call, h = Call{Method: Check, Text: string(args.Form)}, args.Header
+	case "refundRecord":
+		args := formapi.NewFormServiceRefundRecordArgs()
+		err = args.Read(ctx, p)
+		call, h = Call{Method: Record, Text: args.Memo}, args.Header
+	case "payOut":
+		args := formapi.NewFormServicePayOutArgs()
+		err = args.Read(ctx, p)
+		call, h = Call{Method: Pay}, args.Header
+	case "note":
+		args := formapi.NewFormServiceNoteArgs()
+		err = args.Read(ctx, p)
+		call, h = Call{Method: Note, Text: args.Text}, args.Header
+	default:
+		return Call{}, nil, fmt.Errorf("method %q", name)
+	}
+	if err == nil && buf.Len() > 0 {
+		err = errors.New("bytes behind the message")
+	}
+	if err != nil {
+		return Call{}, nil, err
+	}
+	f.method = call.Method
+	call.ID, call.Key, call.Idempotency = h.CorrelationId, h.GetKey(), h.GetIdempotencyKey()
+	call.Left = time.Duration(h.GetTimeLeftMs()) * time.Millisecond
+	return call, f, nil
+}
+
+func (f *thriftFace) reply(r reply) []byte {
+	if f.oneway {
+		return nil
+	}
+	var l *formapi.Load
+	if r.load != nil {
+		l = &formapi.Load{Util: &r.load.util, QPS: &r.load.qps, Eps: &r.load.eps}
+	}
+	var refused *formapi.Refused
+	var failed *formapi.Failed
+	yes := true
+	switch r.fault {
+	case Reject:
+		refused = &formapi.Refused{Unprocessed: &yes, Load: l}
+	case Error:
+		failed = &formapi.Failed{Load: l}
+	case WrongSeq:
+		f.seq += 1000
+	}
+	well := refused == nil && failed == nil
+	var result thrift.TStruct
+	switch f.method {
+	case Check:
+		res := &formapi.FormServiceFormCheckResult{Refused: refused, Failed: failed}
+		if well {
+			res.Success = &formapi.FormResult_{Text: r.text, Load: l}
+		}
+		result = res
+	case Record:
+		res := &formapi.FormServiceRefundRecordResult{Refused: refused, Failed: failed}
+		if well {
+			res.Success = &formapi.Receipt{ReceiptId: r.text, Load: l}
+		}
+		result = res
+	default:
+		res := &formapi.FormServicePayOutResult{Refused: refused, Failed: failed}
+		if well {
+			res.Success = &formapi.Receipt{ReceiptId: r.text, Load: l}
+		}
+		result = res
+	}
+	ctx := context.Background()
+	buf := thrift.NewTMemoryBuffer()
+	p := f.protocol(buf)
+	err := errors.Join(p.WriteMessageBegin(ctx, f.name, thrift.REPLY, f.seq), result.Write(ctx, p),
+		p.WriteMessageEnd(ctx), p.Flush(ctx))
+	if err != nil {
+		panic(fmt.Sprintf("wording a reply: %v", err)) // into memory: a fault of this file
+	}
+	return append(binary.BigEndian.AppendUint32(nil, uint32(buf.Len())), buf.Bytes()...)
+}
--- /dev/null
+++ b/internal/thriftback/multiplexed.go
@@ -0,0 +1,382 @@
+package thriftback
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"sync"
+	"time"
+
+	"ternbeam/choice"
+	"ternbeam/internal/core"
+	"ternbeam/internal/exchange"
+	"ternbeam/internal/pool"
+	"ternbeam/internal/thriftmap"
+	"ternbeam/internal/thriftwire"
+)
+
+// multiplexer sends several calls at a time on a connection and tells their replies apart by sequence ids of its own.
+type multiplexer struct {
+	pool  *pool.Pool
+	most  int // bytes of a frame
+	calls int // that one connection may have under way
+
+	mu    sync.Mutex
+	lines map[key][]*line // those with calls under way
+	dials map[key]*dial   // those under way
+}
+
+// dial is one that several calls wait for.
+type dial struct {
+	ended chan struct{}
+	err   error // of the server's; nil also where only the call that dialled gave up
+}
+
+// errNoLine says that no connection came up while the call had time.
+var errNoLine = errors.New("no connection in time")
+
+// key is what a line may be shared by.
+type key struct {
+	server *pool.Server
+	speaks choice.Protocols
+}
+
+func newMultiplexer(p *pool.Pool, m *thriftmap.Map) *multiplexer {
+	return &multiplexer{pool: p, most: m.MaxFrame, calls: m.ServerCalls, lines: map[key][]*line{},
+		dials: map[key]*dial{}}
+}
+
+// line is a connection that carries several calls.
+type line struct {
+	m    *multiplexer
+	key  key
+	conn *pool.Conn
+
+	mu      sync.Mutex
+	pending map[int32]*ticket // by sequence id: queued, under way, or abandoned with their reply still to come
+	queue   []*ticket         // not written yet
+	writing bool
+	seq     int32
+	heard   time.Time // the latest reply
+	broken  bool      // nothing more can be told from what comes
+	suspect bool      // gets nothing new
+}
+
+// stage is how far a ticket has got.
+type stage int
+
+const (
+	queued    stage = iota // nothing of it is written, or ever will be if it is taken out now
+	writing                // some of it may be
+	written                // the last byte is
+	abandoned              // nobody waits for its reply any more
+)
+
+// ticket is one attempt on a line.
+type ticket struct {
+	ctx   context.Context
+	at    *core.Attempt
+	call  *thriftmap.Call
+	seq   int32
+	stage stage
+	sent  time.Time
+	done  chan core.Ending
+}
+
+// attempt makes one attempt.
+func (m *multiplexer) attempt(ctx context.Context, at *core.Attempt) core.Ending {
+	t := &ticket{ctx: ctx, at: at, call: at.Call.Payload.(*thriftmap.Call), done: make(chan core.Ending, 1)}
+	l, err := m.join(ctx, t)
+	if err != nil {
+		return exchange.NoConnection(ctx, err)
+	}
+	select {
+	case e := <-t.done:
+		return e
+	case <-ctx.Done():
+		return l.abandon(t)
+	}
+}
+
+// join puts a ticket on a line to its server: one that has room, or else an idle or a new one.
+func (m *multiplexer) join(ctx context.Context, t *ticket) (*line, error) {
+	k := key{t.at.Server, t.at.Call.Needs}
+	m.mu.Lock()
+	for {
+		for _, l := range m.lines[k] {
+			if l.enqueue(t, m.calls) {
+				m.mu.Unlock()
+				return l, nil
+			}
+		}
+		under := m.dials[k]
+		if under == nil {
+			break
+		}
+		m.mu.Unlock()
+		select { // calls that come together share a line
+		case <-under.ended:
+		case <-ctx.Done():
+			return nil, errNoLine
+		}
+		if under.err != nil {
+			return nil, under.err
+		}
+		m.mu.Lock()
+	}
+	d := &dial{ended: make(chan struct{})}
+	m.dials[k] = d
+	m.mu.Unlock()
+	c, err := m.pool.Acquire(ctx, t.at.Server, k.speaks)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.dials, k)
+	defer close(d.ended)
+	if err != nil {
+		if ctx.Err() == nil {
+			d.err = err
+		}
+		return nil, err
+	}
+	l, _ := c.Session.(*line)
+	if l == nil {
+		l = &line{m: m, key: k, conn: c, pending: map[int32]*ticket{}, heard: time.Now()}
+		c.Session = l
+		go l.read()
+	}
+	if !l.enqueue(t, m.calls) { // it broke while it was idle
+		m.pool.Release(t.at.Server, c, false)
+		return nil, errNoLine
+	}
+	m.lines[k] = append(m.lines[k], l)
+	return l, nil
+}
+
+// enqueue takes a ticket, if there is room on the line.
+func (l *line) enqueue(t *ticket, most int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.broken || l.suspect || len(l.pending) >= most {
+		return false
+	}
+	for {
+		if l.seq == math.MaxInt32 {
+			l.seq = 0
+		}
+		l.seq++
+		if l.pending[l.seq] == nil {
+			break
+		}
+	}
+	t.seq = l.seq
+	l.pending[t.seq] = t
+	l.queue = append(l.queue, t)
+	if !l.writing {
+		l.writing = true
+		go l.write()
+	}
+	return true
+}
+
+// batch is how many bytes are written in one go, if more than one call waits.
+const batch = 32 << 10
+
+// write sends what is queued until nothing is.
+func (l *line) write() {
+	var buf []byte
+	var out []*ticket
+	var ends []int // of their frames in buf
+	for {
+		buf, out, ends = buf[:0], out[:0], ends[:0]
+		l.mu.Lock()
+		for len(l.queue) > 0 && len(buf) < batch && !l.broken {
+			t := l.queue[0]
+			l.queue = l.queue[1:]
+			// What was right to send when it was queued may not be any more.
+			if e := exchange.Unsent(t.ctx, t.at); e != nil {
+				l.finishLocked(t, *e)
+				continue
+			}
+			end, _ := t.ctx.Deadline()
+			t.stage, t.sent = writing, time.Now()
+			buf = t.call.Frame(buf, t.seq, time.Until(end))
+			out, ends = append(out, t), append(ends, len(buf))
+		}
+		if len(out) == 0 {
+			l.writing = false
+			l.mu.Unlock()
+			l.rest()
+			return
+		}
+		l.mu.Unlock()
+		// A server that takes nothing holds up all calls on the line; as long as an answer may pause is long enough.
+		l.conn.SetWriteDeadline(time.Now().Add(exchange.Stall))
+		n, err := l.conn.Write(buf)
+		l.mu.Lock()
+		for i, t := range out {
+			switch {
+			case ends[i] > n: // its last byte was not written, and never will be
+				l.finishLocked(t, core.Ended(choice.ConnectFailed))
+			case t.stage == writing:
+				t.stage = written
+				fallthrough
+			default:
+				if t.call.Method.Oneway {
+					l.finishLocked(t, core.Ended(choice.OK))
+				}
+			}
+		}
+		if err != nil || l.broken { // the reader may have broken it while this was written
+			l.breakLocked(core.Ended(choice.Reset))
+		}
+		l.mu.Unlock()
+	}
+}
+
+// finishLocked gives a ticket its ending and forgets it.
+func (l *line) finishLocked(t *ticket, e core.Ending) {
+	if l.pending[t.seq] != t {
+		return
+	}
+	delete(l.pending, t.seq)
+	if t.stage != abandoned {
+		t.done <- e
+	}
+}
+
+// breakLocked ends all that is on the line: what may have run as it is told, the rest as never sent.
+func (l *line) breakLocked(e core.Ending) {
+	l.broken = true
+	l.conn.Close()
+	for _, t := range l.pending {
+		switch t.stage {
+		case queued:
+			l.finishLocked(t, core.Ended(choice.ConnectFailed))
+		case writing: // its writer sees how far it got
+		default:
+			l.finishLocked(t, e)
+		}
+	}
+	l.queue = nil
+}
+
+// abandon ends the waiting for a ticket's reply, if it has not come meanwhile.
+func (l *line) abandon(t *ticket) core.Ending {
+	l.mu.Lock()
+	defer l.rest()
+	defer l.mu.Unlock()
+	select {
+	case e := <-t.done:
+		return e
+	default:
+	}
+	result := choice.TimedOut
+	if errors.Is(context.Cause(t.ctx), core.ErrWithdrawn) {
+		result = choice.Cancelled
+	}
+	if t.stage == queued {
+		delete(l.pending, t.seq)
+		for i, other := range l.queue {
+			if other == t {
+				l.queue = append(l.queue[:i:i], l.queue[i+1:]...)
+				break
+			}
+		}
+		if result == choice.TimedOut {
+			result = choice.NotSent
+		}
+		return core.Ended(result)
+	}
+	if t.stage == written && result == choice.TimedOut && l.heard.Before(t.sent) {
+		l.suspect = true // it has been silent for as long as this call may take
+	}
+	t.stage = abandoned
+	return core.Ended(result)
+}
+
+// read takes replies until the connection ends.
+func (l *line) read() {
+	in := bufio.NewReaderSize(l.conn, 4<<10)
+	for {
+		err := l.reply(in)
+		if err == nil {
+			l.rest()
+			continue
+		}
+		e := core.Ended(choice.Reset)
+		if errors.Is(err, exchange.ErrSpoilt) || errors.Is(err, os.ErrDeadlineExceeded) {
+			e = core.Ended(choice.Failed)
+		}
+		l.mu.Lock()
+		l.breakLocked(e)
+		l.mu.Unlock()
+		l.rest()
+		return
+	}
+}
+
+// reply reads one reply and gives it to the call that it answers. One that answers none, or one a second time, shows
+// that the server's sequence ids can't be trusted: everything on the line may be somebody else's.
+func (l *line) reply(in *bufio.Reader) error {
+	l.conn.SetReadDeadline(time.Time{})
+	if _, err := in.Peek(1); err != nil {
+		return err
+	}
+	l.conn.SetReadDeadline(time.Now().Add(exchange.Stall))
+	message, err := readFrame(in, l.m.most)
+	if err != nil {
+		return err
+	}
+	h, err := thriftwire.ReadHead(message)
+	if err != nil {
+		return fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.pending[h.Seq]
+	if t == nil || t.stage == queued {
+		return fmt.Errorf("%w: sequence id %d", exchange.ErrSpoilt, h.Seq)
+	}
+	l.heard = time.Now()
+	e, err := ending(t.call, message, h.Seq)
+	if err != nil {
+		return err // this call ends with the others
+	}
+	l.finishLocked(t, e)
+	return nil
+}
+
+// rest gives a line back to the pool when nothing is on it any more. One that carries only what is abandoned, and
+// gets nothing new, is closed.
+func (l *line) rest() {
+	m := l.m
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := -1
+	for i, other := range m.lines[l.key] {
+		if other == l {
+			at = i
+		}
+	}
+	if at < 0 {
+		return // it is idle, or gone
+	}
+	l.mu.Lock()
+	busy, reuse := l.writing, !l.broken && !l.suspect && !l.key.server.Retired()
+	for _, t := range l.pending {
+		busy = busy || reuse || t.stage != abandoned
+	}
+	l.mu.Unlock()
+	if busy {
+		return
+	}
+	if lines := m.lines[l.key]; len(lines) == 1 {
+		delete(m.lines, l.key)
+	} else {
+		m.lines[l.key] = append(lines[:at:at], lines[at+1:]...)
+	}
+	m.pool.Release(l.key.server, l.conn, reuse)
+}
--- /dev/null
+++ b/internal/thriftmap/call.go
@@ -0,0 +1,330 @@
+package thriftmap
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"ternbeam/choice"
+	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/wire"
+)
+
+// Slots of the fields in a call and in a result.
+const (
+	idSlot = iota
+	tenantSlot
+	keySlot
+	idempotencySlot
+	timeSlot
+	repeatSlot
+	argSlots
+)
+
+const (
+	successSlot = iota
+	refusedSlot
+	unprocessedSlot
+	failedSlot
+	resultSlots
+
+	mostSlots = resultSlots + mostAnswers + 5*mostReported
+)
+
+// MaxText bounds a correlation id, a tenant and a key, in bytes.
+const MaxText = 128
+
+// Method is what is known of a method.
+type Method struct {
+	Name   string
+	Class  int
+	Oneway bool
+
+	effect           choice.Effect
+	void             bool
+	args, result     *thriftwire.Plan
+	hasID, hasTenant bool
+	defaultTenant    string
+	timeUnit         time.Duration
+	refusedField     int16
+	retryField       int16
+	retryUnit        time.Duration
+	retryType        thriftwire.Type
+	failedField      int16
+	reasonField      int16
+	answers          []int16
+	loadSlot, loads  int
+}
+
+// Call is a call that was read. It keeps the message, which must not change.
+type Call struct {
+	Method  *Method
+	Head    thriftwire.Head
+	Message []byte
+
+	ID     string // empty where the service has none
+	Tenant string
+	Key    string
+	Again  bool
+	Left   time.Duration // 0 where it is not said
+
+	left thriftwire.Field
+}
+
+// Refusal is why a call was not read: what the client is told as a TApplicationException.
+type Refusal struct {
+	Kind int32
+	Text string
+}
+
+func (r *Refusal) Error() string { return r.Text }
+
+func refusal(kind int32, format string, args ...any) error {
+	return &Refusal{Kind: kind, Text: fmt.Sprintf(format, args...)}
+}
+
+// Read reads a call whose head was read. Its errors are Refusals.
+func (m *Map) Read(h thriftwire.Head, message []byte) (*Call, error) {
+	method := m.Method(h.Name(message))
+	switch {
+	case h.Type != thriftwire.Call && h.Type != thriftwire.Oneway:
+		return nil, refusal(thriftwire.InvalidType, "message type %d is no call", h.Type)
+	case method == nil:
+		return nil, refusal(thriftwire.UnknownMethod, "unknown method %q", h.Name(message))
+	case method.Oneway != (h.Type == thriftwire.Oneway):
+		return nil, refusal(thriftwire.InvalidType, "method %q is oneway: %t", method.Name, method.Oneway)
+	}
+	c := &Call{Method: method, Head: h, Message: message}
+	var found [argSlots]thriftwire.Field
+	if err := method.args.Scan(h, message, found[:]); err != nil {
+		return nil, refusal(thriftwire.ProtocolError, "%v", err)
+	}
+	var err error
+	if c.ID, err = text(message, found[idSlot], "correlation id", method.hasID); err != nil {
+		return nil, err
+	}
+	if c.Tenant, err = text(message, found[tenantSlot], "tenant", method.hasTenant && method.defaultTenant == ""); err != nil {
+		return nil, err
+	}
+	if c.Tenant == "" {
+		c.Tenant = method.defaultTenant
+	}
+	if c.Key, err = text(message, found[keySlot], "key", false); err != nil {
+		return nil, err
+	}
+	idempotency, err := text(message, found[idempotencySlot], "idempotency key", method.effect == choice.Keyed)
+	if err != nil {
+		return nil, err
+	}
+	if method.effect == choice.Keyed && idempotency == "" {
+		return nil, refusal(thriftwire.ProtocolError, "the idempotency key is empty")
+	}
+	if f := found[repeatSlot]; f.Found() {
+		if f.Type != thriftwire.Bool && !f.Type.Integer() {
+			return nil, refusal(thriftwire.ProtocolError, "the repeat mark is of type %d", f.Type)
+		}
+		c.Again = f.Bits != 0
+	}
+	if c.left = found[timeSlot]; c.left.Found() {
+		if c.Left, err = duration(c.left, method.timeUnit); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// text reads a field that is a string or an integer.
+func text(message []byte, f thriftwire.Field, what string, needed bool) (string, error) {
+	switch {
+	case !f.Found() && needed:
+		return "", refusal(thriftwire.ProtocolError, "no %s", what)
+	case !f.Found():
+		return "", nil
+	case f.Type.Integer():
+		return strconv.FormatInt(f.Int(), 10), nil
+	case f.Type != thriftwire.String:
+		return "", refusal(thriftwire.ProtocolError, "the %s is of type %d", what, f.Type)
+	}
+	b := f.Bytes(message)
+	switch {
+	case len(b) > MaxText:
+		return "", refusal(thriftwire.ProtocolError, "a %s of %d bytes, %d at most", what, len(b), MaxText)
+	case !utf8.Valid(b):
+		return "", refusal(thriftwire.ProtocolError, "the %s is not UTF-8", what)
+	case len(b) == 0 && needed:
+		return "", refusal(thriftwire.ProtocolError, "the %s is empty", what)
+	}
+	return string(b), nil
+}
+
+// duration reads a time that is left: more than none, and no more than can be counted.
+func duration(f thriftwire.Field, unit time.Duration) (time.Duration, error) {
+	if !f.Type.Integer() && f.Type != thriftwire.Double {
+		return 0, refusal(thriftwire.ProtocolError, "the time left is of type %d", f.Type)
+	}
+	x := f.Float()
+	if !(x > 0) || math.IsInf(x, 0) {
+		return 0, refusal(thriftwire.ProtocolError, "a time left of %v is none above 0", x)
+	}
+	const longest = 24 * time.Hour
+	return time.Duration(min(x*float64(unit), float64(longest))), nil
+}
+
+// Frame words the call for a server, as a frame: with a sequence id of the agent's own and with the time that is left
+// now. All else is as the client sent it.
+func (c *Call) Frame(to []byte, seq int32, left time.Duration) []byte {
+	var seqBytes, leftBytes [10]byte
+	edits := make([]thriftwire.Edit, 0, 2)
+	h := c.Head
+	edits = append(edits, thriftwire.Edit{At: h.SeqAt, End: h.SeqEnd,
+		With: thriftwire.AppendSeq(seqBytes[:0], h.Encoding, seq)})
+	if f := c.left; f.Found() {
+		x := float64(max(left, 0)) / float64(c.Method.timeUnit)
+		edit := thriftwire.Edit{At: f.Start, End: f.End}
+		if f.Type == thriftwire.Double {
+			edit.With = thriftwire.AppendDouble(leftBytes[:0], h.Encoding, x)
+		} else {
+			edit.With = thriftwire.AppendInt(leftBytes[:0], h.Encoding, f.Type, max(1, int64(x)))
+		}
+		edits = append(edits, edit)
+	}
+	return thriftwire.AppendFrame(to, c.Message, edits...)
+}
+
+// Reply is a server's reply that answers a client.
+type Reply struct {
+	Head    thriftwire.Head
+	Message []byte
+}
+
+// Outcome is what a server's reply says of an attempt.
+type Outcome struct {
+	Result choice.Result
+	Report choice.Report
+}
+
+// errReply is why a message is no reply to a call.
+var errReply = errors.New("no reply to this call")
+
+// ReadReply reads a server's reply to the call, which was sent with a sequence id. An error says that it is none, or
+// that nobody can tell what it says.
+func (c *Call) ReadReply(h thriftwire.Head, message []byte, seq int32) (Outcome, error) {
+	out := Outcome{Result: choice.Failed, Report: choice.NoReport}
+	switch {
+	case h.Encoding != c.Head.Encoding:
+		return out, fmt.Errorf("%w: %s encoding", errReply, h.Encoding)
+	case h.Seq != seq:
+		return out, fmt.Errorf("%w: sequence id %d, sent was %d", errReply, h.Seq, seq)
+	case string(h.Name(message)) != c.Method.Name:
+		return out, fmt.Errorf("%w: method %q", errReply, h.Name(message))
+	case h.Type != thriftwire.Reply && h.Type != thriftwire.Exception:
+		return out, fmt.Errorf("%w: message type %d", errReply, h.Type)
+	}
+	var found [mostSlots]thriftwire.Field
+	if err := c.Method.result.Scan(h, message, found[:]); err != nil {
+		return out, err
+	}
+	if h.Type == thriftwire.Exception {
+		return out, nil // it may have run, whatever the exception says
+	}
+	m := c.Method
+	out.Report = m.report(found[m.loadSlot:])
+	// A void method's success is the empty struct: one byte. Any other field is an exception.
+	served := found[successSlot].Found() || m.void && h.Struct+1 == len(message)
+	for i := range m.answers {
+		served = served || found[resultSlots+i].Found()
+	}
+	switch unprocessed := found[unprocessedSlot]; {
+	case found[refusedSlot].Found():
+		if unprocessed.Found() && unprocessed.Bits != 0 && !found[successSlot].Found() {
+			out.Result = choice.Rejected
+		}
+	case found[failedSlot].Found():
+	case served:
+		out.Result = choice.OK
+	}
+	return out, nil
+}
+
+// report reads the load that a reply states; figures that can't be true make it none.
+func (m *Method) report(found []thriftwire.Field) choice.Report {
+	for i := range m.loads {
+		report, any := choice.NoReport, false
+		for j, to := range [...]*float64{&report.Util, &report.Rate, &report.Errors, &report.InFlight, &report.Queue} {
+			f := found[5*i+j]
+			if !f.Found() || !f.Type.Integer() && f.Type != thriftwire.Double {
+				continue
+			}
+			if *to = f.Float(); !wire.Sane(*to) {
+				return choice.NoReport
+			}
+			any = true
+		}
+		if any {
+			return report
+		}
+	}
+	return choice.NoReport
+}
+
+// Served words a server's reply for the client: with the sequence id that the client sent, byte for byte.
+func (c *Call) Served(to []byte, r *Reply) []byte {
+	return thriftwire.AppendFrame(to, r.Message, thriftwire.Edit{At: r.Head.SeqAt, End: r.Head.SeqEnd,
+		With: c.Head.RawSeq(c.Message)})
+}
+
+// Refused words a refusal: the declared exception with the time to come back, or an application exception for a
+// method that declares none.
+func (c *Call) Refused(to []byte, after time.Duration) []byte {
+	m := c.Method
+	if m.refusedField == 0 {
+		return c.Application(to, thriftwire.InternalError, fmt.Sprintf("refused: try again after %v", after))
+	}
+	return c.frame(to, func(w *thriftwire.Writer) {
+		w.Head(thriftwire.Reply, c.Head.Name(c.Message), c.Head.RawSeq(c.Message))
+		w.Struct(m.refusedField)
+		if m.retryField != 0 && after > 0 {
+			w.Int(m.retryField, m.retryType, int64((after+m.retryUnit-1)/m.retryUnit))
+		}
+		w.Stop()
+		w.Stop()
+	})
+}
+
+// Failed words a failure: the declared exception, or an application exception for a method that declares none.
+func (c *Call) Failed(to []byte, reason string) []byte {
+	m := c.Method
+	if m.failedField == 0 {
+		return c.Application(to, thriftwire.InternalError, reason)
+	}
+	return c.frame(to, func(w *thriftwire.Writer) {
+		w.Head(thriftwire.Reply, c.Head.Name(c.Message), c.Head.RawSeq(c.Message))
+		w.Struct(m.failedField)
+		if m.reasonField != 0 {
+			w.String(m.reasonField, reason)
+		}
+		w.Stop()
+		w.Stop()
+	})
+}
+
+// Application words an application exception that answers the call.
+func (c *Call) Application(to []byte, kind int32, text string) []byte {
+	return Application(to, c.Head, c.Message, kind, text)
+}
+
+// Application words an application exception that answers a message whose head was read.
+func Application(to []byte, h thriftwire.Head, message []byte, kind int32, text string) []byte {
+	w := thriftwire.Writer{Encoding: h.Encoding}
+	w.Application(h.Name(message), h.RawSeq(message), kind, text)
+	return thriftwire.AppendFrame(to, w.Buf)
+}
+
+func (c *Call) frame(to []byte, write func(*thriftwire.Writer)) []byte {
+	w := thriftwire.Writer{Encoding: c.Head.Encoding}
+	write(&w)
+	return thriftwire.AppendFrame(to, w.Buf)
+}
--- /dev/null
+++ b/internal/thriftwire/write.go
@@ -0,0 +1,142 @@
+package thriftwire
+
+import (
+	"encoding/binary"
+	"math"
+)
+
+// Writer words a message. Its methods append to Buf.
+type Writer struct {
+	Buf      []byte
+	Encoding Encoding
+	last     []int16 // the last field's number in each struct that is open, for the compact protocol
+}
+
+// Head writes the head of a message and opens its struct. The sequence id is taken as it was written; it must be of
+// the same encoding.
+func (w *Writer) Head(t MessageType, name, rawSeq []byte) {
+	if w.Encoding == Compact {
+		w.Buf = append(w.Buf, compactID, compactVersion|byte(t)<<5)
+		w.Buf = append(w.Buf, rawSeq...)
+		w.Buf = binary.AppendUvarint(w.Buf, uint64(len(name)))
+		w.Buf = append(w.Buf, name...)
+	} else {
+		w.Buf = append(w.Buf, 0x80, 0x01, 0, byte(t))
+		w.Buf = binary.BigEndian.AppendUint32(w.Buf, uint32(len(name)))
+		w.Buf = append(w.Buf, name...)
+		w.Buf = append(w.Buf, rawSeq...)
+	}
+	w.last = append(w.last[:0], 0)
+}
+
+// compactIDs are the compact protocol's numbers of the types.
+var compactIDs = [17]byte{Bool: 1, Byte: 3, I16: 4, I32: 5, I64: 6, Double: 7, String: 8, List: 9, Set: 10, Map: 11,
+	Struct: 12, UUID: 13}
+
+func (w *Writer) field(t Type, compactID byte, id int16) {
+	if w.Encoding != Compact {
+		w.Buf = binary.BigEndian.AppendUint16(append(w.Buf, byte(t)), uint16(id))
+		return
+	}
+	last := &w.last[len(w.last)-1]
+	if delta := int(id) - int(*last); delta > 0 && delta <= 15 {
+		w.Buf = append(w.Buf, byte(delta)<<4|compactID)
+	} else {
+		w.Buf = binary.AppendUvarint(append(w.Buf, compactID), uint64(uint16(id<<1)^uint16(id>>15)))
+	}
+	*last = id
+}
+
+// Struct opens a field that is a struct; Stop closes it.
+func (w *Writer) Struct(id int16) {
+	w.field(Struct, compactIDs[Struct], id)
+	w.last = append(w.last, 0)
+}
+
+// Stop closes a struct.
+func (w *Writer) Stop() {
+	w.Buf = append(w.Buf, 0)
+	w.last = w.last[:len(w.last)-1]
+}
+
+// Int writes an integer field of a type.
+func (w *Writer) Int(id int16, t Type, x int64) {
+	w.field(t, compactIDs[t], id)
+	w.Buf = AppendInt(w.Buf, w.Encoding, t, x)
+}
+
+// Double writes a field that is a double.
+func (w *Writer) Double(id int16, x float64) {
+	w.field(Double, compactIDs[Double], id)
+	w.Buf = AppendDouble(w.Buf, w.Encoding, x)
+}
+
+// String writes a field that is a string.
+func (w *Writer) String(id int16, text string) {
+	w.field(String, compactIDs[String], id)
+	if w.Encoding == Compact {
+		w.Buf = binary.AppendUvarint(w.Buf, uint64(len(text)))
+	} else {
+		w.Buf = binary.BigEndian.AppendUint32(w.Buf, uint32(len(text)))
+	}
+	w.Buf = append(w.Buf, text...)
+}
+
+// Application writes a whole TApplicationException.
+func (w *Writer) Application(name, rawSeq []byte, kind int32, text string) {
+	w.Head(Exception, name, rawSeq)
+	w.String(1, text)
+	w.Int(2, I32, int64(kind))
+	w.Stop()
+}
+
+// AppendInt appends an integer as a value of a type.
+func AppendInt(to []byte, e Encoding, t Type, x int64) []byte {
+	switch {
+	case t == Byte:
+		return append(to, byte(x))
+	case e == Compact:
+		return binary.AppendUvarint(to, uint64(x<<1)^uint64(x>>63))
+	case t == I16:
+		return binary.BigEndian.AppendUint16(to, uint16(x))
+	case t == I32:
+		return binary.BigEndian.AppendUint32(to, uint32(x))
+	}
+	return binary.BigEndian.AppendUint64(to, uint64(x))
+}
+
+// AppendDouble appends a double.
+func AppendDouble(to []byte, e Encoding, x float64) []byte {
+	if e == Compact {
+		return binary.LittleEndian.AppendUint64(to, math.Float64bits(x))
+	}
+	return binary.BigEndian.AppendUint64(to, math.Float64bits(x))
+}
+
+// AppendSeq appends a sequence id as it stands in a message's head.
+func AppendSeq(to []byte, e Encoding, seq int32) []byte {
+	if e == Compact {
+		return binary.AppendUvarint(to, uint64(uint32(seq)))
+	}
+	return binary.BigEndian.AppendUint32(to, uint32(seq))
+}
+
+// Edit replaces the bytes of a message from At to End.
+type Edit struct {
+	At, End int
+	With    []byte
+}
+
+// AppendFrame appends a message as a frame, with edits, which stand in their order and do not overlap.
+func AppendFrame(to, m []byte, edits ...Edit) []byte {
+	begin := len(to)
+	to = append(to, 0, 0, 0, 0)
+	at := 0
+	for _, e := range edits {
+		to = append(append(to, m[at:e.At]...), e.With...)
+		at = e.End
+	}
+	to = append(to, m[at:]...)
+	binary.BigEndian.PutUint32(to[begin:], uint32(len(to)-begin-4))
+	return to
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -51,6 +51,12 @@
 	return set, boot.Report.Fields, err
 }
 
+// Sane reports whether a figure of a load report can be true.
+func Sane(x float64) bool {
+	const most = 1e6           // more than any can be
+	return x >= 0 && x <= most // and no NaN
+}
+
 // SetField puts a named figure into a load report; names that the module has no use for are passed over.
 func SetField(r *choice.Report, name string, x float64) {
 	switch name {
