A load tool: the agent against direct calls and httputil.ReverseProxy, by protocol

Nothing measured what a call costs. The tool starts servers, a reverse proxy and the agent as processes of their own.

--- /dev/null
+++ b/cmd/ternbeam-load/main.go
@@ -0,0 +1,344 @@
+// Command ternbeam-load measures the agent against the same servers called directly and against
+// httputil.ReverseProxy: calls a second, processor time a call and latencies, by protocol, and the memory that an
+// idle client connection holds. Servers, the one between and the clients are processes of their own.
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"ternbeam/deploy"
+	"ternbeam/internal/agent"
+	"ternbeam/internal/config"
+	"ternbeam/internal/discovery"
+	"ternbeam/internal/loadgen"
+	"ternbeam/internal/thriftmap"
+)
+
+type commands struct {
+	Run  runCommand  `cmd:"" default:"withargs" help:"Measure."`
+	Role roleCommand `cmd:"" hidden:"" help:"Be one of the processes."`
+}
+
+type runCommand struct {
+	Clients int           `default:"16" help:"Clients, each with one connection and one call at a time."`
+	Servers int           `default:"12" help:"Servers of each protocol."`
+	For     time.Duration `default:"3s" help:"How long each is measured."`
+	Rounds  int           `default:"3" help:"Rounds; each measures everything in turn."`
+	Cores   int           `default:"1" help:"GOMAXPROCS of the process between."`
+	Idle    int           `default:"2000" help:"Idle connections whose memory is measured; 0 for none."`
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("ternbeam-load"), kong.Description("Measure the agent against direct calls and httputil.ReverseProxy."))
+	k.FatalIfErrorf(k.Run())
+}
+
+// child is one of the processes.
+type child struct {
+	cmd *exec.Cmd
+	in  io.WriteCloser
+	out *bufio.Reader
+	at  addresses
+}
+
+type addresses struct{ HTTP, Thrift string }
+
+// usage is what a process has used.
+type usage struct {
+	CPU  time.Duration
+	Heap uint64 // bytes of heap and stacks in use after a collection
+}
+
+func start(cores int, args ...string) (*child, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(self, append([]string{"role"}, args...)...)
+	cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", cores))
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	c := &child{cmd: cmd, in: in, out: bufio.NewReader(out)}
+	return c, c.read(&c.at)
+}
+
+func (c *child) read(v any) error {
+	line, err := c.out.ReadBytes('\n')
+	if err != nil {
+		return fmt.Errorf("a process ended: %w", err)
+	}
+	return json.Unmarshal(line, v)
+}
+
+func (c *child) usage() (u usage, err error) {
+	if _, err = io.WriteString(c.in, "usage\n"); err != nil {
+		return u, err
+	}
+	return u, c.read(&u)
+}
+
+// end lets the process end by itself, as its standard input does.
+func (c *child) end() {
+	c.in.Close()
+	c.cmd.Wait()
+}
+
+// Run is the main process: it starts the others, is the clients and prints the table.
+func (r *runCommand) Run() error {
+	servers := map[string][]string{}
+	for _, p := range loadgen.Protocols {
+		s, err := start(runtime.NumCPU(), "servers", "--protocol", p, "--servers", fmt.Sprint(r.Servers))
+		if err != nil {
+			return err
+		}
+		defer s.end()
+		servers[p] = strings.Split(s.at.HTTP, ",")
+	}
+	proxy, err := start(r.Cores, "proxy", "--backends", strings.Join(servers["http"], ","))
+	if err != nil {
+		return err
+	}
+	defer proxy.end()
+	between, err := start(r.Cores, "agent", "--backends", strings.Join(servers["http"], ","),
+		"--binary", strings.Join(servers["binary"], ","), "--compact", strings.Join(servers["compact"], ","))
+	if err != nil {
+		return err
+	}
+	defer between.end()
+	fmt.Printf("%d clients, %d servers of each protocol, %v each, %d core(s) between, %d on the machine\n\n",
+		r.Clients, r.Servers, r.For, r.Cores, runtime.NumCPU())
+	fmt.Println("round  path                    calls/s  CPU µs/call       p50       p99     p99.9  failed")
+	for round := range r.Rounds {
+		for _, c := range []struct {
+			name, protocol, addr string
+			by                   *child
+		}{
+			{"direct http", "http", servers["http"][0], nil}, {"direct binary", "binary", servers["binary"][0], nil},
+			{"direct compact", "compact", servers["compact"][0], nil},
+			{"ReverseProxy http", "http", proxy.at.HTTP, proxy}, {"agent http", "http", between.at.HTTP, between},
+			{"agent binary", "binary", between.at.Thrift, between}, {"agent compact", "compact", between.at.Thrift, between},
+		} {
+			if err := r.measure(round, c.name, c.protocol, c.addr, c.by); err != nil {
+				return fmt.Errorf("%s: %w", c.name, err)
+			}
+		}
+	}
+	if r.Idle > 0 {
+		return r.idle(proxy, between)
+	}
+	return nil
+}
+
+func (r *runCommand) measure(round int, name, protocol, addr string, by *child) error {
+	if _, err := loadgen.Run(protocol, addr, fmt.Sprintf("w%d-%s", round, protocol), r.Clients, r.For/5); err != nil {
+		return err // a round to warm up with
+	}
+	var before, after usage
+	var err error
+	if by != nil {
+		if before, err = by.usage(); err != nil {
+			return err
+		}
+	}
+	f, err := loadgen.Run(protocol, addr, fmt.Sprintf("m%d-%s", round, protocol), r.Clients, r.For)
+	if err != nil {
+		return err
+	}
+	cpu := "-"
+	if by != nil {
+		if after, err = by.usage(); err != nil {
+			return err
+		}
+		cpu = fmt.Sprintf("%.1f", float64((after.CPU-before.CPU).Microseconds())/float64(f.Calls))
+	}
+	fmt.Printf("%5d  %-20s %10.0f  %11s  %8s  %8s  %8s  %6d\n", round+1, name, float64(f.Calls)/f.Took.Seconds(), cpu,
+		f.P50.Round(time.Microsecond), f.P99.Round(time.Microsecond), f.P999.Round(time.Microsecond), f.Failed)
+	return nil
+}
+
+// idle measures the memory that connections hold on which one call was made.
+func (r *runCommand) idle(proxy, between *child) error {
+	fmt.Printf("\nheap and stacks for each of %d idle client connections, one call made on each\n", r.Idle)
+	for _, c := range []struct {
+		name, protocol, addr string
+		by                   *child
+	}{{"ReverseProxy http", "http", proxy.at.HTTP, proxy}, {"agent http", "http", between.at.HTTP, between},
+		{"agent binary", "binary", between.at.Thrift, between}, {"agent compact", "compact", between.at.Thrift, between}} {
+		before, err := c.by.usage()
+		if err != nil {
+			return err
+		}
+		var open []*loadgen.Client
+		for i := range r.Idle {
+			client, err := loadgen.Dial(c.protocol, c.addr, fmt.Sprintf("i%d-%s-", i, c.protocol))
+			if err == nil {
+				open = append(open, client)
+				err = client.Ask()
+			}
+			if err != nil {
+				return fmt.Errorf("%s: %w", c.name, err)
+			}
+		}
+		after, err := c.by.usage()
+		for _, client := range open {
+			client.Close()
+		}
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-20s %6d bytes\n", c.name, (int64(after.Heap)-int64(before.Heap))/int64(len(open)))
+	}
+	return nil
+}
+
+type roleCommand struct {
+	Servers serversRole `cmd:""`
+	Proxy   proxyRole   `cmd:""`
+	Agent   agentRole   `cmd:""`
+}
+
+// stay tells where the process listens, and what it has used whenever it is asked, until nobody asks any more.
+func stay(at addresses) error {
+	out := json.NewEncoder(os.Stdout)
+	if err := out.Encode(at); err != nil {
+		return err
+	}
+	for asks := bufio.NewScanner(os.Stdin); asks.Scan(); {
+		var r syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+			return err
+		}
+		u := usage{CPU: time.Duration(r.Utime.Nano() + r.Stime.Nano())}
+		runtime.GC()
+		runtime.GC() // what pools keep for a cycle
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		u.Heap = m.HeapAlloc + m.StackInuse
+		if err := out.Encode(u); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type serversRole struct {
+	Protocol string
+	Servers  int
+}
+
+// Run is the servers.
+func (s *serversRole) Run() error {
+	var all []string
+	for range s.Servers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		go loadgen.Serve(l, s.Protocol)
+		all = append(all, l.Addr().String())
+	}
+	return stay(addresses{HTTP: strings.Join(all, ",")})
+}
+
+type proxyRole struct{ Backends []string }
+
+// Run is the reverse proxy: the backends in turn, connections kept.
+func (p *proxyRole) Run() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	turns := make(chan *url.URL, len(p.Backends))
+	for _, b := range p.Backends {
+		turns <- &url.URL{Scheme: "http", Host: b}
+	}
+	proxy := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) {
+		u := <-turns
+		turns <- u
+		r.SetURL(u)
+	}, Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}}
+	go http.Serve(l, proxy)
+	return stay(addresses{HTTP: l.Addr().String()})
+}
+
+type agentRole struct{ Backends, Binary, Compact []string }
+
+// Run is the agent. Its service says that the servers speak as they do.
+func (a *agentRole) Run() error {
+	at := addresses{}
+	for _, to := range []*string{&at.HTTP, &at.Thrift} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		*to = l.Addr().String()
+		l.Close()
+	}
+	p := loadgen.Platform(at.HTTP)
+	p.Discovery, p.Known = "127.0.0.1:1", discovery.List{Full: true}
+	for protocol, all := range map[string][]string{"http": a.Backends, "thrift-binary": a.Binary, "thrift-compact": a.Compact} {
+		for i, addr := range all {
+			p.Known.Servers = append(p.Known.Servers, discovery.Entry{ID: fmt.Sprint(protocol, "-", i), Addr: addr,
+				Zone: "z", State: "in_service", Protocol: protocol})
+		}
+	}
+	cfg, err := config.Parse(p.Config())
+	if err != nil {
+		return err
+	}
+	service, err := thriftmap.Parse([]byte(strings.Replace(deploy.Thrift, "127.0.0.1:9090", at.Thrift, 1)), cfg.Module.Classes)
+	if err != nil {
+		return err
+	}
+	node, err := agent.New(cfg, service, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() { failed <- node.Run(ctx, nil) }()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		default:
+		}
+		resp, err := http.Get("http://" + at.HTTP + "/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return stay(at)
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/thriftmap/call.go
+++ b/internal/thriftmap/call.go
@@ -179,7 +179,7 @@
 	var seqBytes, leftBytes [10]byte
 	edits := make([]thriftwire.Edit, 0, 2)
 	h := c.Head
-	edits = append(edits, thriftwire.Edit{At: h.SeqAt, End: h.SeqEnd,
+	edits = append(edits, thriftwire.Edit{At: int32(h.SeqAt), End: int32(h.SeqEnd),
 		With: thriftwire.AppendSeq(seqBytes[:0], h.Encoding, seq)})
 	if f := c.left; f.Found() {
 		x := float64(max(left, 0)) / float64(c.Method.timeUnit)
@@ -272,7 +272,7 @@
 
 // Served words a server's reply for the client: with the sequence id that the client sent, byte for byte.
 func (c *Call) Served(to []byte, r *Reply) []byte {
-	return thriftwire.AppendFrame(to, r.Message, thriftwire.Edit{At: r.Head.SeqAt, End: r.Head.SeqEnd,
+	return thriftwire.AppendFrame(to, r.Message, thriftwire.Edit{At: int32(r.Head.SeqAt), End: int32(r.Head.SeqEnd),
 		With: c.Head.RawSeq(c.Message)})
 }
 
--- /dev/null
+++ b/internal/thriftwire/fuzz_test.go
@@ -0,0 +1,58 @@
+package thriftwire
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/apache/thrift/lib/go/thrift"
+)
+
+// fuzz gives a scanner messages of an encoding. It must not panic, every error must be ErrMalformed, and what it
+// takes the Apache library must take too, and end at the same byte: a looser reading here would let a message pass
+// that its server reads otherwise.
+func fuzz(f *testing.F, e Encoding) {
+	for seed := range uint64(8) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		f.Add(written(f, e, "formCheck", thrift.CALL, int32(seed), func(ctx context.Context, p thrift.TProtocol) { header(ctx, p, r) }))
+	}
+	for _, m := range malformedMessages {
+		f.Add([]byte(m))
+	}
+	plan := newPlan(f, 32, "1.1", "1.5", "1.6")
+	f.Fuzz(func(t *testing.T, m []byte) {
+		var found [3]Field
+		h, err := ReadHead(m)
+		if err == nil && h.Encoding != e {
+			return
+		}
+		if err == nil {
+			err = plan.Scan(h, m, found[:])
+		}
+		if err != nil {
+			if !errors.Is(err, ErrMalformed) {
+				t.Fatal(err)
+			}
+			return
+		}
+		for _, v := range found {
+			if v.Found() && (int(v.Start) < h.Struct || v.End < v.Start || int(v.End) > len(m)) {
+				t.Fatalf("%+v in %d bytes", v, len(m))
+			}
+		}
+		ctx, buf := context.Background(), thrift.NewTMemoryBuffer()
+		buf.Write(m)
+		p := apache(e, buf)
+		name, _, seq, err := p.ReadMessageBegin(ctx)
+		if err != nil || name != string(h.Name(m)) || seq != h.Seq {
+			t.Fatalf("head %q %d, and by the Apache library %q %d, %v", h.Name(m), h.Seq, name, seq, err)
+		}
+		if err := thrift.SkipDefaultDepth(ctx, p, thrift.STRUCT); err != nil || buf.Len() != 0 {
+			t.Fatalf("the Apache library: %v, %d bytes left", err, buf.Len())
+		}
+	})
+}
+
+func FuzzBinary(f *testing.F)  { fuzz(f, Binary) }
+func FuzzCompact(f *testing.F) { fuzz(f, Compact) }
--- a/internal/thriftwire/plan.go
+++ b/internal/thriftwire/plan.go
@@ -8,17 +8,26 @@
 
 // Plan says which fields of a message are looked for, by their numbers.
 type Plan struct {
-	nodes    [][]want // those that a struct on the way holds; the first is the message's own
+	nodes    []node // of the structs on the way; the first is the message's own
 	slots    int
 	maxDepth int
 }
 
+// node is what is looked for in one struct. Small numbers are found at once, as nearly all are small.
+type node struct {
+	wants []want
+	small [32]uint8 // by number: the place in wants, from 1; 0 for none
+}
+
 type want struct {
 	id    int16
 	slot  int // where the field goes; -1 where it only holds others
 	child int // the node of what it holds; -1 for nothing
 }
 
+// mostWants bounds the fields of one struct that are looked for.
+const mostWants = 255
+
 // MostDepth bounds how deep a plan may let values nest.
 const MostDepth = 256
 
@@ -28,7 +37,7 @@
 	if maxDepth < 1 || maxDepth > MostDepth {
 		return nil, fmt.Errorf("depth %d, 1 to %d is possible", maxDepth, MostDepth)
 	}
-	p := &Plan{nodes: [][]want{nil}, slots: len(paths), maxDepth: maxDepth}
+	p := &Plan{nodes: make([]node, 1), slots: len(paths), maxDepth: maxDepth}
 	for slot, path := range paths {
 		if path == "" {
 			continue
@@ -41,7 +50,7 @@
 }
 
 func (p *Plan) add(path string, slot int) error {
-	node, parts := 0, strings.Split(path, ".")
+	at, parts := 0, strings.Split(path, ".")
 	if len(parts) >= p.maxDepth {
 		return fmt.Errorf("deeper than %d", p.maxDepth)
 	}
@@ -50,10 +59,17 @@
 		if err != nil {
 			return fmt.Errorf("%q is no field number", part)
 		}
-		w := p.want(node, int16(id))
+		w := p.want(at, int16(id))
 		if w == nil {
-			p.nodes[node] = append(p.nodes[node], want{id: int16(id), slot: -1, child: -1})
-			w = &p.nodes[node][len(p.nodes[node])-1]
+			n := &p.nodes[at]
+			if len(n.wants) == mostWants {
+				return fmt.Errorf("more than %d fields of one struct", mostWants)
+			}
+			n.wants = append(n.wants, want{id: int16(id), slot: -1, child: -1})
+			if id >= 0 && int(id) < len(n.small) {
+				n.small[id] = uint8(len(n.wants))
+			}
+			w = &n.wants[len(n.wants)-1]
 		}
 		if i == len(parts)-1 {
 			if w.slot >= 0 {
@@ -62,22 +78,31 @@
 			w.slot = slot
 			return nil
 		}
-		if w.child < 0 {
-			w.child = len(p.nodes)
-			p.nodes = append(p.nodes, nil)
+		child := w.child
+		if child < 0 {
+			child = len(p.nodes)
+			w.child = child
+			p.nodes = append(p.nodes, node{})
 		}
-		node = w.child
+		at = child
 	}
 	return nil
 }
 
 // want returns what is looked for under a number in a node, or nil.
-func (p *Plan) want(node int, id int16) *want {
-	if node < 0 {
+func (p *Plan) want(at int, id int16) *want {
+	if at < 0 {
+		return nil
+	}
+	n := &p.nodes[at]
+	if uint16(id) < uint16(len(n.small)) {
+		if i := n.small[id]; i > 0 {
+			return &n.wants[i-1]
+		}
 		return nil
 	}
-	for i := range p.nodes[node] {
-		if w := &p.nodes[node][i]; w.id == id {
+	for i := range n.wants {
+		if w := &n.wants[i]; w.id == id {
 			return w
 		}
 	}
--- a/internal/thriftwire/thriftwire.go
+++ b/internal/thriftwire/thriftwire.go
@@ -173,7 +173,7 @@
 // Field is a value that was found in a message.
 type Field struct {
 	Type       Type   // Stop where it was not found
-	Start, End int    // a string's content, or any other value as it is encoded; a compact bool has no bytes
+	Start, End int32  // a string's content, or any other value as it is encoded; a compact bool has no bytes
 	Bits       uint64 // of an integer (sign-extended), a double or a bool
 }
 
@@ -501,7 +501,7 @@
 		w := s.plan.want(node, id)
 		if s.compact && t == Bool { // the value is in the type
 			if w != nil && w.slot >= 0 {
-				if err := s.note(w, id, Field{Type: Bool, Start: s.at, End: s.at, Bits: uint64(2 - b&15)}); err != nil {
+				if err := s.note(w, id, Field{Type: Bool, Start: int32(s.at), End: int32(s.at), Bits: uint64(2 - b&15)}); err != nil {
 					return err
 				}
 			}
@@ -520,14 +520,14 @@
 
 // field reads one that is asked for, or that holds some that are.
 func (s *scanner) field(w *want, id int16, t Type, depth int) (err error) {
-	f := Field{Type: t, Start: s.at}
+	f := Field{Type: t, Start: int32(s.at)}
 	switch {
 	case t == Struct && w.child >= 0:
 		err = s.walk(w.child, depth+1)
 	case t == String:
 		var n int
 		if n, err = s.length(); err == nil {
-			f.Start = s.at
+			f.Start = int32(s.at)
 			err = s.take(n)
 		}
 	case s.compact && t.Integer() && t != Byte:
@@ -537,9 +537,12 @@
 	default:
 		err = s.skip(t, depth)
 	}
-	if f.End = s.at; err != nil || w.slot < 0 {
+	if f.End = int32(s.at); err != nil || w.slot < 0 {
 		return err
 	}
+	if t == String {
+		return s.note(w, id, f)
+	}
 	switch v := s.m[f.Start:f.End]; {
 	case t == Bool && v[0] != 0:
 		f.Bits = 1
@@ -562,7 +565,7 @@
 
 func (s *scanner) note(w *want, id int16, f Field) error {
 	if s.found[w.slot].Found() {
-		return malformed(f.Start, "field %d given twice", id)
+		return malformed(int(f.Start), "field %d given twice", id)
 	}
 	s.found[w.slot] = f
 	return nil
--- a/internal/thriftwire/write.go
+++ b/internal/thriftwire/write.go
@@ -123,7 +123,7 @@
 
 // Edit replaces the bytes of a message from At to End.
 type Edit struct {
-	At, End int
+	At, End int32
 	With    []byte
 }
 
@@ -131,7 +131,7 @@
 func AppendFrame(to, m []byte, edits ...Edit) []byte {
 	begin := len(to)
 	to = append(to, 0, 0, 0, 0)
-	at := 0
+	at := int32(0)
 	for _, e := range edits {
 		to = append(append(to, m[at:e.At]...), e.With...)
 		at = e.End
