Thrift's hard cases: cut and bad frames, many calls, leavers, oneways, the Apache server

Each hard case of the front is now a test that brings it about. Two faults came out: the plain reading of an HTTP head took a bare line feed in the reason phrase, which net/http reads otherwise (found by the fuzz target that compares the two); and oneways that a library sends as ordinary calls, as Apache's Go client does, waited for a reply.

--- /dev/null
+++ b/internal/agent/thrift_test.go
@@ -0,0 +1,509 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/thrift/lib/go/thrift"
+
+	"ternbeam/internal/discovery"
+	"ternbeam/internal/formapi"
+	"ternbeam/internal/standin"
+	"ternbeam/internal/thriftwire"
+)
+
+var encodings = []thriftwire.Encoding{thriftwire.Binary, thriftwire.Compact}
+
+// speechOf is the way to speak an encoding.
+func speechOf(e thriftwire.Encoding) speech { return speeches[e] }
+
+// message words a call by hand.
+func message(e thriftwire.Encoding, kind thriftwire.MessageType, method string, rawSeq []byte, id string, more ...func(*thriftwire.Writer)) []byte {
+	w := thriftwire.Writer{Encoding: e}
+	w.Head(kind, []byte(method), rawSeq)
+	w.Struct(1)
+	w.String(1, id)
+	w.String(2, "oban")
+	w.String(4, "once-"+id)
+	w.Int(5, thriftwire.I64, 5000)
+	w.Stop()
+	if method == "note" {
+		w.String(2, "a note")
+	} else {
+		w.Int(2, thriftwire.I64, 1250)
+	}
+	for _, m := range more {
+		m(&w)
+	}
+	w.Stop()
+	return w.Buf
+}
+
+func frame(m []byte) []byte { return thriftwire.AppendFrame(nil, m) }
+
+func call(e thriftwire.Encoding, seq int32, id string) []byte {
+	return frame(message(e, thriftwire.Call, "payOut", thriftwire.AppendSeq(nil, e, seq), id))
+}
+
+// dial connects to the Thrift front.
+func (w *world) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", w.thrift)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// answer reads one frame and its head.
+func answer(t *testing.T, c net.Conn) ([]byte, thriftwire.Head) {
+	t.Helper()
+	m, err := readFrame(c)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	h, err := thriftwire.ReadHead(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m, h
+}
+
+func readFrame(c io.Reader) ([]byte, error) {
+	var prefix [4]byte
+	if _, err := io.ReadFull(c, prefix[:]); err != nil {
+		return nil, err
+	}
+	m := make([]byte, binary.BigEndian.Uint32(prefix[:]))
+	_, err := io.ReadFull(c, m)
+	return m, err
+}
+
+// A frame that a client cuts off at any byte is no call, and hurts nobody else.
+func TestClientCutsAtEveryByte(t *testing.T) {
+	for _, e := range encodings {
+		w := newWorld(t, speechOf(e), standin.Platform{}, nil, standin.Options{ID: "a"})
+		whole := call(e, 7, "cut")
+		for n := range whole {
+			c := w.dial(t)
+			c.Write(whole[:n])
+			c.(*net.TCPConn).CloseWrite()
+			if rest, err := io.ReadAll(c); err != nil || len(rest) > 0 {
+				t.Fatalf("%v: %d of %d bytes were answered % x, %v", e, n, len(whole), rest, err)
+			}
+			c.Close()
+		}
+		if got := w.kiosk.Ask(ask(standin.Pay, "whole")); got.Kind != standin.Served || w.deliveries("cut") != 0 {
+			t.Errorf("%v: the whole one was %s, the one that was cut came %d times", e, got.Kind, w.deliveries("cut"))
+		}
+		w.atRest(t)
+	}
+}
+
+// What is no call, or a harmful one, gets a clear exception or a close; other connections go on, and so does what was
+// asked before on the same one.
+func TestBadFrames(t *testing.T) {
+	hold := make(chan struct{})
+	for _, e := range encodings {
+		seq := thriftwire.AppendSeq(nil, e, 9)
+		other := thriftwire.Binary + thriftwire.Compact - e
+		bad := func(more string) []byte { // a call with bytes of another kind in place of its last byte
+			m := message(e, thriftwire.Call, "payOut", seq, "bad")
+			return frame(append(m[:len(m)-1], more...))
+		}
+		id := func(id, tenant string) []byte {
+			w := thriftwire.Writer{Encoding: e}
+			w.Head(thriftwire.Call, []byte("payOut"), seq)
+			w.Struct(1)
+			if id != "-" {
+				w.String(1, id)
+			}
+			w.String(2, tenant)
+			w.Stop()
+			w.Stop()
+			return frame(w.Buf)
+		}
+		binaryOnly := map[string][]byte{
+			"list of 2^31 - 1 elements":  bad("\x0f\x00\x07\x03\x7f\xff\xff\xff\x00"),
+			"list of -2^31 elements":     bad("\x0f\x00\x07\x03\x80\x00\x00\x00\x00"),
+			"bad type id":                bad("\x01\x00\x07\x00"),
+			"structs 40 deep":            bad(strings.Repeat("\x0c\x00\x07", 40) + strings.Repeat("\x00", 41)),
+			"string longer than a frame": bad("\x0b\x00\x07\x7f\xff\xff\xff\x00"),
+		}
+		compactOnly := map[string][]byte{
+			"list of 2^31 - 1 elements": bad("\x59\xf3\xff\xff\xff\xff\x07\x00"),
+			"map of 2^31 - 1 elements":  bad("\x5b\xff\xff\xff\xff\x07\x33\x00"),
+			"varint without end":        bad("\x56" + strings.Repeat("\xff", 20)),
+			"bad type id":               bad("\x5e\x00"),
+			"structs 40 deep":           bad(strings.Repeat("\x5c", 40) + strings.Repeat("\x00", 41)),
+		}
+		excepted := map[string][]byte{
+			"no id":                id("-", "oban"),
+			"id that is not UTF-8": id("\xff\xfe", "oban"),
+			"empty id":             id("", "oban"),
+			"long id":              id(strings.Repeat("x", 129), "oban"),
+			"unknown tenant":       id("bad", "nobody"),
+			"unknown method":       frame(message(e, thriftwire.Call, "dance", seq, "bad")),
+			"a reply":              frame(message(e, thriftwire.Reply, "payOut", seq, "bad")),
+			"bytes behind":         bad("\x00\x00"),
+			"time that is over":    bad2(e, seq, -5),
+		}
+		for name, f := range map[thriftwire.Encoding]map[string][]byte{thriftwire.Binary: binaryOnly,
+			thriftwire.Compact: compactOnly}[e] {
+			excepted[name] = f
+		}
+		closed := map[string][]byte{
+			"length 0":               {0, 0, 0, 0},
+			"negative length":        {0xff, 0xff, 0xff, 0xfe, 1, 2},
+			"length over the bound":  {0, 1, 0, 1, 0x80},
+			"2 GiB":                  {0x7f, 0xff, 0xff, 0xff, 0x80, 1},
+			"HTTP":                   []byte("GET / HTTP/1.1\r\n\r\n"),
+			"noise":                  frame([]byte("noise in a frame")),
+			"name not UTF-8":         frame(message(e, thriftwire.Call, "\xff", seq, "bad")),
+			"of the other encoding":  call(other, 9, "bad"),
+			"oneway that is no note": frame(message(e, thriftwire.Oneway, "dance", seq, "bad")),
+		}
+		w := newWorld(t, speechOf(e), standin.Platform{}, nil, standin.Options{ID: "a", Script: func(c standin.Call) standin.Step {
+			if strings.HasPrefix(c.ID, "before") {
+				return standin.Step{Until: hold}
+			}
+			return standin.Step{}
+		}})
+		good := w.dial(t)
+		check := func(name string) {
+			t.Helper()
+			good.Write(call(e, 3, "good "+name))
+			if m, h := answer(t, good); h.Type != thriftwire.Reply || !bytes.Contains(m, []byte("receipt of good "+name)) {
+				t.Errorf("%v: after %s the other connection got % x", e, name, m)
+			}
+		}
+		check("nothing")
+		for name, f := range excepted {
+			c := w.dial(t)
+			c.Write(f)
+			m, h := answer(t, c)
+			if h.Type != thriftwire.Exception || h.Seq != 9 {
+				t.Errorf("%v, %s: answered type %d, sequence id %d", e, name, h.Type, h.Seq)
+			}
+			if name == "unknown method" && !bytes.Contains(m, []byte("unknown method")) {
+				t.Errorf("%s: % x", name, m)
+			}
+			c.Write(call(e, 4, "after "+name))
+			if _, h := answer(t, c); h.Type != thriftwire.Reply || h.Seq != 4 {
+				t.Errorf("%v, %s: the next call got type %d", e, name, h.Type)
+			}
+			check(name)
+		}
+		var waiting sync.WaitGroup
+		for name, f := range closed {
+			c := w.dial(t)
+			c.Write(call(e, 5, "before "+name))
+			c.Write(f)
+			waiting.Go(func() { // the call before is answered, then the connection ends
+				m, err := readFrame(c)
+				if err != nil || !bytes.Contains(m, []byte("receipt of before")) {
+					t.Errorf("%v, %s: the call before got % x, %v", e, name, m, err)
+				}
+				if name == "oneway that is no note" {
+					return // nobody could be told
+				}
+				if rest, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) || len(rest) > 0 {
+					t.Errorf("%v, %s: then % x, %v", e, name, rest, err)
+				}
+			})
+		}
+		eventually(t, "those before are under way", func() bool { _, open := w.held(); return open == len(closed) })
+		check("closes")
+		close(hold)
+		hold = make(chan struct{})
+		waiting.Wait()
+		if n := w.deliveries("bad"); n != 0 {
+			t.Errorf("%v: %d bad calls were passed on", e, n)
+		}
+		w.atRest(t)
+	}
+}
+
+// bad2 is a call whose time is over.
+func bad2(e thriftwire.Encoding, seq []byte, left int64) []byte {
+	w := thriftwire.Writer{Encoding: e}
+	w.Head(thriftwire.Call, []byte("payOut"), seq)
+	w.Struct(1)
+	w.String(1, "bad")
+	w.String(2, "oban")
+	w.Int(5, thriftwire.I64, left)
+	w.Stop()
+	w.Stop()
+	return frame(w.Buf)
+}
+
+// Several calls may be out on a connection. Their answers come in their order, or in any where the client allows it;
+// those with the same sequence id keep their order in any case. The sequence id comes back byte for byte.
+func TestSeveralCallsOnAConnection(t *testing.T) {
+	for _, e := range encodings {
+		for _, any := range []bool{false, true} {
+			release := map[string]chan struct{}{}
+			for _, id := range []string{"a", "b", "c", "d"} {
+				release[id] = make(chan struct{})
+			}
+			edit := func(text string) string {
+				if any {
+					return strings.Replace(text, `replies = "in-order"`, `replies = "any-order"`, 1)
+				}
+				return text
+			}
+			w := newWorld(t, speechOf(e), standin.Platform{}, edit, standin.Options{ID: "s",
+				Script: func(c standin.Call) standin.Step { return standin.Step{Until: release[c.ID]} }})
+			c := w.dial(t)
+			long := thriftwire.AppendSeq(nil, e, 6)
+			if e == thriftwire.Compact {
+				long = []byte{0x86, 0x80, 0x00} // 6 in three bytes
+			}
+			var all []byte
+			for _, id := range []string{"a", "b", "c"} { // b and c with the same sequence id
+				seq := map[string][]byte{"a": thriftwire.AppendSeq(nil, e, 5), "b": long, "c": long}[id]
+				all = append(all, frame(message(e, thriftwire.Call, "payOut", seq, id))...)
+			}
+			all = append(all, call(e, -8, "d")...)
+			c.Write(all)
+			eventually(t, "all are under way", func() bool { _, open := w.held(); return open == 4 })
+			order := []string{"a", "b", "c", "d"}
+			if any {
+				order = []string{"d", "b", "c", "a"}
+			}
+			for _, id := range []string{"d", "c", "b", "a"} {
+				close(release[id])
+				eventually(t, id+" has its answer", func() bool { return w.core.Snapshot().Stats.Served > strings.Index("dcba", id) })
+			}
+			for _, id := range order {
+				m, h := answer(t, c)
+				if !bytes.Contains(m, []byte("receipt of "+id)) {
+					t.Fatalf("%v, any order %t: instead of %s's answer came % x", e, any, id, m)
+				}
+				if (id == "b" || id == "c") && !bytes.Equal(h.RawSeq(m), long) {
+					t.Errorf("%v: sequence id % x came back as % x", e, long, h.RawSeq(m))
+				}
+				if id == "d" && h.Seq != -8 {
+					t.Errorf("%v: sequence id %d", e, h.Seq)
+				}
+			}
+			w.atRest(t)
+		}
+	}
+}
+
+// What goes beyond the calls that a connection may have under way is refused at once, with the declared exception.
+func TestTooManyCallsOnAConnection(t *testing.T) {
+	release := make(chan struct{})
+	w := newWorld(t, speeches[1], standin.Platform{}, func(text string) string {
+		text = strings.Replace(text, `replies = "in-order"`, `replies = "any-order"`, 1)
+		return strings.Replace(text, "max_calls_per_connection = 64", "max_calls_per_connection = 2", 1)
+	}, standin.Options{ID: "s", Script: func(standin.Call) standin.Step { return standin.Step{Until: release} }})
+	c := w.dial(t)
+	for i := range int32(3) {
+		c.Write(call(thriftwire.Binary, i, fmt.Sprint("id", i)))
+	}
+	m, h := answer(t, c)
+	if h.Seq != 2 || h.Type != thriftwire.Reply || m[h.Struct] != byte(thriftwire.Struct) || m[h.Struct+2] != 1 {
+		t.Errorf("the third was answered % x", m)
+	}
+	close(release)
+	for range 2 {
+		if m, _ := answer(t, c); !bytes.Contains(m, []byte("receipt of id")) {
+			t.Errorf("answered % x", m)
+		}
+	}
+	if n := w.deliveries("id2"); n != 0 {
+		t.Errorf("the refused one came %d times", n)
+	}
+}
+
+// A client that leaves is owed nothing, however many of its calls are out; a oneway's client need not stay.
+func TestThriftClientsThatLeave(t *testing.T) {
+	release := make(chan struct{})
+	w := newWorld(t, speeches[2], standin.Platform{MostTries: 1}, nil, standin.Options{ID: "s",
+		Script: func(c standin.Call) standin.Step {
+			if c.Method == standin.Note {
+				return standin.Step{}
+			}
+			return standin.Step{Until: release}
+		}})
+	c := w.dial(t)
+	for i := range int32(5) {
+		c.Write(call(thriftwire.Compact, i, fmt.Sprint("id", i)))
+	}
+	eventually(t, "all are under way", func() bool { _, open := w.held(); return open == 5 })
+	c.Close()
+	eventually(t, "all are over", func() bool { _, open := w.held(); return open == 0 })
+	if s := w.core.Snapshot().Stats; s.Gone != 5 {
+		t.Errorf("%d clients left", s.Gone)
+	}
+	for i := range 10 {
+		c := w.dial(t)
+		c.Write(frame(message(thriftwire.Compact, thriftwire.Oneway, "note", []byte{0}, fmt.Sprint("note", i))))
+		c.Close()
+	}
+	for i := range 10 {
+		eventually(t, "the note comes", func() bool { return w.deliveries(fmt.Sprint("note", i)) == 1 })
+	}
+	close(release)
+	w.atRest(t)
+}
+
+// A oneway gets no reply, and what is asked behind it is answered as ever.
+func TestOneway(t *testing.T) {
+	for _, sp := range speeches[1:] {
+		w := newWorld(t, sp, standin.Platform{}, nil, standin.Options{ID: "s"})
+		for i := range 3 {
+			if got := w.kiosk.Ask(ask(standin.Note, fmt.Sprint("n", i))); got.Kind != standin.Sent {
+				t.Errorf("%s: %s, %v", sp.name, got.Kind, got.Err)
+			}
+			if got := w.kiosk.Ask(ask(standin.Pay, fmt.Sprint("p", i))); got.Kind != standin.Served {
+				t.Errorf("%s: %s, %v", sp.name, got.Kind, got.Err)
+			}
+		}
+		for i := range 3 {
+			eventually(t, "the note comes", func() bool { return w.deliveries(fmt.Sprint("n", i)) == 1 })
+		}
+		w.atRest(t)
+		if s := w.core.Snapshot().Stats; s.Attempts != 6 {
+			t.Errorf("%s: %d attempts", sp.name, s.Attempts)
+		}
+	}
+}
+
+// A client that asks and reads nothing loses its connection; it holds up nobody and no memory without bound.
+func TestClientThatReadsNothing(t *testing.T) {
+	w := newWorld(t, speeches[1], standin.Platform{}, nil, standin.Options{ID: "s"})
+	c := w.dial(t)
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	key := strings.Repeat("k", 100)
+	stuck := make(chan error, 1)
+	go func() { // as many as it is let
+		for i := int32(0); ; i++ {
+			m := thriftwire.Writer{Encoding: thriftwire.Binary}
+			m.Head(thriftwire.Call, []byte("formCheck"), thriftwire.AppendSeq(nil, thriftwire.Binary, i))
+			m.Struct(1)
+			m.String(1, fmt.Sprint("mute", i))
+			m.String(2, "oban")
+			m.String(3, key)
+			m.Stop()
+			m.String(2, strings.Repeat("x", 20<<10)) // it comes back with the answer
+			m.Stop()
+			if _, err := c.Write(frame(m.Buf)); err != nil {
+				stuck <- err
+				return
+			}
+		}
+	}()
+	for i := 0; ; i++ {
+		if got := w.kiosk.Ask(ask(standin.Check, fmt.Sprint("other", i))); got.Kind != standin.Served && got.Kind != standin.Refused {
+			t.Fatalf("another client's call was %s: %v", got.Kind, got.Err)
+		}
+		select {
+		case err := <-stuck:
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("its connection was kept")
+			}
+			w.atRest(t)
+			return
+		default:
+		}
+	}
+}
+
+// A connection on which nothing comes is closed after the idle time, and one whose frame does not go on after the
+// frame's time; one whose call is under way is kept for as long as that takes.
+func TestThriftTimes(t *testing.T) {
+	w := newWorld(t, speeches[1], standin.Platform{}, func(text string) string {
+		text = strings.Replace(text, "idle_timeout_ms = 300000", "idle_timeout_ms = 100", 1)
+		return strings.Replace(text, "frame_timeout_ms = 2500", "frame_timeout_ms = 100", 1)
+	}, standin.Options{ID: "s", Service: 400 * time.Millisecond})
+	for name, text := range map[string][]byte{"nothing": nil, "half a frame": call(thriftwire.Binary, 1, "half")[:20]} {
+		c := w.dial(t)
+		c.Write(text)
+		if rest, err := io.ReadAll(c); err != nil || len(rest) > 0 {
+			t.Errorf("%s: % x, %v", name, rest, err)
+		}
+	}
+	c := w.dial(t)
+	c.Write(call(thriftwire.Binary, 1, "slow"))
+	if m, _ := answer(t, c); !bytes.Contains(m, []byte("receipt of slow")) {
+		t.Errorf("answered % x", m)
+	}
+}
+
+// apacheService is the service behind a server of the Apache library's.
+type apacheService struct{ standin.Pod }
+
+func (s *apacheService) FormCheck(_ context.Context, h *formapi.Header, form []byte) (*formapi.FormResult_, error) {
+	return &formapi.FormResult_{Text: "checked " + h.GetKey() + " " + string(form)}, nil
+}
+
+func (s *apacheService) RefundRecord(_ context.Context, h *formapi.Header, _ int64, _ string) (*formapi.Receipt, error) {
+	return &formapi.Receipt{ReceiptId: "receipt of " + h.GetIdempotencyKey()}, nil
+}
+
+func (s *apacheService) PayOut(_ context.Context, h *formapi.Header, _ int64) (*formapi.Receipt, error) {
+	if strings.HasPrefix(h.CorrelationId, "full") {
+		yes := true
+		return nil, &formapi.Refused{Unprocessed: &yes}
+	}
+	return nil, errors.New("the till is empty") // an application exception
+}
+
+func (s *apacheService) Note(context.Context, *formapi.Header, string) error { return nil }
+
+// The Apache library's client works against the agent and its server behind it, in both protocols.
+func TestApacheServer(t *testing.T) {
+	for _, sp := range speeches[1:3] {
+		var factory thrift.TProtocolFactory = thrift.NewTBinaryProtocolFactoryConf(nil)
+		if sp.protocol == "thrift-compact" {
+			factory = thrift.NewTCompactProtocolFactoryConf(nil)
+		}
+		socket, err := thrift.NewTServerSocket("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := socket.Listen(); err != nil {
+			t.Fatal(err)
+		}
+		server := thrift.NewTSimpleServer4(formapi.NewFormServiceProcessor(&apacheService{}), socket,
+			thrift.NewTFramedTransportFactoryConf(thrift.NewTTransportFactory(), nil), factory)
+		server.SetLogger(func(string) {})
+		go server.Serve()
+		w := newWorld(t, sp, standin.Platform{MostTries: 1}, nil)
+		w.list.Tell(discovery.Entry{ID: "apache", Addr: socket.Addr().String(), Zone: "z", State: "in_service",
+			Protocol: sp.protocol})
+		eventually(t, "the agent knows it", func() bool { return len(w.core.Snapshot().Servers) == 1 })
+		for _, c := range []struct {
+			ask  standin.Ask
+			kind standin.Kind
+			text string
+		}{
+			{ask(standin.Check, "1"), standin.Served, "checked form-1 "},
+			{ask(standin.Record, "2"), standin.Served, "receipt of once-2"},
+			{ask(standin.Pay, "full"), standin.Refused, ""},
+			{ask(standin.Pay, "3"), standin.Failed, "failed"},
+			{ask(standin.Note, "4"), standin.Sent, ""},
+			{ask(standin.Check, "5"), standin.Served, "checked form-5 "},
+		} {
+			if got := w.kiosk.Ask(c.ask); got.Kind != c.kind || got.Text != c.text {
+				t.Errorf("%s, %s: %s %q, %v", sp.name, c.ask.ID, got.Kind, got.Text, got.Err)
+			}
+		}
+		socket.Interrupt()
+	}
+}
--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -146,7 +146,7 @@
 		return h, false
 	}
 	code := line[len(begin):]
-	if len(code) > 3 && code[3] != ' ' {
+	if len(code) > 3 && code[3] != ' ' || !printable(code) {
 		return h, false
 	}
 	for _, c := range code[:3] {
@@ -175,17 +175,22 @@
 			}
 		}
 		value := bytes.Trim(line[colon+1:], " \t")
-		for _, c := range value {
-			if c < ' ' || c > '~' {
-				return h, false
-			}
-		}
-		if !h.take(line[:colon], value) {
+		if !printable(value) || !h.take(line[:colon], value) {
 			return h, false
 		}
 	}
 }
 
+// printable reports whether a text holds nothing but ASCII that can be seen, and spaces: no line end above all.
+func printable(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // take takes one header. It is false for those that need more care.
 func (h *head) take(name, value []byte) bool {
 	is := func(other string) bool { return len(name) == len(other) && strings.EqualFold(string(name), other) }
--- a/internal/thriftfront/client.go
+++ b/internal/thriftfront/client.go
@@ -153,7 +153,8 @@
 		c.front.core.Malformed()
 		return errProtocol
 	}
-	oneway := h.Type == thriftwire.Oneway
+	method := c.front.m.Method(h.Name(message))
+	oneway := h.Type == thriftwire.Oneway || method != nil && method.Oneway
 	read, err := c.front.m.Read(h, message)
 	var call *core.Call
 	if err == nil {
--- a/internal/thriftmap/call.go
+++ b/internal/thriftmap/call.go
@@ -94,8 +94,8 @@
 		return nil, refusal(thriftwire.InvalidType, "message type %d is no call", h.Type)
 	case method == nil:
 		return nil, refusal(thriftwire.UnknownMethod, "unknown method %q", h.Name(message))
-	case method.Oneway != (h.Type == thriftwire.Oneway):
-		return nil, refusal(thriftwire.InvalidType, "method %q is oneway: %t", method.Name, method.Oneway)
+	case h.Type == thriftwire.Oneway && !method.Oneway: // the other way round is usual: some libraries mark no oneway
+		return nil, refusal(thriftwire.InvalidType, "method %q is not oneway", method.Name)
 	}
 	c := &Call{Method: method, Head: h, Message: message}
 	var found [argSlots]thriftwire.Field
