--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -1,31 +1,75 @@
-// Command ternbeam is a client-side load-balancing agent. The environment tells where it listens and where its
-// configuration is; it serves until SIGTERM or SIGINT and then answers what it has taken. SIGHUP makes it read the
-// configuration again.
+// Command ternbeam is a client-side load-balancing agent. Without arguments it serves as the environment tells:
+// NODE_CONFIG names its configuration. It serves until SIGTERM or SIGINT and then answers what it has taken. SIGHUP
+// makes it read the configuration again.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"github.com/alecthomas/kong"
+
+	"ternbeam/choice"
 	"ternbeam/internal/agent"
 	"ternbeam/internal/config"
+	"ternbeam/internal/demo"
+	"ternbeam/internal/thriftmap"
 )
 
+type commands struct {
+	Run   runCommand   `cmd:"" default:"withargs" help:"Serve, as the environment tells (the default)."`
+	Check checkCommand `cmd:"" help:"Say what is wrong in configuration files, by line and key."`
+	Demo  demoCommand  `cmd:"" help:"Show the agent at work on loopback, with a hang and a rolling replacement."`
+	Help  helpCommand  `cmd:"" help:"Show this text, or that of a command."`
+}
+
 func main() {
-	if err := run(); err != nil {
+	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "ternbeam:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(args []string) error {
+	k, err := kong.New(new(commands), kong.Name("ternbeam"), kong.Description("A client-side load-balancing agent."),
+		kong.UsageOnError())
+	if err != nil {
+		return err
+	}
+	ctx, err := k.Parse(args)
+	if err != nil {
+		return err
+	}
+	return ctx.Run(k)
+}
+
+type helpCommand struct {
+	Command []string `arg:"" optional:"" help:"A command."`
+}
+
+// Run shows the help text.
+func (h *helpCommand) Run(k *kong.Kong) error {
+	_, err := k.Parse(append(h.Command, "--help"))
+	return err
+}
+
+type runCommand struct {
+	Thrift string `help:"Take Thrift too, as this file says (see deploy/thrift.toml)." placeholder:"FILE"`
+}
+
+// Run serves.
+func (r *runCommand) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1) // one that waits stands for any number
@@ -35,8 +79,18 @@
 	if err != nil {
 		return err
 	}
+	var service *thriftmap.Map
+	if r.Thrift != "" {
+		text, err := os.ReadFile(r.Thrift)
+		if err != nil {
+			return err
+		}
+		if service, err = thriftmap.Parse(text, cfg.Module.Classes); err != nil {
+			return fmt.Errorf("%s: %w", r.Thrift, err)
+		}
+	}
 	limit(cfg.Limits)
-	a, err := agent.New(cfg, nil, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	a, err := agent.New(cfg, service, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	if err != nil {
 		return err
 	}
@@ -54,3 +108,67 @@
 		debug.SetGCPercent(400)
 	}
 }
+
+type checkCommand struct {
+	Files []string `arg:"" help:"An agent's configuration (.json) or a Thrift service's (.toml). The classes of a service are held against those of the configuration, where both are given."`
+}
+
+// Run checks the files.
+func (c *checkCommand) Run(k *kong.Kong) error { return check(c.Files, k.Stdout) }
+
+func check(files []string, out io.Writer) error {
+	var classes []choice.Class
+	bad := 0
+	report := func(name string, err error) {
+		if err == nil {
+			fmt.Fprintf(out, "%s: good\n", name)
+			return
+		}
+		bad++
+		all := []error{err}
+		if several, ok := err.(interface{ Unwrap() []error }); ok {
+			all = several.Unwrap()
+		}
+		for _, err := range all {
+			fmt.Fprintf(out, "%s: %v\n", name, err)
+		}
+	}
+	for _, later := range []bool{false, true} { // those that hold the classes first
+		for _, name := range files {
+			if service := filepath.Ext(name) == ".toml"; service != later {
+				continue
+			}
+			text, err := os.ReadFile(name)
+			switch {
+			case err != nil:
+			case later:
+				_, err = thriftmap.Parse(text, classes)
+			default:
+				var cfg *config.Config
+				if cfg, err = config.Parse(text); err == nil {
+					classes = cfg.Module.Classes
+				} else {
+					err = config.Where(text, err)
+				}
+			}
+			report(name, err)
+		}
+	}
+	if bad > 0 {
+		return errors.New("not all files are good")
+	}
+	return nil
+}
+
+type demoCommand struct {
+	For    time.Duration `default:"12s" help:"How long kiosks ask; 4s at the least."`
+	Kiosks int           `default:"6" help:"Kiosks of each protocol."`
+}
+
+// Run runs the demo.
+func (d *demoCommand) Run(k *kong.Kong) error {
+	if d.For < 4*time.Second || d.Kiosks < 1 {
+		return errors.New("the demo needs 4s and 1 kiosk at the least")
+	}
+	return demo.Run(demo.Options{For: d.For, Kiosks: d.Kiosks, Out: k.Stdout})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,9 @@
 	return fresh.Discovery, nil
 }
 
+// errSettings is what is wrong with the settings.
+var errSettings = errors.New("settings")
+
 // Parse reads a configuration.
 func Parse(text []byte) (*Config, error) {
 	var file struct {
@@ -109,7 +112,7 @@
 		return nil, err
 	}
 	if len(file.Settings) == 0 {
-		return nil, errors.New("no settings")
+		return nil, fmt.Errorf("%w: there are none", errSettings)
 	}
 	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits,
 		Known: file.Known}
@@ -121,18 +124,20 @@
 		cfg.Seed = h.Sum64()
 	}
 	if cfg.Module, cfg.Fields, err = wire.ParseSettings(file.Settings); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("%w: %w", errSettings, err)
 	}
 	if err := json.Unmarshal(file.Settings, &cfg.Host); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("%w: %w", errSettings, err)
 	}
-	for _, c := range cfg.Host.Classes {
+	for i, c := range cfg.Host.Classes {
 		if c.Streamed {
-			return nil, fmt.Errorf("settings: class %q is streamed, which this agent cannot serve", c.Name)
+			return nil, fmt.Errorf("%w: %w", errSettings, &wire.KeyError{Key: fmt.Sprintf("Classes.%d.Streamed", i),
+				Err: fmt.Errorf("class %q is streamed, which this agent cannot serve", c.Name)})
 		}
 	}
 	if cfg.Module.Probes {
-		return nil, errors.New("settings: probes are allowed, which this agent cannot send")
+		return nil, fmt.Errorf("%w: %w", errSettings, &wire.KeyError{Key: "Ceilings.Probes",
+			Err: errors.New("probes are allowed, which this agent cannot send")})
 	}
 	if cfg.Limits.Sockets <= 0 {
 		cfg.Limits.Sockets = 1024
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,335 @@
+// Package demo shows the agent at work on loopback: a list, a small mixed fleet, kiosks that speak HTTP/1.1 and
+// Thrift, servers that hang and servers that are replaced one after the other.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"ternbeam/deploy"
+	"ternbeam/internal/agent"
+	"ternbeam/internal/config"
+	"ternbeam/internal/standin"
+	"ternbeam/internal/thriftmap"
+)
+
+// Options say how long the demo lasts and how much is asked.
+type Options struct {
+	For    time.Duration
+	Kiosks int // of each protocol, each asking one call after the other
+	Out    io.Writer
+}
+
+// protocols are those that kiosks speak.
+var protocols = []string{"http", "thrift-binary", "thrift-compact"}
+
+// fleet is the servers: two pods, in each of which some speak every protocol.
+var fleet = []standin.Options{
+	{ID: "http", Protocol: "http"},
+	{ID: "binary", Protocol: "thrift-binary"},
+	{ID: "compact", Protocol: "thrift-compact"},
+	{ID: "either", Protocol: "thrift", Multiplexed: true},
+}
+
+// demo is what is running.
+type demo struct {
+	opts    Options
+	list    *standin.List
+	pods    [2]*standin.Pod
+	hangs   atomic.Bool
+	begin   time.Time
+	mu      sync.Mutex
+	servers []*server
+	all     []*server // those that were replaced too
+	tally   map[string]*tally
+}
+
+// server is one of the fleet, and where in it.
+type server struct {
+	*standin.Server
+	spec, pod int
+}
+
+// tally is what kiosks of a protocol were told.
+type tally struct {
+	kinds [standin.Sent + 1]int
+	took  []time.Duration
+}
+
+// Run runs the demo and reports whether all went as it must: nothing lost, no effect twice, nothing sent to a
+// server after its drain.
+func Run(o Options) error {
+	d := &demo{opts: o, pods: [2]*standin.Pod{standin.NewPod(), standin.NewPod()}, tally: map[string]*tally{}}
+	for _, p := range protocols {
+		d.tally[p] = &tally{}
+	}
+	list, err := standin.NewList()
+	if err != nil {
+		return err
+	}
+	defer list.Close()
+	d.list = list
+	for pod := range d.pods {
+		for spec := range fleet {
+			s, err := d.startServer(spec, pod, 0)
+			if err != nil {
+				return err
+			}
+			d.servers = append(d.servers, s)
+		}
+	}
+	defer func() {
+		for _, s := range d.all {
+			s.Close()
+		}
+	}()
+	addrs, stop, err := d.startAgent()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(o.Out, "agent on %s (HTTP) and %s (Thrift), list on %s, %d servers in 2 pods\n", addrs[0], addrs[1],
+		list.Addr(), len(d.servers))
+	d.begin = time.Now()
+	if err := d.play(addrs); err != nil {
+		return err
+	}
+	d.say("the agent is told to end")
+	if err := stop(); err != nil {
+		return err
+	}
+	return d.report()
+}
+
+func (d *demo) say(format string, args ...any) {
+	fmt.Fprintf(d.opts.Out, "%5.1f s  %s\n", time.Since(d.begin).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (d *demo) startServer(spec, pod, life int) (*server, error) {
+	o := fleet[spec]
+	o.ID = fmt.Sprintf("%s-%d.%d", o.ID, pod, life)
+	o.Pod, o.Cell, o.Service, o.Most = d.pods[pod], pod, 8*time.Millisecond, 40
+	if life > 0 {
+		o.ColdFrom, o.ColdFor = 0.2, d.opts.For/6
+	}
+	first := pod == 0 && life == 0
+	o.Script = func(standin.Call) standin.Step {
+		if first && d.hangs.Load() {
+			return standin.Step{Fault: standin.Silence}
+		}
+		return standin.Step{}
+	}
+	s, err := standin.Start(o)
+	if err != nil {
+		return nil, err
+	}
+	started := &server{Server: s, spec: spec, pod: pod}
+	d.mu.Lock()
+	d.all = append(d.all, started)
+	d.mu.Unlock()
+	d.list.Tell(s.Entry())
+	return started, nil
+}
+
+// startAgent runs an agent and returns where it listens and how it is ended.
+func (d *demo) startAgent() (addrs []string, stop func() error, err error) {
+	p := standin.Platform{Listen: "127.0.0.1:0", Discovery: d.list.Addr(), Deadline: 3 * time.Second, Cancel: true,
+		MaxRetryAfter: time.Second, ColdFor: d.opts.For / 6}
+	cfg, err := config.Parse(p.Config())
+	if err != nil {
+		return nil, nil, err
+	}
+	service, err := thriftmap.Parse([]byte(strings.Replace(deploy.Thrift, "127.0.0.1:9090", "127.0.0.1:0", 1)), cfg.Module.Classes)
+	if err != nil {
+		return nil, nil, err
+	}
+	a, err := agent.New(cfg, service, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return nil, nil, err
+	}
+	if addrs, err = a.Listen(); err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx, nil) }()
+	stop = func() error { cancel(); return <-ended }
+	for {
+		resp, err := http.Get("http://" + addrs[0] + "/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return addrs, stop, nil
+			}
+		}
+		select {
+		case err := <-ended:
+			return nil, nil, err
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// play lets kiosks ask while servers hang and are replaced.
+func (d *demo) play(addrs []string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d.opts.For)
+	defer cancel()
+	var kiosks sync.WaitGroup
+	for _, protocol := range protocols {
+		addr := addrs[1]
+		if protocol == "http" {
+			addr = addrs[0]
+		}
+		k, err := standin.NewKiosk(protocol, addr)
+		if err != nil {
+			return err
+		}
+		defer k.Close()
+		for i := range d.opts.Kiosks {
+			kiosks.Go(func() { d.ask(ctx, k, protocol, i) })
+		}
+	}
+	d.say("%d kiosks of each protocol ask for checks, records and payments", d.opts.Kiosks)
+	progress := time.NewTicker(time.Second)
+	defer progress.Stop()
+	quarter := d.opts.For / 4
+	hang, heal := time.After(quarter), time.After(2*quarter)
+	var replaced <-chan error
+	for {
+		select {
+		case <-progress.C:
+			d.progress()
+		case <-hang:
+			d.say("the servers of pod 0 hang: they take calls and say nothing")
+			d.hangs.Store(true)
+		case <-heal:
+			d.say("they are well again; every server is replaced, one after the other")
+			d.hangs.Store(false)
+			done := make(chan error, 1)
+			go func() { done <- d.replace(quarter) }()
+			replaced = done
+		case err := <-replaced:
+			if err != nil {
+				return err
+			}
+			d.say("every server is replaced")
+			replaced = nil
+		case <-ctx.Done():
+			kiosks.Wait()
+			if replaced != nil {
+				return <-replaced
+			}
+			return nil
+		}
+	}
+}
+
+// replace replaces every server: the new one starts cold, the old one drains and ends.
+func (d *demo) replace(within time.Duration) error {
+	pause := within / time.Duration(len(d.servers)+1)
+	for i, old := range d.servers {
+		fresh, err := d.startServer(old.spec, old.pod, 1)
+		if err != nil {
+			return err
+		}
+		d.servers[i] = fresh
+		old.Drain()
+		d.list.Tell(old.Entry())
+		time.AfterFunc(time.Second, func() { // what it has is done by then
+			e := old.Entry()
+			e.State = "terminated"
+			d.list.Tell(e)
+		})
+		time.Sleep(pause)
+	}
+	return nil
+}
+
+// ask is one kiosk.
+func (d *demo) ask(ctx context.Context, k standin.Kiosk, protocol string, i int) {
+	rng := rand.New(rand.NewPCG(uint64(i), uint64(len(protocol))))
+	for n := 0; ctx.Err() == nil; n++ {
+		a := standin.Ask{ID: fmt.Sprintf("%s-%d-%d", protocol, i, n), Tenant: standin.Tenants[i%len(standin.Tenants)],
+			Key: fmt.Sprint("form", rng.IntN(1000)), Left: 3 * time.Second, Text: "a form"}
+		switch x := rng.IntN(20); {
+		case x < 14:
+			a.Method, a.Text = standin.Check, ""
+		case x < 19:
+			a.Method, a.Idempotency = standin.Record, "once-"+a.ID
+		default:
+			a.Method = standin.Pay
+		}
+		ans := k.Ask(a)
+		d.mu.Lock()
+		t := d.tally[protocol]
+		t.kinds[ans.Kind]++
+		t.took = append(t.took, ans.Took)
+		d.mu.Unlock()
+		pause := 5 * time.Millisecond
+		if ans.Kind == standin.Refused {
+			pause = max(pause, ans.RetryAfter)
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (d *demo) progress() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var sum [standin.Sent + 1]int
+	for _, t := range d.tally {
+		for kind, n := range t.kinds {
+			sum[kind] += n
+		}
+	}
+	d.say("%d served, %d refused, %d failed, %d lost", sum[standin.Served], sum[standin.Refused], sum[standin.Failed],
+		sum[standin.Lost]+sum[standin.TurnedDown])
+}
+
+// report prints the table and says what must not be.
+func (d *demo) report() error {
+	w := tabwriter.NewWriter(d.opts.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "\nprotocol\tasked\tserved\trefused\tfailed\tlost\tp50\tp99\t")
+	lost := 0
+	for _, p := range protocols {
+		t := d.tally[p]
+		gone := t.kinds[standin.Lost] + t.kinds[standin.TurnedDown]
+		lost += gone
+		slices.Sort(t.took)
+		at := func(q float64) time.Duration {
+			if len(t.took) == 0 {
+				return 0
+			}
+			return t.took[int(q*float64(len(t.took)-1))].Round(100 * time.Microsecond)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t\n", p, len(t.took), t.kinds[standin.Served], t.kinds[standin.Refused],
+			t.kinds[standin.Failed], gone, at(0.5), at(0.99))
+	}
+	w.Flush()
+	late, doubles := 0, 0
+	for _, s := range d.all {
+		late += s.Late()
+	}
+	for _, p := range d.pods {
+		doubles += p.Doubles()
+	}
+	// A key whose effect came in both pods is one too many as well.
+	doubles += standin.Shared(d.pods[0], d.pods[1])
+	fmt.Fprintf(d.opts.Out, "\neffects that came twice: %d\ncalls sent to a server after its drain: %d\n", doubles, late)
+	if lost+doubles+late > 0 {
+		return fmt.Errorf("the demo saw %d calls lost, %d effects twice, %d calls after a drain", lost, doubles, late)
+	}
+	return nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -51,6 +51,17 @@
 	return set, boot.Report.Fields, err
 }
 
+// KeyError is what is wrong with one key of the settings, such as Classes.0.Effect.
+type KeyError struct {
+	Key string
+	Err error
+}
+
+func (e *KeyError) Error() string { return e.Err.Error() }
+
+// Unwrap returns what is wrong.
+func (e *KeyError) Unwrap() error { return e.Err }
+
 // Sane reports whether a figure of a load report can be true.
 func Sane(x float64) bool {
 	const most = 1e6           // more than any can be
@@ -94,13 +105,13 @@
 	if b.Ceilings.RetryAfter {
 		s.MaxRetryAfter = time.Duration(b.Ceilings.MaxRetryAfterNs)
 	}
-	for _, c := range b.Classes {
+	for i, c := range b.Classes {
 		effect, group := slices.Index(effects, c.Effect), slices.Index(groups, c.Group)
 		if effect < 0 {
-			return s, fmt.Errorf("class %q has the unknown Effect %q", c.Name, c.Effect)
+			return s, &KeyError{fmt.Sprintf("Classes.%d.Effect", i), fmt.Errorf("class %q has the unknown Effect %q", c.Name, c.Effect)}
 		}
 		if group < 0 && c.Group != "" {
-			return s, fmt.Errorf("class %q has the unknown Group %q", c.Name, c.Group)
+			return s, &KeyError{fmt.Sprintf("Classes.%d.Group", i), fmt.Errorf("class %q has the unknown Group %q", c.Name, c.Group)}
 		}
 		s.Classes = append(s.Classes, choice.Class{Name: c.Name, Effect: choice.Effect(effect),
 			Group: choice.Group(max(group, 0)), Window: time.Duration(c.WindowNs), Aim: time.Duration(c.AimNs),
