--- a/internal/conffile/conffile.go
+++ b/internal/conffile/conffile.go
@@ -88,7 +88,10 @@
 		}
 		at = at[:max(0, strings.LastIndexByte(at, '.'))]
 	}
-	f.problems = append(f.problems, problem{line, fmt.Sprintf("%s: %s", key, fmt.Sprintf(format, args...))})
+	p := problem{line, fmt.Sprintf("%s: %s", key, fmt.Sprintf(format, args...))}
+	if !slices.Contains(f.problems, p) { // a table that several others share is at fault once
+		f.problems = append(f.problems, p)
+	}
 }
 
 // Has reports whether the file has a key.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -104,9 +104,9 @@
 func Parse(text []byte) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
-		Limits                        Limits
-		Known                         discovery.List
-		Settings                      json.RawMessage
+		Limits                        Limits          `json:"limits"`
+		Known                         discovery.List  `json:"known"`
+		Settings                      json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, err
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -61,6 +61,7 @@
 // Step is what a server does with a call.
 type Step struct {
 	Fault Fault
+	Cut   int             // bytes that a CutReply sends; half of them where 0
 	Delay time.Duration   // before the reply
 	Until <-chan struct{} // the reply waits for it
 }
@@ -338,7 +339,7 @@
 	s.inFlight--
 	s.done++
 	s.mu.Unlock()
-	return s.answer(c, write, step.Fault, f.reply(answer))
+	return s.answer(c, write, step, f.reply(answer))
 }
 
 func (s *Server) loadLocked() *load {
@@ -374,10 +375,10 @@
 }
 
 // answer sends a reply, or what the fault makes of it. It reports whether the connection goes on.
-func (s *Server) answer(c net.Conn, write *sync.Mutex, fault Fault, text []byte) bool {
+func (s *Server) answer(c net.Conn, write *sync.Mutex, step Step, text []byte) bool {
 	write.Lock()
 	defer write.Unlock()
-	switch fault {
+	switch step.Fault {
 	case Silence:
 		if !s.opts.Multiplexed {
 			io.Copy(io.Discard, c) // until the other side gives it up
@@ -389,7 +390,7 @@
 		c.Close()
 		return false
 	case CutReply:
-		c.Write(text[:len(text)/2])
+		c.Write(text[:min(len(text), or(step.Cut, len(text)/2))])
 		c.Close()
 		return false
 	case Trickle:
