--- a/cmd/ternbeam-load/main.go
+++ b/cmd/ternbeam-load/main.go
@@ -122,13 +122,19 @@
 		defer s.end()
 		servers[p] = strings.Split(s.at.HTTP, ",")
 	}
-	proxy, err := start(r.Cores, "proxy", "--backends", strings.Join(servers["http"], ","))
+	startProxy := func() (*child, error) {
+		return start(r.Cores, "proxy", "--backends", strings.Join(servers["http"], ","))
+	}
+	startAgent := func() (*child, error) {
+		return start(r.Cores, "agent", "--backends", strings.Join(servers["http"], ","),
+			"--binary", strings.Join(servers["binary"], ","), "--compact", strings.Join(servers["compact"], ","))
+	}
+	proxy, err := startProxy()
 	if err != nil {
 		return err
 	}
 	defer proxy.end()
-	between, err := start(r.Cores, "agent", "--backends", strings.Join(servers["http"], ","),
-		"--binary", strings.Join(servers["binary"], ","), "--compact", strings.Join(servers["compact"], ","))
+	between, err := startAgent()
 	if err != nil {
 		return err
 	}
@@ -152,7 +158,7 @@
 		}
 	}
 	if r.Idle > 0 {
-		return r.idle(proxy, between)
+		return r.idle(startProxy, startAgent)
 	}
 	return nil
 }
@@ -184,39 +190,52 @@
 	return nil
 }
 
-// idle measures the memory that connections hold on which one call was made.
-func (r *runCommand) idle(proxy, between *child) error {
+// idle measures the memory that connections hold on which one call was made, each kind in a process of its own.
+func (r *runCommand) idle(startProxy, startAgent func() (*child, error)) error {
 	fmt.Printf("\nheap and stacks for each of %d idle client connections, one call made on each\n", r.Idle)
 	for _, c := range []struct {
-		name, protocol, addr string
-		by                   *child
-	}{{"ReverseProxy http", "http", proxy.at.HTTP, proxy}, {"agent http", "http", between.at.HTTP, between},
-		{"agent binary", "binary", between.at.Thrift, between}, {"agent compact", "compact", between.at.Thrift, between}} {
-		before, err := c.by.usage()
+		name, protocol string
+		start          func() (*child, error)
+	}{{"ReverseProxy http", "http", startProxy}, {"agent http", "http", startAgent}, {"agent binary", "binary", startAgent},
+		{"agent compact", "compact", startAgent}} {
+		bytes, err := r.idleOf(c.protocol, c.start)
 		if err != nil {
-			return err
-		}
-		var open []*loadgen.Client
-		for i := range r.Idle {
-			client, err := loadgen.Dial(c.protocol, c.addr, fmt.Sprintf("i%d-%s-", i, c.protocol))
-			if err == nil {
-				open = append(open, client)
-				err = client.Ask()
-			}
-			if err != nil {
-				return fmt.Errorf("%s: %w", c.name, err)
-			}
-		}
-		after, err := c.by.usage()
-		for _, client := range open {
-			client.Close()
+			return fmt.Errorf("%s: %w", c.name, err)
 		}
+		fmt.Printf("%-20s %6d bytes\n", c.name, bytes)
+	}
+	return nil
+}
+
+func (r *runCommand) idleOf(protocol string, start func() (*child, error)) (bytes int64, err error) {
+	by, err := start()
+	if err != nil {
+		return 0, err
+	}
+	defer by.end()
+	addr := by.at.HTTP
+	if protocol != "http" && by.at.Thrift != "" {
+		addr = by.at.Thrift
+	}
+	if _, err := loadgen.Run(protocol, addr, "w", r.Clients, time.Second/2); err != nil {
+		return 0, err
+	}
+	before, err := by.usage()
+	if err != nil {
+		return 0, err
+	}
+	for i := range r.Idle {
+		client, err := loadgen.Dial(protocol, addr, fmt.Sprintf("i%d-", i))
 		if err != nil {
-			return err
+			return 0, err
+		}
+		defer client.Close()
+		if err := client.Ask(); err != nil {
+			return 0, err
 		}
-		fmt.Printf("%-20s %6d bytes\n", c.name, (int64(after.Heap)-int64(before.Heap))/int64(len(open)))
 	}
-	return nil
+	after, err := by.usage()
+	return (int64(after.Heap) - int64(before.Heap)) / int64(r.Idle), err
 }
 
 type roleCommand struct {
--- a/internal/thriftwire/thriftwire.go
+++ b/internal/thriftwire/thriftwire.go
@@ -456,11 +456,9 @@
 	return nil
 }
 
-// walk passes over a struct and notes the fields that the node of the plan asks for; -1 is none.
+// walk passes over a struct and notes the fields that the node of the plan asks for; -1 is none. Its depth was looked
+// at by skip, or is the plan's own.
 func (s *scanner) walk(node, depth int) error {
-	if depth > s.most {
-		return malformed(s.at, "nested deeper than %d", s.most)
-	}
 	var last int16
 	for {
 		at := s.at
