--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -21,12 +21,10 @@
 	"ternbeam/internal/config"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/httpback"
+	"ternbeam/internal/testkit"
 	"ternbeam/internal/thriftmap"
 )
 
-// patience bounds every wait for something that must happen; nothing is expected to take nearly so long.
-const patience = 20 * time.Second
-
 // settings are those of the tests: a class of each effect.
 const settings = `{"Balancers":1,"Classes":[
 	{"Name":"check","Effect":"repeatable","Group":"all","AimNs":600000000,"DeadlineNs":%[1]d,"Worth":2},
@@ -46,7 +44,7 @@
 func (tr trial) config(t *testing.T) *config.Config {
 	t.Helper()
 	if tr.deadline == 0 {
-		tr.deadline = patience
+		tr.deadline = testkit.Patience
 	}
 	if tr.idle == 0 {
 		tr.idle = time.Minute
@@ -105,7 +103,7 @@
 	}
 	go func() { r.done <- a.Run(ctx, r.reload) }()
 	t.Cleanup(cancel)
-	eventually(t, "the agent is ready", func() bool {
+	testkit.Eventually(t, "the agent is ready", func() bool {
 		resp, err := http.Get(r.url + "/ready")
 		if err != nil {
 			return false
@@ -116,16 +114,6 @@
 	return r
 }
 
-// eventually waits until a condition holds.
-func eventually(t testing.TB, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("in vain: %s", what)
-		}
-	}
-}
-
 // held asks the loop how many requests and timers it keeps.
 func (r *running) held() (requests, open int) {
 	s := r.core.Snapshot()
@@ -180,36 +168,6 @@
 	return resp.StatusCode, string(text)
 }
 
-// attempts counts what backends receive, by request id.
-type attempts struct {
-	mu   sync.Mutex
-	seen map[string]int
-}
-
-func (a *attempts) add(r *http.Request) int {
-	io.Copy(io.Discard, r.Body)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.seen == nil {
-		a.seen = map[string]int{}
-	}
-	a.seen[r.Header.Get("X-Correlation-Id")]++
-	return a.seen[r.Header.Get("X-Correlation-Id")]
-}
-
-func (a *attempts) of(id string) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.seen[id]
-}
-
-func hangUp(w http.ResponseWriter) {
-	c, _, err := w.(http.Hijacker).Hijack()
-	if err == nil {
-		c.Close()
-	}
-}
-
 func TestPassesRequestAndAnswerOn(t *testing.T) {
 	var got http.Header
 	var line, body string
@@ -245,10 +203,10 @@
 func TestNeverSendsAgainByItself(t *testing.T) {
 	for _, class := range []string{"check", "record"} {
 		t.Run(class, func(t *testing.T) {
-			var seen attempts
+			var seen testkit.Counter
 			e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
-				if seen.add(r); r.Header.Get("X-Correlation-Id") == "second" {
-					hangUp(w)
+				if seen.Add(r); r.Header.Get("X-Correlation-Id") == "second" {
+					testkit.HangUp(w)
 				}
 			})
 			r := start(t, trial{known: []discovery.Entry{e}, tries: 1}.config(t))
@@ -259,7 +217,7 @@
 				t.Fatalf("%d connections kept", r.connections())
 			}
 			status, _ := do(t, r.ask(class, "second", 5, ""))
-			if n := seen.of("second"); n != 1 {
+			if n := seen.Of("second"); n != 1 {
 				t.Errorf("the backend got the request %d times", n)
 			}
 			// A keyed request that may have run must not be refused.
@@ -363,15 +321,15 @@
 		})
 	}
 	all.Wait()
-	eventually(t, "requests and connections are dropped", func() bool {
+	testkit.Eventually(t, "requests and connections are dropped", func() bool {
 		held, open := r.held()
 		return held == 0 && open == 0 && r.connections() == 0
 	})
 }
 
 func TestMalformedRequests(t *testing.T) {
-	var seen attempts
-	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) { seen.add(r) })
+	var seen testkit.Counter
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) { seen.Add(r) })
 	r := start(t, trial{known: []discovery.Entry{e}}.config(t))
 	for name, spoil := range map[string]func(*http.Request){
 		"no id":          func(q *http.Request) { q.Header.Del("X-Correlation-Id") },
@@ -399,7 +357,7 @@
 	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", httpback.MaxBody+1))); status != 413 {
 		t.Errorf("an oversized body was answered %d", status)
 	}
-	if n := seen.of("id"); n != 0 {
+	if n := seen.Of("id"); n != 0 {
 		t.Errorf("%d malformed requests were passed on", n)
 	}
 	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", httpback.MaxBody))); status != 200 {
@@ -415,7 +373,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(patience))
+	c.SetDeadline(time.Now().Add(testkit.Patience))
 	io.WriteString(c, text)
 	answer, err := io.ReadAll(c)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -426,8 +384,8 @@
 
 // Where two readings of a request's end are possible, one of them may hide a second request in the body.
 func TestHiddenRequestIsNotPassedOn(t *testing.T) {
-	var seen attempts
-	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) { seen.add(r) })
+	var seen testkit.Counter
+	e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) { seen.Add(r) })
 	r := start(t, trial{known: []discovery.Entry{e}}.config(t))
 	head := func(proto string) string {
 		return "POST /pay/x HTTP/" + proto + "\r\nHost: s\r\nX-Correlation-Id: outer\r\nX-Service-Class: pay\r\n" +
@@ -448,7 +406,7 @@
 				!regexp.MustCompile(`^HTTP/1\.[01] [45]`).MatchString(got) {
 				t.Errorf("answered %q", got)
 			}
-			if seen.of("outer")+seen.of("inner") != 0 {
+			if seen.Of("outer")+seen.Of("inner") != 0 {
 				t.Error("it was passed on")
 			}
 		})
@@ -507,7 +465,7 @@
 	if resp, err := http.DefaultTransport.RoundTrip(r.ask("pay", "id", 10, "").WithContext(ctx)); err == nil {
 		t.Fatalf("answered %d", resp.StatusCode)
 	}
-	eventually(t, "the request is over", func() bool { _, open := r.held(); return open == 0 })
+	testkit.Eventually(t, "the request is over", func() bool { _, open := r.held(); return open == 0 })
 	if r.core.Snapshot().Stats.Gone != 1 {
 		t.Errorf("%d clients left", r.core.Snapshot().Stats.Gone)
 	}
@@ -551,10 +509,10 @@
 	}
 	select {
 	case <-closed:
-	case <-time.After(patience):
+	case <-time.After(testkit.Patience):
 		t.Error("the idle connection was kept")
 	}
-	eventually(t, "the connection is no longer counted", func() bool { return r.connections() == 0 })
+	testkit.Eventually(t, "the connection is no longer counted", func() bool { return r.connections() == 0 })
 }
 
 // An ending agent goes on accepting for a while, answers all it took and asks clients to close.
@@ -592,7 +550,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-	case <-time.After(patience):
+	case <-time.After(testkit.Patience):
 		t.Error("the agent goes on")
 	}
 	if c, err := net.Dial("tcp", r.cfg.Listen); err == nil {
--- a/internal/agent/parity_test.go
+++ b/internal/agent/parity_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ternbeam/internal/standin"
+	"ternbeam/internal/testkit"
 )
 
 // outcome is what is to come of a call.
@@ -141,10 +142,10 @@
 			w := newWorld(t, sp, standin.Platform{}, nil, standin.Options{ID: "a", Pod: pod, Cell: 1, Script: script})
 			held := make(chan standin.Answer, 1)
 			go func() { held <- w.kiosk.Ask(ask(standin.Pay, "held")) }()
-			eventually(t, "it is under way", func() bool { return w.deliveries("held") == 1 })
+			testkit.Eventually(t, "it is under way", func() bool { return w.deliveries("held") == 1 })
 			w.servers[0].Drain()
 			w.list.Tell(w.servers[0].Entry())
-			eventually(t, "the agent knows", func() bool { return len(w.core.Snapshot().Servers) == 0 })
+			testkit.Eventually(t, "the agent knows", func() bool { return len(w.core.Snapshot().Servers) == 0 })
 			if got := w.kiosk.Ask(ask(standin.Pay, "new")); got.Kind != standin.Refused || w.deliveries("new") != 0 {
 				t.Errorf("a new call was %s after %d deliveries", got.Kind, w.deliveries("new"))
 			}
@@ -156,7 +157,7 @@
 				t.Errorf("%d calls came after the drain", n)
 			}
 			w.atRest(t)
-			eventually(t, "its connections are closed", func() bool { return w.connections() == 0 })
+			testkit.Eventually(t, "its connections are closed", func() bool { return w.connections() == 0 })
 		})
 	}
 }
@@ -177,11 +178,11 @@
 					}
 				})
 			}
-			eventually(t, "all are under way", func() bool { _, open := w.held(); return open == 5 })
+			testkit.Eventually(t, "all are under way", func() bool { _, open := w.held(); return open == 5 })
 			w.end()
 			if got := make(chan standin.Answer, 1); true {
 				go func() { got <- w.kiosk.Ask(ask(standin.Pay, "after")) }()
-				eventually(t, "one more is under way", func() bool { return w.deliveries("after") == 1 })
+				testkit.Eventually(t, "one more is under way", func() bool { return w.deliveries("after") == 1 })
 				time.Sleep(lingering + 50*time.Millisecond) // all are to outlast the time of accepting
 				close(release)
 				if ans := <-got; ans.Kind != standin.Served {
@@ -194,7 +195,7 @@
 				if err != nil {
 					t.Error(err)
 				}
-			case <-time.After(patience):
+			case <-time.After(testkit.Patience):
 				t.Error("the agent goes on")
 			}
 		})
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"ternbeam/internal/discovery"
+	"ternbeam/internal/testkit"
 )
 
 // registry is a discovery that pushes what it is given to those who watch, and counts versions in its own way.
@@ -95,7 +96,7 @@
 	cfg.Module.Subscribe, cfg.Discovery = true, s.Listener.Addr().String()
 	r := start(t, cfg)
 	n := 0
-	eventually(t, "a request is served", func() bool {
+	testkit.Eventually(t, "a request is served", func() bool {
 		n++
 		status, _ := do(t, r.ask("pay", fmt.Sprint(n), 10, ""))
 		return status == 200
@@ -112,9 +113,9 @@
 	cfg := trial{}.config(t)
 	cfg.Discovery, cfg.Path = first.addr(), filepath.Join(t.TempDir(), "config.json")
 	r := start(t, cfg)
-	eventually(t, "the first is watched", func() bool { return len(first.asked()) == 1 })
+	testkit.Eventually(t, "the first is watched", func() bool { return len(first.asked()) == 1 })
 	first.changes <- discovery.List{Version: 41, Full: true, Servers: []discovery.Entry{entry("old")}}
-	eventually(t, "its list is taken", func() bool { return slices.Equal(r.known(), []string{"old"}) })
+	testkit.Eventually(t, "its list is taken", func() bool { return slices.Equal(r.known(), []string{"old"}) })
 
 	r.reload <- syscall.SIGHUP // there is no file
 	if err := os.WriteFile(cfg.Path, []byte(`{"discovery":`), 0o600); err != nil {
@@ -122,15 +123,15 @@
 	}
 	r.reload <- syscall.SIGHUP
 	first.changes <- discovery.List{Version: 42, Servers: []discovery.Entry{entry("older")}}
-	eventually(t, "the first is still heeded", func() bool { return slices.Equal(r.known(), []string{"old", "older"}) })
+	testkit.Eventually(t, "the first is still heeded", func() bool { return slices.Equal(r.known(), []string{"old", "older"}) })
 
 	rewrite(t, cfg.Path, second.addr())
 	for range 2 { // the second says nothing new
 		r.reload <- syscall.SIGHUP
 	}
-	eventually(t, "the second's list is taken", func() bool { return slices.Equal(r.known(), []string{"new"}) })
+	testkit.Eventually(t, "the second's list is taken", func() bool { return slices.Equal(r.known(), []string{"new"}) })
 	second.changes <- discovery.List{Version: 4, Servers: []discovery.Entry{entry("newer")}}
-	eventually(t, "its changes are taken", func() bool { return slices.Equal(r.known(), []string{"new", "newer"}) })
+	testkit.Eventually(t, "its changes are taken", func() bool { return slices.Equal(r.known(), []string{"new", "newer"}) })
 	if got, want := second.asked(), []string{"/v1/endpoints", "/v1/endpoints?stream=1&index=3"}; !slices.Equal(got, want) {
 		t.Errorf("the second was asked for %q, not %q", got, want)
 	}
--- a/internal/agent/thrift_test.go
+++ b/internal/agent/thrift_test.go
@@ -19,6 +19,7 @@
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/formapi"
 	"ternbeam/internal/standin"
+	"ternbeam/internal/testkit"
 	"ternbeam/internal/thriftwire"
 )
 
@@ -63,7 +64,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
+	c.SetDeadline(time.Now().Add(testkit.Patience))
 	return c
 }
 
@@ -224,7 +225,7 @@
 				}
 			})
 		}
-		eventually(t, "those before are under way", func() bool { _, open := w.held(); return open == len(closed) })
+		testkit.Eventually(t, "those before are under way", func() bool { _, open := w.held(); return open == len(closed) })
 		check("closes")
 		close(hold)
 		hold = make(chan struct{})
@@ -278,14 +279,14 @@
 			}
 			all = append(all, call(e, -8, "d")...)
 			c.Write(all)
-			eventually(t, "all are under way", func() bool { _, open := w.held(); return open == 4 })
+			testkit.Eventually(t, "all are under way", func() bool { _, open := w.held(); return open == 4 })
 			order := []string{"a", "b", "c", "d"}
 			if any {
 				order = []string{"d", "b", "c", "a"}
 			}
 			for _, id := range []string{"d", "c", "b", "a"} {
 				close(release[id])
-				eventually(t, id+" has its answer", func() bool { return w.core.Snapshot().Stats.Served > strings.Index("dcba", id) })
+				testkit.Eventually(t, id+" has its answer", func() bool { return w.core.Snapshot().Stats.Served > strings.Index("dcba", id) })
 			}
 			for _, id := range order {
 				m, h := answer(t, c)
@@ -344,9 +345,9 @@
 	for i := range int32(5) {
 		c.Write(call(thriftwire.Compact, i, fmt.Sprint("id", i)))
 	}
-	eventually(t, "all are under way", func() bool { _, open := w.held(); return open == 5 })
+	testkit.Eventually(t, "all are under way", func() bool { _, open := w.held(); return open == 5 })
 	c.Close()
-	eventually(t, "all are over", func() bool { _, open := w.held(); return open == 0 })
+	testkit.Eventually(t, "all are over", func() bool { _, open := w.held(); return open == 0 })
 	if s := w.core.Snapshot().Stats; s.Gone != 5 {
 		t.Errorf("%d clients left", s.Gone)
 	}
@@ -356,7 +357,7 @@
 		c.Close()
 	}
 	for i := range 10 {
-		eventually(t, "the note comes", func() bool { return w.deliveries(fmt.Sprint("note", i)) == 1 })
+		testkit.Eventually(t, "the note comes", func() bool { return w.deliveries(fmt.Sprint("note", i)) == 1 })
 	}
 	close(release)
 	w.atRest(t)
@@ -375,7 +376,7 @@
 			}
 		}
 		for i := range 3 {
-			eventually(t, "the note comes", func() bool { return w.deliveries(fmt.Sprint("n", i)) == 1 })
+			testkit.Eventually(t, "the note comes", func() bool { return w.deliveries(fmt.Sprint("n", i)) == 1 })
 		}
 		w.atRest(t)
 		if s := w.core.Snapshot().Stats; s.Attempts != 6 {
@@ -487,7 +488,7 @@
 		w := newWorld(t, sp, standin.Platform{MostTries: 1}, nil)
 		w.list.Tell(discovery.Entry{ID: "apache", Addr: socket.Addr().String(), Zone: "z", State: "in_service",
 			Protocol: sp.protocol})
-		eventually(t, "the agent knows it", func() bool { return len(w.core.Snapshot().Servers) == 1 })
+		testkit.Eventually(t, "the agent knows it", func() bool { return len(w.core.Snapshot().Servers) == 1 })
 		for _, c := range []struct {
 			ask  standin.Ask
 			kind standin.Kind
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -8,6 +8,7 @@
 	"ternbeam/deploy"
 	"ternbeam/internal/config"
 	"ternbeam/internal/standin"
+	"ternbeam/internal/testkit"
 	"ternbeam/internal/thriftmap"
 )
 
@@ -120,7 +121,7 @@
 // atRest waits until nothing is under way in the agent.
 func (w *world) atRest(t *testing.T) {
 	t.Helper()
-	eventually(t, "the agent is at rest", func() bool {
+	testkit.Eventually(t, "the agent is at rest", func() bool {
 		held, open := w.held()
 		return held == 0 && open == 0
 	})
--- a/internal/core/list_test.go
+++ b/internal/core/list_test.go
@@ -13,6 +13,7 @@
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/pool"
 	"ternbeam/internal/protocol"
+	"ternbeam/internal/testkit"
 )
 
 // newCore returns a Core that knows the servers of a list; its transports do nothing but what the test says.
@@ -54,11 +55,7 @@
 	})
 	<-waits
 	close(push)
-	for end := time.Now().Add(20 * time.Second); len(c.events) == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("its list is not queued")
-		}
-	}
+	testkit.Eventually(t, "its list is queued", func() bool { return len(c.events) > 0 })
 	close(gate)
 	if got := c.Snapshot().Servers; len(got) != 0 {
 		t.Errorf("knows %q", got)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -12,11 +12,9 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/protocol"
+	"ternbeam/internal/testkit"
 )
 
-// patience bounds every wait for something that must happen.
-const patience = 20 * time.Second
-
 // A watch that ends, and one that stays open and is silent, are both begun again from the last version.
 func TestWatchIsBegunAgain(t *testing.T) {
 	calls := make(chan string, 8)
@@ -57,7 +55,7 @@
 			if want := "/v1/endpoints?stream=1&index=" + index; call != want {
 				t.Errorf("asked for %s, not %s", call, want)
 			}
-		case <-time.After(patience):
+		case <-time.After(testkit.Patience):
 			t.Fatalf("no call with index %s", index)
 		}
 	}
@@ -94,7 +92,7 @@
 	t.Helper()
 	select {
 	case <-c:
-	case <-time.After(patience):
+	case <-time.After(testkit.Patience):
 		t.Fatal("in vain")
 	}
 }
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -6,10 +6,9 @@
 	"net"
 	"testing"
 	"time"
-)
 
-// patience bounds every wait for something that must happen.
-const patience = 20 * time.Second
+	"ternbeam/internal/testkit"
+)
 
 func openDoor(t *testing.T, most int) *Listener {
 	t.Helper()
@@ -75,7 +74,7 @@
 		t.Errorf("%d connections", n)
 	}
 	for i, c := range mute {
-		if gone := i < 8; closed(c, map[bool]time.Duration{true: patience, false: time.Millisecond}[gone]) != gone {
+		if gone := i < 8; closed(c, map[bool]time.Duration{true: testkit.Patience, false: time.Millisecond}[gone]) != gone {
 			t.Errorf("silent connection %d closed: %t", i, !gone)
 		}
 	}
@@ -95,14 +94,14 @@
 	}
 	newcomer := visitor(t, d, "")
 	accept(t, d)
-	if !closed(newcomer, patience) || d.door.Count() != 2 {
+	if !closed(newcomer, testkit.Patience) || d.door.Count() != 2 {
 		t.Errorf("%d connections with two busy ones", d.door.Count())
 	}
 	d.door.Idle(conns[1])
 	d.door.Idle(conns[0])
 	visitor(t, d, "")
 	accept(t, d)
-	if !closed(clients[1], patience) || closed(clients[0], time.Millisecond) {
+	if !closed(clients[1], testkit.Patience) || closed(clients[0], time.Millisecond) {
 		t.Error("not the one that was idle for longest was closed")
 	}
 }
@@ -133,7 +132,7 @@
 	accept(t, d)
 	accept(t, d)
 	d.DropSilent()
-	if !closed(mute, patience) || closed(begun, time.Millisecond) || d.door.Count() != 1 {
+	if !closed(mute, testkit.Patience) || closed(begun, time.Millisecond) || d.door.Count() != 1 {
 		t.Errorf("%d connections", d.door.Count())
 	}
 }
--- a/internal/httpback/httpback_test.go
+++ b/internal/httpback/httpback_test.go
@@ -1,7 +1,6 @@
 package httpback
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -11,7 +10,6 @@
 	"net/http/httptest"
 	"net/url"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,15 +19,13 @@
 	"ternbeam/internal/exchange"
 	"ternbeam/internal/peek"
 	"ternbeam/internal/pool"
+	"ternbeam/internal/testkit"
 )
 
-// patience bounds every wait for something that must happen.
-const patience = 20 * time.Second
-
 // newTransport returns a transport over a pool of its own; what the settings leave out is ample.
 func newTransport(set pool.Settings) *exchange.Transport {
 	if set.DialTimeout == 0 {
-		set.DialTimeout = patience
+		set.DialTimeout = testkit.Patience
 	}
 	if set.Most == 0 {
 		set.Most = 100
@@ -46,15 +42,6 @@
 func count(u *exchange.Transport) int { open, _, _ := u.Pool.Count(); return open }
 func idle(u *exchange.Transport) int  { _, idle, _ := u.Pool.Count(); return idle }
 
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("in vain: %s", what)
-		}
-	}
-}
-
 // server runs one that serves so.
 func server(t *testing.T, serve http.HandlerFunc) *pool.Server {
 	t.Helper()
@@ -63,28 +50,6 @@
 	return &pool.Server{ID: "b", Addr: s.Listener.Addr().String()}
 }
 
-// attempts counts what servers receive, by id.
-type attempts struct {
-	mu   sync.Mutex
-	seen map[string]int
-}
-
-func (a *attempts) add(r *http.Request) {
-	io.Copy(io.Discard, r.Body)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.seen == nil {
-		a.seen = map[string]int{}
-	}
-	a.seen[r.Header.Get("X-Correlation-Id")]++
-}
-
-func (a *attempts) of(id string) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.seen[id]
-}
-
 // A dial takes time, and meanwhile the request may have ended, its time may be up, the module may have withdrawn
 // it or the backend may have begun to drain: then nothing may be sent.
 func TestNothingIsSentAfterASlowDial(t *testing.T) {
@@ -99,16 +64,16 @@
 		"time is over": {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(context.DeadlineExceeded) }, choice.NotSent},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var seen attempts
+			var seen testkit.Counter
 			ctx, withdraw := context.WithCancelCause(context.Background())
-			a := attempt("id", server(t, func(_ http.ResponseWriter, r *http.Request) { seen.add(r) }))
+			a := attempt("id", server(t, func(_ http.ResponseWriter, r *http.Request) { seen.Add(r) }))
 			var u *exchange.Transport
 			u = newTransport(pool.Settings{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := new(net.Dialer).DialContext(ctx, network, addr)
 				c.meanwhile(u, a, withdraw)
 				return conn, err
 			}})
-			got, sent := u.Attempt(ctx, a).Result, seen.of("id")
+			got, sent := u.Attempt(ctx, a).Result, seen.Of("id")
 			if want := map[bool]int{true: 1}[c.want == choice.OK]; got != c.want || sent != want {
 				t.Errorf("result %d, not %d; the backend got %d requests, not %d", got, c.want, sent, want)
 			}
@@ -119,12 +84,10 @@
 // What the backend may have read in whole may have run; only a write that fell short or never began proves that
 // it did not.
 func TestBreaks(t *testing.T) {
-	var seen attempts
+	var seen testkit.Counter
 	b := server(t, func(w http.ResponseWriter, r *http.Request) {
-		if seen.add(r); r.Header.Get("X-Correlation-Id") != "whole" {
-			if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
-				c.Close()
-			}
+		if seen.Add(r); r.Header.Get("X-Correlation-Id") != "whole" {
+			testkit.HangUp(w)
 		}
 	})
 	var breaks atomic.Bool
@@ -143,7 +106,7 @@
 		t.Fatalf("result %d, %d idle connections", got, idle(u))
 	}
 	breaks.Store(true)
-	if got := do("half written"); got != choice.ConnectFailed || seen.of("half written") != 0 {
+	if got := do("half written"); got != choice.ConnectFailed || seen.Of("half written") != 0 {
 		t.Errorf("result %d of a request whose write fell short", got)
 	}
 	if count(u) != 0 {
@@ -164,39 +127,11 @@
 	return n, errors.New("broken pipe")
 }
 
-// script runs a backend that answers each request on a connection with the next of these texts, as they are, and
-// then leaves the connection open and silent.
-func script(t *testing.T, answers ...string) (s *pool.Server, accepted *atomic.Int32) {
+// script runs a server that answers with these texts.
+func script(t *testing.T, answers ...string) (*pool.Server, *atomic.Int32) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	accepted = new(atomic.Int32)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			accepted.Add(1)
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for _, answer := range answers {
-					req, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, req.Body)
-					io.WriteString(c, answer)
-				}
-				io.Copy(io.Discard, in)
-			}()
-		}
-	}()
-	return &pool.Server{ID: "b", Addr: l.Addr().String()}, accepted
+	addr, accepted := testkit.Texts(t, answers...)
+	return &pool.Server{ID: "b", Addr: addr}, accepted
 }
 
 func body(e core.Ending) string {
@@ -208,7 +143,7 @@
 
 func exchangeOnce(t *testing.T, u *exchange.Transport, b *pool.Server, id string) core.Ending {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
 	return u.Attempt(ctx, attempt(id, b))
 }
@@ -325,7 +260,7 @@
 	}
 	first := dialled
 	io.WriteString(<-conns, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
-	eventually(t, "it has come", func() bool { return !peek.Silent(first) })
+	testkit.Eventually(t, "it has come", func() bool { return !peek.Silent(first) })
 	if got := exchangeOnce(t, u, b, "second"); got.Result != choice.OK || len(body(got)) != 0 {
 		t.Errorf("result %d, %q", got.Result, body(got))
 	}
@@ -360,7 +295,7 @@
 	}})
 	a := attempt("id", &pool.Server{ID: "b", Addr: l.Addr().String()})
 	a.Call.Payload.(*Request).Body = make([]byte, MaxBody)
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
 	if got := u.Attempt(ctx, a).Result; got != choice.Rejected || count(u) != 0 {
 		t.Errorf("result %d, %d connections", got, count(u))
@@ -405,7 +340,7 @@
 	for _, id := range []string{"d", "e"} {
 		go func() { waiting <- do(id, y) }()
 	}
-	eventually(t, "two wait", func() bool { return queued() == 2 })
+	testkit.Eventually(t, "two wait", func() bool { return queued() == 2 })
 	close(hold)
 	if a, b, c := <-first, <-waiting, <-waiting; a != choice.OK || b != choice.OK || c != choice.OK {
 		t.Errorf("results %d of the one that was in use, %d and %d of those that waited", a, b, c)
--- a/internal/thriftback/thriftback_test.go
+++ b/internal/thriftback/thriftback_test.go
@@ -15,22 +15,11 @@
 	"ternbeam/internal/pool"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/standin"
+	"ternbeam/internal/testkit"
 	"ternbeam/internal/thriftmap"
 	"ternbeam/internal/thriftwire"
 )
 
-// patience bounds every wait for something that must happen.
-const patience = 20 * time.Second
-
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("in vain: %s", what)
-		}
-	}
-}
-
 var classes = []choice.Class{{Name: "form-check"}, {Name: "refund-record", Effect: choice.Keyed},
 	{Name: "pay-out", Effect: choice.Unsafe}, {Name: "form-note"}}
 
@@ -54,7 +43,7 @@
 func newTransport(t testing.TB, set pool.Settings) *transport {
 	t.Helper()
 	if set.DialTimeout == 0 {
-		set.DialTimeout = patience
+		set.DialTimeout = testkit.Patience
 	}
 	set.IdleFor, set.Most = time.Minute, 100
 	p, m := pool.New(set), service(t)
@@ -139,19 +128,19 @@
 				return standin.Step{Fault: standin.CutReply, Cut: n}
 			}})
 			tr := newTransport(t, pool.Settings{})
-			whole := tr.try(within(t, patience), server, e, "payOut", "whole")
+			whole := tr.try(within(t, testkit.Patience), server, e, "payOut", "whole")
 			if text(whole) != "receipt of whole" {
 				t.Fatalf("%+v", whole)
 			}
 			size := 4 + len(whole.Reply.(*thriftmap.Reply).Message)
 			for n = 1; n < size; n++ {
 				id := fmt.Sprintf("cut%d", n)
-				if got := tr.try(within(t, patience), server, e, "payOut", id); got.Result != choice.Reset || s.Pod().Deliveries(id) != 1 {
+				if got := tr.try(within(t, testkit.Patience), server, e, "payOut", id); got.Result != choice.Reset || s.Pod().Deliveries(id) != 1 {
 					t.Errorf("%v, multiplexed %t, %d of %d bytes: result %d after %d deliveries", e, multiplexed, n, size, got.Result,
 						s.Pod().Deliveries(id))
 				}
 			}
-			eventually(t, "no connection is kept", func() bool { return tr.open() == 0 })
+			testkit.Eventually(t, "no connection is kept", func() bool { return tr.open() == 0 })
 		}
 	}
 }
@@ -166,7 +155,7 @@
 	for i := range 200 {
 		all.Go(func() {
 			id := fmt.Sprint("id", i*i*i)
-			if got := tr.try(within(t, patience), server, thriftwire.Binary, "payOut", id); text(got) != "receipt of "+id {
+			if got := tr.try(within(t, testkit.Patience), server, thriftwire.Binary, "payOut", id); text(got) != "receipt of "+id {
 				t.Errorf("%s: result %d, %q", id, got.Result, text(got))
 			}
 		})
@@ -175,9 +164,9 @@
 	if n := s.Accepted(); n != 1 {
 		t.Errorf("%d connections", n)
 	}
-	eventually(t, "it is idle", func() bool { _, idle, _ := tr.pool.Count(); return idle == 1 })
+	testkit.Eventually(t, "it is idle", func() bool { _, idle, _ := tr.pool.Count(); return idle == 1 })
 	// The other encoding gets a connection of its own.
-	if got := tr.try(within(t, patience), server, thriftwire.Compact, "payOut", "compact"); text(got) != "receipt of compact" || s.Accepted() != 2 {
+	if got := tr.try(within(t, testkit.Patience), server, thriftwire.Compact, "payOut", "compact"); text(got) != "receipt of compact" || s.Accepted() != 2 {
 		t.Errorf("result %d, %d connections", got.Result, s.Accepted())
 	}
 }
@@ -198,9 +187,9 @@
 		}})
 		tr := newTransport(t, pool.Settings{})
 		waits := make(chan core.Ending, 1)
-		go func() { waits <- tr.try(within(t, patience), server, thriftwire.Binary, "payOut", "waits") }()
-		eventually(t, "it is under way", func() bool { return tr.open() == 1 })
-		odd := tr.try(within(t, patience), server, thriftwire.Binary, "payOut", "odd")
+		go func() { waits <- tr.try(within(t, testkit.Patience), server, thriftwire.Binary, "payOut", "waits") }()
+		testkit.Eventually(t, "it is under way", func() bool { return tr.open() == 1 })
+		odd := tr.try(within(t, testkit.Patience), server, thriftwire.Binary, "payOut", "odd")
 		if want := map[bool]choice.Result{true: choice.OK, false: choice.Failed}[fault == standin.TwoReplies]; odd.Result != want {
 			t.Errorf("fault %d: result %d", fault, odd.Result)
 		}
@@ -209,7 +198,7 @@
 		}
 		for i := range 3 {
 			id := fmt.Sprint("after", i)
-			if got := tr.try(within(t, patience), server, thriftwire.Binary, "payOut", id); text(got) != "receipt of "+id {
+			if got := tr.try(within(t, testkit.Patience), server, thriftwire.Binary, "payOut", id); text(got) != "receipt of "+id {
 				t.Errorf("fault %d: %s got %q, result %d", fault, id, text(got), got.Result)
 			}
 		}
@@ -231,23 +220,23 @@
 	ctx, withdraw := context.WithCancelCause(context.Background())
 	got := make(chan core.Ending, 1)
 	go func() { got <- tr.try(ctx, server, thriftwire.Binary, "payOut", "withdrawn") }()
-	eventually(t, "it is there", func() bool { return s.Pod().Deliveries("withdrawn") == 1 })
+	testkit.Eventually(t, "it is there", func() bool { return s.Pod().Deliveries("withdrawn") == 1 })
 	withdraw(core.ErrWithdrawn)
 	if e := <-got; e.Result != choice.Cancelled {
 		t.Errorf("result %d of the one that was withdrawn", e.Result)
 	}
 	// The connection still serves others, and the late reply does not disturb it.
-	if e := tr.try(within(t, patience), server, thriftwire.Binary, "payOut", "next"); text(e) != "receipt of next" || s.Accepted() != 1 {
+	if e := tr.try(within(t, testkit.Patience), server, thriftwire.Binary, "payOut", "next"); text(e) != "receipt of next" || s.Accepted() != 1 {
 		t.Errorf("result %d, %d connections", e.Result, s.Accepted())
 	}
 	if e := tr.try(within(t, 50*time.Millisecond), server, thriftwire.Binary, "payOut", "late"); e.Result != choice.TimedOut {
 		t.Errorf("result %d of the one that was late", e.Result)
 	}
-	if e := tr.try(within(t, patience), server, thriftwire.Binary, "payOut", "new"); text(e) != "receipt of new" || s.Accepted() != 2 {
+	if e := tr.try(within(t, testkit.Patience), server, thriftwire.Binary, "payOut", "new"); text(e) != "receipt of new" || s.Accepted() != 2 {
 		t.Errorf("after a silence: result %d, %d connections", e.Result, s.Accepted())
 	}
 	close(release)
-	eventually(t, "the silent one is closed", func() bool { return tr.open() == 1 })
+	testkit.Eventually(t, "the silent one is closed", func() bool { return tr.open() == 1 })
 }
 
 // stuck is a server that accepts and reads nothing.
@@ -308,12 +297,12 @@
 				return blocked{conn, gate, began}, err
 			}})
 			first, second := make(chan core.Ending, 1), make(chan core.Ending, 1)
-			go func() { first <- tr.try(within(t, patience), server, thriftwire.Compact, "payOut", "first") }()
+			go func() { first <- tr.try(within(t, testkit.Patience), server, thriftwire.Compact, "payOut", "first") }()
 			<-began
 			ctx, withdraw := context.WithCancelCause(context.Background())
 			at := tr.attempt(server, thriftwire.Compact, "payOut", "second")
 			go func() { second <- tr.Attempt(ctx, at) }()
-			eventually(t, "it is queued", func() bool { return tr.queued() == 1 })
+			testkit.Eventually(t, "it is queued", func() bool { return tr.queued() == 1 })
 			c.meanwhile(tr, at, withdraw)
 			if name == "withdrawn" || name == "time over" {
 				if got := <-second; got.Result != c.want {
@@ -332,7 +321,7 @@
 				t.Errorf("the queued one came %d times", n)
 			}
 			if name == "drains" {
-				eventually(t, "the connection is closed", func() bool { return tr.open() == 0 })
+				testkit.Eventually(t, "the connection is closed", func() bool { return tr.open() == 0 })
 			}
 		})
 	}
@@ -363,11 +352,11 @@
 	results := map[string]chan core.Ending{}
 	for i, id := range []string{"writing", "queued"} {
 		results[id] = make(chan core.Ending, 1)
-		go func() { results[id] <- tr.try(within(t, patience), server, thriftwire.Binary, "payOut", id) }()
+		go func() { results[id] <- tr.try(within(t, testkit.Patience), server, thriftwire.Binary, "payOut", id) }()
 		if i == 0 {
 			<-began
 		} else {
-			eventually(t, "it is queued", func() bool { return tr.queued() == 1 })
+			testkit.Eventually(t, "it is queued", func() bool { return tr.queued() == 1 })
 		}
 	}
 	c := <-conns
@@ -380,7 +369,7 @@
 	if got := <-results["writing"]; got.Result != choice.ConnectFailed && got.Result != choice.Reset {
 		t.Errorf("the written one's result %d", got.Result)
 	}
-	eventually(t, "nothing is kept", func() bool { return tr.open() == 0 })
+	testkit.Eventually(t, "nothing is kept", func() bool { return tr.open() == 0 })
 }
 
 // Where no connection comes up the calls that wait for one never ran, and are told together.
@@ -399,7 +388,7 @@
 		begun.Add(1)
 		go func() {
 			begun.Done()
-			results <- tr.try(within(t, patience), server, thriftwire.Binary, "payOut", fmt.Sprint(i))
+			results <- tr.try(within(t, testkit.Patience), server, thriftwire.Binary, "payOut", fmt.Sprint(i))
 		}()
 	}
 	begun.Wait()
@@ -421,15 +410,15 @@
 		s, server := start(t, standin.Options{ID: "s", Multiplexed: multiplexed})
 		tr := newTransport(t, pool.Settings{})
 		for i := range 5 {
-			if got := tr.try(within(t, patience), server, thriftwire.Compact, "note", fmt.Sprint("n", i)); got.Result != choice.OK || got.Reply != nil {
+			if got := tr.try(within(t, testkit.Patience), server, thriftwire.Compact, "note", fmt.Sprint("n", i)); got.Result != choice.OK || got.Reply != nil {
 				t.Errorf("result %d", got.Result)
 			}
-			if got := tr.try(within(t, patience), server, thriftwire.Compact, "payOut", fmt.Sprint("p", i)); got.Result != choice.OK {
+			if got := tr.try(within(t, testkit.Patience), server, thriftwire.Compact, "payOut", fmt.Sprint("p", i)); got.Result != choice.OK {
 				t.Errorf("result %d", got.Result)
 			}
 		}
 		for i := range 5 {
-			eventually(t, "the note comes", func() bool { return s.Pod().Deliveries(fmt.Sprint("n", i)) == 1 })
+			testkit.Eventually(t, "the note comes", func() bool { return s.Pod().Deliveries(fmt.Sprint("n", i)) == 1 })
 		}
 		if s.Accepted() != 1 {
 			t.Errorf("%d connections", s.Accepted())
