--- a/internal/agent/parity_test.go
+++ b/internal/agent/parity_test.go
@@ -231,4 +231,7 @@
 			}
 		}
 	}
+	if s := w.core.Snapshot().Stats; s.Attempts != 60 { // one that went astray would have been made again
+		t.Errorf("%d attempts for 60 calls", s.Attempts)
+	}
 }
