--- a/internal/agent/parity_test.go
+++ b/internal/agent/parity_test.go
@@ -126,6 +126,17 @@
 	}
 }
 
+// A refusal says when to come back, in every protocol, and comes at once.
+func TestRefusalSaysWhenAlike(t *testing.T) {
+	for _, sp := range speeches {
+		w := newWorld(t, sp, standin.Platform{MaxRetryAfter: time.Second}, nil) // knows no server
+		got := w.kiosk.Ask(ask(standin.Pay, "id"))
+		if got.Kind != standin.Refused || got.RetryAfter != 300*time.Millisecond || got.Took > 2*time.Second {
+			t.Errorf("%s: %s, to come back after %v, told after %v", sp.name, got.Kind, got.RetryAfter, got.Took)
+		}
+	}
+}
+
 // From the end of its grace on a server that drains gets nothing new, while what it has is answered.
 func TestDrainFaresAlike(t *testing.T) {
 	for _, sp := range speeches {
