The lives of attempts and connections as state machines without I/O, used by the agent

Whether an attempt can have run was worked out in two transports, from contexts, byte counts and flags. Now life.Attempt holds its stages and says it, life.Book holds the places and the states of connections; the pool, the exchange and the multiplexed lines are hosts that tell them what happens. A step that must not come is an error that tests see and that the agent logs once.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"ternbeam/choice"
@@ -32,6 +33,7 @@
 	door   *door.Door
 
 	listeners []*net.TCPListener // the application's, then Thrift's if it is on
+	illegal   atomic.Int64       // steps of attempts and connections that must not come
 }
 
 // front takes the calls of one listener.
@@ -42,19 +44,26 @@
 
 // New returns an Agent that is ready to Run. With a Thrift service, which may be nil, it takes calls in Thrift too.
 func New(cfg *config.Config, service *thriftmap.Map, log *slog.Logger) (*Agent, error) {
-	p := pool.New(pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleFor: cfg.IdleFor(), Most: cfg.BackendSockets()})
-	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(p, cfg.Fields)}
+	a := &Agent{cfg: cfg, thrift: service, log: log, door: door.New(cfg.ClientSockets())}
+	a.pool = pool.New(pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleFor: cfg.IdleFor(), Most: cfg.BackendSockets(),
+		Illegal: a.noteIllegal})
+	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(a.pool, cfg.Fields)}
 	if service != nil {
-		t := thriftback.New(p, service)
+		t := thriftback.New(a.pool, service)
 		transports[protocol.ThriftBinary], transports[protocol.ThriftCompact] = t, t
 	}
-	c, err := core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
-		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Pool: p, Log: log,
-		Transports: transports})
-	if err != nil {
-		return nil, err
+	var err error
+	a.core, err = core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
+		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Pool: a.pool, Log: log,
+		Transports: transports, Illegal: a.noteIllegal})
+	return a, err
+}
+
+// noteIllegal takes a step that must not come, a fault of this program: it is logged once and survived.
+func (a *Agent) noteIllegal(err error) {
+	if a.illegal.Add(1) == 1 {
+		a.log.Error("an illegal step, further ones are counted only", "error", err)
 	}
-	return &Agent{cfg: cfg, thrift: service, log: log, core: c, pool: p, door: door.New(cfg.ClientSockets())}, nil
 }
 
 const (
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -95,6 +95,11 @@
 		t.Fatal(err)
 	}
 	cfg.Listen = at[0]
+	t.Cleanup(func() {
+		if n := a.illegal.Load(); n > 0 {
+			t.Errorf("%d illegal steps", n)
+		}
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Agent: a, url: "http://" + cfg.Listen, end: cancel, done: make(chan error, 1),
 		reload: make(chan os.Signal, 1)}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/discovery"
+	"ternbeam/internal/life"
 	"ternbeam/internal/pool"
 )
 
@@ -58,8 +59,19 @@
 type Attempt struct {
 	Call   *Call
 	Number int
-	Server *pool.Server
+	Server *life.Server
 	Sent   time.Duration // on the module's clock
+	Life   life.Attempt  // its transport's
+
+	// Illegal takes a step that must not come: a fault of this program. None is taken where it is nil.
+	Illegal func(error)
+}
+
+// Heed passes on an illegal step, if it is one.
+func (at *Attempt) Heed(err error) {
+	if err != nil && at.Illegal != nil {
+		at.Illegal(err)
+	}
 }
 
 // Ending is how an attempt ended.
@@ -89,6 +101,7 @@
 	Pool       *pool.Pool
 	Transports map[choice.Protocols]Transport // by what a call needs
 	Log        *slog.Logger
+	Illegal    func(error) // takes steps that must not come; none where nil
 }
 
 // Core is one client-side balancer. One goroutine, the loop, owns the Balancer and all the tables; everything else
@@ -109,7 +122,7 @@
 	handling  bool
 	timers    timerHeap
 	calls     map[string]*Call // not answered yet, or with attempts in flight
-	servers   map[string]*pool.Server
+	servers   map[string]*life.Server
 	open      int    // calls not answered yet
 	discovery string // the address that is followed
 	watch     func() // begins a watch there
@@ -134,7 +147,7 @@
 	now := time.Now()
 	return &Core{set: set, log: set.Log, events: make(chan func(), 1024), workers: newWorkers(), ready: make(chan struct{}), started: now,
 		origin: time.Duration(now.UnixNano()), balancer: balancer, calls: map[string]*Call{},
-		servers: map[string]*pool.Server{}}, nil
+		servers: map[string]*life.Server{}}, nil
 }
 
 // Now is the module's clock: monotonic, in Unix time.
@@ -316,7 +329,7 @@
 		ctx, cancel := context.WithCancelCause(context.Background())
 		call.attempts[n] = cancel
 		call.out++
-		at := &Attempt{Call: call, Number: n, Server: s, Sent: now}
+		at := &Attempt{Call: call, Number: n, Server: s, Sent: now, Illegal: c.set.Illegal}
 		c.workers.run(func() {
 			ctx, stop := context.WithDeadline(ctx, c.at(end))
 			defer stop()
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -5,7 +5,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/pool"
+	"ternbeam/internal/life"
 )
 
 // Follow watches another discovery from now on; the same one changes nothing.
@@ -90,7 +90,7 @@
 		s = nil
 	}
 	if s == nil && now.State == choice.Ready {
-		c.servers[e.ID] = &pool.Server{ID: e.ID, Addr: e.Addr, Started: e.StartedMS, Speaks: now.Speaks,
+		c.servers[e.ID] = &life.Server{ID: e.ID, Addr: e.Addr, Started: e.StartedMS, Speaks: now.Speaks,
 			Multiplexed: e.Multiplexed}
 	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"ternbeam/choice"
 	"ternbeam/internal/core"
+	"ternbeam/internal/life"
 	"ternbeam/internal/pool"
 )
 
@@ -48,45 +48,47 @@
 
 // Attempt is core.Transport's.
 func (t *Transport) Attempt(ctx context.Context, at *core.Attempt) core.Ending {
-	c, err := t.Pool.Acquire(ctx, at.Server, at.Call.Needs)
-	if err == nil {
-		// A dial takes time: what was right to send before may not be any more.
-		if e := Unsent(ctx, at); e != nil {
-			t.Pool.Release(at.Server, c, true)
-			return *e
-		}
-		e, reuse := t.exchange(ctx, c, t.Begin(at))
-		t.Pool.Release(at.Server, c, reuse)
-		return e
+	c, err := t.Pool.Acquire(ctx, at.Server, at.Call.Needs, &at.Life)
+	if err != nil {
+		return NoConnection(ctx, at, err)
 	}
-	return NoConnection(ctx, err)
+	talk := t.Begin(at)
+	end, _ := ctx.Deadline()
+	message := talk.Message(end)
+	// A dial takes time: what was right to send before may not be any more.
+	if !Begin(ctx, at, len(message)) {
+		t.Pool.Release(c, true)
+		return core.Ended(at.Life.Result())
+	}
+	e, reuse := t.exchange(ctx, c, at, talk, message, end)
+	t.Pool.Release(c, reuse)
+	return e
 }
 
-// Unsent says why an attempt that has a connection must not be sent, or nil where it may be.
-func Unsent(ctx context.Context, at *core.Attempt) *core.Ending {
-	var e core.Ending
-	switch {
-	case errors.Is(context.Cause(ctx), core.ErrWithdrawn):
-		e = core.Ended(choice.Cancelled)
-	case ctx.Err() != nil || at.Call.Over():
-		e = core.Ended(choice.NotSent)
-	case at.Server.Retired():
-		e = core.Ended(choice.ConnectFailed)
-	default:
-		return nil
-	}
-	return &e
+// Begin asks whether an attempt that has a connection may still be sent.
+func Begin(ctx context.Context, at *core.Attempt, size int) bool {
+	send, err := at.Life.Begin(size, life.Now{Withdrawn: errors.Is(context.Cause(ctx), core.ErrWithdrawn),
+		Late: ctx.Err() != nil, Over: at.Call.Over(), Retired: at.Server.Retired()})
+	at.Heed(err)
+	return send
 }
 
-// NoConnection says how an attempt ended for which the pool had no connection.
-func NoConnection(ctx context.Context, err error) core.Ending {
+// NoConnection ends an attempt for which the pool had no connection.
+func NoConnection(ctx context.Context, at *core.Attempt, err error) core.Ending {
+	cause := life.Broken
 	switch {
 	case errors.Is(err, pool.ErrNoPlace):
-		return core.Ended(choice.NotSent)
+		cause = life.NoPlace
 	case errors.Is(context.Cause(ctx), core.ErrWithdrawn):
-		return core.Ended(choice.Cancelled)
+		cause = life.Withdrawn
 	}
-	return core.Ended(choice.ConnectFailed)
+	return Fail(at, cause)
+}
+
+// Fail ends an attempt without an answer.
+func Fail(at *core.Attempt, c life.Cause) core.Ending {
+	at.Heed(at.Life.Fail(c))
+	return core.Ended(at.Life.Result())
 }
 
 // inflows are shared: a connection needs one only while an answer is read.
@@ -94,11 +96,10 @@
 
 // exchange sends the message and reads the answer whole. The connection can be used again if reuse is true and is
 // closed otherwise.
-func (t *Transport) exchange(ctx context.Context, c *pool.Conn, talk Talk) (e core.Ending, reuse bool) {
-	end, _ := ctx.Deadline()
+func (t *Transport) exchange(ctx context.Context, c *pool.Conn, at *core.Attempt, talk Talk, message []byte,
+	end time.Time) (e core.Ending, reuse bool) {
 	c.SetDeadline(end)
 	undisturbed := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	message := talk.Message(end)
 	in := inflows.Get().(*Inflow)
 	defer inflows.Put(in)
 	in.reset(ctx, c.Conn, end, t.Stall)
@@ -108,20 +109,22 @@
 	if reuse = reuse && in.sent(false) == len(message); !reuse {
 		c.Close() // ends a write that still goes on
 	}
-	n := in.sent(!reuse)
+	at.Heed(at.Life.Wrote(max(0, in.sent(!reuse))))
 	switch {
 	case err == nil:
+		if in.began {
+			at.Heed(at.Life.Read())
+		}
+		at.Heed(at.Life.Answer(e.Result))
 		return e, reuse
 	case errors.Is(context.Cause(ctx), core.ErrWithdrawn):
-		return core.Ended(choice.Cancelled), false
-	case n < len(message):
-		return core.Ended(choice.ConnectFailed), false // the last byte was not written, and never will be
+		return Fail(at, life.Withdrawn), false
 	case errors.Is(err, ErrSpoilt):
-		return core.Ended(choice.Failed), false
+		return Fail(at, life.Spoilt), false
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return core.Ended(choice.TimedOut), false
+		return Fail(at, life.Late), false
 	}
-	return core.Ended(choice.Reset), false
+	return Fail(at, life.Broken), false
 }
 
 // Inflow is what comes back on a connection.
@@ -132,6 +135,7 @@
 	end     time.Time     // of the waiting for an answer
 	stall   time.Duration // from an answer's first byte to its last
 	begun   bool
+	began   bool     // something of the answer has come
 	size    int      // of the message
 	n       int      // bytes of it that were written, -1 while that goes on
 	written chan int // brings them
@@ -189,6 +193,7 @@
 	f.expect(false)
 	_, err := f.Peek(1)
 	if err == nil {
+		f.began = true
 		f.expect(true)
 	}
 	return err
--- a/internal/httpback/httpback_test.go
+++ b/internal/httpback/httpback_test.go
@@ -17,6 +17,7 @@
 	"ternbeam/choice"
 	"ternbeam/internal/core"
 	"ternbeam/internal/exchange"
+	"ternbeam/internal/life"
 	"ternbeam/internal/peek"
 	"ternbeam/internal/pool"
 	"ternbeam/internal/testkit"
@@ -34,7 +35,7 @@
 	return New(pool.New(set), []string{"util", "qps", "eps"})
 }
 
-func attempt(id string, s *pool.Server) *core.Attempt {
+func attempt(id string, s *life.Server) *core.Attempt {
 	return &core.Attempt{Call: &core.Call{Request: choice.Request{ID: id}, Payload: &Request{Method: http.MethodPost,
 		URL: &url.URL{Path: "/pay/x"}, Header: http.Header{"X-Correlation-Id": {id}}}}, Server: s}
 }
@@ -43,11 +44,11 @@
 func idle(u *exchange.Transport) int  { _, idle, _ := u.Pool.Count(); return idle }
 
 // server runs one that serves so.
-func server(t *testing.T, serve http.HandlerFunc) *pool.Server {
+func server(t *testing.T, serve http.HandlerFunc) *life.Server {
 	t.Helper()
 	s := httptest.NewServer(serve)
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return &pool.Server{ID: "b", Addr: s.Listener.Addr().String()}
+	return &life.Server{ID: "b", Addr: s.Listener.Addr().String()}
 }
 
 // A dial takes time, and meanwhile the request may have ended, its time may be up, the module may have withdrawn
@@ -128,10 +129,10 @@
 }
 
 // script runs a server that answers with these texts.
-func script(t *testing.T, answers ...string) (*pool.Server, *atomic.Int32) {
+func script(t *testing.T, answers ...string) (*life.Server, *atomic.Int32) {
 	t.Helper()
 	addr, accepted := testkit.Texts(t, answers...)
-	return &pool.Server{ID: "b", Addr: addr}, accepted
+	return &life.Server{ID: "b", Addr: addr}, accepted
 }
 
 func body(e core.Ending) string {
@@ -141,7 +142,7 @@
 	return ""
 }
 
-func exchangeOnce(t *testing.T, u *exchange.Transport, b *pool.Server, id string) core.Ending {
+func exchangeOnce(t *testing.T, u *exchange.Transport, b *life.Server, id string) core.Ending {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
@@ -254,7 +255,7 @@
 		dialled = c
 		return c, err
 	}})
-	b := &pool.Server{ID: "b", Addr: s.Listener.Addr().String()}
+	b := &life.Server{ID: "b", Addr: s.Listener.Addr().String()}
 	if got := exchangeOnce(t, u, b, "first"); got.Result != choice.OK || idle(u) != 1 {
 		t.Fatalf("result %d, %d idle connections", got.Result, idle(u))
 	}
@@ -293,7 +294,7 @@
 		}
 		return c, err
 	}})
-	a := attempt("id", &pool.Server{ID: "b", Addr: l.Addr().String()})
+	a := attempt("id", &life.Server{ID: "b", Addr: l.Addr().String()})
 	a.Call.Payload.(*Request).Body = make([]byte, MaxBody)
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
@@ -316,7 +317,7 @@
 	x, y := server(t, serve), server(t, serve)
 	var patient atomic.Bool
 	u := newTransport(pool.Settings{Most: 1})
-	do := func(id string, b *pool.Server) choice.Result {
+	do := func(id string, b *life.Server) choice.Result {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 		defer cancel()
 		if patient.Load() {
--- /dev/null
+++ b/internal/life/life_test.go
@@ -0,0 +1,221 @@
+package life
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"ternbeam/choice"
+)
+
+// step is something told to an attempt.
+type step func(a *Attempt) error
+
+func begin(now Now) step {
+	return func(a *Attempt) error { _, err := a.Begin(100, now); return err }
+}
+func wrote(n int) step          { return func(a *Attempt) error { return a.Wrote(n) } }
+func fail(c Cause) step         { return func(a *Attempt) error { return a.Fail(c) } }
+func ans(r choice.Result) step  { return func(a *Attempt) error { return a.Answer(r) } }
+func dial(a *Attempt) error     { return a.Dial() }
+func connect(a *Attempt) error  { return a.Connect() }
+func reading(a *Attempt) error  { return a.Read() }
+func unsure(a *Attempt) error   { return a.Unsure() }
+func then(all ...[]step) []step { return slices.Concat(all...) }
+func steps(all ...step) []step  { return all }
+
+var (
+	connected = steps(dial, connect)
+	begun     = then(connected, steps(begin(Now{})))
+	sent      = then(begun, steps(wrote(100)))
+)
+
+// How an attempt ends, and whether it can have run, follows from its stage and the cause alone.
+func TestEndings(t *testing.T) {
+	for name, c := range map[string]struct {
+		steps []step
+		want  choice.Result
+		ran   bool
+	}{
+		"no place":                     {steps(fail(NoPlace)), choice.NotSent, false},
+		"withdrawn while it waits":     {steps(fail(Withdrawn)), choice.Cancelled, false},
+		"dial fails":                   {steps(dial, fail(Broken)), choice.ConnectFailed, false},
+		"dial hangs":                   {steps(dial, fail(Late)), choice.ConnectFailed, false},
+		"withdrawn while it dials":     {steps(dial, fail(Withdrawn)), choice.Cancelled, false},
+		"idle connection":              {steps(connect, begin(Now{}), wrote(100), reading, ans(choice.OK)), choice.OK, true},
+		"over before it is sent":       {then(connected, steps(begin(Now{Over: true}))), choice.NotSent, false},
+		"late before it is sent":       {then(connected, steps(begin(Now{Late: true, Retired: true}))), choice.NotSent, false},
+		"drained before it is sent":    {then(connected, steps(begin(Now{Retired: true}))), choice.ConnectFailed, false},
+		"withdrawn before it is sent":  {then(connected, steps(begin(Now{Withdrawn: true, Late: true}))), choice.Cancelled, false},
+		"late in a queue":              {then(connected, steps(fail(Late))), choice.NotSent, false},
+		"breaks in a queue":            {then(connected, steps(fail(Broken))), choice.ConnectFailed, false},
+		"breaks before the last byte":  {then(begun, steps(wrote(99), fail(Broken))), choice.ConnectFailed, false},
+		"spoilt before the last byte":  {then(begun, steps(wrote(99), reading, fail(Spoilt))), choice.ConnectFailed, false},
+		"late before the last byte":    {then(begun, steps(wrote(99), fail(Late))), choice.ConnectFailed, false},
+		"breaks after the last byte":   {then(sent, steps(fail(Broken))), choice.Reset, true},
+		"breaks, nobody knows where":   {then(begun, steps(unsure, fail(Broken))), choice.Reset, true},
+		"known after all":              {then(begun, steps(unsure, wrote(50), fail(Broken))), choice.ConnectFailed, false},
+		"late":                         {then(sent, steps(fail(Late))), choice.TimedOut, true},
+		"late in the answer":           {then(sent, steps(reading, fail(Late))), choice.TimedOut, true},
+		"withdrawn":                    {then(sent, steps(fail(Withdrawn))), choice.Cancelled, true},
+		"spoilt":                       {then(sent, steps(reading, fail(Spoilt))), choice.Failed, true},
+		"error":                        {then(sent, steps(reading, ans(choice.Failed))), choice.Failed, true},
+		"turned away":                  {then(sent, steps(reading, ans(choice.Rejected))), choice.Rejected, false},
+		"turned away before all is in": {then(begun, steps(wrote(50), reading, ans(choice.Rejected))), choice.Rejected, false},
+		"answered before all is in":    {then(begun, steps(wrote(50), reading, ans(choice.OK))), choice.OK, true},
+		"oneway":                       {then(sent, steps(ans(choice.OK))), choice.OK, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a Attempt
+			for i, s := range c.steps {
+				if err := s(&a); err != nil {
+					t.Fatalf("step %d: %v", i, err)
+				}
+			}
+			if a.Stage() != Ended || a.Result() != c.want || a.CanHaveRun() != c.ran {
+				t.Errorf("%v, result %d, can have run: %t", a.Stage(), a.Result(), a.CanHaveRun())
+			}
+		})
+	}
+}
+
+// What must not come is an error and changes nothing.
+func TestIllegalSteps(t *testing.T) {
+	for name, c := range map[string]struct {
+		before []step
+		step   step
+	}{
+		"dials twice":                {steps(dial), dial},
+		"connects twice":             {connected, connect},
+		"begins without connection":  {nil, begin(Now{})},
+		"begins twice":               {begun, begin(Now{})},
+		"writes before it begins":    {connected, wrote(1)},
+		"writes less than before":    {then(begun, steps(wrote(50))), wrote(40)},
+		"writes more than there is":  {begun, wrote(101)},
+		"reads before it is sent":    {connected, reading},
+		"reads twice":                {then(sent, steps(reading)), reading},
+		"is answered unread":         {sent, ans(choice.Failed)},
+		"is answered with a cause":   {then(sent, steps(reading)), ans(choice.TimedOut)},
+		"is answered while written":  {begun, ans(choice.OK)},
+		"ends twice":                 {then(sent, steps(fail(Late))), fail(Broken)},
+		"is answered after its end":  {then(sent, steps(fail(Late))), ans(choice.OK)},
+		"is unsure of what was sent": {sent, unsure},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a Attempt
+			for i, s := range c.before {
+				if err := s(&a); err != nil {
+					t.Fatalf("step %d: %v", i, err)
+				}
+			}
+			before := a
+			if err := c.step(&a); err == nil || a != before {
+				t.Errorf("error %v, %+v became %+v", err, before, a)
+			}
+		})
+	}
+}
+
+// A random walk over a Book: places are never more than the most and never lost, claims are granted in turn, nothing
+// idle is at a retired server, no connection is lent twice.
+func TestBookWalks(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		most := 1 + r.IntN(4)
+		b := NewBook(most)
+		servers := []*Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+		var granted, waiting []*Claim // places without a connection, in their order
+		var used []*Conn
+		grant := func(c *Claim) {
+			if c == nil {
+				return
+			}
+			if len(waiting) == 0 || waiting[0] != c || !c.Granted() {
+				t.Fatalf("seed %d: a claim was granted out of turn", seed)
+			}
+			waiting, granted = waiting[1:], append(granted, c)
+		}
+		for range 200 {
+			s := servers[r.IntN(len(servers))]
+			switch r.IntN(8) {
+			case 0, 1:
+				if c := b.Lend(s, choice.Protocols(1)); c != nil {
+					if c.State() != InUse || c.Server != s || slices.Contains(used, c) || s.Retired() {
+						t.Fatalf("seed %d: lent %+v", seed, c)
+					}
+					used = append(used, c)
+					continue
+				}
+				c, evicted := b.Claim()
+				if evicted != nil && (evicted.State() != Closed || slices.Contains(used, evicted)) {
+					t.Fatalf("seed %d: evicted %+v", seed, evicted)
+				}
+				if c.Granted() {
+					granted = append(granted, c)
+				} else {
+					waiting = append(waiting, c)
+				}
+			case 2, 3: // a dial succeeds, or fails
+				if len(granted) == 0 {
+					continue
+				}
+				granted = granted[1:]
+				if r.IntN(3) == 0 {
+					grant(b.Free())
+				} else {
+					used = append(used, b.Opened(s, choice.Protocols(1), nil))
+				}
+			case 4, 5:
+				if len(used) == 0 {
+					continue
+				}
+				c := used[0]
+				used = used[1:]
+				waited := len(waiting)
+				kept, next, err := b.Return(c, r.IntN(4) > 0)
+				if err != nil || kept && (waited > 0 || c.Server.Retired()) || !kept && c.State() != Closed {
+					t.Fatalf("seed %d: kept %t, %v, %v", seed, kept, c.State(), err)
+				}
+				grant(next)
+				if _, _, err := b.Return(c, false); err == nil {
+					t.Fatalf("seed %d: returned twice", seed)
+				}
+			case 6:
+				if len(waiting) > 0 {
+					i := r.IntN(len(waiting))
+					if !b.Cancel(waiting[i]) {
+						t.Fatalf("seed %d: a claim that waits was not known", seed)
+					}
+					waiting = slices.Delete(waiting, i, i+1)
+				}
+			case 7:
+				if r.IntN(10) == 0 {
+					closed, next := b.Retire(s)
+					for _, c := range closed {
+						if c.State() != Closed {
+							t.Fatalf("seed %d: %v after the retirement", seed, c.State())
+						}
+					}
+					for _, c := range next {
+						grant(c)
+					}
+					servers[slices.Index(servers, s)] = &Server{ID: s.ID}
+				} else if idle := b.Idle(); len(idle) > 0 {
+					next, err := b.Drop(idle[0])
+					if err != nil {
+						t.Fatal(err)
+					}
+					grant(next)
+				}
+			}
+			open, idle, queue := b.Count()
+			if open > most || open != idle+len(used)+len(granted) || queue != len(waiting) {
+				t.Fatalf("seed %d: %d places, %d idle, %d used, %d granted, %d of %d wait", seed, open, idle, len(used),
+					len(granted), queue, len(waiting))
+			}
+			if queue > 0 && idle > 0 {
+				t.Fatalf("seed %d: %d wait while %d are idle", seed, queue, idle)
+			}
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,43 +1,27 @@
-// Package pool keeps the connections to servers, for every transport: a bound on their number, the order in which
-// attempts wait for a place, the look at an idle one before it is used again, and the retirement of a server.
+// Package pool keeps the connections to servers, for every transport. What is decided about them, their number, whose
+// turn it is, which are kept, is life.Book's; here are the sockets.
 package pool
 
 import (
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/life"
 	"ternbeam/internal/peek"
 )
 
 // ErrNoPlace says that every place for a connection is in use by an attempt.
 var ErrNoPlace = errors.New("no place left for a connection")
 
-// Server is one life of a server at one address. One with a new address or start is another one.
-type Server struct {
-	ID          string
-	Addr        string
-	Started     int64 // Unix milliseconds, as the list has it
-	Speaks      choice.Protocols
-	Multiplexed bool // takes several calls at a time on a connection
-
-	retired atomic.Bool
-	idle    []*Conn // guarded by Pool.mu, the latest last
-}
-
-// Retired reports whether the server drains, is gone or was replaced: nothing new is sent.
-func (s *Server) Retired() bool { return s.retired.Load() }
-
 // Conn is a connection to a server.
 type Conn struct {
 	net.Conn
 	Session any // what its transport keeps with it
-	speaks  choice.Protocols
+	life    *life.Conn
 	since   time.Time // idle since
 }
 
@@ -47,6 +31,7 @@
 	DialTimeout time.Duration                                                     // with the wait for a place
 	IdleFor     time.Duration                                                     // an idle connection may still be used
 	Most        int                                                               // connections
+	Illegal     func(error)                                                       // takes steps that must not come; none where nil
 }
 
 // Pool holds the connections to all servers. It may be used by several goroutines.
@@ -54,9 +39,8 @@
 	set Settings
 
 	mu    sync.Mutex
-	open  int              // places that are taken
-	queue []chan struct{}  // attempts that wait for a place
-	used  map[*Server]bool // those with idle connections
+	book  *life.Book
+	turns map[*life.Claim]chan struct{} // closed when a claim that waits is granted
 }
 
 // New returns an empty Pool.
@@ -64,24 +48,24 @@
 	if set.Dial == nil {
 		set.Dial = new(net.Dialer).DialContext
 	}
-	return &Pool{set: set, used: map[*Server]bool{}}
+	if set.Illegal == nil {
+		set.Illegal = func(error) {}
+	}
+	return &Pool{set: set, book: life.NewBook(set.Most), turns: map[*life.Claim]chan struct{}{}}
 }
 
 // Acquire returns an idle connection on which the protocol was spoken, or dials a new one: a server that speaks
 // several keeps to one on each connection.
-func (p *Pool) Acquire(ctx context.Context, s *Server, speaks choice.Protocols) (*Conn, error) {
+func (p *Pool) Acquire(ctx context.Context, s *life.Server, speaks choice.Protocols, at *life.Attempt) (*Conn, error) {
 	p.mu.Lock()
-	for i := len(s.idle) - 1; i >= 0; i-- {
-		c := s.idle[i]
-		if c.speaks != speaks {
-			continue
-		}
-		s.idle = slices.Delete(s.idle, i, i+1)
+	for l := p.book.Lend(s, speaks); l != nil; l = p.book.Lend(s, speaks) {
+		c := l.Host.(*Conn)
 		if time.Since(c.since) < p.set.IdleFor && peek.Silent(c.Conn) { // what comes unasked would pass for the next answer
 			p.mu.Unlock()
+			p.heed(at.Connect())
 			return c, nil
 		}
-		p.closeLocked(c)
+		p.returnLocked(c, false)
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.set.DialTimeout)
 	defer cancel()
@@ -91,54 +75,38 @@
 	}
 	p.mu.Unlock()
 
-	c, err := p.set.Dial(ctx, "tcp", s.Addr)
-	if err != nil {
-		p.mu.Lock()
-		p.freeLocked()
-		p.mu.Unlock()
-		return nil, err
-	}
-	return &Conn{Conn: c, speaks: speaks}, nil
-}
-
-// Release takes a connection back, to be used again or to be closed.
-func (p *Pool) Release(s *Server, c *Conn, reuse bool) {
+	p.heed(at.Dial())
+	socket, err := p.set.Dial(ctx, "tcp", s.Addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !reuse || s.Retired() || len(p.queue) > 0 {
-		p.closeLocked(c)
-		return
+	if err != nil {
+		p.grantLocked(p.book.Free())
+		return nil, err
 	}
-	c.since = time.Now()
-	s.idle = append(s.idle, c)
-	p.used[s] = true
-}
-
-func (p *Pool) closeLocked(c *Conn) {
-	c.Close()
-	p.freeLocked()
+	p.heed(at.Connect())
+	c := &Conn{Conn: socket}
+	c.life = p.book.Opened(s, speaks, c)
+	return c, nil
 }
 
-// freeLocked gives up a place, to whoever has waited for longest.
-func (p *Pool) freeLocked() {
-	if len(p.queue) == 0 {
-		p.open--
-		return
+// heed passes on a step that must not come.
+func (p *Pool) heed(err error) {
+	if err != nil {
+		p.set.Illegal(err)
 	}
-	close(p.queue[0])
-	p.queue = slices.Delete(p.queue, 0, 1)
 }
 
-// placeLocked takes a place for a connection: a free one, that of the connection that has been idle for longest, or
-// the next that is given up. Servers that take calls and are silent hold many for as long as a call may take, so an
-// end at once would cost those calls that a short wait would serve.
+// placeLocked waits for a place for a connection.
 func (p *Pool) placeLocked(ctx context.Context) error {
-	if p.open < p.set.Most || p.evictLocked() {
-		p.open++
+	claim, evicted := p.book.Claim()
+	if evicted != nil {
+		evicted.Host.(*Conn).Close()
+	}
+	if claim.Granted() {
 		return nil
 	}
 	turn := make(chan struct{})
-	p.queue = append(p.queue, turn)
+	p.turns[claim] = turn
 	p.mu.Unlock()
 	select {
 	case <-turn:
@@ -147,66 +115,67 @@
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
-	if i := slices.Index(p.queue, turn); i >= 0 {
-		p.queue = slices.Delete(p.queue, i, i+1)
-	} else {
-		p.freeLocked()
+	if delete(p.turns, claim); !p.book.Cancel(claim) {
+		p.grantLocked(p.book.Free()) // it was granted just now
 	}
 	return ErrNoPlace
 }
 
-// evictLocked closes the connection that has been idle for longest, if there is one.
-func (p *Pool) evictLocked() bool {
-	var oldest *Server
-	for s := range p.used {
-		if len(s.idle) > 0 && (oldest == nil || s.idle[0].since.Before(oldest.idle[0].since)) {
-			oldest = s
+// grantLocked wakes the attempt whose claim got a place, if there is one.
+func (p *Pool) grantLocked(claims ...*life.Claim) {
+	for _, c := range claims {
+		if turn := p.turns[c]; turn != nil {
+			close(turn)
+			delete(p.turns, c)
 		}
 	}
-	if oldest == nil {
-		return false
+}
+
+// Release takes a connection back, to be used again or to be closed.
+func (p *Pool) Release(c *Conn, reuse bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.returnLocked(c, reuse)
+}
+
+func (p *Pool) returnLocked(c *Conn, reuse bool) {
+	c.since = time.Now()
+	kept, next, err := p.book.Return(c.life, reuse)
+	p.heed(err)
+	if !kept {
+		c.Close()
+		p.grantLocked(next)
 	}
-	p.closeLocked(oldest.idle[0])
-	oldest.idle = slices.Delete(oldest.idle, 0, 1)
-	return true
 }
 
 // Sweep closes the connections that have been idle for too long or that the server has closed.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for s := range p.used {
-		s.idle = slices.DeleteFunc(s.idle, func(c *Conn) bool {
-			stale := time.Since(c.since) >= p.set.IdleFor || !peek.Silent(c.Conn)
-			if stale {
-				p.closeLocked(c)
-			}
-			return stale
-		})
-		if len(s.idle) == 0 {
-			delete(p.used, s)
+	for _, l := range p.book.Idle() {
+		if c := l.Host.(*Conn); time.Since(c.since) >= p.set.IdleFor || !peek.Silent(c.Conn) {
+			c.Close()
+			next, err := p.book.Drop(l)
+			p.heed(err)
+			p.grantLocked(next)
 		}
 	}
 }
 
 // Retire ends the sending to a server. Attempts in flight go on.
-func (p *Pool) Retire(s *Server) {
-	s.retired.Store(true)
+func (p *Pool) Retire(s *life.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range s.idle {
-		p.closeLocked(c)
+	closed, next := p.book.Retire(s)
+	for _, l := range closed {
+		l.Host.(*Conn).Close()
 	}
-	s.idle = nil
-	delete(p.used, s)
+	p.grantLocked(next...)
 }
 
 // Count returns how many places are taken, how many of them by idle connections, and how many attempts wait for one.
 func (p *Pool) Count() (open, idle, waiting int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for s := range p.used {
-		idle += len(s.idle)
-	}
-	return p.open, idle, len(p.queue)
+	return p.book.Count()
 }
--- a/internal/thriftback/multiplexed.go
+++ b/internal/thriftback/multiplexed.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
 	"ternbeam/choice"
 	"ternbeam/internal/core"
 	"ternbeam/internal/exchange"
+	"ternbeam/internal/life"
 	"ternbeam/internal/pool"
 	"ternbeam/internal/thriftmap"
 	"ternbeam/internal/thriftwire"
@@ -40,7 +42,7 @@
 
 // key is what a line may be shared by.
 type key struct {
-	server *pool.Server
+	server *life.Server
 	speaks choice.Protocols
 }
 
@@ -56,7 +58,7 @@
 	conn *pool.Conn
 
 	mu      sync.Mutex
-	pending map[int32]*ticket // by sequence id: queued, under way, or abandoned with their reply still to come
+	pending map[int32]*ticket // by sequence id
 	queue   []*ticket         // not written yet
 	writing bool
 	seq     int32
@@ -65,33 +67,25 @@
 	suspect bool      // gets nothing new
 }
 
-// stage is how far a ticket has got.
-type stage int
-
-const (
-	queued    stage = iota // nothing of it is written, or ever will be if it is taken out now
-	writing                // some of it may be
-	written                // the last byte is
-	abandoned              // nobody waits for its reply any more
-)
-
-// ticket is one attempt on a line.
+// ticket is one attempt on a line. Its life belongs to whoever holds the line's lock: it is ready while it is queued,
+// and one that has ended while it is still pending was given up, with its reply still to come.
 type ticket struct {
-	ctx   context.Context
-	at    *core.Attempt
-	call  *thriftmap.Call
-	seq   int32
-	stage stage
-	sent  time.Time
-	done  chan core.Ending
+	ctx  context.Context
+	at   *core.Attempt
+	call *thriftmap.Call
+	seq  int32
+	sent time.Time
+	done chan core.Ending
 }
 
+func (t *ticket) stage() life.Stage { return t.at.Life.Stage() }
+
 // attempt makes one attempt.
 func (m *multiplexer) attempt(ctx context.Context, at *core.Attempt) core.Ending {
 	t := &ticket{ctx: ctx, at: at, call: at.Call.Payload.(*thriftmap.Call), done: make(chan core.Ending, 1)}
 	l, err := m.join(ctx, t)
 	if err != nil {
-		return exchange.NoConnection(ctx, err)
+		return exchange.NoConnection(ctx, at, err)
 	}
 	select {
 	case e := <-t.done:
@@ -130,7 +124,7 @@
 	d := &dial{ended: make(chan struct{})}
 	m.dials[k] = d
 	m.mu.Unlock()
-	c, err := m.pool.Acquire(ctx, t.at.Server, k.speaks)
+	c, err := m.pool.Acquire(ctx, t.at.Server, k.speaks, &t.at.Life)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.dials, k)
@@ -148,7 +142,7 @@
 		go l.read()
 	}
 	if !l.enqueue(t, m.calls) { // it broke while it was idle
-		m.pool.Release(t.at.Server, c, false)
+		m.pool.Release(c, false)
 		return nil, errNoLine
 	}
 	m.lines[k] = append(m.lines[k], l)
@@ -171,6 +165,9 @@
 			break
 		}
 	}
+	if t.stage() == life.Placing { // the line is another's that is shared
+		t.at.Heed(t.at.Life.Connect())
+	}
 	t.seq = l.seq
 	l.pending[t.seq] = t
 	l.queue = append(l.queue, t)
@@ -195,14 +192,17 @@
 		for len(l.queue) > 0 && len(buf) < batch && !l.broken {
 			t := l.queue[0]
 			l.queue = l.queue[1:]
+			end, _ := t.ctx.Deadline()
+			before := len(buf)
+			buf = t.call.Frame(buf, t.seq, time.Until(end))
 			// What was right to send when it was queued may not be any more.
-			if e := exchange.Unsent(t.ctx, t.at); e != nil {
-				l.finishLocked(t, *e)
+			if !exchange.Begin(t.ctx, t.at, len(buf)-before) {
+				buf = buf[:before]
+				l.finishLocked(t, core.Ended(t.at.Life.Result()))
 				continue
 			}
-			end, _ := t.ctx.Deadline()
-			t.stage, t.sent = writing, time.Now()
-			buf = t.call.Frame(buf, t.seq, time.Until(end))
+			t.at.Heed(t.at.Life.Unsure())
+			t.sent = time.Now()
 			out, ends = append(out, t), append(ends, len(buf))
 		}
 		if len(out) == 0 {
@@ -216,21 +216,21 @@
 		l.conn.SetWriteDeadline(time.Now().Add(exchange.Stall))
 		n, err := l.conn.Write(buf)
 		l.mu.Lock()
+		begin := 0
 		for i, t := range out {
-			switch {
-			case ends[i] > n: // its last byte was not written, and never will be
-				l.finishLocked(t, core.Ended(choice.ConnectFailed))
-			case t.stage == writing:
-				t.stage = written
-				fallthrough
-			default:
-				if t.call.Method.Oneway {
-					l.finishLocked(t, core.Ended(choice.OK))
-				}
+			if t.stage() != life.Ended {
+				t.at.Heed(t.at.Life.Wrote(min(ends[i], max(begin, n)) - begin))
+			}
+			begin = ends[i]
+			if l.pending[t.seq] != t {
+				continue // its reply has come already
+			}
+			if t.call.Method.Oneway || ends[i] > n { // no reply will come
+				l.endLocked(t, choice.OK, life.Broken)
 			}
 		}
 		if err != nil || l.broken { // the reader may have broken it while this was written
-			l.breakLocked(core.Ended(choice.Reset))
+			l.breakLocked(life.Broken)
 		}
 		l.mu.Unlock()
 	}
@@ -238,26 +238,34 @@
 
 // finishLocked gives a ticket its ending and forgets it.
 func (l *line) finishLocked(t *ticket, e core.Ending) {
-	if l.pending[t.seq] != t {
-		return
-	}
 	delete(l.pending, t.seq)
-	if t.stage != abandoned {
-		t.done <- e
+	t.done <- e
+}
+
+// endLocked ends a ticket: with a result, if it is written whole, or else for a cause.
+func (l *line) endLocked(t *ticket, r choice.Result, c life.Cause) {
+	switch t.stage() {
+	case life.Ended: // nobody waits for it
+		delete(l.pending, t.seq)
+	case life.Waiting:
+		t.at.Heed(t.at.Life.Answer(r))
+		l.finishLocked(t, core.Ended(t.at.Life.Result()))
+	default:
+		l.finishLocked(t, exchange.Fail(t.at, c))
 	}
 }
 
-// breakLocked ends all that is on the line: what may have run as it is told, the rest as never sent.
-func (l *line) breakLocked(e core.Ending) {
+// breakLocked ends all that is on the line: what may have run by its cause, the rest as never sent.
+func (l *line) breakLocked(c life.Cause) {
 	l.broken = true
 	l.conn.Close()
 	for _, t := range l.pending {
-		switch t.stage {
-		case queued:
-			l.finishLocked(t, core.Ended(choice.ConnectFailed))
-		case writing: // its writer sees how far it got
+		switch t.stage() {
+		case life.Ended:
+			delete(l.pending, t.seq)
+		case life.Writing: // its writer sees how far it got
 		default:
-			l.finishLocked(t, e)
+			l.finishLocked(t, exchange.Fail(t.at, c))
 		}
 	}
 	l.queue = nil
@@ -273,28 +281,20 @@
 		return e
 	default:
 	}
-	result := choice.TimedOut
+	cause := life.Late
 	if errors.Is(context.Cause(t.ctx), core.ErrWithdrawn) {
-		result = choice.Cancelled
+		cause = life.Withdrawn
 	}
-	if t.stage == queued {
+	switch t.stage() {
+	case life.Ready:
 		delete(l.pending, t.seq)
-		for i, other := range l.queue {
-			if other == t {
-				l.queue = append(l.queue[:i:i], l.queue[i+1:]...)
-				break
-			}
+		l.queue = slices.DeleteFunc(l.queue, func(other *ticket) bool { return other == t })
+	case life.Waiting:
+		if cause == life.Late && l.heard.Before(t.sent) {
+			l.suspect = true // it has been silent for as long as this call may take
 		}
-		if result == choice.TimedOut {
-			result = choice.NotSent
-		}
-		return core.Ended(result)
-	}
-	if t.stage == written && result == choice.TimedOut && l.heard.Before(t.sent) {
-		l.suspect = true // it has been silent for as long as this call may take
 	}
-	t.stage = abandoned
-	return core.Ended(result)
+	return exchange.Fail(t.at, cause)
 }
 
 // read takes replies until the connection ends.
@@ -306,12 +306,12 @@
 			l.rest()
 			continue
 		}
-		e := core.Ended(choice.Reset)
+		cause := life.Broken
 		if errors.Is(err, exchange.ErrSpoilt) || errors.Is(err, os.ErrDeadlineExceeded) {
-			e = core.Ended(choice.Failed)
+			cause = life.Spoilt
 		}
 		l.mu.Lock()
-		l.breakLocked(e)
+		l.breakLocked(cause)
 		l.mu.Unlock()
 		l.rest()
 		return
@@ -337,15 +337,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.pending[h.Seq]
-	if t == nil || t.stage == queued {
+	if t == nil || t.stage() == life.Ready {
 		return fmt.Errorf("%w: sequence id %d", exchange.ErrSpoilt, h.Seq)
 	}
 	l.heard = time.Now()
 	e, err := ending(t.call, message, h.Seq)
-	if err != nil {
+	switch {
+	case err != nil:
 		return err // this call ends with the others
+	case t.stage() == life.Ended: // late, and nobody's any more
+		delete(l.pending, t.seq)
+	default:
+		t.at.Heed(t.at.Life.Read())
+		t.at.Heed(t.at.Life.Answer(e.Result))
+		l.finishLocked(t, e)
 	}
-	l.finishLocked(t, e)
 	return nil
 }
 
@@ -367,7 +373,7 @@
 	l.mu.Lock()
 	busy, reuse := l.writing, !l.broken && !l.suspect && !l.key.server.Retired()
 	for _, t := range l.pending {
-		busy = busy || reuse || t.stage != abandoned
+		busy = busy || reuse || t.stage() != life.Ended
 	}
 	l.mu.Unlock()
 	if busy {
@@ -378,5 +384,5 @@
 	} else {
 		m.lines[l.key] = append(lines[:at:at], lines[at+1:]...)
 	}
-	m.pool.Release(l.key.server, l.conn, reuse)
+	m.pool.Release(l.conn, reuse)
 }
--- a/internal/thriftback/thriftback_test.go
+++ b/internal/thriftback/thriftback_test.go
@@ -12,6 +12,7 @@
 	"ternbeam/choice"
 	"ternbeam/deploy"
 	"ternbeam/internal/core"
+	"ternbeam/internal/life"
 	"ternbeam/internal/pool"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/standin"
@@ -54,11 +55,11 @@
 	thriftwire.Compact: protocol.ThriftCompact}
 
 // try makes one attempt, of a payOut or a note, and returns its ending.
-func (tr *transport) try(ctx context.Context, s *pool.Server, e thriftwire.Encoding, method, id string) core.Ending {
+func (tr *transport) try(ctx context.Context, s *life.Server, e thriftwire.Encoding, method, id string) core.Ending {
 	return tr.Attempt(ctx, tr.attempt(s, e, method, id))
 }
 
-func (tr *transport) attempt(s *pool.Server, e thriftwire.Encoding, method, id string) *core.Attempt {
+func (tr *transport) attempt(s *life.Server, e thriftwire.Encoding, method, id string) *core.Attempt {
 	tr.t.Helper()
 	w := thriftwire.Writer{Encoding: e}
 	w.Head(thriftwire.Call, []byte(method), thriftwire.AppendSeq(nil, e, 7))
@@ -92,7 +93,7 @@
 
 func (tr *transport) open() int { open, _, _ := tr.pool.Count(); return open }
 
-func start(t testing.TB, o standin.Options) (*standin.Server, *pool.Server) {
+func start(t testing.TB, o standin.Options) (*standin.Server, *life.Server) {
 	t.Helper()
 	o.Protocol = "thrift"
 	s, err := standin.Start(o)
@@ -100,7 +101,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	return s, &pool.Server{ID: "s", Addr: s.Addr(), Multiplexed: o.Multiplexed}
+	return s, &life.Server{ID: "s", Addr: s.Addr(), Multiplexed: o.Multiplexed}
 }
 
 func text(e core.Ending) string {
@@ -240,7 +241,7 @@
 }
 
 // stuck is a server that accepts and reads nothing.
-func stuck(t *testing.T) (*pool.Server, <-chan net.Conn) {
+func stuck(t *testing.T) (*life.Server, <-chan net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -257,7 +258,7 @@
 			conns <- c
 		}
 	}()
-	return &pool.Server{ID: "s", Addr: l.Addr().String(), Multiplexed: true}, conns
+	return &life.Server{ID: "s", Addr: l.Addr().String(), Multiplexed: true}, conns
 }
 
 // blocked writes nothing until it is released.
@@ -381,7 +382,7 @@
 		<-gate
 		return nil, io.ErrClosedPipe
 	}})
-	server := &pool.Server{ID: "s", Addr: "127.0.0.1:1", Multiplexed: true}
+	server := &life.Server{ID: "s", Addr: "127.0.0.1:1", Multiplexed: true}
 	results := make(chan core.Ending, 10)
 	var begun sync.WaitGroup
 	for i := range 10 {
