The lives of calls as a ledger without I/O; the core is its host

Calls, their attempts and the servers were kept in the event loop, between sockets and timers, where no ordering but the one that happened could be tried. Now the ledger takes what happened and says what is to be done; the core carries it out.

--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 
-	"ternbeam/choice"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/life"
+	"ternbeam/internal/ledger"
 )
 
 // Follow watches another discovery from now on; the same one changes nothing.
@@ -45,7 +44,7 @@
 			current(func() {
 				c.log.Warn("the watch ended", "error", err)
 				c.haveWatch = false
-				c.handle(choice.ListUnavailable{})
+				c.do(c.ledger.ListUnavailable(c.Now()))
 			})
 		}
 	}
@@ -56,41 +55,17 @@
 	go c.watch()
 }
 
-// list applies the list of servers or a change of it, here and in the module.
+// list applies the list of servers or a change of it.
 func (c *Core) list(l discovery.List) {
-	ev := choice.ServerList{Full: l.Full}
-	named := make(map[string]bool, len(l.Servers))
+	entries := make([]ledger.Entry, 0, len(l.Servers))
 	for _, e := range l.Servers {
 		s, err := e.Server(c.set.Zones)
 		if err != nil {
 			c.log.Error("passing over an entry of the list", "error", err)
 			continue
 		}
-		ev.Servers = append(ev.Servers, s)
-		named[e.ID] = true
-		c.entry(e, s)
-	}
-	for id, s := range c.servers {
-		if l.Full && !named[id] {
-			c.set.Pool.Retire(s)
-			delete(c.servers, id)
-		}
-	}
-	c.log.Info("list", "version", l.Version, "full", l.Full, "entries", len(l.Servers), "backends", len(c.servers))
-	c.handle(ev)
-}
-
-// entry applies one entry of a list. A server that restarted, moved or speaks otherwise gets new connections.
-func (c *Core) entry(e discovery.Entry, now choice.Server) {
-	s := c.servers[e.ID]
-	if s != nil && (s.Addr != e.Addr || s.Started != e.StartedMS || s.Speaks != now.Speaks ||
-		s.Multiplexed != e.Multiplexed || now.State != choice.Ready) {
-		c.set.Pool.Retire(s)
-		delete(c.servers, e.ID)
-		s = nil
-	}
-	if s == nil && now.State == choice.Ready {
-		c.servers[e.ID] = &life.Server{ID: e.ID, Addr: e.Addr, Started: e.StartedMS, Speaks: now.Speaks,
-			Multiplexed: e.Multiplexed}
+		entries = append(entries, ledger.Entry{Server: s, Addr: e.Addr, Multiplexed: e.Multiplexed})
 	}
+	c.do(c.ledger.List(c.Now(), l.Full, entries))
+	c.log.Info("list", "version", l.Version, "full", l.Full, "entries", len(l.Servers), "backends", len(c.ledger.Servers()))
 }
--- a/internal/core/list_test.go
+++ b/internal/core/list_test.go
@@ -75,10 +75,10 @@
 		t.Run(name, func(t *testing.T) {
 			c := newCore(t, "127.0.0.1:1")
 			c.list(discovery.List{Full: true, Servers: []discovery.Entry{e}})
-			old, next := c.servers["b"], e
+			old, next := c.ledger.Server("b"), e
 			change(&next)
 			c.list(discovery.List{Servers: []discovery.Entry{next}})
-			now := c.servers["b"]
+			now := c.ledger.Server("b")
 			if kept := now == old; kept != (name == "nothing") || old.Retired() == kept {
 				t.Errorf("the same: %t, retired: %t", kept, old.Retired())
 			}
@@ -97,7 +97,7 @@
 		{ID: "b", Addr: "127.0.0.1:1", State: "in_service", Multiplexed: true},
 		{ID: "c", Addr: "nowhere", State: "in_service"},
 		{ID: "d", Addr: "127.0.0.1:1", State: "in_service", Protocol: "thrift-compact", Multiplexed: true}}})
-	if s := c.servers["d"]; len(c.servers) != 1 || s == nil || s.Speaks != protocol.ThriftCompact || !s.Multiplexed {
-		t.Errorf("knows %v", c.servers)
+	if s := c.ledger.Server("d"); len(c.ledger.Servers()) != 1 || s == nil || s.Speaks != protocol.ThriftCompact || !s.Multiplexed {
+		t.Errorf("knows %v", c.ledger.Servers())
 	}
 }
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,372 @@
+// Package ledger holds the lives of calls: it owns the decision module, keeps account of calls, their attempts and the
+// servers, and says what is to be done. It does no I/O and reads no clock. The core is its host; the explorer is
+// another.
+package ledger
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ternbeam/choice"
+	"ternbeam/internal/life"
+)
+
+// Call is one call of a client. Its Needs name the protocol that a server must speak to be sent it.
+type Call struct {
+	choice.Request
+	Payload any          // for the transports of that protocol
+	Answer  func(Answer) // takes the one final answer, on the loop: it must not block
+
+	over     atomic.Bool // the final answer is given, or the client is gone
+	attempts []*Attempt  // by number; nil for one that has ended
+	out      int         // attempts in flight
+}
+
+// Over reports whether the call has its final answer or its client is gone: nothing may be sent for it any more.
+func (c *Call) Over() bool { return c.over.Load() }
+
+// End gives the call up from outside a Ledger; transports under test use it.
+func (c *Call) End() { c.over.Store(true) }
+
+// Kind is what a final answer says.
+type Kind int
+
+// The kinds of final answers.
+const (
+	Served    Kind = iota
+	Refused        // trying again does no harm
+	Failed         // no promise about its effect
+	Duplicate      // a call with this id is under way
+)
+
+// Answer is the final answer to a call.
+type Answer struct {
+	Kind  Kind
+	After time.Duration // of a refusal: when to come back, 0 where that is not said
+	Reply any           // of a served call: what the transport brought
+}
+
+// Attempt is one attempt of a call at a server.
+type Attempt struct {
+	Call   *Call
+	Number int
+	Server *life.Server
+	Sent   time.Duration // on the module's clock
+	End    time.Duration // when it is given up, on the same
+	Life   life.Attempt  // its transport's
+
+	// Illegal takes a step that must not come: a fault of this program. None is taken where it is nil.
+	Illegal  func(error)
+	Withdraw context.CancelCauseFunc // the host's: ends the attempt's context
+}
+
+// Heed passes on an illegal step, if it is one.
+func (at *Attempt) Heed(err error) {
+	if err != nil && at.Illegal != nil {
+		at.Illegal(err)
+	}
+}
+
+// Ending is how an attempt ended.
+type Ending struct {
+	Result choice.Result
+	Report choice.Report
+	Reply  any // where it was served
+}
+
+// Ended is an Ending that brought nothing.
+func Ended(r choice.Result) Ending { return Ending{Result: r, Report: choice.NoReport} }
+
+// Entry is an entry of the list of servers.
+type Entry struct {
+	choice.Server
+	Addr        string
+	Multiplexed bool
+}
+
+// OrderKind names what an Order asks for.
+type OrderKind int
+
+// The kinds of orders.
+const (
+	Begin     OrderKind = iota // Attempt
+	Withdraw                   // Attempt
+	Reply                      // Answer to Call
+	SetTimer                   // Fired with Token is owed at At
+	Subscribe                  // to the list
+	Retire                     // Server: its idle connections are closed
+)
+
+// Order is something that the host is to do. Orders are carried out in their order.
+type Order struct {
+	Kind    OrderKind
+	Attempt *Attempt
+	Call    *Call
+	Answer  Answer
+	Token   uint64
+	At      time.Duration
+	Server  *life.Server
+}
+
+// Stats are counts since the start.
+type Stats struct {
+	Requests, Served, Refused, Failed, Gone int
+	Attempts, Reports                       int
+	Results                                 [choice.NotSent + 1]int
+}
+
+// Settings are what a Ledger is made of.
+type Settings struct {
+	MaxAttempts int
+	MostHeld    int                               // calls not answered yet; 0 for no bound
+	Carries     func(needs choice.Protocols) bool // whether there is a transport for them
+	Illegal     func(error)
+}
+
+// Ledger keeps the calls. It is not safe for concurrent use.
+type Ledger struct {
+	set      Settings
+	balancer *choice.Balancer
+	now      time.Duration
+	queue    []choice.Event // to be handled; actions of one event may cause the next
+	handling bool
+	orders   []Order
+	calls    map[string]*Call // not answered yet, or with attempts in flight
+	servers  map[string]*life.Server
+	open     int // calls not answered yet
+	stats    Stats
+}
+
+// New returns a Ledger over a module.
+func New(set Settings, balancer *choice.Balancer) *Ledger {
+	return &Ledger{set: set, balancer: balancer, calls: map[string]*Call{}, servers: map[string]*life.Server{}}
+}
+
+// begin opens the handling of something that has happened. The orders that it returns hold until the next.
+func (l *Ledger) begin(now time.Duration) { l.now, l.orders = now, l.orders[:0] }
+
+func (l *Ledger) order(o Order) { l.orders = append(l.orders, o) }
+
+// Start returns what is to be done before anything happens.
+func (l *Ledger) Start(now time.Duration) []Order {
+	l.begin(now)
+	l.perform(l.balancer.Start(now))
+	return l.orders
+}
+
+// Fired says that a timer is due.
+func (l *Ledger) Fired(now time.Duration, token uint64) []Order {
+	l.begin(now)
+	l.handle(choice.TimerFired{Token: token})
+	return l.orders
+}
+
+// ListUnavailable says that the watch on the list ended.
+func (l *Ledger) ListUnavailable(now time.Duration) []Order {
+	l.begin(now)
+	l.handle(choice.ListUnavailable{})
+	return l.orders
+}
+
+// Arrived takes a call from its front.
+func (l *Ledger) Arrived(now time.Duration, call *Call) []Order {
+	l.begin(now)
+	l.stats.Requests++
+	switch {
+	case l.calls[call.ID] != nil: // an id is never repeated
+		l.order(Order{Kind: Reply, Call: call, Answer: Answer{Kind: Duplicate}})
+	case l.set.MostHeld > 0 && l.open >= l.set.MostHeld: // turned away before the module, as in the simulator
+		l.order(Order{Kind: Reply, Call: call, Answer: Answer{Kind: Refused}})
+	default:
+		l.calls[call.ID] = call
+		l.open++
+		l.handle(call.Request)
+	}
+	return l.orders
+}
+
+// Left takes the news that a call's client has gone away.
+func (l *Ledger) Left(now time.Duration, call *Call) []Order {
+	l.begin(now)
+	if l.calls[call.ID] == call && !call.Over() {
+		l.stats.Gone++
+		l.end(call)
+		l.handle(choice.ClientGone{Request: call.ID})
+		l.forget(call)
+	}
+	return l.orders
+}
+
+// Ended takes the end of an attempt. The first that is served answers the client.
+func (l *Ledger) Ended(now time.Duration, at *Attempt, e Ending) []Order {
+	l.begin(now)
+	call := at.Call
+	call.attempts[at.Number] = nil
+	call.out--
+	l.stats.Results[e.Result]++
+	if e.Report != choice.NoReport {
+		l.stats.Reports++
+	}
+	if e.Result == choice.OK && l.finish(call.ID, Answer{Kind: Served, Reply: e.Reply}) {
+		l.stats.Served++
+	}
+	l.handle(choice.Outcome{Request: call.ID, Attempt: at.Number, Server: at.Server.ID, Result: e.Result,
+		Took: now - at.Sent, Closed: call.Over(), Report: e.Report})
+	l.forget(call)
+	return l.orders
+}
+
+// List applies the list of servers or a change of it, here and in the module.
+func (l *Ledger) List(now time.Duration, full bool, entries []Entry) []Order {
+	l.begin(now)
+	ev := choice.ServerList{Full: full}
+	named := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		ev.Servers = append(ev.Servers, e.Server)
+		named[e.ID] = true
+		l.entry(e)
+	}
+	for id := range l.servers {
+		if full && !named[id] {
+			l.retire(id)
+		}
+	}
+	l.handle(ev)
+	return l.orders
+}
+
+// entry applies one entry of a list. A server that restarted, moved or speaks otherwise gets new connections.
+func (l *Ledger) entry(e Entry) {
+	started := e.Started.Milliseconds()
+	s := l.servers[e.ID]
+	if s != nil && (s.Addr != e.Addr || s.Started != started || s.Speaks != e.Speaks || s.Multiplexed != e.Multiplexed ||
+		e.State != choice.Ready) {
+		l.retire(e.ID)
+		s = nil
+	}
+	if s == nil && e.State == choice.Ready {
+		l.servers[e.ID] = &life.Server{ID: e.ID, Addr: e.Addr, Started: started, Speaks: e.Speaks, Multiplexed: e.Multiplexed}
+	}
+}
+
+// retire ends the sending to a server: from this moment on, not only when the order is carried out.
+func (l *Ledger) retire(id string) {
+	l.servers[id].Retire()
+	l.order(Order{Kind: Retire, Server: l.servers[id]})
+	delete(l.servers, id)
+}
+
+// handle gives the module an event and performs what it orders. Events that the actions cause wait until all
+// actions are performed, as these are valid only until the module's next call.
+func (l *Ledger) handle(ev choice.Event) {
+	l.queue = append(l.queue, ev)
+	if l.handling {
+		return
+	}
+	l.handling = true
+	for i := 0; i < len(l.queue); i++ {
+		l.perform(l.balancer.Handle(l.now, l.queue[i]))
+	}
+	clear(l.queue)
+	l.queue, l.handling = l.queue[:0], false
+}
+
+// perform carries out the module's actions. It has no case for probes and messages to peers: the configuration
+// rules the ones out, and the module sends none of the others.
+func (l *Ledger) perform(actions []choice.Action) {
+	for _, act := range actions {
+		switch act.Kind {
+		case choice.SetTimer:
+			l.order(Order{Kind: SetTimer, Token: act.Token, At: l.now + act.After})
+		case choice.Subscribe:
+			l.order(Order{Kind: Subscribe})
+		case choice.Send:
+			if call := l.calls[act.Request]; call != nil {
+				l.send(call, act.Server, act.After)
+			}
+		case choice.Cancel:
+			call := l.calls[act.Request]
+			if call != nil && act.Attempt < len(call.attempts) && call.attempts[act.Attempt] != nil {
+				l.order(Order{Kind: Withdraw, Attempt: call.attempts[act.Attempt]})
+			}
+		case choice.Refuse:
+			if l.finish(act.Request, Answer{Kind: Refused, After: act.After}) {
+				l.stats.Refused++
+			}
+		case choice.Fail:
+			if l.finish(act.Request, Answer{Kind: Failed}) {
+				l.stats.Failed++
+			}
+		}
+	}
+}
+
+// send begins an attempt, or tells the module at once why there is none. Attempts are numbered in the order in
+// which the module orders them, those that are not sent included.
+func (l *Ledger) send(call *Call, server string, after time.Duration) {
+	n := len(call.attempts)
+	call.attempts = append(call.attempts, nil)
+	l.stats.Attempts++
+	end := call.Deadline
+	if after != 0 {
+		end = min(end, l.now+after)
+	}
+	s := l.servers[server]
+	failed := choice.Outcome{Request: call.ID, Attempt: n, Server: server, Closed: call.Over(), Report: choice.NoReport}
+	switch {
+	case failed.Closed || n >= l.set.MaxAttempts || end <= l.now || !l.set.Carries(call.Needs):
+		failed.Result = choice.NotSent
+	case s == nil:
+		failed.Result = choice.ConnectFailed
+	default:
+		at := &Attempt{Call: call, Number: n, Server: s, Sent: l.now, End: end, Illegal: l.set.Illegal}
+		call.attempts[n] = at
+		call.out++
+		l.order(Order{Kind: Begin, Attempt: at})
+		return
+	}
+	l.stats.Results[failed.Result]++
+	l.handle(failed)
+}
+
+// finish gives a call its final answer, if it has none yet.
+func (l *Ledger) finish(id string, ans Answer) bool {
+	call := l.calls[id]
+	if call == nil || call.Over() {
+		return false
+	}
+	l.end(call)
+	l.order(Order{Kind: Reply, Call: call, Answer: ans})
+	l.forget(call)
+	return true
+}
+
+func (l *Ledger) end(call *Call) {
+	call.over.Store(true)
+	l.open--
+}
+
+// forget drops a call that is answered and has no attempt in flight.
+func (l *Ledger) forget(call *Call) {
+	if call.Over() && call.out == 0 && l.calls[call.ID] == call {
+		delete(l.calls, call.ID)
+	}
+}
+
+// Count returns how many calls are not answered yet, and how many these and those with attempts in flight are.
+func (l *Ledger) Count() (open, held int) { return l.open, len(l.calls) }
+
+// Stats returns the counts since the start.
+func (l *Ledger) Stats() Stats { return l.stats }
+
+// Servers returns the ids of those that can be sent to.
+func (l *Ledger) Servers() (ids []string) {
+	for id := range l.servers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Server returns one that can be sent to, or nil.
+func (l *Ledger) Server(id string) *life.Server { return l.servers[id] }
--- a/internal/life/conn.go
+++ b/internal/life/conn.go
@@ -1,7 +1,6 @@
 package life
 
 import (
-	"container/list"
 	"fmt"
 	"slices"
 	"sync/atomic"
@@ -23,6 +22,9 @@
 // Retired reports whether the server drains, is gone or was replaced: nothing new is sent.
 func (s *Server) Retired() bool { return s.retired.Load() }
 
+// Retire says that nothing new may be sent from now on.
+func (s *Server) Retire() { s.retired.Store(true) }
+
 // ConnState is the state of a connection to a server.
 type ConnState int
 
@@ -43,7 +45,8 @@
 	Speaks choice.Protocols // what is spoken on it
 	Host   any              // the connection itself
 	state  ConnState
-	turn   *list.Element // among all that are idle
+
+	before, after *Conn // among all that are idle, by when they became so
 }
 
 // State returns the connection's state.
@@ -70,16 +73,19 @@
 	open  int // places that are taken
 	queue []*Claim
 	idle  map[*Server][]*Conn // the latest last
-	order *list.List          // all that are idle, the longest first
+	ring  Conn                // all that are idle, the longest first, and back to it
+	count int                 // of them
 }
 
 // NewBook returns a Book for so many connections at the most.
 func NewBook(most int) *Book {
-	return &Book{most: most, idle: map[*Server][]*Conn{}, order: list.New()}
+	b := &Book{most: most, idle: map[*Server][]*Conn{}}
+	b.ring.before, b.ring.after = &b.ring, &b.ring
+	return b
 }
 
 // Count returns how many places are taken, how many of them by idle connections, and how many claims wait.
-func (b *Book) Count() (open, idle, waiting int) { return b.open, b.order.Len(), len(b.queue) }
+func (b *Book) Count() (open, idle, waiting int) { return b.open, b.count, len(b.queue) }
 
 // Lend lends an idle connection to a server on which the protocol is spoken, the latest that became idle, or nil. The
 // caller looks whether it is still silent, and gives it back to be closed if not.
@@ -104,8 +110,8 @@
 	case b.open < b.most:
 		b.open++
 		c.granted = true
-	case b.order.Len() > 0:
-		evicted = b.order.Front().Value.(*Conn)
+	case b.count > 0:
+		evicted = b.ring.after
 		b.forget(evicted)
 		evicted.state = Closed // its place goes on
 		c.granted = true
@@ -144,7 +150,9 @@
 			return false, nil, err
 		}
 		b.idle[c.Server] = append(b.idle[c.Server], c)
-		c.turn = b.order.PushBack(c)
+		c.before, c.after = b.ring.before, &b.ring
+		c.before.after, b.ring.before = c, c
+		b.count++
 		return true, nil, nil
 	}
 	if err := c.to(Closed, InUse); err != nil {
@@ -164,20 +172,21 @@
 
 // Retire ends the sending to a server and returns its idle connections, which are closed. Those in use go on.
 func (b *Book) Retire(s *Server) (closed []*Conn, next []*Claim) {
-	s.retired.Store(true)
+	s.Retire()
 	closed = slices.Clone(b.idle[s])
 	for _, c := range closed {
 		if claim, err := b.Drop(c); err == nil && claim != nil {
 			next = append(next, claim)
 		}
 	}
+	delete(b.idle, s)
 	return closed, next
 }
 
 // Idle returns all idle connections, the longest first.
 func (b *Book) Idle() (all []*Conn) {
-	for e := b.order.Front(); e != nil; e = e.Next() {
-		all = append(all, e.Value.(*Conn))
+	for c := b.ring.after; c != &b.ring; c = c.after {
+		all = append(all, c)
 	}
 	return all
 }
@@ -187,13 +196,11 @@
 	return &Conn{Server: s, Speaks: speaks, Host: host}
 }
 
-// forget takes a connection out of the idle ones.
+// forget takes a connection out of the idle ones. The room for those of its server is kept until it retires.
 func (b *Book) forget(c *Conn) {
-	if all := slices.DeleteFunc(b.idle[c.Server], func(o *Conn) bool { return o == c }); len(all) == 0 {
-		delete(b.idle, c.Server)
-	} else {
-		b.idle[c.Server] = all
-	}
-	b.order.Remove(c.turn)
-	c.turn = nil
+	all := b.idle[c.Server]
+	b.idle[c.Server] = slices.DeleteFunc(all, func(o *Conn) bool { return o == c })
+	c.before.after, c.after.before = c.after, c.before
+	c.before, c.after = nil, nil
+	b.count--
 }
