A keyed repeat is written within its window, however long its connection takes

The module held a repeat against the window when it ordered it; the dial or the write could then take until the window was over, and the pod would have run the call a second time. The module now says by when a repeat must be written whole, and the transports hold to it: it is not begun later, and the write has that deadline.

--- a/choice/api.go
+++ b/choice/api.go
@@ -209,7 +209,7 @@
 
 // The kinds of actions.
 const (
-	Send      ActionKind = iota // Request to Server, given up after After (0: when the client does)
+	Send      ActionKind = iota // Request to Server, given up after After (0: when the client does); see Within
 	Cancel                      // attempt number Attempt of Request
 	Refuse                      // Request: trying again does no harm; the client stays away for After
 	Fail                        // Request: no promise about its effect
@@ -226,6 +226,7 @@
 	Server  string
 	Attempt int
 	After   time.Duration
+	Within  time.Duration // a Send must be written whole so soon, or not at all; 0 for any time
 	Token   uint64
 	Data    []byte
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -485,11 +485,16 @@
 	}
 	s.spare--
 	s.held++
+	first := r.mayHaveRun()
 	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, out: true}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.inFlight = append(s.inFlight, a)
-	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID})
+	send := Action{Kind: Send, Request: r.ID, Server: s.ID}
+	if first != nil && r.class.Effect == Keyed { // maySend looks at the window too, but a connection takes time
+		send.Within = first.sent + r.class.Window - b.set.Tick - b.now
+	}
+	b.act(send)
 }
 
 func (b *Balancer) outcome(o Outcome) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -231,6 +231,9 @@
 func (c *Core) begin(at *Attempt) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	at.Withdraw = cancel
+	if at.SendBy != 0 {
+		at.WriteBy = c.at(at.SendBy)
+	}
 	transport := c.set.Transports[at.Call.Needs]
 	c.workers.run(func() {
 		ctx, stop := context.WithDeadline(ctx, c.at(at.End))
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -68,7 +68,7 @@
 // Begin asks whether an attempt that has a connection may still be sent.
 func Begin(ctx context.Context, at *core.Attempt, size int) bool {
 	send, err := at.Life.Begin(size, life.Now{Withdrawn: errors.Is(context.Cause(ctx), core.ErrWithdrawn),
-		Late: ctx.Err() != nil, Over: at.Call.Over(), Retired: at.Server.Retired()})
+		Late: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), Over: at.Call.Over(), Retired: at.Server.Retired()})
 	at.Heed(err)
 	return send
 }
@@ -99,6 +99,9 @@
 func (t *Transport) exchange(ctx context.Context, c *pool.Conn, at *core.Attempt, talk Talk, message []byte,
 	end time.Time) (e core.Ending, reuse bool) {
 	c.SetDeadline(end)
+	if !at.WriteBy.IsZero() && at.WriteBy.Before(end) {
+		c.SetWriteDeadline(at.WriteBy)
+	}
 	undisturbed := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	in := inflows.Get().(*Inflow)
 	defer inflows.Put(in)
--- /dev/null
+++ b/internal/explore/properties.go
@@ -0,0 +1,109 @@
+package explore
+
+import (
+	"slices"
+
+	"ternbeam/choice"
+	"ternbeam/internal/ledger"
+	"ternbeam/internal/life"
+)
+
+// The properties, each checked where it could cease to hold. What a property looks at is kept by the world itself, from
+// what clients and servers see.
+
+// answered: exactly one final answer for each call taken, by its deadline; none after its client left; a served answer
+// is the one that this call's own attempt brought; no refusal of what can have run, but of what may be repeated.
+func (w *world) answered(c *call, a ledger.Answer) {
+	switch c.answers = append(c.answers, a); {
+	case !c.asked:
+		w.violate("%s is answered before it is asked", c.life.ID)
+	case c.left:
+		w.violate("%s is answered after its client left", c.life.ID)
+	case len(c.answers) > 1:
+		w.violate("%s is answered twice", c.life.ID)
+	case w.now > start+deadline:
+		w.violate("%s is answered after its deadline", c.life.ID)
+	}
+	if a.Kind == ledger.Served {
+		if t, ok := a.Reply.(*try); !ok || t.call != c || t.Life.Result() != choice.OK {
+			w.violate("%s is served what is not its own", c.life.ID)
+		}
+	}
+	w.checkRefusal(c)
+}
+
+// checkRefusal: a refusal is a promise, before and after.
+func (w *world) checkRefusal(c *call) {
+	refused := slices.ContainsFunc(c.answers, func(a ledger.Answer) bool { return a.Kind == ledger.Refused })
+	if refused && c.effect != choice.Safe && len(c.runs) > 0 {
+		w.violate("%s is refused and may have run at %s", c.life.ID, c.runs[0].server)
+	}
+}
+
+// checkBegin: attempts never exceed the most allowed.
+func (w *world) checkBegin(t *try) {
+	if t.call.attempts++; t.call.attempts > w.cfg.Attempts {
+		w.violate("%s has %d attempts", t.call.life.ID, t.call.attempts)
+	}
+}
+
+// checkSend: nothing is sent after a final answer or the deadline, nor to a server after its drain was told.
+func (w *world) checkSend(t *try, retired bool) {
+	c := t.call
+	switch {
+	case len(c.answers) > 0 || c.left:
+		w.violate("attempt %d of %s is sent after its final answer", t.Number, c.life.ID)
+	case retired:
+		w.violate("attempt %d of %s is sent to %s after its drain", t.Number, c.life.ID, t.Server.ID)
+	case w.now >= start+deadline:
+		w.violate("attempt %d of %s is sent after its deadline", t.Number, c.life.ID)
+	case t.withdrawn:
+		w.violate("attempt %d of %s is sent after it was withdrawn", t.Number, c.life.ID)
+	}
+}
+
+// checkRun: an unsafe call runs once at most, a keyed one only within its group and window.
+func (w *world) checkRun(c *call) {
+	first, last := c.runs[0], c.runs[len(c.runs)-1]
+	switch {
+	case len(c.runs) < 2 || c.effect == choice.Safe:
+	case c.effect == choice.Unsafe:
+		w.violate("%s may run at %s and again at %s", c.life.ID, first.server, last.server)
+	case first.cell != last.cell:
+		w.violate("%s may run at %s and, in another group, at %s", c.life.ID, first.server, last.server)
+	case last.at-first.at >= window:
+		w.violate("%s may run at %s and, beyond its window, at %s", c.life.ID, first.server, last.server)
+	}
+	w.checkRefusal(c)
+}
+
+// checkEnding: what is told to have never run has not.
+func (w *world) checkEnding(t *try, e ledger.Ending) {
+	never := e.Result == choice.Rejected || e.Result == choice.ConnectFailed || e.Result == choice.NotSent
+	if never && t.ran {
+		w.violate("attempt %d of %s is told to have never run, and may have", t.Number, t.Call.ID)
+	}
+	if t.ran && !t.Life.CanHaveRun() {
+		w.violate("attempt %d of %s may have run, and its life says no", t.Number, t.Call.ID)
+	}
+}
+
+// checkEnd holds when nothing more can happen: every call has its answer, and places and counts return to zero.
+func (w *world) checkEnd() {
+	for _, c := range w.calls {
+		if c.asked && !c.left && len(c.answers) != 1 {
+			w.violate("%s has %d answers when all is over", c.life.ID, len(c.answers))
+		}
+	}
+	for _, t := range w.tries {
+		if t.Life.Stage() != life.Ended {
+			w.violate("attempt %d of %s is %v when all is over", t.Number, t.Call.ID, t.Life.Stage())
+		}
+	}
+	if open, held := w.ledger.Count(); open != 0 || held != 0 {
+		w.violate("%d calls open and %d held when all is over", open, held)
+	}
+	if open, idle, waiting := w.book.Count(); open != idle || waiting != 0 {
+		w.violate("%d places taken, %d idle and %d waited for when all is over", open, idle, waiting)
+	}
+}
--- a/internal/httpback/httpback_test.go
+++ b/internal/httpback/httpback_test.go
@@ -58,11 +58,12 @@
 		meanwhile func(u *exchange.Transport, a *core.Attempt, withdraw context.CancelCauseFunc)
 		want      choice.Result
 	}{
-		"nothing":      {func(*exchange.Transport, *core.Attempt, context.CancelCauseFunc) {}, choice.OK},
-		"answered":     {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.End() }, choice.NotSent},
-		"drains":       {func(u *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { u.Pool.Retire(a.Server) }, choice.ConnectFailed},
-		"withdrawn":    {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(core.ErrWithdrawn) }, choice.Cancelled},
-		"time is over": {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(context.DeadlineExceeded) }, choice.NotSent},
+		"nothing":        {func(*exchange.Transport, *core.Attempt, context.CancelCauseFunc) {}, choice.OK},
+		"answered":       {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.End() }, choice.NotSent},
+		"drains":         {func(u *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { u.Pool.Retire(a.Server) }, choice.ConnectFailed},
+		"withdrawn":      {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(core.ErrWithdrawn) }, choice.Cancelled},
+		"window is over": {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.WriteBy = time.Now() }, choice.NotSent},
+		"time is over":   {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(context.DeadlineExceeded) }, choice.NotSent},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var seen testkit.Counter
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -54,11 +54,13 @@
 	Server *life.Server
 	Sent   time.Duration // on the module's clock
 	End    time.Duration // when it is given up, on the same
+	SendBy time.Duration // its last byte must be written before, on the same; 0 for any time
 	Life   life.Attempt  // its transport's
 
 	// Illegal takes a step that must not come: a fault of this program. None is taken where it is nil.
 	Illegal  func(error)
 	Withdraw context.CancelCauseFunc // the host's: ends the attempt's context
+	WriteBy  time.Time               // the host's: SendBy on the system's clock
 }
 
 // Heed passes on an illegal step, if it is one.
@@ -283,7 +285,7 @@
 			l.order(Order{Kind: Subscribe})
 		case choice.Send:
 			if call := l.calls[act.Request]; call != nil {
-				l.send(call, act.Server, act.After)
+				l.send(call, act)
 			}
 		case choice.Cancel:
 			call := l.calls[act.Request]
@@ -304,16 +306,16 @@
 
 // send begins an attempt, or tells the module at once why there is none. Attempts are numbered in the order in
 // which the module orders them, those that are not sent included.
-func (l *Ledger) send(call *Call, server string, after time.Duration) {
+func (l *Ledger) send(call *Call, act choice.Action) {
 	n := len(call.attempts)
 	call.attempts = append(call.attempts, nil)
 	l.stats.Attempts++
 	end := call.Deadline
-	if after != 0 {
-		end = min(end, l.now+after)
+	if act.After != 0 {
+		end = min(end, l.now+act.After)
 	}
-	s := l.servers[server]
-	failed := choice.Outcome{Request: call.ID, Attempt: n, Server: server, Closed: call.Over(), Report: choice.NoReport}
+	s := l.servers[act.Server]
+	failed := choice.Outcome{Request: call.ID, Attempt: n, Server: act.Server, Closed: call.Over(), Report: choice.NoReport}
 	switch {
 	case failed.Closed || n >= l.set.MaxAttempts || end <= l.now || !l.set.Carries(call.Needs):
 		failed.Result = choice.NotSent
@@ -321,6 +323,9 @@
 		failed.Result = choice.ConnectFailed
 	default:
 		at := &Attempt{Call: call, Number: n, Server: s, Sent: l.now, End: end, Illegal: l.set.Illegal}
+		if act.Within != 0 {
+			at.SendBy = l.now + act.Within
+		}
 		call.attempts[n] = at
 		call.out++
 		l.order(Order{Kind: Begin, Attempt: at})
--- a/internal/thriftback/multiplexed.go
+++ b/internal/thriftback/multiplexed.go
@@ -62,9 +62,10 @@
 	queue   []*ticket         // not written yet
 	writing bool
 	seq     int32
-	heard   time.Time // the latest reply
-	broken  bool      // nothing more can be told from what comes
-	suspect bool      // gets nothing new
+	heard   time.Time  // the latest reply
+	broken  bool       // nothing more can be told from what comes
+	cause   life.Cause // why
+	suspect bool       // gets nothing new
 }
 
 // ticket is one attempt on a line. Its life belongs to whoever holds the line's lock: it is ready while it is queued,
@@ -188,6 +189,8 @@
 	var ends []int // of their frames in buf
 	for {
 		buf, out, ends = buf[:0], out[:0], ends[:0]
+		// A server that takes nothing holds up all calls on the line; as long as an answer may pause is long enough.
+		by := time.Now().Add(exchange.Stall)
 		l.mu.Lock()
 		for len(l.queue) > 0 && len(buf) < batch && !l.broken {
 			t := l.queue[0]
@@ -203,6 +206,9 @@
 			}
 			t.at.Heed(t.at.Life.Unsure())
 			t.sent = time.Now()
+			if w := t.at.WriteBy; !w.IsZero() && w.Before(by) {
+				by = w
+			}
 			out, ends = append(out, t), append(ends, len(buf))
 		}
 		if len(out) == 0 {
@@ -212,8 +218,7 @@
 			return
 		}
 		l.mu.Unlock()
-		// A server that takes nothing holds up all calls on the line; as long as an answer may pause is long enough.
-		l.conn.SetWriteDeadline(time.Now().Add(exchange.Stall))
+		l.conn.SetWriteDeadline(by)
 		n, err := l.conn.Write(buf)
 		l.mu.Lock()
 		begin := 0
@@ -257,7 +262,9 @@
 
 // breakLocked ends all that is on the line: what may have run by its cause, the rest as never sent.
 func (l *line) breakLocked(c life.Cause) {
-	l.broken = true
+	if !l.broken {
+		l.broken, l.cause = true, c
+	}
 	l.conn.Close()
 	for _, t := range l.pending {
 		switch t.stage() {
@@ -265,7 +272,7 @@
 			delete(l.pending, t.seq)
 		case life.Writing: // its writer sees how far it got
 		default:
-			l.finishLocked(t, exchange.Fail(t.at, c))
+			l.finishLocked(t, exchange.Fail(t.at, l.cause))
 		}
 	}
 	l.queue = nil
