An explorer of every ordering of a small world, and fourteen planted bugs that it finds

Rare orderings of dial, write, answer, reset, deadline, leave and drain were met by chance only. The explorer plays the host of the module, the ledger, the attempts and the book of connections, breadth first, with chance at its least and its most, and tells the shortest story that breaks a property.

--- /dev/null
+++ b/cmd/ternbeam-explore/main.go
@@ -0,0 +1,122 @@
+// Command ternbeam-explore tries every ordering of what can happen to a few calls at a few servers, on the code that
+// runs in service, and tells the shortest story that breaks a property. See docs/ops/explore.md.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/alecthomas/kong"
+
+	"ternbeam/choice"
+	"ternbeam/internal/explore"
+)
+
+type commands struct {
+	Run    runCommand    `cmd:"" help:"Explore a world."`
+	Replay replayCommand `cmd:"" help:"Play a story from a file, step by step."`
+}
+
+type runCommand struct {
+	World    string   `help:"A world by name (unsafe, keyed, one-cell, one-place); the other flags are not heeded then."`
+	Servers  int      `default:"2" help:"Servers."`
+	Calls    []string `default:"safe,keyed,unsafe" help:"The effects of the calls."`
+	Attempts int      `default:"2" help:"The most attempts of a call."`
+	Places   int      `default:"2" help:"Places for connections."`
+	Lists    int      `default:"1" help:"Changes of the list."`
+	Leaves   int      `default:"1" help:"Clients that may leave."`
+	Cells    int      `default:"2" help:"Groups of servers that drop one another's repeats."`
+	Most     int      `default:"20000000" help:"States at which to stop."`
+	Save     string   `help:"Save the story of a fault in this file." placeholder:"FILE"`
+}
+
+var effects = []string{choice.Safe: "safe", choice.Keyed: "keyed", choice.Unsafe: "unsafe"}
+
+func (r *runCommand) config() (explore.Config, error) {
+	if r.World != "" {
+		cfg, ok := explore.Worlds[r.World]
+		if !ok {
+			return cfg, fmt.Errorf("no world is called %q", r.World)
+		}
+		return cfg, nil
+	}
+	cfg := explore.Config{Servers: r.Servers, Attempts: r.Attempts, Places: r.Places, Lists: r.Lists, Leaves: r.Leaves, Cells: r.Cells}
+	for _, name := range r.Calls {
+		e := slices.Index(effects, name)
+		if e < 0 {
+			return cfg, fmt.Errorf("no effect is called %q", name)
+		}
+		cfg.Calls = append(cfg.Calls, choice.Effect(e))
+	}
+	return cfg, nil
+}
+
+// errFault is the end of a run that found a fault.
+var errFault = errors.New("a property does not hold")
+
+// Run explores.
+func (r *runCommand) Run() error {
+	cfg, err := r.config()
+	if err != nil {
+		return err
+	}
+	report := explore.Explore(cfg, r.Most)
+	fmt.Printf("%d states, %d transitions, depth %d, %d ends, complete %t, in %v\n", report.States, report.Transitions,
+		report.Depth, report.Ends, report.Complete, report.Took.Round(1e6))
+	if report.Fault == "" {
+		taken, all := report.Coverage()
+		fmt.Printf("%d of %d kinds of steps taken", taken, all)
+		for _, name := range report.Untaken() {
+			fmt.Printf("; never: %s", name)
+		}
+		fmt.Println()
+		return nil
+	}
+	if _, err := explore.Replay(cfg, report.Story, os.Stdout); err != nil {
+		return err
+	}
+	fmt.Printf("%d steps: %s\n", len(report.Story), report.Fault)
+	if r.Save != "" {
+		text, err := explore.Tell(cfg, report.Fault, report.Story)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(r.Save, text, 0o644); err != nil {
+			return err
+		}
+	}
+	return errFault
+}
+
+type replayCommand struct {
+	File string `arg:"" help:"A story that run saved."`
+}
+
+// Run plays a story.
+func (r *replayCommand) Run() error {
+	text, err := os.ReadFile(r.File)
+	if err != nil {
+		return err
+	}
+	cfg, steps, err := explore.Read(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", r.File, err)
+	}
+	fault, err := explore.Replay(cfg, steps, os.Stdout)
+	if err == nil && fault != "" {
+		fmt.Println(fault)
+		err = errFault
+	}
+	return err
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("ternbeam-explore"), kong.Description("Try every ordering of a small world."))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "ternbeam-explore:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -3,23 +3,15 @@
 import (
 	"io"
 	"os"
+	"reflect"
 	"slices"
+	"strings"
 	"testing"
-
-	"ternbeam/choice"
 )
 
-// small are the worlds that CI goes through.
-var small = map[string]Config{
-	"unsafe alone":    {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Lists: 1, Leaves: 1, Cells: 2},
-	"keyed alone":     {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Lists: 1, Leaves: 1, Cells: 2},
-	"keyed, one cell": {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 3, Places: 1, Lists: 0, Leaves: 0, Cells: 1},
-	"two, one place":  {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 1, Places: 1, Lists: 1, Leaves: 0, Cells: 1},
-}
-
 // Every ordering of a small world, to the end: no property is broken.
 func TestSmallWorlds(t *testing.T) {
-	for name, cfg := range small {
+	for name, cfg := range Worlds {
 		t.Run(name, func(t *testing.T) {
 			r := Explore(cfg, 1<<20)
 			if r.Fault != "" {
@@ -37,12 +29,12 @@
 // Found by exploring: a repeat that was right when it was ordered waited for its connection, or to be written, until
 // the first attempt's window was over, and ran a second time.
 func TestKeyedRepeatIsWrittenWithinItsWindow(t *testing.T) {
-	cfg := small["keyed alone"]
+	cfg := Worlds["keyed"]
 	before := []Step{{Kind: Ask}, {Kind: Acquire}, {Kind: DialSucceeds}, {Kind: Send}, {Kind: WriteAll}, {Kind: AnswerError},
 		{Kind: Take}, {Kind: Acquire, N: 1}}
 	for name, rest := range map[string][]Step{
-		"while it is written":       {{Kind: Send, N: 1}, {Kind: Time}, {Kind: WriteAll, N: 1}},
-		"while it waits to be sent": {{Kind: Time}, {Kind: Send, N: 1}, {Kind: WriteAll, N: 1}},
+		"while it is written":       {{Kind: Send, N: 1}, {Kind: Time}, {Kind: Time}, {Kind: WriteAll, N: 1}},
+		"while it waits to be sent": {{Kind: Time}, {Kind: Time}, {Kind: Send, N: 1}, {Kind: WriteAll, N: 1}},
 	} {
 		story := slices.Concat(before, rest)
 		if _, err := Replay(cfg, story[:len(story)-1], io.Discard); err != nil {
@@ -53,3 +45,24 @@
 		}
 	}
 }
+
+// A story that is told and read again is the same, and what is no story is an error.
+func TestStoriesAreKept(t *testing.T) {
+	cfg, steps := Worlds["keyed"], []Step{{Kind: Ask, Most: true}, {Kind: Acquire}, {Kind: DialFails}, {Kind: Take}}
+	text, err := Tell(cfg, "none", steps)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gotCfg, got, err := Read(text)
+	if err != nil || !slices.Equal(got, steps) || !reflect.DeepEqual(gotCfg, cfg) {
+		t.Errorf("%+v %v, %v", gotCfg, got, err)
+	}
+	for _, bad := range []string{"", "{}", `{"World":{"Servers":99}}`, strings.Replace(string(text), "dial fails", "dances", 1)} {
+		if _, _, err := Read([]byte(bad)); err == nil {
+			t.Errorf("no error for %q", bad)
+		}
+	}
+	if _, err := Replay(cfg, []Step{{Kind: Take}}, io.Discard); err == nil {
+		t.Error("an impossible step is played")
+	}
+}
--- /dev/null
+++ b/internal/explore/planted_test.go
@@ -0,0 +1,75 @@
+package explore
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// planted are bugs, each a single change of the code that runs, and the world in which it shows.
+var planted = []struct{ name, file, old, new, world string }{
+	{"told as never run after the last byte", "internal/life/attempt.go", "case !a.CanHaveRun():", "case true:", "unsafe"},
+	{"refused after a reset", "choice/choice.go", "} else if r.mayRefuse() {", "} else if true {", "unsafe"},
+	{"answered twice as the reply meets the deadline", "internal/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil {", "unsafe"},
+	{"connection used again with bytes behind the answer", "internal/explore/world.go", "if !wireOf(c).foreign {", "if true {", "one-place"},
+	{"sent to a server after its drain", "internal/life/attempt.go", "case now.Retired:", "case now.Retired && now.Late:", "unsafe"},
+	{"window not looked at when a repeat is written", "choice/choice.go", "first != nil && r.class.Effect == Keyed {", "first != nil && r.class.Effect == Unsafe {", "keyed"},
+	{"window counted from the repeat", "choice/choice.go", "send.Within = first.sent", "send.Within = b.now", "keyed"},
+	{"group of a keyed call not looked at", "choice/choice.go", "return s.Cell == first.srv.Cell", "return true", "keyed"},
+	{"unsafe call sent again", "choice/choice.go", "case first == nil || c.Effect == Safe:", "case first == nil || c.Effect != Keyed:", "unsafe"},
+	{"place leaked where a dial fails", "internal/life/conn.go", "\t\tb.open--\n", "", "unsafe"},
+	{"count not lowered on what is not sent", "internal/ledger/ledger.go", "\tcall.out--\n", "\tif e.Result != choice.NotSent {\n\t\tcall.out--\n\t}\n", "unsafe"},
+	{"sent after the final answer", "internal/life/attempt.go", "case now.Late || now.Over:", "case now.Late:", "unsafe"},
+	{"sent after the deadline", "internal/life/attempt.go", "case now.Late || now.Over:", "case now.Over:", "unsafe"},
+	{"answered after its client left", "internal/ledger/ledger.go", "\t\tl.stats.Gone++\n\t\tl.end(call)\n", "\t\tl.stats.Gone++\n", "unsafe"},
+}
+
+// Each planted bug is found. The program is built from the sources with the one change laid over them.
+func TestPlantedBugs(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := regexp.MustCompile(`(\d+) states(?s:.*\n)(\d+) steps: (.*)`)
+	for _, bug := range planted {
+		t.Run(bug.name, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			source := filepath.Join(root, bug.file)
+			text, err := os.ReadFile(source)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if strings.Count(string(text), bug.old) != 1 {
+				t.Fatalf("%s does not hold %q once", bug.file, bug.old)
+			}
+			changed, overlay := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
+			if err := os.WriteFile(changed, []byte(strings.Replace(string(text), bug.old, bug.new, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			over, err := json.Marshal(map[string]any{"Replace": map[string]string{source: changed}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(overlay, over, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			program := filepath.Join(dir, "explore")
+			build := exec.Command("go", "build", "-overlay", overlay, "-o", program, "./cmd/ternbeam-explore")
+			build.Dir = root
+			if out, err := build.CombinedOutput(); err != nil {
+				t.Fatalf("%v\n%s", err, out)
+			}
+			out, err := exec.Command(program, "run", "--world", bug.world).CombinedOutput()
+			found := told.FindSubmatch(out)
+			if err == nil || found == nil {
+				t.Fatalf("not found: %v\n%s", err, out)
+			}
+			t.Logf("%s steps, %s states: %s", found[2], found[1], found[3])
+		})
+	}
+}
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -156,3 +156,16 @@
 	}
 	return w.fault, nil
 }
+
+// Coverage returns how many kinds of steps were taken, of how many.
+func (r *Report) Coverage() (taken, all int) { return int(kinds) - len(r.Untaken()), int(kinds) }
+
+// Untaken lists the kinds of steps that were never taken.
+func (r *Report) Untaken() (names []string) {
+	for k, n := range r.Steps {
+		if n == 0 {
+			names = append(names, kindNames[k])
+		}
+	}
+	return names
+}
--- a/internal/explore/steps.go
+++ b/internal/explore/steps.go
@@ -168,10 +168,12 @@
 	return best
 }
 
-// next is the next moment that matters: a keyed call's window is over, or the deadline comes.
+// next is the next moment that matters: the midst of a keyed call's window and its end, where there is such a call, and
+// the deadline.
 func (w *world) next() time.Duration {
-	for _, at := range []time.Duration{start + window, start + deadline} {
-		if at > w.now {
+	keyed := slices.Contains(w.cfg.Calls, choice.Keyed)
+	for i, at := range []time.Duration{start + window/2, start + window, start + deadline} {
+		if at > w.now && (keyed || i == 2) {
 			return at
 		}
 	}
