The explorer ends with two calls: fewer steps that differ in nothing, argued

Worlds of two calls with two attempts did not end within a minute. Bytes that come unasked are now met where they matter, a whole write that nothing can tell from a later one is one step, and what can decide nothing any more is not told apart.

--- a/internal/explore/steps.go
+++ b/internal/explore/steps.go
@@ -15,38 +15,40 @@
 
 // The kinds of steps.
 const (
-	Ask          Kind = iota // a client asks; N is the call
-	Leave                    // a client leaves; N is the call
-	Drain                    // the list says that a server drains; N is the server
-	Restart                  // it says that a server has restarted at its address
-	Gone                     // it says that a server is gone
-	Time                     // time passes to the next moment at which something is due
-	Fire                     // the loop takes the next timer that is due
-	Take                     // the loop takes the next ending of an attempt
-	Acquire                  // from here on N is the attempt: it asks for a connection
-	DialSucceeds             // its dial succeeds
-	DialFails                // its dial fails
-	Send                     // it is sent, if that is still right
-	WriteAll                 // its last byte is written
-	WriteCut                 // the connection breaks before the last byte is written
-	AnswerOK                 // the server serves it
-	AnswerError              // the server answers with an error
-	AnswerReject             // the server turns it away
-	AnswerTwice              // the server serves it, and sends the reply a second time
-	AnswerEarly              // the server turns it away before all is written
-	AnswerSpoilt             // nobody can tell what the server answers
-	Reset                    // the connection breaks after the last byte
-	Withdraw                 // its host sees that it was withdrawn
-	TimeOut                  // its host sees that its time is over
-	Foreign                  // the server speaks unasked on idle connection N
+	Ask           Kind = iota // a client asks; N is the call
+	Leave                     // a client leaves; N is the call
+	Drain                     // the list says that a server drains; N is the server
+	Restart                   // it says that a server has restarted at its address
+	Gone                      // it says that a server is gone
+	Time                      // time passes to the next moment at which something is due
+	Fire                      // the loop takes the next timer that is due
+	Take                      // the loop takes the next ending of an attempt
+	Acquire                   // from here on N is the attempt: it asks for a connection
+	AcquireSpoken             // the same, and the server has spoken unasked on the idle one that it would get
+	DialSucceeds              // its dial succeeds
+	DialFails                 // its dial fails
+	Send                      // it is sent, if that is still right
+	SendWhole                 // it is sent, if that is still right, and its last byte is written
+	WriteAll                  // its last byte is written
+	WriteCut                  // the connection breaks before the last byte is written
+	AnswerOK                  // the server serves it
+	AnswerError               // the server answers with an error
+	AnswerReject              // the server turns it away
+	AnswerTwice               // the server serves it, and sends the reply a second time
+	AnswerEarly               // the server turns it away before all is written
+	AnswerSpoilt              // nobody can tell what the server answers
+	Reset                     // the connection breaks after the last byte
+	Withdraw                  // its host sees that it was withdrawn
+	TimeOut                   // its host sees that its time is over
 	kinds
 )
 
 var kindNames = [kinds]string{"asks", "leaves", "drains", "restarts", "is gone", "time passes",
-	"the loop fires a timer", "the loop takes an ending", "asks for a connection", "dial succeeds", "dial fails", "is sent",
+	"the loop fires a timer", "the loop takes an ending", "asks for a connection",
+	"asks for a connection, where the idle one has spoken unasked", "dial succeeds", "dial fails", "is sent", "is sent whole",
 	"last byte is written", "breaks before the last byte", "is served", "is answered with an error", "is turned away",
 	"is served twice", "is turned away before all is written", "gets a spoilt answer", "breaks after the last byte",
-	"is seen to be withdrawn", "is out of time", "gets bytes that nobody asked for"}
+	"is seen to be withdrawn", "is out of time"}
 
 // Step is one step: what happens, to what, and what chance gives where the module draws.
 type Step struct {
@@ -68,8 +70,6 @@
 		return fmt.Sprintf("the list says: server %d %s", s.N, kindNames[s.Kind])
 	case s.Kind <= Take:
 		return kindNames[s.Kind] + luck
-	case s.Kind == Foreign:
-		return fmt.Sprintf("idle connection %d %s", s.N, kindNames[s.Kind])
 	}
 	return fmt.Sprintf("attempt %d %s", s.N, kindNames[s.Kind])
 }
@@ -115,14 +115,20 @@
 		case life.Placing:
 			if t.claim == nil {
 				add(Acquire, i)
+				if w.lends(t) != nil {
+					add(AcquireSpoken, i)
+				}
 			} else if t.claim.Granted() {
 				add(DialSucceeds, i)
 				add(DialFails, i)
 			}
 		case life.Ready:
 			add(Send, i)
+			if t.call.effect != choice.Keyed {
+				add(SendWhole, i)
+			}
 		case life.Writing:
-			if t.SendBy == 0 || w.now < t.SendBy { // or the host's deadline for the write is over
+			if t.call.effect == choice.Keyed && (t.SendBy == 0 || w.now < t.SendBy) { // or the write's deadline is over
 				add(WriteAll, i)
 			}
 			add(WriteCut, i)
@@ -141,11 +147,6 @@
 	if w.due() >= 0 {
 		drawn(Fire, 0)
 	}
-	for i, c := range w.book.Idle() {
-		if on := wireOf(c); !on.foreign {
-			add(Foreign, i)
-		}
-	}
 	if (under || len(w.posts) > 0 || w.open()) && w.due() < 0 && w.next() > 0 {
 		add(Time, 0)
 	}
@@ -184,7 +185,7 @@
 func (w *world) take(s Step) {
 	w.chance.most = s.Most
 	var t *try
-	if s.Kind >= Acquire && s.Kind != Foreign {
+	if s.Kind >= Acquire {
 		t = w.tries[s.N]
 	}
 	switch s.Kind {
@@ -207,10 +208,13 @@
 		w.do(w.ledger.Fired(w.now, token))
 	case Take:
 		p := w.posts[0]
-		w.posts = w.posts[1:]
+		w.posts, p.try.taken = w.posts[1:], true
 		w.do(w.ledger.Ended(w.now, p.try.Attempt, p.ending))
 	case Acquire:
 		w.acquire(t)
+	case AcquireSpoken:
+		wireOf(w.lends(t)).foreign = true
+		w.acquire(t)
 	case DialSucceeds:
 		t.Heed(t.Life.Dial())
 		w.opened(t)
@@ -219,6 +223,10 @@
 		w.fail(t, life.Broken)
 	case Send:
 		w.send(t)
+	case SendWhole:
+		if w.send(t); t.Life.Stage() == life.Writing {
+			w.write(t, size)
+		}
 	case WriteAll:
 		w.write(t, size)
 	case WriteCut:
@@ -249,11 +257,19 @@
 			cause = life.NoPlace
 		}
 		w.fail(t, cause)
-	case Foreign:
-		wireOf(w.book.Idle()[s.N]).foreign = true
 	}
 }
 
+// lends is the idle connection that an attempt would get, or nil.
+func (w *world) lends(t *try) (last *life.Conn) {
+	for _, c := range w.book.Idle() {
+		if c.Server == t.Server && c.Speaks == t.Call.Needs {
+			last = c
+		}
+	}
+	return last
+}
+
 // change lets the list say something of a server.
 func (w *world) change(s Step) {
 	w.lists++
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -4,6 +4,7 @@
 package explore
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"slices"
@@ -101,7 +102,7 @@
 	conn      *life.Conn
 	withdrawn bool
 	ran       bool // its server got it whole, and has not said otherwise
-	sentAfter bool
+	taken     bool // the loop has taken its ending
 }
 
 // wire is what is on a connection besides what its attempt waits for.
@@ -318,8 +319,10 @@
 			to = append(to, map[bool]byte{true: 1}[x])
 		}
 	}
-	num(int(w.now), w.lists, w.leaves, len(w.tries), len(w.posts))
-	to = w.module.Fingerprint(to)
+	num(int(w.now), w.lists, w.leaves, len(w.posts))
+	if w.open() || w.now == start && !w.calls[len(w.calls)-1].asked {
+		to = w.module.Fingerprint(to)
+	} // or there is nothing left that it could decide
 	timers := slices.Clone(w.timers)
 	slices.SortFunc(timers, func(a, b timer) int { return int(a.at - b.at) })
 	for _, t := range timers {
@@ -347,7 +350,13 @@
 		num(int(c.Server.Started))
 		flag(wireOf(c).foreign, c.Server.Retired())
 	}
-	for _, t := range w.tries {
+	// Those whose ending the loop has taken are in the books above. The others by their calls: in what order they were
+	// begun is a matter of names.
+	live := slices.DeleteFunc(slices.Clone(w.tries), func(t *try) bool { return t.taken })
+	slices.SortFunc(live, func(a, b *try) int {
+		return cmp.Or(cmp.Compare(a.Call.ID, b.Call.ID), cmp.Compare(a.Number, b.Number))
+	})
+	for _, t := range live {
 		a := t.Life
 		num(t.Number, int(a.Stage()), int(a.Result()), int(t.End), int(t.SendBy))
 		to = append(append(to, t.Call.ID...), 0)
@@ -358,7 +367,8 @@
 		}
 	}
 	for _, p := range w.posts {
-		num(p.try.n, int(p.ending.Result))
+		to = append(append(to, p.try.Call.ID...), 0)
+		num(p.try.Number, int(p.ending.Result))
 	}
 	open, idle, waiting := w.book.Count()
 	num(open, idle, waiting)
