--- a/internal/agent/thrift_test.go
+++ b/internal/agent/thrift_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -71,7 +70,7 @@
 // answer reads one frame and its head.
 func answer(t *testing.T, c net.Conn) ([]byte, thriftwire.Head) {
 	t.Helper()
-	m, err := readFrame(c)
+	m, err := thriftwire.ReadFrame(c, 1<<20)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
 	}
@@ -82,16 +81,6 @@
 	return m, h
 }
 
-func readFrame(c io.Reader) ([]byte, error) {
-	var prefix [4]byte
-	if _, err := io.ReadFull(c, prefix[:]); err != nil {
-		return nil, err
-	}
-	m := make([]byte, binary.BigEndian.Uint32(prefix[:]))
-	_, err := io.ReadFull(c, m)
-	return m, err
-}
-
 // A frame that a client cuts off at any byte is no call, and hurts nobody else.
 func TestClientCutsAtEveryByte(t *testing.T) {
 	for _, e := range encodings {
@@ -213,7 +202,7 @@
 			c.Write(call(e, 5, "before "+name))
 			c.Write(f)
 			waiting.Go(func() { // the call before is answered, then the connection ends
-				m, err := readFrame(c)
+				m, err := thriftwire.ReadFrame(c, 1<<20)
 				if err != nil || !bytes.Contains(m, []byte("receipt of before")) {
 					t.Errorf("%v, %s: the call before got % x, %v", e, name, m, err)
 				}
--- a/internal/conffile/conffile.go
+++ b/internal/conffile/conffile.go
@@ -94,9 +94,6 @@
 	}
 }
 
-// Has reports whether the file has a key.
-func (f *File) Has(key string) bool { return f.lines[key] > 0 }
-
 // Err returns all problems, by their lines, or nil.
 func (f *File) Err() error {
 	slices.SortStableFunc(f.problems, func(a, b problem) int { return a.line - b.line })
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync/atomic"
@@ -18,7 +19,7 @@
 )
 
 // ErrWithdrawn is the cause with which the context of an attempt ends that the module cancels.
-var ErrWithdrawn = fmt.Errorf("withdrawn by the module")
+var ErrWithdrawn = errors.New("withdrawn by the module")
 
 // What fronts and transports know of a call is the ledger's.
 type (
@@ -202,7 +203,7 @@
 	c.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
 		"gone", s.Gone, "malformed", c.malformed.Load(), "attempts", s.Attempts, "reports", s.Reports,
 		"results", s.Results, "open", open, "held", held, "timers", len(c.timers),
-		"backends", len(c.ledger.Servers()), "connections", connections, "waiting", waiting)
+		"backends", c.ledger.ServerCount(), "connections", connections, "waiting", waiting)
 }
 
 // do carries out the ledger's orders.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -204,7 +204,7 @@
 
 // expect sets how long the next bytes may take: till the end, or less once an answer has begun.
 func (f *Inflow) expect(begun bool) {
-	if f.conn == nil || begun == f.begun {
+	if begun == f.begun {
 		return // the end is what the exchange has set
 	}
 	f.begun = begun
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -80,7 +80,6 @@
 	asked    bool
 	left     bool
 	answers  []ledger.Answer
-	reply    *try // whose reply it was served
 	runs     []run
 	attempts int
 }
@@ -132,7 +131,6 @@
 	for i, e := range cfg.Calls {
 		c := &call{effect: e}
 		c.life = &ledger.Call{Request: choice.Request{ID: fmt.Sprint("call ", i), Class: slices.Index(effects, e)}}
-		c.life.Answer = func(ledger.Answer) {} // the order is what counts
 		w.calls = append(w.calls, c)
 	}
 	var entries []ledger.Entry
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -365,6 +365,9 @@
 // Stats returns the counts since the start.
 func (l *Ledger) Stats() Stats { return l.stats }
 
+// ServerCount returns how many servers can be sent to.
+func (l *Ledger) ServerCount() int { return len(l.servers) }
+
 // Servers returns the ids of those that can be sent to.
 func (l *Ledger) Servers() (ids []string) {
 	for id := range l.servers {
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -5,10 +5,8 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -66,7 +64,7 @@
 }
 
 func answerThrift(in *bufio.Reader, c net.Conn, protocol string) error {
-	m, err := frame(in)
+	m, err := thriftwire.ReadFrame(in, mostFrame)
 	if err != nil {
 		return err
 	}
@@ -89,15 +87,8 @@
 	return err
 }
 
-func frame(in *bufio.Reader) ([]byte, error) {
-	var prefix [4]byte
-	if _, err := io.ReadFull(in, prefix[:]); err != nil {
-		return nil, err
-	}
-	m := make([]byte, binary.BigEndian.Uint32(prefix[:])&0xffffff)
-	_, err := io.ReadFull(in, m)
-	return m, err
-}
+// mostFrame bounds what is read, in bytes.
+const mostFrame = 1 << 20
 
 // Client asks over one connection.
 type Client struct {
@@ -153,7 +144,7 @@
 	if _, err := c.conn.Write(thriftwire.AppendFrame(nil, w.Buf)); err != nil {
 		return err
 	}
-	m, err := frame(c.in)
+	m, err := thriftwire.ReadFrame(c.in, mostFrame)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -28,35 +29,27 @@
 	Cores             float64
 }
 
-func or[T comparable](x, usual T) T {
-	var none T
-	if x == none {
-		return usual
-	}
-	return x
-}
-
 // Config words the configuration of an agent, as NODE_CONFIG names it.
 func (p Platform) Config() []byte {
-	deadline, aim := or(p.Deadline, 20*time.Second), or(p.Aim, 600*time.Millisecond)
+	deadline, aim := cmp.Or(p.Deadline, 20*time.Second), cmp.Or(p.Aim, 600*time.Millisecond)
 	class := func(m Method, effect string, worth float64) map[string]any {
 		return map[string]any{"Name": Classes[m], "Effect": effect, "Group": "all", "AimNs": aim, "DeadlineNs": deadline,
 			"Worth": worth}
 	}
 	record := class(Record, "by_key", 10)
-	record["Group"], record["WindowNs"] = "cell", or(p.Window, 2*time.Second)
+	record["Group"], record["WindowNs"] = "cell", cmp.Or(p.Window, 2*time.Second)
 	tenants := []map[string]string{}
 	for _, t := range Tenants {
 		tenants = append(tenants, map[string]string{"Name": t})
 	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": p.Listen, "discovery": p.Discovery,
 		"seed": "8c1f30d27a5be964", "known": p.Known,
-		"limits": map[string]any{"cores": or(p.Cores, 1), "memory_mb": 192, "sockets": or(p.Sockets, 1024)},
+		"limits": map[string]any{"cores": cmp.Or(p.Cores, 1), "memory_mb": 192, "sockets": cmp.Or(p.Sockets, 1024)},
 		"settings": map[string]any{"Balancers": 1,
 			"Classes": []any{class(Check, "repeatable", 2), record, class(Pay, "once", 10), class(Note, "repeatable", 1)},
-			"Ceilings": map[string]any{"ConnIdleNs": or(p.ConnIdle, time.Minute),
-				"ConnectTimeoutNs": or(p.ConnectTimeout, 5*time.Second), "MayCancel": p.Cancel, "ParallelTries": p.Cancel,
-				"MostHeld": or(p.MostHeld, 1000), "MostTries": or(p.MostTries, 3),
+			"Ceilings": map[string]any{"ConnIdleNs": cmp.Or(p.ConnIdle, time.Minute),
+				"ConnectTimeoutNs": cmp.Or(p.ConnectTimeout, 5*time.Second), "MayCancel": p.Cancel, "ParallelTries": p.Cancel,
+				"MostHeld": cmp.Or(p.MostHeld, 1000), "MostTries": cmp.Or(p.MostTries, 3),
 				"RetryAfter": p.MaxRetryAfter > 0, "MaxRetryAfterNs": p.MaxRetryAfter},
 			"Discovery": "automatic", "Report": map[string]any{"Fields": []string{"util", "qps", "eps"}},
 			"Rules":  map[string]any{"ColdFrom": 0.2, "ColdNs": p.ColdFor},
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -390,7 +391,7 @@
 		c.Close()
 		return false
 	case CutReply:
-		c.Write(text[:min(len(text), or(step.Cut, len(text)/2))])
+		c.Write(text[:min(len(text), cmp.Or(step.Cut, len(text)/2))])
 		c.Close()
 		return false
 	case Trickle:
--- a/internal/thriftback/multiplexed.go
+++ b/internal/thriftback/multiplexed.go
@@ -17,7 +17,6 @@
 	"ternbeam/internal/life"
 	"ternbeam/internal/pool"
 	"ternbeam/internal/thriftmap"
-	"ternbeam/internal/thriftwire"
 )
 
 // multiplexer sends several calls at a time on a connection and tells their replies apart by sequence ids of its own.
@@ -231,7 +230,7 @@
 				continue // its reply has come already
 			}
 			if t.call.Method.Oneway || ends[i] > n { // no reply will come
-				l.endLocked(t, choice.OK, life.Broken)
+				l.endUnansweredLocked(t)
 			}
 		}
 		if err != nil || l.broken { // the reader may have broken it while this was written
@@ -247,16 +246,16 @@
 	t.done <- e
 }
 
-// endLocked ends a ticket: with a result, if it is written whole, or else for a cause.
-func (l *line) endLocked(t *ticket, r choice.Result, c life.Cause) {
+// endUnansweredLocked ends a ticket that no reply will come to: a oneway that is written whole, or what is not.
+func (l *line) endUnansweredLocked(t *ticket) {
 	switch t.stage() {
 	case life.Ended: // nobody waits for it
 		delete(l.pending, t.seq)
 	case life.Waiting:
-		t.at.Heed(t.at.Life.Answer(r))
+		t.at.Heed(t.at.Life.Answer(choice.OK))
 		l.finishLocked(t, core.Ended(t.at.Life.Result()))
 	default:
-		l.finishLocked(t, exchange.Fail(t.at, c))
+		l.finishLocked(t, exchange.Fail(t.at, life.Broken))
 	}
 }
 
@@ -333,14 +332,10 @@
 		return err
 	}
 	l.conn.SetReadDeadline(time.Now().Add(exchange.Stall))
-	message, err := readFrame(in, l.m.most)
+	h, message, err := readMessage(in, l.m.most)
 	if err != nil {
 		return err
 	}
-	h, err := thriftwire.ReadHead(message)
-	if err != nil {
-		return fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.pending[h.Seq]
@@ -348,7 +343,7 @@
 		return fmt.Errorf("%w: sequence id %d", exchange.ErrSpoilt, h.Seq)
 	}
 	l.heard = time.Now()
-	e, err := ending(t.call, message, h.Seq)
+	e, err := ending(t.call, h, message, h.Seq)
 	switch {
 	case err != nil:
 		return err // this call ends with the others
--- a/internal/thriftback/serial.go
+++ b/internal/thriftback/serial.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -63,35 +64,27 @@
 	if err := in.Begin(); err != nil {
 		return core.Ending{}, false, err
 	}
-	message, err := readFrame(in, t.most)
+	h, message, err := readMessage(in, t.most)
 	if err != nil {
 		return core.Ending{}, false, err
 	}
-	e, err := ending(t.call, message, t.seq)
+	e, err := ending(t.call, h, message, t.seq)
 	return e, true, err
 }
 
-// readFrame reads one frame. Its bound is looked at before anything is allocated.
-func readFrame(in io.Reader, most int) ([]byte, error) {
-	var prefix [4]byte
-	if _, err := io.ReadFull(in, prefix[:]); err != nil {
-		return nil, err
+// readMessage reads one frame and its head. What is none is spoilt.
+func readMessage(in io.Reader, most int) (h thriftwire.Head, message []byte, err error) {
+	if message, err = thriftwire.ReadFrame(in, most); err == nil {
+		h, err = thriftwire.ReadHead(message)
 	}
-	n, err := thriftwire.FrameLength(prefix, most)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
+	if errors.Is(err, thriftwire.ErrMalformed) {
+		err = fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
 	}
-	message := make([]byte, n)
-	_, err = io.ReadFull(in, message)
-	return message, err
+	return h, message, err
 }
 
 // ending says what a reply means for the attempt.
-func ending(call *thriftmap.Call, message []byte, seq int32) (core.Ending, error) {
-	h, err := thriftwire.ReadHead(message)
-	if err != nil {
-		return core.Ending{}, fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
-	}
+func ending(call *thriftmap.Call, h thriftwire.Head, message []byte, seq int32) (core.Ending, error) {
 	out, err := call.ReadReply(h, message, seq)
 	if err != nil {
 		return core.Ending{}, fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
--- a/internal/thriftwire/thriftwire.go
+++ b/internal/thriftwire/thriftwire.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"unicode/utf8"
 )
@@ -64,13 +65,10 @@
 
 // Kinds of application exceptions, as TApplicationException numbers them.
 const (
-	UnknownMethod    = 1
-	InvalidType      = 2 // of a message
-	BadSequenceID    = 4
-	InternalError    = 6
-	ProtocolError    = 7
-	InvalidTransform = 8
-	InvalidProtocol  = 9
+	UnknownMethod = 1
+	InvalidType   = 2 // of a message
+	InternalError = 6
+	ProtocolError = 7
 )
 
 // MaxName bounds a method's name, in bytes.
@@ -95,6 +93,21 @@
 	return int(n), nil
 }
 
+// ReadFrame reads one frame. Its bound is looked at before anything is allocated.
+func ReadFrame(in io.Reader, most int) ([]byte, error) {
+	var prefix [4]byte
+	if _, err := io.ReadFull(in, prefix[:]); err != nil {
+		return nil, err
+	}
+	n, err := FrameLength(prefix, most)
+	if err != nil {
+		return nil, err
+	}
+	m := make([]byte, n)
+	_, err = io.ReadFull(in, m)
+	return m, err
+}
+
 // Head is what stands before a message's struct. The offsets are those in the message, without the frame's length.
 type Head struct {
 	Encoding       Encoding
