One set-up of an agent for demo, load tool and tests; readiness is told, not polled

The stand-in platform's configuration and the sample service were read in four places in the same way, and two of them asked over HTTP, again and again, what the core tells.

--- a/cmd/ternbeam-load/main.go
+++ b/cmd/ternbeam-load/main.go
@@ -23,12 +23,9 @@
 
 	"github.com/alecthomas/kong"
 
-	"ternbeam/deploy"
 	"ternbeam/internal/agent"
-	"ternbeam/internal/config"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/loadgen"
-	"ternbeam/internal/thriftmap"
 )
 
 type commands struct {
@@ -320,11 +317,7 @@
 				Zone: "z", State: "in_service", Protocol: protocol})
 		}
 	}
-	cfg, err := config.Parse(p.Config())
-	if err != nil {
-		return err
-	}
-	service, err := thriftmap.Parse([]byte(strings.Replace(deploy.Thrift, "127.0.0.1:9090", "127.0.0.1:0", 1)), cfg.Module.Classes)
+	cfg, service, err := p.Load()
 	if err != nil {
 		return err
 	}
@@ -341,19 +334,10 @@
 	defer cancel()
 	failed := make(chan error, 1)
 	go func() { failed <- node.Run(ctx, nil) }()
-	for {
-		select {
-		case err := <-failed:
-			return err
-		default:
-		}
-		resp, err := http.Get("http://" + at.HTTP + "/ready")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return stay(at)
-			}
-		}
-		time.Sleep(10 * time.Millisecond)
+	select {
+	case <-node.Ready():
+		return stay(at)
+	case err := <-failed:
+		return err
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,6 +93,9 @@
 	return addrs, nil
 }
 
+// Ready is closed when clients may begin.
+func (a *Agent) Ready() <-chan struct{} { return a.core.Ready() }
+
 func (a *Agent) thriftAddr() string {
 	if a.thrift == nil {
 		return ""
--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -7,11 +7,8 @@
 	"sync/atomic"
 	"testing"
 
-	"ternbeam/deploy"
-	"ternbeam/internal/config"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/loadgen"
-	"ternbeam/internal/thriftmap"
 )
 
 // BenchmarkThrough makes calls through an agent, 16 at a time, to servers that answer at once; direct is the same
@@ -32,11 +29,7 @@
 			p.Known.Servers = append(p.Known.Servers, discovery.Entry{ID: id, Addr: l.Addr().String(), Zone: "z",
 				State: "in_service", Protocol: name})
 		}
-		cfg, err := config.Parse(p.Config())
-		if err != nil {
-			b.Fatal(err)
-		}
-		service, err := thriftmap.Parse([]byte(strings.Replace(deploy.Thrift, "127.0.0.1:9090", "127.0.0.1:0", 1)), cfg.Module.Classes)
+		cfg, service, err := p.Load()
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -1,15 +1,11 @@
 package agent
 
 import (
-	"strings"
 	"testing"
 	"time"
 
-	"ternbeam/deploy"
-	"ternbeam/internal/config"
 	"ternbeam/internal/standin"
 	"ternbeam/internal/testkit"
-	"ternbeam/internal/thriftmap"
 )
 
 // speech is a way in which kiosks and servers speak.
@@ -55,15 +51,10 @@
 	}
 	p.Discovery, p.Known = list.Addr(), list.Full()
 	p.Known.Version = 0 // so that the watch has something to say, and the agent is ready at once
-	cfg, err := config.Parse(p.Config())
-	if err != nil {
-		t.Fatal(err)
-	}
-	text := strings.Replace(deploy.Thrift, "127.0.0.1:9090", "127.0.0.1:0", 1)
-	if edit != nil {
-		text = edit(text)
+	if edit == nil {
+		edit = func(text string) string { return text }
 	}
-	service, err := thriftmap.Parse([]byte(text), cfg.Module.Classes)
+	cfg, service, err := p.Load(edit)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,19 +8,14 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
-	"ternbeam/deploy"
 	"ternbeam/internal/agent"
-	"ternbeam/internal/config"
 	"ternbeam/internal/standin"
-	"ternbeam/internal/thriftmap"
 )
 
 // Options say how long the demo lasts and how much is asked.
@@ -144,11 +139,7 @@
 func (d *demo) startAgent() (addrs []string, stop func() error, err error) {
 	p := standin.Platform{Listen: "127.0.0.1:0", Discovery: d.list.Addr(), Deadline: 3 * time.Second, Cancel: true,
 		MaxRetryAfter: time.Second, ColdFor: d.opts.For / 6}
-	cfg, err := config.Parse(p.Config())
-	if err != nil {
-		return nil, nil, err
-	}
-	service, err := thriftmap.Parse([]byte(strings.Replace(deploy.Thrift, "127.0.0.1:9090", "127.0.0.1:0", 1)), cfg.Module.Classes)
+	cfg, service, err := p.Load()
 	if err != nil {
 		return nil, nil, err
 	}
@@ -163,19 +154,11 @@
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx, nil) }()
 	stop = func() error { cancel(); return <-ended }
-	for {
-		resp, err := http.Get("http://" + addrs[0] + "/ready")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return addrs, stop, nil
-			}
-		}
-		select {
-		case err := <-ended:
-			return nil, nil, err
-		case <-time.After(10 * time.Millisecond):
-		}
+	select {
+	case <-a.Ready():
+		return addrs, stop, nil
+	case err := <-ended:
+		return nil, nil, err
 	}
 }
 
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -3,9 +3,13 @@
 import (
 	"cmp"
 	"encoding/json"
+	"strings"
 	"time"
 
+	"ternbeam/deploy"
+	"ternbeam/internal/config"
 	"ternbeam/internal/discovery"
+	"ternbeam/internal/thriftmap"
 )
 
 // Tenants are those of the stand-in configuration.
@@ -59,3 +63,18 @@
 	}
 	return text
 }
+
+// Load reads the configuration, and the sample Thrift service at a free port, as an agent does. Edits change the
+// service's text first.
+func (p Platform) Load(edits ...func(string) string) (*config.Config, *thriftmap.Map, error) {
+	cfg, err := config.Parse(p.Config())
+	if err != nil {
+		return nil, nil, err
+	}
+	text := strings.Replace(deploy.Thrift, "127.0.0.1:9090", "127.0.0.1:0", 1)
+	for _, edit := range edits {
+		text = edit(text)
+	}
+	service, err := thriftmap.Parse([]byte(text), cfg.Module.Classes)
+	return cfg, service, err
+}
