--- a/internal/agent/thrift_test.go
+++ b/internal/agent/thrift_test.go
@@ -105,8 +105,8 @@
 // What is no call, or a harmful one, gets a clear exception or a close; other connections go on, and so does what was
 // asked before on the same one.
 func TestBadFrames(t *testing.T) {
-	hold := make(chan struct{})
 	for _, e := range encodings {
+		hold := make(chan struct{}) // one for each: what still comes of the world before must not see another
 		seq := thriftwire.AppendSeq(nil, e, 9)
 		other := thriftwire.Binary + thriftwire.Compact - e
 		bad := func(more string) []byte { // a call with bytes of another kind in place of its last byte
@@ -217,7 +217,6 @@
 		testkit.Eventually(t, "those before are under way", func() bool { _, open := w.held(); return open == len(closed) })
 		check("closes")
 		close(hold)
-		hold = make(chan struct{})
 		waiting.Wait()
 		if n := w.deliveries("bad"); n != 0 {
 			t.Errorf("%v: %d bad calls were passed on", e, n)
