--- a/cmd/ternbeam-explore/main.go
+++ b/cmd/ternbeam-explore/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"slices"
 
 	"github.com/alecthomas/kong"
@@ -20,7 +21,7 @@
 }
 
 type runCommand struct {
-	World    string   `help:"A world by name (unsafe, keyed, one-cell, one-place); the other flags are not heeded then."`
+	World    string   `help:"A world by name, one of those that tests go through; the other flags are not heeded then."`
 	Servers  int      `default:"2" help:"Servers."`
 	Calls    []string `default:"safe,keyed,unsafe" help:"The effects of the calls."`
 	Attempts int      `default:"2" help:"The most attempts of a call."`
@@ -28,6 +29,7 @@
 	Lists    int      `default:"1" help:"Changes of the list."`
 	Leaves   int      `default:"1" help:"Clients that may leave."`
 	Cells    int      `default:"2" help:"Groups of servers that drop one another's repeats."`
+	Past     string   `default:"" enum:",losing,quick" help:"What the module has lived through: servers that lost calls (late ones are copied), or quick ones (late ones are withdrawn)."`
 	Most     int      `default:"20000000" help:"States at which to stop."`
 	Save     string   `help:"Save the story of a fault in this file." placeholder:"FILE"`
 }
@@ -42,7 +44,8 @@
 		}
 		return cfg, nil
 	}
-	cfg := explore.Config{Servers: r.Servers, Attempts: r.Attempts, Places: r.Places, Lists: r.Lists, Leaves: r.Leaves, Cells: r.Cells}
+	cfg := explore.Config{Servers: r.Servers, Attempts: r.Attempts, Places: r.Places, Lists: r.Lists, Leaves: r.Leaves, Cells: r.Cells,
+		Past: explore.Past(r.Past)}
 	for _, name := range r.Calls {
 		e := slices.Index(effects, name)
 		if e < 0 {
@@ -62,6 +65,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(400) // it makes much that is soon gone
 	report := explore.Explore(cfg, r.Most)
 	fmt.Printf("%d states, %d transitions, depth %d, %d ends, complete %t, in %v\n", report.States, report.Transitions,
 		report.Depth, report.Ends, report.Complete, report.Took.Round(1e6))
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -123,7 +123,7 @@
 	case errors.Is(context.Cause(ctx), core.ErrWithdrawn):
 		return Fail(at, life.Withdrawn), false
 	case errors.Is(err, ErrSpoilt):
-		return Fail(at, life.Spoilt), false
+		return Fail(at, life.Garbled), false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return Fail(at, life.Late), false
 	}
--- a/internal/explore/planted_test.go
+++ b/internal/explore/planted_test.go
@@ -15,13 +15,18 @@
 	{"told as never run after the last byte", "internal/life/attempt.go", "case !a.CanHaveRun():", "case true:", "unsafe"},
 	{"refused after a reset", "choice/choice.go", "} else if r.mayRefuse() {", "} else if true {", "unsafe"},
 	{"answered twice as the reply meets the deadline", "internal/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil {", "unsafe"},
-	{"connection used again with bytes behind the answer", "internal/explore/world.go", "if !wireOf(c).foreign {", "if true {", "one-place"},
+	{"connection used again with bytes behind the answer", "internal/explore/host.go", "if !c.Host.(*on).foreign {", "if true {", "one-place"},
+	{"connection kept whose server sent a second answer", "internal/life/conn.go", "if c.State() == InUse && len(b.queue) == 0 {", "if c.State() != Closed && len(b.queue) == 0 {", "one-place"},
 	{"sent to a server after its drain", "internal/life/attempt.go", "case now.Retired:", "case now.Retired && now.Late:", "unsafe"},
 	{"window not looked at when a repeat is written", "choice/choice.go", "first != nil && r.class.Effect == Keyed {", "first != nil && r.class.Effect == Unsafe {", "keyed"},
 	{"window counted from the repeat", "choice/choice.go", "send.Within = first.sent", "send.Within = b.now", "keyed"},
 	{"group of a keyed call not looked at", "choice/choice.go", "return s.Cell == first.srv.Cell", "return true", "keyed"},
 	{"unsafe call sent again", "choice/choice.go", "case first == nil || c.Effect == Safe:", "case first == nil || c.Effect != Keyed:", "unsafe"},
-	{"place leaked where a dial fails", "internal/life/conn.go", "\t\tb.open--\n", "", "unsafe"},
+	{"place leaked where a dial is given up", "internal/life/conn.go", "\t\treturn nil, nil\n\t}\n\treturn b.free(), nil", "\t}\n\treturn nil, nil", "withdrawn"},
+	{"withdrawn copy's reply wins", "internal/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil || call.Over() && call.out == 0 {", "copies"},
+	{"sent after it was withdrawn", "internal/life/attempt.go", "case now.Withdrawn:", "case now.Withdrawn && now.Late:", "withdrawn"},
+	{"withdrawn and told as never run", "internal/life/attempt.go", "case c == Withdrawn:\n\t\ta.end(choice.Cancelled)", "case c == Withdrawn:\n\t\ta.end(choice.ConnectFailed)", "withdrawn"},
+	{"early error told as never run", "internal/life/attempt.go", "answered := a.stage == Ended && (a.result == choice.OK || a.result == choice.Failed)", "answered := false", "unsafe"},
 	{"count not lowered on what is not sent", "internal/ledger/ledger.go", "\tcall.out--\n", "\tif e.Result != choice.NotSent {\n\t\tcall.out--\n\t}\n", "unsafe"},
 	{"sent after the final answer", "internal/life/attempt.go", "case now.Late || now.Over:", "case now.Late:", "unsafe"},
 	{"sent after the deadline", "internal/life/attempt.go", "case now.Late || now.Over:", "case now.Over:", "unsafe"},
@@ -64,7 +69,7 @@
 			if out, err := build.CombinedOutput(); err != nil {
 				t.Fatalf("%v\n%s", err, out)
 			}
-			out, err := exec.Command(program, "run", "--world", bug.world).CombinedOutput()
+			out, err := exec.CommandContext(t.Context(), program, "run", "--world", bug.world, "--most", "200000").CombinedOutput()
 			found := told.FindSubmatch(out)
 			if err == nil || found == nil {
 				t.Fatalf("not found: %v\n%s", err, out)
--- a/internal/explore/properties.go
+++ b/internal/explore/properties.go
@@ -5,7 +5,6 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/ledger"
-	"ternbeam/internal/life"
 )
 
 // The properties, each checked where it could cease to hold. What a property looks at is kept by the world itself, from
@@ -14,7 +13,7 @@
 // answered: exactly one final answer for each call taken, by its deadline; none after its client left; a served answer
 // is the one that this call's own attempt brought; no refusal of what can have run, but of what may be repeated.
 func (w *world) answered(c *call, a ledger.Answer) {
-	switch c.answers = append(c.answers, a); {
+	switch c.answers = append(c.answers, a.Kind); {
 	case !c.asked:
 		w.violate("%s is answered before it is asked", c.life.ID)
 	case c.left:
@@ -25,7 +24,7 @@
 		w.violate("%s is answered after its deadline", c.life.ID)
 	}
 	if a.Kind == ledger.Served {
-		if t, ok := a.Reply.(*try); !ok || t.call != c || t.Life.Result() != choice.OK {
+		if at, ok := a.Reply.(*ledger.Attempt); !ok || at.Call != c.life || at.Life.Result() != choice.OK {
 			w.violate("%s is served what is not its own", c.life.ID)
 		}
 	}
@@ -34,22 +33,23 @@
 
 // checkRefusal: a refusal is a promise, before and after.
 func (w *world) checkRefusal(c *call) {
-	refused := slices.ContainsFunc(c.answers, func(a ledger.Answer) bool { return a.Kind == ledger.Refused })
-	if refused && c.effect != choice.Safe && len(c.runs) > 0 {
+	if slices.Contains(c.answers, ledger.Refused) && c.effect != choice.Safe && len(c.runs) > 0 {
 		w.violate("%s is refused and may have run at %s", c.life.ID, c.runs[0].server)
 	}
 }
 
 // checkBegin: attempts never exceed the most allowed.
 func (w *world) checkBegin(t *try) {
-	if t.call.attempts++; t.call.attempts > w.cfg.Attempts {
-		w.violate("%s has %d attempts", t.call.life.ID, t.call.attempts)
+	if c := w.of(t); c.attempts >= w.cfg.Attempts {
+		w.violate("%s has more than %d attempts", c.life.ID, c.attempts)
+	} else {
+		c.attempts++
 	}
 }
 
 // checkSend: nothing is sent after a final answer or the deadline, nor to a server after its drain was told.
 func (w *world) checkSend(t *try, retired bool) {
-	c := t.call
+	c := w.of(t)
 	switch {
 	case len(c.answers) > 0 || c.left:
 		w.violate("attempt %d of %s is sent after its final answer", t.Number, c.life.ID)
@@ -78,8 +78,9 @@
 }
 
 // checkEnding: what is told to have never run has not.
-func (w *world) checkEnding(t *try, e ledger.Ending) {
-	never := e.Result == choice.Rejected || e.Result == choice.ConnectFailed || e.Result == choice.NotSent
+func (w *world) checkEnding(t *try) {
+	r := t.Life.Result()
+	never := r == choice.Rejected || r == choice.ConnectFailed || r == choice.NotSent
 	if never && t.ran {
 		w.violate("attempt %d of %s is told to have never run, and may have", t.Number, t.Call.ID)
 	}
@@ -96,9 +97,7 @@
 		}
 	}
 	for _, t := range w.tries {
-		if t.Life.Stage() != life.Ended {
-			w.violate("attempt %d of %s is %v when all is over", t.Number, t.Call.ID, t.Life.Stage())
-		}
+		w.violate("attempt %d of %s is %v when all is over", t.Number, t.Call.ID, t.Life.Stage())
 	}
 	if open, held := w.ledger.Count(); open != 0 || held != 0 {
 		w.violate("%d calls open and %d held when all is over", open, held)
--- a/internal/explore/steps.go
+++ b/internal/explore/steps.go
@@ -15,40 +15,52 @@
 
 // The kinds of steps.
 const (
-	Ask           Kind = iota // a client asks; N is the call
-	Leave                     // a client leaves; N is the call
-	Drain                     // the list says that a server drains; N is the server
-	Restart                   // it says that a server has restarted at its address
-	Gone                      // it says that a server is gone
-	Time                      // time passes to the next moment at which something is due
-	Fire                      // the loop takes the next timer that is due
-	Take                      // the loop takes the next ending of an attempt
-	Acquire                   // from here on N is the attempt: it asks for a connection
-	AcquireSpoken             // the same, and the server has spoken unasked on the idle one that it would get
-	DialSucceeds              // its dial succeeds
-	DialFails                 // its dial fails
-	Send                      // it is sent, if that is still right
-	SendWhole                 // it is sent, if that is still right, and its last byte is written
-	WriteAll                  // its last byte is written
-	WriteCut                  // the connection breaks before the last byte is written
-	AnswerOK                  // the server serves it
-	AnswerError               // the server answers with an error
-	AnswerReject              // the server turns it away
-	AnswerTwice               // the server serves it, and sends the reply a second time
-	AnswerEarly               // the server turns it away before all is written
-	AnswerSpoilt              // nobody can tell what the server answers
-	Reset                     // the connection breaks after the last byte
-	Withdraw                  // its host sees that it was withdrawn
-	TimeOut                   // its host sees that its time is over
+	Ask              Kind = iota // a client asks; N is the call
+	Leave                        // a client leaves; N is the call
+	Drain                        // the list says that a server drains; N is the server
+	Restart                      // it says that a server has restarted at its address
+	Gone                         // it says that a server is gone
+	Time                         // time passes to the next moment at which something is due
+	Fire                         // the loop takes the next timer that is due
+	Take                         // the loop takes the end of an attempt, which is N from here on
+	Acquire                      // it asks for a connection
+	AcquireSpoken                // the same, and the server has spoken unasked on the idle one that it would get
+	AcquireClosed                // the same, and that one was idle for too long, or its server has closed it
+	NoPlace                      // it gives up waiting for a place
+	DialSucceeds                 // its dial succeeds
+	DialFails                    // its dial fails
+	Send                         // it is sent, if that is still right
+	WriteAll                     // its last byte is written
+	WriteNone                    // the connection breaks before any byte is written
+	WriteCut                     // the same, before the last byte
+	WriteUnsure                  // the connection breaks, and nobody can tell how much was written
+	AnswerEarly                  // the server turns it away before all is written
+	AnswerEarlyError             // the server answers with an error before all is written
+	AnswerOK                     // the server serves it
+	AnswerError                  // the server answers with an error
+	AnswerReject                 // the server turns it away
+	AnswerTwice                  // the server serves it, and sends the reply a second time
+	AnswerGarbled                // nobody can tell what the server answers
+	Reset                        // the connection breaks after the last byte
+	Hang                         // nothing more comes by the network
+	Rest                         // its host takes no step until something changes
+	Return                       // its connection is given back
+	Withdraw                     // its host sees that it was withdrawn
+	TimeOut                      // its host sees that its time is over
 	kinds
 )
 
+// draws reports whether the module may draw in such a step.
+func (k Kind) draws() bool { return k == Ask || k == Fire || k == Take }
+
 var kindNames = [kinds]string{"asks", "leaves", "drains", "restarts", "is gone", "time passes",
-	"the loop fires a timer", "the loop takes an ending", "asks for a connection",
-	"asks for a connection, where the idle one has spoken unasked", "dial succeeds", "dial fails", "is sent", "is sent whole",
-	"last byte is written", "breaks before the last byte", "is served", "is answered with an error", "is turned away",
-	"is served twice", "is turned away before all is written", "gets a spoilt answer", "breaks after the last byte",
-	"is seen to be withdrawn", "is out of time"}
+	"the loop fires a timer", "is over for the loop", "asks for a connection",
+	"asks for a connection, where the idle one has spoken unasked", "asks for a connection, where the idle one is closed",
+	"has waited long enough for a place", "dial succeeds", "dial fails", "is sent, if it still may be",
+	"last byte is written", "breaks before the first byte", "breaks before the last byte", "breaks, nobody can tell where",
+	"is turned away before all is written", "is answered with an error before all is written", "is served",
+	"is answered with an error", "is turned away", "is served twice", "gets a garbled answer", "breaks after the last byte",
+	"hangs", "rests", "gives its connection back", "is seen to be withdrawn", "is out of time"}
 
 // Step is one step: what happens, to what, and what chance gives where the module draws.
 type Step struct {
@@ -68,22 +80,32 @@
 		return fmt.Sprintf("the client of call %d %s%s", s.N, kindNames[s.Kind], luck)
 	case s.Kind <= Gone:
 		return fmt.Sprintf("the list says: server %d %s", s.N, kindNames[s.Kind])
-	case s.Kind <= Take:
+	case s.Kind <= Fire:
 		return kindNames[s.Kind] + luck
 	}
-	return fmt.Sprintf("attempt %d %s", s.N, kindNames[s.Kind])
+	return fmt.Sprintf("attempt %d %s%s", s.N, kindNames[s.Kind], luck)
 }
 
-// enabled lists the steps that may come next.
+// enabled lists the steps that may come next, chance aside.
 func (w *world) enabled() (all []Step) {
-	add := func(k Kind, n int) { all = append(all, Step{Kind: k, N: uint8(n)}) }
-	drawn := func(k Kind, n int) { // those in which the module may draw
-		all = append(all, Step{Kind: k, N: uint8(n)}, Step{Kind: k, N: uint8(n), Most: true})
+	for _, t := range w.tries {
+		kinds := w.options(t)
+		for _, k := range kinds {
+			all = append(all, Step{Kind: k, N: uint8(t.n)})
+		}
+		if len(kinds) > 0 && !w.cfg.Plain { // what the others do now, they may as well do afterwards
+			return all
+		}
 	}
-	under := false
+	return append(all, w.loopSteps()...)
+}
+
+// loopSteps are the steps of the loop, of the clock and of those outside that speak to the loop.
+func (w *world) loopSteps() (all []Step) {
+	add := func(k Kind, n int) { all = append(all, Step{Kind: k, N: uint8(n)}) }
 	for i, c := range w.calls {
 		if !c.asked && w.now == start {
-			drawn(Ask, i)
+			add(Ask, i)
 			break // calls of one kind differ in nothing but their names; those of others are asked in this order
 		}
 	}
@@ -99,188 +121,232 @@
 			add(Gone, i)
 		}
 	}
-	for i, t := range w.tries {
-		stage := t.Life.Stage()
-		if stage == life.Ended {
-			continue
+	under := false
+	for _, t := range w.tries {
+		if t.Life.Stage() == life.Ended && t.conn == nil {
+			add(Take, t.n)
 		}
 		under = true
-		if t.withdrawn && stage != life.Ready { // one that is ready sees it when it is sent
-			add(Withdraw, i)
-		}
-		if w.now >= t.End && stage != life.Ready && !(stage == life.Placing && t.claim == nil) {
-			add(TimeOut, i)
-		}
-		switch stage {
-		case life.Placing:
-			if t.claim == nil {
-				add(Acquire, i)
-				if w.lends(t) != nil {
-					add(AcquireSpoken, i)
-				}
-			} else if t.claim.Granted() {
-				add(DialSucceeds, i)
-				add(DialFails, i)
-			}
-		case life.Ready:
-			add(Send, i)
-			if t.call.effect != choice.Keyed {
-				add(SendWhole, i)
-			}
-		case life.Writing:
-			if t.call.effect == choice.Keyed && (t.SendBy == 0 || w.now < t.SendBy) { // or the write's deadline is over
-				add(WriteAll, i)
-			}
-			add(WriteCut, i)
-			add(AnswerEarly, i)
-		case life.Waiting:
-			for k := AnswerOK; k <= Reset; k++ {
-				if k != AnswerEarly {
-					add(k, i)
-				}
-			}
-		}
-	}
-	if len(w.posts) > 0 {
-		drawn(Take, 0)
 	}
-	if w.due() >= 0 {
-		drawn(Fire, 0)
+	for len(w.timers) > 0 { // what no one heeds any more is no step
+		i := w.due(w.now)
+		if i < 0 || w.module.Heeds(w.timers[i].token) {
+			break
+		}
+		w.timers = slices.Delete(w.timers, i, i+1)
 	}
-	if (under || len(w.posts) > 0 || w.open()) && w.due() < 0 && w.next() > 0 {
+	if w.due(w.now) >= 0 {
+		add(Fire, 0)
+	} else if (under || w.open()) && w.next() > 0 {
 		add(Time, 0)
 	}
 	return all
 }
 
-func (w *world) open() bool {
-	open, _ := w.ledger.Count()
-	return open > 0
-}
-
-// due is the timer that is to be fired next, or -1.
-func (w *world) due() int {
-	best := -1
-	for i, t := range w.timers {
-		if t.at <= w.now && (best < 0 || t.at < w.timers[best].at) {
-			best = i
+// options are the steps that an attempt's host, its network or its server may take now. One that rests takes none.
+// Where it may rest, that is one of them.
+func (w *world) options(t *try) []Kind {
+	if t.rests && !w.cfg.Plain {
+		return nil
+	}
+	var all []Kind
+	rest := func(may bool) []Kind {
+		if may && len(all) > 0 && !w.cfg.Plain {
+			all = append(all, Rest)
 		}
+		return all
 	}
-	return best
-}
-
-// next is the next moment that matters: the midst of a keyed call's window and its end, where there is such a call, and
-// the deadline.
-func (w *world) next() time.Duration {
-	keyed := slices.Contains(w.cfg.Calls, choice.Keyed)
-	for i, at := range []time.Duration{start + window/2, start + window, start + deadline} {
-		if at > w.now && (keyed || i == 2) {
-			return at
+	hang := func() []Kind {
+		if !w.cfg.Plain {
+			all = append(all, Hang)
+		}
+		return all
+	}
+	if t.hangs || w.cfg.Plain { // what ends a wait for the network
+		switch stage := t.Life.Stage(); {
+		case stage != life.Dialling && stage != life.Writing && stage != life.Waiting:
+		case t.withdrawn:
+			all = append(all, Withdraw)
+		case stage == life.Writing && t.SendBy != 0 && w.now >= t.SendBy:
+			all = append(all, WriteCut) // the time to write it is over
+		case w.now >= t.End:
+			all = append(all, TimeOut)
+		}
+		if t.hangs && t.Life.Stage() != life.Ended {
+			return all
 		}
 	}
-	return 0
+	switch t.Life.Stage() {
+	case life.Placing:
+		switch {
+		case t.conn != nil: // it waits for a place
+			all = append(all, NoPlace)
+		case w.idle(t) != nil:
+			all = append(all, Acquire, AcquireSpoken, AcquireClosed)
+		default:
+			all = append(all, Acquire)
+		}
+		return rest(!w.wide() && (t.conn == nil || w.now < t.End))
+	case life.Dialling:
+		all = append(all, DialSucceeds, DialFails)
+		return hang()
+	case life.Ready:
+		all = append(all, Send)
+		return rest(!t.withdrawn && w.now < t.End)
+	case life.Writing:
+		if t.SendBy == 0 || w.now < t.SendBy { // or the write's deadline is over
+			all = append(all, WriteAll, WriteUnsure, AnswerEarlyError)
+		}
+		all = append(all, WriteNone, WriteCut, AnswerEarly)
+		if w.of(t).effect == choice.Keyed { // it matters when it is written
+			rest(w.now < t.End)
+		}
+		return hang()
+	case life.Waiting:
+		all = append(all, AnswerOK, AnswerError, AnswerReject, AnswerTwice, AnswerGarbled, Reset)
+		return hang()
+	}
+	if t.conn != nil {
+		all = append(all, Return)
+	}
+	return rest(!w.wide())
 }
 
 // take takes one step.
 func (w *world) take(s Step) {
 	w.chance.most = s.Most
-	var t *try
-	if s.Kind >= Acquire {
-		t = w.tries[s.N]
+	if s.Kind < Take {
+		w.takeOutside(s)
+		return
 	}
+	t := w.try(int(s.N))
 	switch s.Kind {
-	case Ask:
-		c := w.calls[s.N]
-		c.asked, c.life.Deadline = true, start+deadline
-		w.do(w.ledger.Arrived(w.now, c.life))
-	case Leave:
-		w.leaves++
-		w.calls[s.N].left = true
-		w.do(w.ledger.Left(w.now, w.calls[s.N].life))
-	case Drain, Restart, Gone:
-		w.change(s)
-	case Time:
-		w.now = w.next()
-	case Fire:
-		i := w.due()
-		token := w.timers[i].token
-		w.timers = slices.Delete(w.timers, i, i+1)
-		w.do(w.ledger.Fired(w.now, token))
 	case Take:
-		p := w.posts[0]
-		w.posts, p.try.taken = w.posts[1:], true
-		w.do(w.ledger.Ended(w.now, p.try.Attempt, p.ending))
+		w.takeEnd(t)
 	case Acquire:
 		w.acquire(t)
 	case AcquireSpoken:
-		wireOf(w.lends(t)).foreign = true
+		w.idle(t).Host.(*on).foreign = true
+		w.acquire(t)
+	case AcquireClosed:
+		next, err := w.book.Drop(w.idle(t))
+		t.Heed(err)
+		w.granted(next)
+		w.wakeBook(t.Server, true)
 		w.acquire(t)
+	case NoPlace:
+		w.fail(t, life.NoPlace)
 	case DialSucceeds:
-		t.Heed(t.Life.Dial())
 		w.opened(t)
 	case DialFails:
-		t.Heed(t.Life.Dial())
 		w.fail(t, life.Broken)
 	case Send:
 		w.send(t)
-	case SendWhole:
-		if w.send(t); t.Life.Stage() == life.Writing {
-			w.write(t, size)
-		}
 	case WriteAll:
 		w.write(t, size)
+	case WriteNone:
+		w.fail(t, life.Broken)
 	case WriteCut:
 		w.write(t, size-1)
 		w.fail(t, life.Broken)
+	case WriteUnsure:
+		t.Heed(t.Life.Unsure())
+		w.run(t)
+		w.fail(t, life.Broken)
 	case AnswerOK:
-		w.answer(t, choice.OK, true)
+		w.answer(t, choice.OK)
 	case AnswerError:
-		w.answer(t, choice.Failed, true)
+		w.answer(t, choice.Failed)
 	case AnswerReject:
-		w.answer(t, choice.Rejected, true)
+		w.answer(t, choice.Rejected)
 	case AnswerTwice:
-		wireOf(t.conn).foreign = true // with the answer: it is seen before the connection is given back
-		w.answer(t, choice.OK, false)
+		t.conn.Host.(*on).foreign = true // with the answer: it is seen before the connection is given back
+		w.answer(t, choice.OK)
+		w.spoil(t)
 	case AnswerEarly:
 		w.write(t, size-1)
-		w.answer(t, choice.Rejected, false)
-	case AnswerSpoilt:
+		w.answer(t, choice.Rejected)
+		w.spoil(t)
+	case AnswerEarlyError:
+		w.write(t, 1)
+		w.run(t) // for all that anybody knows
+		w.answer(t, choice.Failed)
+		w.spoil(t)
+	case AnswerGarbled:
 		t.Heed(t.Life.Read())
-		w.fail(t, life.Spoilt)
+		w.fail(t, life.Garbled)
 	case Reset:
 		w.fail(t, life.Broken)
+	case Hang:
+		t.hangs = true
+	case Rest:
+		t.rests = true
+	case Return:
+		w.returned(t)
 	case Withdraw:
 		w.fail(t, life.Withdrawn)
 	case TimeOut:
 		cause := life.Late
-		if t.Life.Stage() == life.Placing && !t.claim.Granted() {
-			cause = life.NoPlace
+		if t.Life.Stage() == life.Dialling {
+			cause = life.Broken // as the dial tells it
 		}
 		w.fail(t, cause)
 	}
 }
 
-// lends is the idle connection that an attempt would get, or nil.
-func (w *world) lends(t *try) (last *life.Conn) {
-	for _, c := range w.book.Idle() {
-		if c.Server == t.Server && c.Speaks == t.Call.Needs {
-			last = c
+// takeOutside takes a step of the loop, the clock, a client or the list.
+func (w *world) takeOutside(s Step) {
+	switch s.Kind {
+	case Ask:
+		c := w.calls[s.N]
+		c.asked, c.life.Deadline = true, start+deadline
+		w.do(w.ledger.Arrived(w.now, c.life))
+	case Leave:
+		w.leaves++
+		w.calls[s.N].left = true
+		w.do(w.ledger.Left(w.now, w.calls[s.N].life))
+		w.wakeCall(int(s.N))
+	case Drain, Restart, Gone:
+		w.lists++
+		e := &w.servers[s.N]
+		switch s.Kind {
+		case Drain:
+			e.State = choice.Draining
+		case Gone:
+			e.State = choice.Gone
+		case Restart:
+			e.Started = start
 		}
+		w.do(w.ledger.List(w.now, false, []ledger.Entry{{Server: *e, Addr: e.ID}}))
+	case Time:
+		w.now = w.next()
+		w.wakeByTime()
+	case Fire:
+		i := w.due(w.now)
+		token := w.timers[i].token
+		w.timers = slices.Delete(w.timers, i, i+1)
+		w.do(w.ledger.Fired(w.now, token))
 	}
-	return last
 }
 
-// change lets the list say something of a server.
-func (w *world) change(s Step) {
-	w.lists++
-	e := &w.servers[s.N]
-	switch s.Kind {
-	case Drain:
-		e.State = choice.Draining
-	case Gone:
-		e.State = choice.Gone
-	case Restart:
-		e.Started = start
+// wakeByTime ends the rest of those for which the time makes a difference: a keyed call that is being written, and what
+// may no longer be sent.
+func (w *world) wakeByTime() {
+	for _, t := range w.tries {
+		switch t.Life.Stage() {
+		case life.Ready:
+			if w.nowFor(t).Late {
+				t.rests = false
+			}
+		case life.Writing:
+			t.rests = false
+		case life.Placing:
+			if t.conn != nil {
+				t.rests = false
+			}
+		}
 	}
-	w.do(w.ledger.List(w.now, false, []ledger.Entry{{Server: *e, Addr: e.ID}}))
 }
+
+// since is the time since the world began.
+func (w *world) since() float64 { return float64(w.now-start) / float64(time.Millisecond) }
--- a/internal/explore/story.go
+++ b/internal/explore/story.go
@@ -66,10 +66,16 @@
 	return nil
 }
 
-// Worlds are those that are gone through in tests, by name.
+// Worlds are those that are gone through in tests, by name. Where each call has a place for each of its attempts,
+// connections that are kept make no difference; the others tell them apart.
 var Worlds = map[string]Config{
-	"unsafe":    {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Lists: 1, Leaves: 1, Cells: 2},
-	"keyed":     {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Lists: 1, Leaves: 1, Cells: 2},
-	"one-cell":  {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 3, Places: 1, Lists: 0, Leaves: 0, Cells: 1},
-	"one-place": {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 1, Places: 1, Lists: 1, Leaves: 0, Cells: 1},
+	"unsafe":     {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Lists: 1, Leaves: 1, Cells: 2},
+	"keyed":      {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Lists: 1, Leaves: 1, Cells: 2},
+	"one-cell":   {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 3, Places: 1, Cells: 1},
+	"one-place":  {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 1, Places: 1, Lists: 1, Cells: 1},
+	"two-places": {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 2, Places: 2, Cells: 1},
+	"three":      {Servers: 2, Calls: []choice.Effect{choice.Safe, choice.Keyed, choice.Unsafe}, Attempts: 1, Places: 3, Cells: 2},
+	"copies":     {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 1, Past: Losing},
+	"withdrawn":  {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 1, Past: Quick},
+	"late":       {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Leaves: 1, Cells: 1, Past: Losing},
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
 	"slices"
 	"time"
@@ -24,21 +23,38 @@
 	Lists    int             // how many changes of the list may come
 	Leaves   int             // how many clients may leave
 	Cells    int             // over which the servers are spread
+	Past     Past            `json:",omitempty"`
+	Plain    bool            `json:",omitempty"` // every order of steps that do not touch one another is tried, too
 }
 
-// The times of the world. The module's look at health comes after all is over.
+// Past is what the module has lived through before the world begins.
+type Past string
+
+// The pasts. But for none, the module looks at health while calls are open.
+const (
+	NoPast Past = ""
+	Losing Past = "losing" // servers lost some calls: late ones are copied
+	Quick  Past = "quick"  // servers were so quick that late calls are withdrawn from them
+)
+
+// The times of the world.
 const (
-	start    = time.Second
+	start    = time.Minute
 	window   = 60 * time.Millisecond // of keyed calls
 	deadline = 100 * time.Millisecond
-	aim      = 1600 * time.Millisecond
-	size     = 2 // bytes of a message: the last one and one before
+	aim      = 1600 * time.Millisecond // the first look at health comes after all is over
+	nearAim  = 400 * time.Millisecond  // the looks come every 50 ms
+	size     = 3                       // bytes of a message
 )
 
 // chance is a source that gives the least or the most that chance can give, whichever the step says.
-type chance struct{ most bool }
+type chance struct {
+	most  bool
+	asked bool
+}
 
 func (c *chance) Uint64() uint64 {
+	c.asked = true
 	if c.most {
 		return 1<<64 - 1
 	}
@@ -47,17 +63,18 @@
 
 // world is one state of the world.
 type world struct {
-	cfg     Config
+	cfg     *Config
+	set     choice.Settings
 	now     time.Duration
-	chance  chance
+	chance  *chance
 	ledger  *ledger.Ledger
 	module  *choice.Balancer
 	book    *life.Book
 	timers  []timer
-	posts   []post // endings on their way to the loop, in their order
 	calls   []*call
 	servers []choice.Server
-	tries   []*try // attempts that were begun, in their order
+	tries   []*try // attempts that the loop has not taken the end of, by their calls: in what order they were begun is a matter of names
+	begun   int    // attempts
 	lists   int
 	leaves  int
 	fault   string // the first property that does not hold
@@ -68,24 +85,20 @@
 	token uint64
 }
 
-type post struct {
-	try    *try
-	ending ledger.Ending
-}
-
 // call is a call as its client and the servers see it.
 type call struct {
 	life     *ledger.Call
 	effect   choice.Effect
 	asked    bool
 	left     bool
-	answers  []ledger.Answer
+	answers  []ledger.Kind
 	runs     []run
 	attempts int
 }
 
 // run is one time that a server may have run a call.
 type run struct {
+	by     int // the attempt
 	server string
 	cell   int
 	at     time.Duration
@@ -94,56 +107,163 @@
 // try is an attempt as its host sees it.
 type try struct {
 	*ledger.Attempt
-	n         int
-	call      *call
+	n         int // among all
+	call      int
 	cell      int
-	claim     *life.Claim
-	conn      *life.Conn
+	conn      *life.Conn // that it waits for or has
 	withdrawn bool
-	ran       bool // its server got it whole, and has not said otherwise
-	taken     bool // the loop has taken its ending
+	ran       bool // its server may have run it, and has not said otherwise
+	hangs     bool // nothing more comes by the network
+	rests     bool // its host takes no step until something changes that it depends on
 }
 
-// wire is what is on a connection besides what its attempt waits for.
-type wire struct {
+// on is what is on a connection.
+type on struct {
 	foreign bool // bytes that nobody asked for
-	by      *try // the attempt that it carries
+	by      int  // the attempt that it carries, or -1
 }
 
-func newWorld(cfg Config) *world {
-	w := &world{cfg: cfg, now: start}
-	set := choice.Settings{Balancers: 1, Tick: time.Millisecond, MaxAttempts: cfg.Attempts, CanCancel: true}
+// newWorld returns the world before anything has happened.
+func newWorld(cfg *Config) *world {
+	w := &world{cfg: cfg, now: start, chance: &chance{}}
+	w.set = choice.Settings{Balancers: 1, Tick: time.Millisecond, MaxAttempts: cfg.Attempts, CanCancel: true,
+		ParallelCopies: cfg.Past == Losing}
 	effects := []choice.Effect{choice.Safe, choice.Keyed, choice.Unsafe}
 	for _, e := range effects {
 		c := choice.Class{Name: fmt.Sprint(e), Effect: e, Aim: aim, Deadline: deadline, Worth: 1}
+		if cfg.Past != NoPast {
+			c.Aim = nearAim
+		}
 		if e == choice.Keyed {
 			c.Group, c.Window = choice.GroupCell, window
 		}
-		set.Classes = append(set.Classes, c)
+		w.set.Classes = append(w.set.Classes, c)
 	}
 	var err error
-	if w.module, err = choice.NewWithSource(set, &w.chance); err != nil {
+	if w.module, err = choice.NewWithSource(w.set, w.chance); err != nil {
 		panic(err) // of plain values
 	}
-	w.ledger = ledger.New(ledger.Settings{MaxAttempts: cfg.Attempts, Carries: func(choice.Protocols) bool { return true },
-		Illegal: func(err error) { w.violate("%v", err) }}, w.module)
+	w.ledger = ledger.New(w.books(), w.module)
 	w.book = life.NewBook(cfg.Places)
-	for i, e := range cfg.Calls {
-		c := &call{effect: e}
-		c.life = &ledger.Call{Request: choice.Request{ID: fmt.Sprint("call ", i), Class: slices.Index(effects, e)}}
-		w.calls = append(w.calls, c)
-	}
 	var entries []ledger.Entry
 	for i := range cfg.Servers {
 		s := choice.Server{ID: fmt.Sprint("server ", i), Cell: i % max(1, cfg.Cells)}
 		w.servers = append(w.servers, s)
 		entries = append(entries, ledger.Entry{Server: s, Addr: s.ID})
 	}
+	if cfg.Past != NoPast {
+		w.now = start - time.Second // looks come every 50 ms from then on
+	}
 	w.do(w.ledger.Start(w.now))
 	w.do(w.ledger.List(w.now, true, entries))
+	w.live(cfg.Past)
+	w.now = start
+	for i, e := range cfg.Calls {
+		c := &call{effect: e}
+		c.life = &ledger.Call{Request: choice.Request{ID: fmt.Sprint("call ", i), Class: slices.Index(effects, e)}}
+		w.calls = append(w.calls, c)
+	}
 	return w
 }
 
+// books are the ledger's settings.
+func (w *world) books() ledger.Settings {
+	return ledger.Settings{MaxAttempts: w.cfg.Attempts, Carries: func(choice.Protocols) bool { return true },
+		Illegal: func(err error) { w.violate("%v", err) }}
+}
+
+// live lets the module live through its past: calls that are served, and some that are lost by a server which answers
+// others.
+func (w *world) live(past Past) {
+	var pace time.Duration
+	switch past {
+	case Losing:
+		pace = 10 * time.Millisecond
+	case Quick:
+		pace = time.Millisecond
+	default:
+		return
+	}
+	var lost *ledger.Attempt
+	for n := 0; ; n++ {
+		at := w.now + time.Millisecond
+		last := at+deadline >= start // of those that end before the world begins
+		for i := w.due(at); i >= 0; i = w.due(at) {
+			t := w.timers[i]
+			w.timers = slices.Delete(w.timers, i, i+1)
+			w.keepTimers(w.ledger.Fired(t.at, t.token))
+		}
+		if w.now = at; last {
+			break
+		}
+		c := &ledger.Call{Request: choice.Request{ID: fmt.Sprint("before ", n), Class: n % len(w.set.Classes), Deadline: at + deadline}}
+		for _, o := range w.keepTimers(w.ledger.Arrived(at, c)) {
+			if o.Kind != ledger.Begin {
+				continue
+			}
+			if past == Losing && lost == nil && at+2*deadline >= start {
+				lost = o.Attempt
+				continue
+			}
+			w.keepTimers(w.ledger.Ended(at+pace, o.Attempt, ledger.Ended(choice.OK)))
+		}
+	}
+	if lost != nil {
+		w.keepTimers(w.ledger.Ended(w.now, lost, ledger.Ended(choice.TimedOut)))
+	}
+	for i := w.due(start); i >= 0; i = w.due(start) { // those of calls that are over, and a look that finds nothing
+		t := w.timers[i]
+		w.timers = slices.Delete(w.timers, i, i+1)
+		w.keepTimers(w.ledger.Fired(t.at, t.token))
+	}
+}
+
+// keepTimers sets the timers that are ordered, and returns what else is.
+func (w *world) keepTimers(orders []ledger.Order) (others []ledger.Order) {
+	for _, o := range orders {
+		if o.Kind == ledger.SetTimer {
+			w.timers = append(w.timers, timer{o.At, o.Token})
+		} else {
+			others = append(others, o)
+		}
+	}
+	return others
+}
+
+// copy returns an equal world.
+func (w *world) copy() *world {
+	twins := ledger.NewTwins()
+	c := &world{cfg: w.cfg, set: w.set, now: w.now, chance: &chance{}, timers: slices.Clone(w.timers),
+		servers: slices.Clone(w.servers), begun: w.begun, lists: w.lists, leaves: w.leaves, fault: w.fault}
+	c.module = w.module.Copy(c.chance)
+	c.ledger = w.ledger.Copy(c.books(), c.module, twins)
+	conns := life.Twins[life.Conn]{Fill: func(o, twin *life.Conn) {
+		var host any
+		if what, ok := o.Host.(*on); ok {
+			same := *what
+			host = &same
+		}
+		o.CopyTo(twin, &twins.Servers, host)
+	}}
+	c.book = w.book.Copy(&conns, &twins.Servers)
+	c.calls = make([]*call, len(w.calls))
+	for i, k := range w.calls {
+		same := *k
+		same.life = twins.Calls.Of(k.life)
+		same.answers, same.runs = slices.Clone(k.answers), slices.Clone(k.runs)
+		c.calls[i] = &same
+	}
+	c.tries = make([]*try, len(w.tries))
+	for i, t := range w.tries {
+		same := *t
+		same.Attempt = twins.Attempts.Of(t.Attempt)
+		same.Illegal = func(err error) { c.violate("%v", err) }
+		same.conn = conns.Of(t.conn)
+		c.tries[i] = &same
+	}
+	return c
+}
+
 func (w *world) violate(format string, args ...any) {
 	if w.fault == "" {
 		w.fault = fmt.Sprintf(format, args...)
@@ -161,217 +281,91 @@
 		case ledger.Withdraw:
 			for _, t := range w.tries {
 				if t.Attempt == o.Attempt {
-					t.withdrawn = true
+					t.withdrawn, t.rests = true, false
 				}
 			}
 		case ledger.Reply:
-			for _, c := range w.calls {
+			for i, c := range w.calls {
 				if c.life == o.Call {
 					w.answered(c, o.Answer)
+					w.wakeCall(i)
 				}
 			}
 		case ledger.Retire:
 			closed, _ := w.book.Retire(o.Server)
 			for _, c := range closed {
-				w.closed(c)
+				c.Host.(*on).by = -1
+			}
+			for _, t := range w.tries {
+				if t.Server == o.Server && t.Life.Stage() == life.Ready {
+					t.rests = false
+				}
+			}
+			if len(closed) > 0 {
+				w.wakeBook(o.Server, true)
 			}
 		}
 	}
 }
 
 func (w *world) begin(at *ledger.Attempt) {
-	t := &try{Attempt: at, n: len(w.tries)}
-	for _, c := range w.calls {
-		if c.life == at.Call {
-			t.call = c
-		}
-	}
+	t := &try{Attempt: at, n: w.begun, call: slices.IndexFunc(w.calls, func(c *call) bool { return c.life == at.Call })}
+	w.begun++
 	for _, s := range w.servers {
 		if s.ID == at.Server.ID {
 			t.cell = s.Cell
 		}
 	}
 	w.tries = append(w.tries, t)
+	slices.SortFunc(w.tries, func(a, b *try) int { return cmp.Or(a.call-b.call, a.Number-b.Number) })
 	w.checkBegin(t)
 }
 
-// wireOf is what is on a connection.
-func wireOf(c *life.Conn) *wire { return c.Host.(*wire) }
-
-func (w *world) closed(c *life.Conn) { wireOf(c).by = nil }
-
-// The steps of an attempt's host, as internal/pool and internal/exchange take them.
-
-// acquire takes an idle connection, if it is silent, or claims a place.
-func (w *world) acquire(t *try) {
-	for c := w.book.Lend(t.Server, t.Call.Needs); c != nil; c = w.book.Lend(t.Server, t.Call.Needs) {
-		if !wireOf(c).foreign {
-			t.Heed(t.Life.Connect())
-			w.carry(t, c)
-			return
+// try returns an attempt by its number, or nil.
+func (w *world) try(n int) *try {
+	for _, t := range w.tries {
+		if t.n == n {
+			return t
 		}
-		w.release(c, false)
-	}
-	claim, evicted := w.book.Claim()
-	if evicted != nil {
-		w.closed(evicted)
-	}
-	t.claim = claim
-}
-
-// carry lets a connection carry an attempt.
-func (w *world) carry(t *try, c *life.Conn) {
-	on := wireOf(c)
-	if on.by != nil {
-		w.violate("a connection carries attempts %d and %d", on.by.n, t.n)
-	}
-	if on.foreign {
-		w.violate("attempt %d uses a connection with foreign bytes", t.n)
-	}
-	t.conn, on.by = c, t
-}
-
-func (w *world) release(c *life.Conn, reuse bool) {
-	wireOf(c).by = nil
-	_, _, err := w.book.Return(c, reuse)
-	if err != nil {
-		w.violate("%v", err)
-	}
-}
-
-// opened says that the dial of an attempt succeeded.
-func (w *world) opened(t *try) {
-	t.Heed(t.Life.Connect())
-	t.claim = nil
-	w.carry(t, w.book.Opened(t.Server, t.Call.Needs, &wire{}))
-}
-
-// send asks whether the attempt may be sent, and begins.
-func (w *world) send(t *try) {
-	retired := t.Server.Retired()
-	ok, err := t.Life.Begin(size, life.Now{Withdrawn: t.withdrawn, Late: w.now >= t.End || t.SendBy != 0 && w.now >= t.SendBy, Over: t.Call.Over(), Retired: retired})
-	t.Heed(err)
-	if !ok {
-		w.release(t.conn, true)
-		w.end(t, ledger.Ended(t.Life.Result()))
-		return
 	}
-	w.checkSend(t, retired)
+	return nil
 }
 
-// write says that so many bytes are written; with the last the server has the call.
-func (w *world) write(t *try, n int) {
-	t.Heed(t.Life.Wrote(n))
-	if n == size {
-		t.ran = true
-		t.call.runs = append(t.call.runs, run{t.Server.ID, t.cell, w.now})
-		w.checkRun(t.call)
-	}
-}
+func (w *world) of(t *try) *call { return w.calls[t.call] }
 
-// answer ends an attempt with its server's answer.
-func (w *world) answer(t *try, r choice.Result, reuse bool) {
-	t.Heed(t.Life.Read())
-	t.Heed(t.Life.Answer(r))
-	if r == choice.Rejected && t.ran {
-		t.ran = false
-		c := t.call
-		i := slices.IndexFunc(c.runs, func(r run) bool { return r.server == t.Server.ID })
-		c.runs = slices.Delete(c.runs, i, i+1)
-	}
-	w.release(t.conn, reuse)
-	w.end(t, ledger.Ending{Result: t.Life.Result(), Report: choice.NoReport, Reply: t})
+// open reports whether a call waits for its answer.
+func (w *world) open() bool {
+	open, _ := w.ledger.Count()
+	return open > 0
 }
 
-// fail ends an attempt without an answer; its connection is closed.
-func (w *world) fail(t *try, cause life.Cause) {
-	if t.conn == nil && t.claim != nil {
-		if t.claim.Granted() || !w.book.Cancel(t.claim) {
-			w.book.Free()
+// due is the timer that is to be fired next by some time, or -1.
+func (w *world) due(by time.Duration) int {
+	best := -1
+	for i, t := range w.timers {
+		if t.at <= by && (best < 0 || t.at < w.timers[best].at) {
+			best = i
 		}
-		t.claim = nil
 	}
-	t.Heed(t.Life.Fail(cause))
-	if t.conn != nil {
-		w.release(t.conn, false)
-	}
-	w.end(t, ledger.Ended(t.Life.Result()))
-}
-
-// end posts an attempt's ending to the loop.
-func (w *world) end(t *try, e ledger.Ending) {
-	t.conn = nil
-	w.checkEnding(t, e)
-	w.posts = append(w.posts, post{t, e})
+	return best
 }
 
-// key is a fingerprint of the state: all that what comes next depends on, and what the properties look at.
-func (w *world) key(to []byte) []byte {
-	num := func(all ...int) {
-		for _, x := range all {
-			to = binary.AppendVarint(to, int64(x))
-		}
-	}
-	flag := func(all ...bool) {
-		for _, x := range all {
-			to = append(to, map[bool]byte{true: 1}[x])
-		}
-	}
-	num(int(w.now), w.lists, w.leaves, len(w.posts))
-	if w.open() || w.now == start && !w.calls[len(w.calls)-1].asked {
-		to = w.module.Fingerprint(to)
-	} // or there is nothing left that it could decide
-	timers := slices.Clone(w.timers)
-	slices.SortFunc(timers, func(a, b timer) int { return int(a.at - b.at) })
-	for _, t := range timers {
-		num(int(t.at))
-	}
-	for _, s := range w.servers {
-		num(int(s.State), int(s.Started))
-		if l := w.ledger.Server(s.ID); l != nil {
-			num(int(l.Started))
-		}
-	}
-	for _, c := range w.calls {
-		flag(c.asked, c.left, c.life.Over())
-		num(len(c.answers), len(c.runs), c.attempts)
-		for _, a := range c.answers {
-			num(int(a.Kind))
-		}
-		for _, r := range c.runs {
-			to = append(append(to, r.server...), 0)
-			num(r.cell, int(r.at))
-		}
-	}
-	conn := func(c *life.Conn) {
-		to = append(append(to, c.Server.ID...), 0)
-		num(int(c.Server.Started))
-		flag(wireOf(c).foreign, c.Server.Retired())
-	}
-	// Those whose ending the loop has taken are in the books above. The others by their calls: in what order they were
-	// begun is a matter of names.
-	live := slices.DeleteFunc(slices.Clone(w.tries), func(t *try) bool { return t.taken })
-	slices.SortFunc(live, func(a, b *try) int {
-		return cmp.Or(cmp.Compare(a.Call.ID, b.Call.ID), cmp.Compare(a.Number, b.Number))
-	})
-	for _, t := range live {
-		a := t.Life
-		num(t.Number, int(a.Stage()), int(a.Result()), int(t.End), int(t.SendBy))
-		to = append(append(to, t.Call.ID...), 0)
-		to = append(append(to, t.Server.ID...), 0)
-		flag(t.withdrawn, t.ran, a.CanHaveRun(), t.claim != nil, t.claim != nil && t.claim.Granted(), t.Server.Retired())
-		if t.conn != nil {
-			conn(t.conn)
+// next is the next moment that matters: the midst of a keyed call's window and its end, where there is such a call, a
+// look at health, and the deadline.
+func (w *world) next() time.Duration {
+	next := time.Duration(0)
+	add := func(at time.Duration) {
+		if at > w.now && (next == 0 || at < next) {
+			next = at
 		}
 	}
-	for _, p := range w.posts {
-		to = append(append(to, p.try.Call.ID...), 0)
-		num(p.try.Number, int(p.ending.Result))
+	if slices.Contains(w.cfg.Calls, choice.Keyed) {
+		add(start + window/2)
+		add(start + window)
 	}
-	open, idle, waiting := w.book.Count()
-	num(open, idle, waiting)
-	for _, c := range w.book.Idle() {
-		conn(c)
+	if w.cfg.Past != NoPast {
+		add(start + nearAim/8)
 	}
-	return to
+	add(start + deadline)
+	return next
 }
--- a/internal/life/attempt.go
+++ b/internal/life/attempt.go
@@ -33,13 +33,13 @@
 // The causes.
 const (
 	Broken    Cause = iota // the connection broke, ended or never came up
-	Spoilt                 // nobody can tell what came
+	Garbled                // nobody can tell what came
 	Late                   // its time is over
 	Withdrawn              // the module has withdrawn it
 	NoPlace                // no place for a connection was given up in time
 )
 
-var causeNames = [...]string{"broken", "spoilt", "late", "withdrawn", "no place"}
+var causeNames = [...]string{"broken", "garbled", "late", "withdrawn", "no place"}
 
 func (c Cause) String() string { return causeNames[c] }
 
@@ -170,7 +170,7 @@
 		a.end(choice.NotSent)
 	case !a.CanHaveRun():
 		a.end(choice.ConnectFailed)
-	case c == Spoilt:
+	case c == Garbled:
 		a.end(choice.Failed)
 	case c == Late:
 		a.end(choice.TimedOut)
--- a/internal/life/conn.go
+++ b/internal/life/conn.go
@@ -30,48 +30,54 @@
 
 // The states of a connection.
 const (
-	InUse ConnState = iota
-	Idle
+	Queued   ConnState = iota // waits for a place
+	Dialled                   // has a place, and is being dialled
+	InUse                     // carries an attempt, or several
+	Idle                      // may be lent
+	Spoilt                    // in use, and must not be used again: nobody can tell what is on it
+	Retiring                  // in use, and must not be used again: its server drains, is gone or was replaced
 	Closed
 )
 
-var connNames = [...]string{"in use", "idle", "closed"}
+var connNames = [...]string{"queued", "dialled", "in use", "idle", "spoilt", "retiring", "closed"}
 
 func (s ConnState) String() string { return connNames[s] }
 
-// Conn is the life of a connection from when it came up.
+// Conn is the life of a connection, from the wait for a place on.
 type Conn struct {
 	Server *Server
 	Speaks choice.Protocols // what is spoken on it
-	Host   any              // the connection itself
+	Host   any              // the connection itself, once it is up
 	state  ConnState
 
 	before, after *Conn // among all that are idle, by when they became so
 }
 
 // State returns the connection's state.
-func (c *Conn) State() ConnState { return c.state }
+func (c *Conn) State() ConnState {
+	if c.state == InUse && c.Server.Retired() {
+		return Retiring
+	}
+	return c.state
+}
 
 func (c *Conn) to(s ConnState, from ...ConnState) error {
 	if !slices.Contains(from, c.state) {
-		return fmt.Errorf("life: a connection that is %s can't be %s", c.state, s)
+		return fmt.Errorf("life: a connection that is %s can't be %s", c.State(), s)
 	}
 	c.state = s
 	return nil
 }
 
-// Claim is an attempt's wait for a connection. Once granted it has a place, in which a connection is to be dialled.
-type Claim struct{ granted bool }
-
-// Granted reports whether the claim has a place.
-func (c *Claim) Granted() bool { return c.granted }
+// Spoil says that nobody can tell what is on a connection in use: it must not be used again.
+func (c *Conn) Spoil() error { return c.to(Spoilt, InUse, Spoilt) }
 
 // Book keeps account of the connections to all servers: a bound on their number, whose turn it is for the next place,
 // and which are idle. Each idle one is held by its Conn; whoever keeps the Book closes what it is told to close.
 type Book struct {
 	most  int
-	open  int // places that are taken
-	queue []*Claim
+	open  int                 // places that are taken
+	queue []*Conn             // that wait for one, the longest first
 	idle  map[*Server][]*Conn // the latest last
 	ring  Conn                // all that are idle, the longest first, and back to it
 	count int                 // of them
@@ -84,7 +90,7 @@
 	return b
 }
 
-// Count returns how many places are taken, how many of them by idle connections, and how many claims wait.
+// Count returns how many places are taken, how many of them by idle connections, and how many wait for one.
 func (b *Book) Count() (open, idle, waiting int) { return b.open, b.count, len(b.queue) }
 
 // Lend lends an idle connection to a server on which the protocol is spoken, the latest that became idle, or nil. The
@@ -101,82 +107,93 @@
 	return nil
 }
 
-// Claim asks for a place: a free one, that of the connection that has been idle for longest, which is then to be
-// closed, or the next that is given up. Servers that take calls and are silent hold many places for as long as a call
-// may take, so an end at once would cost those calls that a short wait would serve.
-func (b *Book) Claim() (c *Claim, evicted *Conn) {
-	c = &Claim{}
+// Claim asks for a place for a new connection: a free one, that of the connection that has been idle for longest, which
+// is then to be closed, or the next that is given up, for which it is queued. Servers that take calls and are silent
+// hold many places for as long as a call may take, so an end at once would cost those calls that a short wait would
+// serve.
+func (b *Book) Claim(s *Server, speaks choice.Protocols) (c, evicted *Conn) {
+	c = &Conn{Server: s, Speaks: speaks, state: Dialled}
 	switch {
 	case b.open < b.most:
 		b.open++
-		c.granted = true
 	case b.count > 0:
 		evicted = b.ring.after
 		b.forget(evicted)
 		evicted.state = Closed // its place goes on
-		c.granted = true
 	default:
+		c.state = Queued
 		b.queue = append(b.queue, c)
 	}
 	return c, evicted
 }
 
-// Cancel gives up a claim that waits. A claim that was granted meanwhile must be given up by Free.
-func (b *Book) Cancel(c *Claim) (waited bool) {
-	i := slices.Index(b.queue, c)
-	if i >= 0 {
-		b.queue = slices.Delete(b.queue, i, i+1)
+// Open says that a connection has come up: it is in use.
+func (b *Book) Open(c *Conn, host any) error {
+	if err := c.to(InUse, Dialled); err != nil {
+		return err
+	}
+	c.Host = host
+	return nil
+}
+
+// GiveUp ends a connection that has not come up. The one that has waited for longest gets its place, if it had one.
+func (b *Book) GiveUp(c *Conn) (next *Conn, err error) {
+	queued := c.state == Queued
+	if err := c.to(Closed, Queued, Dialled); err != nil {
+		return nil, err
+	}
+	if queued {
+		b.queue = slices.DeleteFunc(b.queue, func(o *Conn) bool { return o == c })
+		return nil, nil
 	}
-	return i >= 0
+	return b.free(), nil
 }
 
-// Free gives up a place in which no connection came up. The claim that has waited for longest gets it, if there is one.
-func (b *Book) Free() (next *Claim) {
+// free gives up a place: the one that has waited for it for longest gets it, if there is one.
+func (b *Book) free() (next *Conn) {
 	if len(b.queue) == 0 {
 		b.open--
 		return nil
 	}
 	next = b.queue[0]
 	b.queue = slices.Delete(b.queue, 0, 1)
-	next.granted = true
+	next.state = Dialled
 	return next
 }
 
 // Return takes a connection back. It is kept if it may be used again, and nobody waits for its place; otherwise it is
-// to be closed, and the claim that is returned has its place.
-func (b *Book) Return(c *Conn, reuse bool) (kept bool, next *Claim, err error) {
-	if reuse && !c.Server.Retired() && len(b.queue) == 0 {
-		if err := c.to(Idle, InUse); err != nil {
-			return false, nil, err
-		}
+// to be closed, and the one that is returned has its place.
+func (b *Book) Return(c *Conn) (kept bool, next *Conn, err error) {
+	if c.State() == InUse && len(b.queue) == 0 {
+		c.state = Idle
 		b.idle[c.Server] = append(b.idle[c.Server], c)
 		c.before, c.after = b.ring.before, &b.ring
 		c.before.after, b.ring.before = c, c
 		b.count++
 		return true, nil, nil
 	}
-	if err := c.to(Closed, InUse); err != nil {
+	if err := c.to(Closed, InUse, Spoilt); err != nil {
 		return false, nil, err
 	}
-	return false, b.Free(), nil
+	return false, b.free(), nil
 }
 
 // Drop closes an idle connection, whose time is over or whose server has closed it.
-func (b *Book) Drop(c *Conn) (next *Claim, err error) {
+func (b *Book) Drop(c *Conn) (next *Conn, err error) {
 	if err := c.to(Closed, Idle); err != nil {
 		return nil, err
 	}
 	b.forget(c)
-	return b.Free(), nil
+	return b.free(), nil
 }
 
 // Retire ends the sending to a server and returns its idle connections, which are closed. Those in use go on.
-func (b *Book) Retire(s *Server) (closed []*Conn, next []*Claim) {
+func (b *Book) Retire(s *Server) (closed, next []*Conn) {
 	s.Retire()
 	closed = slices.Clone(b.idle[s])
 	for _, c := range closed {
-		if claim, err := b.Drop(c); err == nil && claim != nil {
-			next = append(next, claim)
+		if granted, err := b.Drop(c); err == nil && granted != nil {
+			next = append(next, granted)
 		}
 	}
 	delete(b.idle, s)
@@ -191,11 +208,6 @@
 	return all
 }
 
-// Opened says that a connection came up in a place: it is in use.
-func (b *Book) Opened(s *Server, speaks choice.Protocols, host any) *Conn {
-	return &Conn{Server: s, Speaks: speaks, Host: host}
-}
-
 // forget takes a connection out of the idle ones. The room for those of its server is kept until it retires.
 func (b *Book) forget(c *Conn) {
 	all := b.idle[c.Server]
--- a/internal/life/life_test.go
+++ b/internal/life/life_test.go
@@ -50,7 +50,7 @@
 		"late in a queue":              {then(connected, steps(fail(Late))), choice.NotSent, false},
 		"breaks in a queue":            {then(connected, steps(fail(Broken))), choice.ConnectFailed, false},
 		"breaks before the last byte":  {then(begun, steps(wrote(99), fail(Broken))), choice.ConnectFailed, false},
-		"spoilt before the last byte":  {then(begun, steps(wrote(99), reading, fail(Spoilt))), choice.ConnectFailed, false},
+		"spoilt before the last byte":  {then(begun, steps(wrote(99), reading, fail(Garbled))), choice.ConnectFailed, false},
 		"late before the last byte":    {then(begun, steps(wrote(99), fail(Late))), choice.ConnectFailed, false},
 		"breaks after the last byte":   {then(sent, steps(fail(Broken))), choice.Reset, true},
 		"breaks, nobody knows where":   {then(begun, steps(unsure, fail(Broken))), choice.Reset, true},
@@ -58,7 +58,7 @@
 		"late":                         {then(sent, steps(fail(Late))), choice.TimedOut, true},
 		"late in the answer":           {then(sent, steps(reading, fail(Late))), choice.TimedOut, true},
 		"withdrawn":                    {then(sent, steps(fail(Withdrawn))), choice.Cancelled, true},
-		"spoilt":                       {then(sent, steps(reading, fail(Spoilt))), choice.Failed, true},
+		"spoilt":                       {then(sent, steps(reading, fail(Garbled))), choice.Failed, true},
 		"error":                        {then(sent, steps(reading, ans(choice.Failed))), choice.Failed, true},
 		"turned away":                  {then(sent, steps(reading, ans(choice.Rejected))), choice.Rejected, false},
 		"turned away before all is in": {then(begun, steps(wrote(50), reading, ans(choice.Rejected))), choice.Rejected, false},
@@ -124,14 +124,14 @@
 		most := 1 + r.IntN(4)
 		b := NewBook(most)
 		servers := []*Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
-		var granted, waiting []*Claim // places without a connection, in their order
+		var granted, waiting []*Conn // that have a place, or wait for one, in their order
 		var used []*Conn
-		grant := func(c *Claim) {
+		grant := func(c *Conn) {
 			if c == nil {
 				return
 			}
-			if len(waiting) == 0 || waiting[0] != c || !c.Granted() {
-				t.Fatalf("seed %d: a claim was granted out of turn", seed)
+			if len(waiting) == 0 || waiting[0] != c || c.State() != Dialled {
+				t.Fatalf("seed %d: a place was granted out of turn", seed)
 			}
 			waiting, granted = waiting[1:], append(granted, c)
 		}
@@ -146,11 +146,11 @@
 					used = append(used, c)
 					continue
 				}
-				c, evicted := b.Claim()
+				c, evicted := b.Claim(s, choice.Protocols(1))
 				if evicted != nil && (evicted.State() != Closed || slices.Contains(used, evicted)) {
 					t.Fatalf("seed %d: evicted %+v", seed, evicted)
 				}
-				if c.Granted() {
+				if c.State() == Dialled {
 					granted = append(granted, c)
 				} else {
 					waiting = append(waiting, c)
@@ -159,11 +159,22 @@
 				if len(granted) == 0 {
 					continue
 				}
+				c := granted[0]
 				granted = granted[1:]
 				if r.IntN(3) == 0 {
-					grant(b.Free())
+					next, err := b.GiveUp(c)
+					if err != nil || c.State() != Closed {
+						t.Fatalf("seed %d: given up, it is %v, %v", seed, c.State(), err)
+					}
+					grant(next)
 				} else {
-					used = append(used, b.Opened(s, choice.Protocols(1), nil))
+					if err := b.Open(c, nil); err != nil {
+						t.Fatal(err)
+					}
+					used = append(used, c)
+				}
+				if b.Open(c, nil) == nil {
+					t.Fatalf("seed %d: opened twice", seed)
 				}
 			case 4, 5:
 				if len(used) == 0 {
@@ -171,20 +182,25 @@
 				}
 				c := used[0]
 				used = used[1:]
-				waited := len(waiting)
-				kept, next, err := b.Return(c, r.IntN(4) > 0)
-				if err != nil || kept && (waited > 0 || c.Server.Retired()) || !kept && c.State() != Closed {
+				waited, spoilt := len(waiting), r.IntN(4) == 0
+				if spoilt {
+					if err := c.Spoil(); err != nil || c.State() != Spoilt {
+						t.Fatalf("seed %d: spoilt, it is %v, %v", seed, c.State(), err)
+					}
+				}
+				kept, next, err := b.Return(c)
+				if err != nil || kept != (!spoilt && waited == 0 && !c.Server.Retired()) || !kept && c.State() != Closed {
 					t.Fatalf("seed %d: kept %t, %v, %v", seed, kept, c.State(), err)
 				}
 				grant(next)
-				if _, _, err := b.Return(c, false); err == nil {
+				if _, _, err := b.Return(c); err == nil || c.Spoil() == nil {
 					t.Fatalf("seed %d: returned twice", seed)
 				}
 			case 6:
 				if len(waiting) > 0 {
 					i := r.IntN(len(waiting))
-					if !b.Cancel(waiting[i]) {
-						t.Fatalf("seed %d: a claim that waits was not known", seed)
+					if next, err := b.GiveUp(waiting[i]); next != nil || err != nil {
+						t.Fatalf("seed %d: one that waited had a place to give: %v", seed, err)
 					}
 					waiting = slices.Delete(waiting, i, i+1)
 				}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -40,7 +40,7 @@
 
 	mu    sync.Mutex
 	book  *life.Book
-	turns map[*life.Claim]chan struct{} // closed when a claim that waits is granted
+	turns map[*life.Conn]chan struct{} // closed when one that waits for a place has it
 }
 
 // New returns an empty Pool.
@@ -51,7 +51,7 @@
 	if set.Illegal == nil {
 		set.Illegal = func(error) {}
 	}
-	return &Pool{set: set, book: life.NewBook(set.Most), turns: map[*life.Claim]chan struct{}{}}
+	return &Pool{set: set, book: life.NewBook(set.Most), turns: map[*life.Conn]chan struct{}{}}
 }
 
 // Acquire returns an idle connection on which the protocol was spoken, or dials a new one: a server that speaks
@@ -69,23 +69,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.set.DialTimeout)
 	defer cancel()
-	if err := p.placeLocked(ctx); err != nil {
-		p.mu.Unlock()
+	l, err := p.placeLocked(ctx, s, speaks)
+	p.mu.Unlock()
+	if err != nil {
 		return nil, err
 	}
-	p.mu.Unlock()
 
 	p.heed(at.Dial())
 	socket, err := p.set.Dial(ctx, "tcp", s.Addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		p.grantLocked(p.book.Free())
+		p.giveUpLocked(l)
 		return nil, err
 	}
 	p.heed(at.Connect())
-	c := &Conn{Conn: socket}
-	c.life = p.book.Opened(s, speaks, c)
+	c := &Conn{Conn: socket, life: l}
+	p.heed(p.book.Open(l, c))
 	return c, nil
 }
 
@@ -97,36 +97,41 @@
 }
 
 // placeLocked waits for a place for a connection.
-func (p *Pool) placeLocked(ctx context.Context) error {
-	claim, evicted := p.book.Claim()
+func (p *Pool) placeLocked(ctx context.Context, s *life.Server, speaks choice.Protocols) (*life.Conn, error) {
+	l, evicted := p.book.Claim(s, speaks)
 	if evicted != nil {
 		evicted.Host.(*Conn).Close()
 	}
-	if claim.Granted() {
-		return nil
+	if l.State() != life.Queued {
+		return l, nil
 	}
 	turn := make(chan struct{})
-	p.turns[claim] = turn
+	p.turns[l] = turn
 	p.mu.Unlock()
 	select {
 	case <-turn:
 		p.mu.Lock()
-		return nil
+		return l, nil
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
-	if delete(p.turns, claim); !p.book.Cancel(claim) {
-		p.grantLocked(p.book.Free()) // it was granted just now
-	}
-	return ErrNoPlace
+	delete(p.turns, l)
+	p.giveUpLocked(l) // it may have got a place just now
+	return nil, ErrNoPlace
 }
 
-// grantLocked wakes the attempt whose claim got a place, if there is one.
-func (p *Pool) grantLocked(claims ...*life.Claim) {
-	for _, c := range claims {
-		if turn := p.turns[c]; turn != nil {
+func (p *Pool) giveUpLocked(l *life.Conn) {
+	next, err := p.book.GiveUp(l)
+	p.heed(err)
+	p.grantLocked(next)
+}
+
+// grantLocked wakes the attempts whose connections got a place.
+func (p *Pool) grantLocked(next ...*life.Conn) {
+	for _, l := range next {
+		if turn := p.turns[l]; turn != nil {
 			close(turn)
-			delete(p.turns, c)
+			delete(p.turns, l)
 		}
 	}
 }
@@ -140,7 +145,10 @@
 
 func (p *Pool) returnLocked(c *Conn, reuse bool) {
 	c.since = time.Now()
-	kept, next, err := p.book.Return(c.life, reuse)
+	if !reuse {
+		p.heed(c.life.Spoil())
+	}
+	kept, next, err := p.book.Return(c.life)
 	p.heed(err)
 	if !kept {
 		c.Close()
--- a/internal/thriftback/multiplexed.go
+++ b/internal/thriftback/multiplexed.go
@@ -314,7 +314,7 @@
 		}
 		cause := life.Broken
 		if errors.Is(err, exchange.ErrSpoilt) || errors.Is(err, os.ErrDeadlineExceeded) {
-			cause = life.Spoilt
+			cause = life.Garbled
 		}
 		l.mu.Lock()
 		l.breakLocked(cause)
