Stories of the explorer are driven against the real agent on loopback sockets

A story shows what the machines do; whether their hosts on sockets do the same was left to other tests. internal/drive plays a story with kiosks, scripted servers and a list in its order and compares answers, deliveries and effects, over HTTP, Thrift and multiplexed Thrift; what sockets can't force is said.

--- a/cmd/ternbeam-explore/main.go
+++ b/cmd/ternbeam-explore/main.go
@@ -3,21 +3,27 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"runtime/debug"
 	"slices"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"ternbeam/choice"
+	"ternbeam/internal/drive"
 	"ternbeam/internal/explore"
 )
 
 type commands struct {
-	Run    runCommand    `cmd:"" help:"Explore a world."`
-	Replay replayCommand `cmd:"" help:"Play a story from a file, step by step."`
+	Run     runCommand     `cmd:"" help:"Explore a world."`
+	Replay  replayCommand  `cmd:"" help:"Play a story from a file, step by step."`
+	Stories storiesCommand `cmd:"" help:"Write the stories of a world that sockets can force, each into a file."`
+	Drive   driveCommand   `cmd:"" help:"Play a story from a file against a real agent on loopback sockets."`
 }
 
 type runCommand struct {
@@ -98,15 +104,23 @@
 	File string `arg:"" help:"A story that run saved."`
 }
 
-// Run plays a story.
-func (r *replayCommand) Run() error {
-	text, err := os.ReadFile(r.File)
+func read(file string) (explore.Config, []explore.Step, error) {
+	text, err := os.ReadFile(file)
 	if err != nil {
-		return err
+		return explore.Config{}, nil, err
 	}
 	cfg, steps, err := explore.Read(text)
 	if err != nil {
-		return fmt.Errorf("%s: %w", r.File, err)
+		err = fmt.Errorf("%s: %w", file, err)
+	}
+	return cfg, steps, err
+}
+
+// Run plays a story.
+func (r *replayCommand) Run() error {
+	cfg, steps, err := read(r.File)
+	if err != nil {
+		return err
 	}
 	fault, err := explore.Replay(cfg, steps, os.Stdout)
 	if err == nil && fault != "" {
@@ -116,6 +130,55 @@
 	return err
 }
 
+type storiesCommand struct {
+	runCommand
+	Into string `arg:"" type:"existingdir" help:"The folder for them."`
+	Max  int    `default:"1000" help:"The most to be written."`
+}
+
+// Run writes stories.
+func (s *storiesCommand) Run() error {
+	cfg, err := s.config()
+	if err != nil {
+		return err
+	}
+	n := 0
+	explore.Stories(cfg, drive.Kinds(), func(story []explore.Step) bool {
+		if drive.Possible(cfg, story) != nil {
+			return true
+		}
+		var text []byte
+		if text, err = explore.Tell(cfg, "", story); err == nil {
+			n++
+			err = os.WriteFile(filepath.Join(s.Into, fmt.Sprintf("%04d.json", n)), text, 0o644)
+		}
+		return err == nil && n < s.Max
+	})
+	fmt.Printf("%d stories\n", n)
+	return err
+}
+
+type driveCommand struct {
+	File        string        `arg:"" help:"A story to its end that breaks no property, as stories writes them."`
+	Protocol    string        `default:"http" enum:"http,thrift-binary,thrift-compact" help:"What kiosks and servers speak."`
+	Multiplexed bool          `help:"Servers take several calls at a time on a connection (Thrift)."`
+	Deadline    time.Duration `default:"1s" help:"Of every call."`
+}
+
+// Run drives a story.
+func (d *driveCommand) Run() error {
+	cfg, steps, err := read(d.File)
+	if err != nil {
+		return err
+	}
+	err = drive.Story(context.Background(), cfg, steps, drive.Options{Protocol: d.Protocol, Multiplexed: d.Multiplexed,
+		Deadline: d.Deadline, Patience: 10 * time.Second, Seeds: 16})
+	if err == nil {
+		fmt.Println("the agent does as the story says")
+	}
+	return err
+}
+
 func main() {
 	var c commands
 	k := kong.Parse(&c, kong.Name("ternbeam-explore"), kong.Description("Try every ordering of a small world."))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -96,6 +96,12 @@
 // Ready is closed when clients may begin.
 func (a *Agent) Ready() <-chan struct{} { return a.core.Ready() }
 
+// Snapshot asks the agent, which must run, what it holds.
+func (a *Agent) Snapshot() core.Snapshot { return a.core.Snapshot() }
+
+// Illegal is how many steps have come that must not.
+func (a *Agent) Illegal() int64 { return a.illegal.Load() }
+
 func (a *Agent) thriftAddr() string {
 	if a.thrift == nil {
 		return ""
--- a/internal/explore/story.go
+++ b/internal/explore/story.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"ternbeam/choice"
+	"ternbeam/internal/ledger"
 )
 
 // Story is a story as it is kept in a file.
@@ -51,6 +52,75 @@
 	return s.World, steps, nil
 }
 
+// Event is a step of a story as those outside see it.
+type Event struct {
+	Step
+	Call    int // whose client or attempt it is
+	Attempt int // its number among those of the call
+	Server  int // that the attempt is made at
+}
+
+// Fate is what a story comes to for a call.
+type Fate struct {
+	Effect choice.Effect
+	Asked  bool
+	Left   bool
+	Answer ledger.Kind // of one that was asked and whose client has not left
+	Runs   int         // how often it may have run
+}
+
+// Play plays a story and returns what those outside see of it. It must be one to the end that breaks no property.
+func Play(cfg Config, story []Step) (events []Event, fates []Fate, err error) {
+	w := newWorld(&cfg)
+	for i, s := range story {
+		if !slices.Contains(w.enabled(), Step{Kind: s.Kind, N: s.N}) {
+			return nil, nil, fmt.Errorf("step %d: %v: it is not possible there", i+1, s)
+		}
+		e := Event{Step: s, Call: int(s.N)}
+		if s.Kind >= Take {
+			t := w.try(int(s.N))
+			e.Call, e.Attempt = t.call, t.Number
+			e.Server = slices.IndexFunc(w.servers, func(o choice.Server) bool { return o.ID == t.Server.ID })
+		}
+		events = append(events, e)
+		w.take(s)
+	}
+	if more := w.enabled(); len(more) > 0 {
+		return nil, nil, fmt.Errorf("it does not end: %v may follow", more[0])
+	}
+	if w.ended(); w.fault != "" {
+		return nil, nil, fmt.Errorf("it breaks a property: %s", w.fault)
+	}
+	for _, c := range w.calls {
+		f := Fate{Effect: c.effect, Asked: c.asked, Left: c.left, Runs: len(c.runs)}
+		if len(c.answers) > 0 {
+			f.Answer = c.answers[0]
+		}
+		fates = append(fates, f)
+	}
+	return events, fates, nil
+}
+
+// Stories calls yield with each story of a small world to its end in which only some kinds of steps are taken.
+func Stories(cfg Config, kinds []Kind, yield func([]Step) bool) {
+	newWorld(&cfg).stories(kinds, nil, yield)
+}
+
+func (w *world) stories(kinds []Kind, story []Step, yield func([]Step) bool) (goOn bool) {
+	if len(w.enabled()) == 0 {
+		if end, _ := w.ended(); end {
+			return yield(slices.Clone(story))
+		}
+		return true
+	}
+	for s, next := range w.successors() {
+		if slices.Contains(kinds, s.Kind) && !next.stories(kinds, append(story, s), yield) {
+			return false
+		}
+	}
+	return true
+}
+
 // check says what is wrong with the size of a world.
 func (c Config) check() error {
 	for name, n := range map[string]int{"servers": c.Servers, "calls": len(c.Calls), "attempts": c.Attempts, "places": c.Places} {
--- a/internal/standin/kiosk.go
+++ b/internal/standin/kiosk.go
@@ -27,6 +27,7 @@
 	Left        time.Duration
 	Text        string
 	Repeat      bool
+	Leave       <-chan struct{} // when it is closed the kiosk leaves without its answer; nil for one that stays
 }
 
 // Kind is what a kiosk was told.
@@ -75,6 +76,22 @@
 	return nil, fmt.Errorf("no kiosk speaks %q", protocol)
 }
 
+// onLeave does something when the kiosk leaves, until stays is called.
+func (a *Ask) onLeave(do func()) (stays func()) {
+	if a.Leave == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-a.Leave:
+			do()
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
 type httpKiosk struct {
 	addr   string
 	client *http.Transport
@@ -92,6 +109,7 @@
 func (k *httpKiosk) ask(a Ask) Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Left+slack)
 	defer cancel()
+	defer a.onLeave(cancel)()
 	method, body := http.MethodPost, io.Reader(strings.NewReader(a.Text))
 	if a.Method == Check || a.Method == Note {
 		method, body = http.MethodGet, nil
@@ -188,7 +206,9 @@
 		return Answer{Kind: Lost, Err: err, Took: time.Since(begin)}
 	}
 	c.SetDeadline(begin.Add(a.Left + slack))
+	stays := a.onLeave(func() { c.Close() })
 	ans := ask(c.client, a)
+	stays()
 	ans.Took = time.Since(begin)
 	if ans.Kind == Lost {
 		c.Close()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -334,7 +334,9 @@
 	s.mu.Unlock()
 	if answer.fault != Reject {
 		answer.text = s.opts.Pod.run(call)
-		s.wait(step)
+		s.wait(s.opts.Service, step)
+	} else {
+		s.wait(0, step)
 	}
 	s.mu.Lock()
 	s.inFlight--
@@ -355,8 +357,7 @@
 }
 
 // wait lets the time of a call pass.
-func (s *Server) wait(step Step) {
-	took := s.opts.Service
+func (s *Server) wait(took time.Duration, step Step) {
 	if age := time.Since(s.since); age < s.opts.ColdFor {
 		warm := s.opts.ColdFrom + (1-s.opts.ColdFrom)*float64(age)/float64(s.opts.ColdFor)
 		took = time.Duration(float64(took) / warm)
