The life of a multiplexed line is a machine of its own, used by its host and explored

Which attempt a reply ends, what a break ends, when a line is suspect or rests was decided in the host of multiplexed Thrift under its locks. It is life.Line now, without I/O or clock; the host keeps the socket, its writer and reader.

--- a/cmd/ternbeam-explore/main.go
+++ b/cmd/ternbeam-explore/main.go
@@ -35,6 +35,7 @@
 	Lists    int      `default:"1" help:"Changes of the list."`
 	Leaves   int      `default:"1" help:"Clients that may leave."`
 	Cells    int      `default:"2" help:"Groups of servers that drop one another's repeats."`
+	Lines    bool     `help:"A connection carries several calls at a time."`
 	Past     string   `default:"" enum:",losing,quick" help:"What the module has lived through: servers that lost calls (late ones are copied), or quick ones (late ones are withdrawn)."`
 	Most     int      `default:"20000000" help:"States at which to stop."`
 	Save     string   `help:"Save the story of a fault in this file." placeholder:"FILE"`
@@ -51,7 +52,7 @@
 		return cfg, nil
 	}
 	cfg := explore.Config{Servers: r.Servers, Attempts: r.Attempts, Places: r.Places, Lists: r.Lists, Leaves: r.Leaves, Cells: r.Cells,
-		Past: explore.Past(r.Past)}
+		Past: explore.Past(r.Past), Lines: r.Lines}
 	for _, name := range r.Calls {
 		e := slices.Index(effects, name)
 		if e < 0 {
--- a/internal/explore/host.go
+++ b/internal/explore/host.go
@@ -12,7 +12,7 @@
 
 // wide reports whether there is always a place for one more connection. Then attempts touch one another only by idle
 // connections to the same server.
-func (w *world) wide() bool { return w.cfg.Places >= len(w.cfg.Calls)*w.cfg.Attempts }
+func (w *world) wide() bool { return !w.cfg.Lines && w.cfg.Places >= len(w.cfg.Calls)*w.cfg.Attempts }
 
 // wakeBook ends the rest of those whose next step depends on what has changed in the book: the idle connections to a
 // server, or where places are scarce anything. Who asks for a connection wakes those that give one back.
@@ -151,9 +151,7 @@
 	t.Heed(t.Life.Read())
 	t.Heed(t.Life.Answer(r))
 	if r == choice.Rejected && t.ran {
-		t.ran = false
-		c := w.of(t)
-		c.runs = slices.DeleteFunc(c.runs, func(r run) bool { return r.by == t.n })
+		w.unrun(t)
 	}
 	w.checkEnding(t)
 }
@@ -175,7 +173,7 @@
 	case life.InUse, life.Retiring:
 		t.Heed(t.conn.Spoil())
 	}
-	if w.wide() && !w.cfg.Plain {
+	if w.wide() && !w.cfg.plain() {
 		w.returned(t)
 	}
 }
--- a/internal/explore/key.go
+++ b/internal/explore/key.go
@@ -93,11 +93,22 @@
 		}
 		num(t.call, t.Number, int(stage), int(t.SendBy))
 		server(t.Server)
-		flag(t.withdrawn && stage != life.Ended, t.ran, a.CanHaveRun(), t.hangs, t.rests)
+		flag(t.withdrawn && stage != life.Ended, t.ran, a.CanHaveRun(), t.hangs, t.rests, t.waits)
 		if t.conn != nil && (exact || !w.wide()) {
 			num(int(t.conn.State()), slices.Index(w.book.Queue(), t.conn))
 		}
 	}
+	for _, l := range w.lines {
+		num(int(l.conn.State()), len(l.out))
+		server(l.conn.Server)
+		number := func(s *life.Slot) int {
+			return slices.IndexFunc(w.tries, func(t *try) bool { return t.Attempt == s.Host })
+		}
+		to = l.life.Fingerprint(to, number)
+		for _, s := range l.out {
+			num(int(s.Seq))
+		}
+	}
 	if w.wide() && !exact {
 		return to // an idle connection spares a dial that might as well succeed, or fail, or hang
 	}
--- a/internal/explore/properties.go
+++ b/internal/explore/properties.go
@@ -5,6 +5,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/ledger"
+	"ternbeam/internal/life"
 )
 
 // The properties, each checked where it could cease to hold. What a property looks at is kept by the world itself, from
@@ -102,7 +103,12 @@
 	if open, held := w.ledger.Count(); open != 0 || held != 0 {
 		w.violate("%d calls open and %d held when all is over", open, held)
 	}
-	if open, idle, waiting := w.book.Count(); open != idle || waiting != 0 {
+	for _, l := range w.lines { // one on which a late reply may still come stays in use
+		if l.conn.State() != life.Idle && len(l.life.Slots()) == 0 {
+			w.violate("a line that carries nothing is %v when all is over", l.conn.State())
+		}
+	}
+	if open, idle, waiting := w.book.Count(); !w.cfg.Lines && open != idle || waiting != 0 || w.cfg.Lines && open != len(w.lines) {
 		w.violate("%d places taken, %d idle and %d waited for when all is over", open, idle, waiting)
 	}
 }
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -103,7 +103,7 @@
 
 func (x *explorer) print(w *world) (p print) {
 	var room [1 << 10]byte
-	key := w.key(room[:0], x.cfg.Plain)
+	key := w.key(room[:0], x.cfg.plain())
 	for i := range p {
 		p[i] = maphash.Bytes(x.seeds[i], key)
 	}
--- a/internal/explore/steps.go
+++ b/internal/explore/steps.go
@@ -47,6 +47,9 @@
 	Return                       // its connection is given back
 	Withdraw                     // its host sees that it was withdrawn
 	TimeOut                      // its host sees that its time is over
+	ReplyLate                    // a reply comes to what was given up; N is the line from here on
+	WriteTold                    // what is being written on it is written whole
+	WriteFails                   // of that nothing is
 	kinds
 )
 
@@ -60,7 +63,8 @@
 	"last byte is written", "breaks before the first byte", "breaks before the last byte", "breaks, nobody can tell where",
 	"is turned away before all is written", "is answered with an error before all is written", "is served",
 	"is answered with an error", "is turned away", "is served twice", "gets a garbled answer", "breaks after the last byte",
-	"hangs", "rests", "gives its connection back", "is seen to be withdrawn", "is out of time"}
+	"hangs", "rests", "gives its connection back", "is seen to be withdrawn", "is out of time",
+	"gets a reply to what was given up", "has written all", "breaks before it has written anything"}
 
 // Step is one step: what happens, to what, and what chance gives where the module draws.
 type Step struct {
@@ -83,6 +87,9 @@
 	case s.Kind <= Fire:
 		return kindNames[s.Kind] + luck
 	}
+	if s.Kind >= ReplyLate {
+		return fmt.Sprintf("line %d %s", s.N, kindNames[s.Kind])
+	}
 	return fmt.Sprintf("attempt %d %s%s", s.N, kindNames[s.Kind], luck)
 }
 
@@ -93,11 +100,11 @@
 		for _, k := range kinds {
 			all = append(all, Step{Kind: k, N: uint8(t.n)})
 		}
-		if len(kinds) > 0 && !w.cfg.Plain { // what the others do now, they may as well do afterwards
+		if len(kinds) > 0 && !w.cfg.plain() { // what the others do now, they may as well do afterwards
 			return all
 		}
 	}
-	return append(all, w.loopSteps()...)
+	return append(append(all, w.lineSteps()...), w.loopSteps()...)
 }
 
 // loopSteps are the steps of the loop, of the clock and of those outside that speak to the loop.
@@ -146,23 +153,26 @@
 // options are the steps that an attempt's host, its network or its server may take now. One that rests takes none.
 // Where it may rest, that is one of them.
 func (w *world) options(t *try) []Kind {
-	if t.rests && !w.cfg.Plain {
+	if w.cfg.Lines {
+		return w.lineOptions(t)
+	}
+	if t.rests && !w.cfg.plain() {
 		return nil
 	}
 	var all []Kind
 	rest := func(may bool) []Kind {
-		if may && len(all) > 0 && !w.cfg.Plain {
+		if may && len(all) > 0 && !w.cfg.plain() {
 			all = append(all, Rest)
 		}
 		return all
 	}
 	hang := func() []Kind {
-		if !w.cfg.Plain {
+		if !w.cfg.plain() {
 			all = append(all, Hang)
 		}
 		return all
 	}
-	if t.hangs || w.cfg.Plain { // what ends a wait for the network
+	if t.hangs || w.cfg.plain() { // what ends a wait for the network
 		switch stage := t.Life.Stage(); {
 		case stage != life.Dialling && stage != life.Writing && stage != life.Waiting:
 		case t.withdrawn:
@@ -219,7 +229,15 @@
 		w.takeOutside(s)
 		return
 	}
+	if s.Kind >= ReplyLate {
+		w.takeLine(w.lines[s.N], s.Kind)
+		return
+	}
 	t := w.try(int(s.N))
+	if w.cfg.Lines && s.Kind != Take {
+		w.takeOnLine(t, s.Kind)
+		return
+	}
 	switch s.Kind {
 	case Take:
 		w.takeEnd(t)
--- a/internal/explore/story.go
+++ b/internal/explore/story.go
@@ -121,6 +121,9 @@
 	return true
 }
 
+// plain reports whether every order of steps is tried.
+func (c *Config) plain() bool { return c.Plain || c.Lines }
+
 // check says what is wrong with the size of a world.
 func (c Config) check() error {
 	for name, n := range map[string]int{"servers": c.Servers, "calls": len(c.Calls), "attempts": c.Attempts, "places": c.Places} {
@@ -147,5 +150,8 @@
 	"three":      {Servers: 2, Calls: []choice.Effect{choice.Safe, choice.Keyed, choice.Unsafe}, Attempts: 1, Places: 3, Cells: 2},
 	"copies":     {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 1, Past: Losing},
 	"withdrawn":  {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 1, Past: Quick},
+	"line":       {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 1, Places: 1, Cells: 1, Lines: true},
+	"lines":      {Servers: 1, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Lists: 1, Leaves: 1, Cells: 1, Lines: true},
+	"line-late":  {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Cells: 1, Past: Quick, Lines: true},
 	"late":       {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Leaves: 1, Cells: 1, Past: Losing},
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -24,6 +24,7 @@
 	Leaves   int             // how many clients may leave
 	Cells    int             // over which the servers are spread
 	Past     Past            `json:",omitempty"`
+	Lines    bool            `json:",omitempty"` // a connection carries several calls at a time
 	Plain    bool            `json:",omitempty"` // every order of steps that do not touch one another is tried, too
 }
 
@@ -70,6 +71,7 @@
 	ledger  *ledger.Ledger
 	module  *choice.Balancer
 	book    *life.Book
+	lines   []*line // whose connections are in use or idle
 	timers  []timer
 	calls   []*call
 	servers []choice.Server
@@ -113,6 +115,7 @@
 	conn      *life.Conn // that it waits for or has
 	withdrawn bool
 	ran       bool // its server may have run it, and has not said otherwise
+	waits     bool // for another's dial
 	hangs     bool // nothing more comes by the network
 	rests     bool // its host takes no step until something changes that it depends on
 }
@@ -261,6 +264,7 @@
 		same.conn = conns.Of(t.conn)
 		c.tries[i] = &same
 	}
+	c.lines = w.copyLines(twins, &conns)
 	return c
 }
 
@@ -295,6 +299,7 @@
 			closed, _ := w.book.Retire(o.Server)
 			for _, c := range closed {
 				c.Host.(*on).by = -1
+				w.dropLine(c)
 			}
 			for _, t := range w.tries {
 				if t.Server == o.Server && t.Life.Stage() == life.Ready {
--- a/internal/life/copy.go
+++ b/internal/life/copy.go
@@ -1,6 +1,9 @@
 package life
 
-import "slices"
+import (
+	"encoding/binary"
+	"slices"
+)
 
 // Copies are how an explorer tries what may come next from one state, several times: what it copies, it copies whole.
 
@@ -63,3 +66,41 @@
 
 // Queue returns the connections that wait for a place, the longest first.
 func (b *Book) Queue() []*Conn { return slices.Clone(b.queue) }
+
+// CopyTo makes another Slot equal, for the copy of its attempt.
+func (s *Slot) CopyTo(twin *Slot, a *Attempt, host any) {
+	*twin = Slot{Seq: s.Seq, Life: a, Host: host, begun: s.begun}
+}
+
+// Copy returns an equal Line of copied places.
+func (l *Line) Copy(slots *Twins[Slot]) *Line {
+	twin := *l
+	twin.slots, twin.queue = make(map[int32]*Slot, len(l.slots)), nil
+	for seq, s := range l.slots {
+		twin.slots[seq] = slots.Of(s)
+	}
+	for _, s := range l.queue {
+		twin.queue = append(twin.queue, slots.Of(s))
+	}
+	return &twin
+}
+
+// Fingerprint appends all that a Line's next steps depend on, but for the attempts on it, which have a number.
+func (l *Line) Fingerprint(to []byte, number func(*Slot) int) []byte {
+	to = binary.AppendVarint(to, l.heard.UnixNano())
+	to = binary.AppendVarint(to, int64(l.seq))
+	to = append(to, byte(l.cause), b2i(l.broken), b2i(l.suspect), byte(len(l.slots)))
+	for _, s := range l.Slots() {
+		to = binary.AppendVarint(to, int64(s.Seq))
+		to = binary.AppendVarint(to, s.begun.UnixNano())
+		to = append(to, byte(number(s)), byte(s.Life.stage))
+	}
+	return to
+}
+
+func b2i(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/life/line_test.go
@@ -0,0 +1,181 @@
+package life
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"ternbeam/choice"
+)
+
+// A random walk over a Line: a reply ends the attempt that it answers and no other, each attempt ends once, what is not
+// begun never ran, what breaks ends all, and the line rests only when nobody waits on it.
+func TestLineWalks(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		now := time.Unix(0, 0)
+		l := NewLine(now)
+		l.seq = math.MaxInt32 - int32(r.IntN(4)) // ids begin anew, and pass over those in use
+		ended := map[*Attempt]bool{}
+		var joined, writing, asked []*Slot // in the queue; begun; written whole
+		end := func(s *Slot) {
+			if ended[s.Life] || s.Life.Stage() != Ended {
+				t.Fatalf("seed %d: an attempt ends twice, or is %v", seed, s.Life.Stage())
+			}
+			ended[s.Life] = true
+		}
+		check := func(err error) {
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+		}
+		take := func(from *[]*Slot) *Slot {
+			i := r.IntN(len(*from))
+			s := (*from)[i]
+			*from = slices.Delete(*from, i, i+1)
+			return s
+		}
+		for range 200 {
+			now = now.Add(time.Second)
+			switch k := r.IntN(9); {
+			case k <= 2:
+				a := &Attempt{}
+				s, err := l.Join(a, a, 4)
+				check(err)
+				if s != nil {
+					joined = append(joined, s)
+				}
+			case k == 3:
+				s := l.Next()
+				if (s == nil) != (len(joined) == 0) || s != nil && s != joined[0] {
+					t.Fatalf("seed %d: not in its turn", seed)
+				}
+				if s == nil {
+					continue
+				}
+				joined = joined[1:]
+				send, err := s.Life.Begin(10, Now{Over: r.IntN(4) == 0})
+				check(err)
+				if !send {
+					l.Drop(s)
+					end(s)
+					continue
+				}
+				check(l.Begun(s, now))
+				writing = append(writing, s)
+			case k == 4 && len(writing) > 0:
+				s := writing[0]
+				writing = writing[1:]
+				oneway := r.IntN(4) == 0
+				over, err := l.Wrote(s, 10, oneway)
+				check(err)
+				if over {
+					end(s)
+				}
+				if !oneway {
+					asked = append(asked, s)
+				}
+			case k == 5 && len(asked) > 0:
+				s := take(&asked)
+				got, err := l.Reply(s.Seq, now)
+				if l.slots[s.Seq] != s {
+					continue // answered before
+				}
+				check(err)
+				if got != s {
+					t.Fatalf("seed %d: the reply to one is another's", seed)
+				}
+				over, err := l.Answered(got, choice.Failed)
+				check(err)
+				if over {
+					end(s)
+				} else if !ended[s.Life] {
+					t.Fatalf("seed %d: a reply ends nothing", seed)
+				}
+				if _, err := l.Reply(s.Seq, now); !errors.Is(err, ErrForeign) {
+					t.Fatalf("seed %d: a second reply: %v", seed, err)
+				}
+			case k == 6:
+				for _, from := range []*[]*Slot{&joined, &writing, &asked} {
+					if len(*from) == 0 || r.IntN(3) > 0 {
+						continue
+					}
+					s := (*from)[r.IntN(len(*from))]
+					if ended[s.Life] {
+						continue
+					}
+					check(l.Abandon(s, []Cause{Late, Withdrawn}[r.IntN(2)]))
+					end(s)
+					if from == &joined {
+						joined = slices.DeleteFunc(joined, func(o *Slot) bool { return o == s })
+					}
+					if (from != &joined) != s.Life.CanHaveRun() {
+						t.Fatalf("seed %d: can have run: %t", seed, s.Life.CanHaveRun())
+					}
+				}
+			case k == 7 && r.IntN(10) == 0:
+				gone, err := l.Break([]Cause{Broken, Garbled}[r.IntN(2)])
+				check(err)
+				for _, s := range gone {
+					end(s)
+				}
+				for _, s := range writing {
+					over, err := l.Wrote(s, 5, false)
+					check(err)
+					if over {
+						end(s)
+					}
+				}
+				if s, err := l.Join(&Attempt{}, nil, 4); s != nil || err != nil || len(l.slots) > 0 || !l.Broken() {
+					t.Fatalf("seed %d: a broken line goes on", seed)
+				}
+				joined, writing, asked = nil, nil, nil
+				now = now.Add(time.Second)
+				l = NewLine(now)
+			}
+			live := 0
+			for _, s := range l.Slots() {
+				if !ended[s.Life] {
+					live++
+				}
+			}
+			if rests, _ := l.Rests(r.IntN(2) == 0); rests && live > 0 {
+				t.Fatalf("seed %d: it rests with %d on it", seed, live)
+			}
+		}
+	}
+}
+
+// A line that answered nothing while an attempt ran out of its time gets nothing new; a reply makes the difference.
+func TestSuspectLine(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		now := time.Unix(0, 0)
+		l := NewLine(now)
+		var slots []*Slot
+		for range 2 {
+			s, err := l.Join(&Attempt{}, nil, 4)
+			if err != nil || l.Next() != s {
+				t.Fatal(err)
+			}
+			now = now.Add(time.Second)
+			s.Life.Begin(1, Now{})
+			l.Begun(s, now)
+			l.Wrote(s, 1, false)
+			slots = append(slots, s)
+		}
+		now = now.Add(time.Second)
+		if heard {
+			l.Reply(slots[1].Seq, now)
+			l.Answered(slots[1], choice.OK)
+		}
+		if err := l.Abandon(slots[0], Late); err != nil {
+			t.Fatal(err)
+		}
+		if s, _ := l.Join(&Attempt{}, nil, 4); (s != nil) != heard {
+			t.Errorf("heard of: %t, takes something new: %t", heard, s != nil)
+		}
+	}
+}
--- a/internal/thriftback/multiplexed.go
+++ b/internal/thriftback/multiplexed.go
@@ -5,9 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
@@ -50,36 +48,27 @@
 		dials: map[key]*dial{}}
 }
 
-// line is a connection that carries several calls.
+// line is a connection that carries several calls. What comes of them is life.Line's; here are the socket, its writer
+// and its reader.
 type line struct {
 	m    *multiplexer
 	key  key
 	conn *pool.Conn
 
 	mu      sync.Mutex
-	pending map[int32]*ticket // by sequence id
-	queue   []*ticket         // not written yet
+	life    *life.Line
 	writing bool
-	seq     int32
-	heard   time.Time  // the latest reply
-	broken  bool       // nothing more can be told from what comes
-	cause   life.Cause // why
-	suspect bool       // gets nothing new
 }
 
-// ticket is one attempt on a line. Its life belongs to whoever holds the line's lock: it is ready while it is queued,
-// and one that has ended while it is still pending was given up, with its reply still to come.
+// ticket is one attempt on a line. Its life belongs to whoever holds the line's lock.
 type ticket struct {
 	ctx  context.Context
 	at   *core.Attempt
 	call *thriftmap.Call
-	seq  int32
-	sent time.Time
+	slot *life.Slot
 	done chan core.Ending
 }
 
-func (t *ticket) stage() life.Stage { return t.at.Life.Stage() }
-
 // attempt makes one attempt.
 func (m *multiplexer) attempt(ctx context.Context, at *core.Attempt) core.Ending {
 	t := &ticket{ctx: ctx, at: at, call: at.Call.Payload.(*thriftmap.Call), done: make(chan core.Ending, 1)}
@@ -137,7 +126,7 @@
 	}
 	l, _ := c.Session.(*line)
 	if l == nil {
-		l = &line{m: m, key: k, conn: c, pending: map[int32]*ticket{}, heard: time.Now()}
+		l = &line{m: m, key: k, conn: c, life: life.NewLine(time.Now())}
 		c.Session = l
 		go l.read()
 	}
@@ -153,24 +142,12 @@
 func (l *line) enqueue(t *ticket, most int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.broken || l.suspect || len(l.pending) >= most {
+	slot, err := l.life.Join(&t.at.Life, t, most)
+	t.at.Heed(err)
+	if slot == nil {
 		return false
 	}
-	for {
-		if l.seq == math.MaxInt32 {
-			l.seq = 0
-		}
-		l.seq++
-		if l.pending[l.seq] == nil {
-			break
-		}
-	}
-	if t.stage() == life.Placing { // the line is another's that is shared
-		t.at.Heed(t.at.Life.Connect())
-	}
-	t.seq = l.seq
-	l.pending[t.seq] = t
-	l.queue = append(l.queue, t)
+	t.slot = slot
 	if !l.writing {
 		l.writing = true
 		go l.write()
@@ -191,20 +168,23 @@
 		// A server that takes nothing holds up all calls on the line; as long as an answer may pause is long enough.
 		by := time.Now().Add(exchange.Stall)
 		l.mu.Lock()
-		for len(l.queue) > 0 && len(buf) < batch && !l.broken {
-			t := l.queue[0]
-			l.queue = l.queue[1:]
+		for len(buf) < batch {
+			slot := l.life.Next()
+			if slot == nil {
+				break
+			}
+			t := slot.Host.(*ticket)
 			end, _ := t.ctx.Deadline()
 			before := len(buf)
-			buf = t.call.Frame(buf, t.seq, time.Until(end))
+			buf = t.call.Frame(buf, slot.Seq, time.Until(end))
 			// What was right to send when it was queued may not be any more.
 			if !exchange.Begin(t.ctx, t.at, len(buf)-before) {
 				buf = buf[:before]
-				l.finishLocked(t, core.Ended(t.at.Life.Result()))
+				l.life.Drop(slot)
+				t.done <- core.Ended(t.at.Life.Result())
 				continue
 			}
-			t.at.Heed(t.at.Life.Unsure())
-			t.sent = time.Now()
+			t.at.Heed(l.life.Begun(slot, time.Now()))
 			if w := t.at.WriteBy; !w.IsZero() && w.Before(by) {
 				by = w
 			}
@@ -222,59 +202,29 @@
 		l.mu.Lock()
 		begin := 0
 		for i, t := range out {
-			if t.stage() != life.Ended {
-				t.at.Heed(t.at.Life.Wrote(min(ends[i], max(begin, n)) - begin))
-			}
+			ended, problem := l.life.Wrote(t.slot, min(ends[i], max(begin, n))-begin, t.call.Method.Oneway)
 			begin = ends[i]
-			if l.pending[t.seq] != t {
-				continue // its reply has come already
-			}
-			if t.call.Method.Oneway || ends[i] > n { // no reply will come
-				l.endUnansweredLocked(t)
+			t.at.Heed(problem)
+			if ended {
+				t.done <- core.Ended(t.at.Life.Result())
 			}
 		}
-		if err != nil || l.broken { // the reader may have broken it while this was written
+		if err != nil || l.life.Broken() { // the reader may have broken it while this was written
 			l.breakLocked(life.Broken)
 		}
 		l.mu.Unlock()
 	}
 }
 
-// finishLocked gives a ticket its ending and forgets it.
-func (l *line) finishLocked(t *ticket, e core.Ending) {
-	delete(l.pending, t.seq)
-	t.done <- e
-}
-
-// endUnansweredLocked ends a ticket that no reply will come to: a oneway that is written whole, or what is not.
-func (l *line) endUnansweredLocked(t *ticket) {
-	switch t.stage() {
-	case life.Ended: // nobody waits for it
-		delete(l.pending, t.seq)
-	case life.Waiting:
-		t.at.Heed(t.at.Life.Answer(choice.OK))
-		l.finishLocked(t, core.Ended(t.at.Life.Result()))
-	default:
-		l.finishLocked(t, exchange.Fail(t.at, life.Broken))
-	}
-}
-
-// breakLocked ends all that is on the line: what may have run by its cause, the rest as never sent.
+// breakLocked ends all that is on the line but what is being written.
 func (l *line) breakLocked(c life.Cause) {
-	if !l.broken {
-		l.broken, l.cause = true, c
-	}
 	l.conn.Close()
-	for _, t := range l.pending {
-		switch t.stage() {
-		case life.Ended:
-			delete(l.pending, t.seq)
-		case life.Writing: // its writer sees how far it got
-		default:
-			l.finishLocked(t, exchange.Fail(t.at, l.cause))
-		}
+	ended, err := l.life.Break(c)
+	for _, s := range ended {
+		t := s.Host.(*ticket)
+		t.at.Heed(err)
+		t.done <- core.Ended(t.at.Life.Result())
 	}
-	l.queue = nil
 }
 
 // abandon ends the waiting for a ticket's reply, if it has not come meanwhile.
@@ -291,16 +241,8 @@
 	if errors.Is(context.Cause(t.ctx), core.ErrWithdrawn) {
 		cause = life.Withdrawn
 	}
-	switch t.stage() {
-	case life.Ready:
-		delete(l.pending, t.seq)
-		l.queue = slices.DeleteFunc(l.queue, func(other *ticket) bool { return other == t })
-	case life.Waiting:
-		if cause == life.Late && l.heard.Before(t.sent) {
-			l.suspect = true // it has been silent for as long as this call may take
-		}
-	}
-	return exchange.Fail(t.at, cause)
+	t.at.Heed(l.life.Abandon(t.slot, cause))
+	return core.Ended(t.at.Life.Result())
 }
 
 // read takes replies until the connection ends.
@@ -338,21 +280,19 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.pending[h.Seq]
-	if t == nil || t.stage() == life.Ready {
-		return fmt.Errorf("%w: sequence id %d", exchange.ErrSpoilt, h.Seq)
+	slot, err := l.life.Reply(h.Seq, time.Now())
+	if err != nil {
+		return fmt.Errorf("%w: %w: sequence id %d", exchange.ErrSpoilt, err, h.Seq)
 	}
-	l.heard = time.Now()
+	t := slot.Host.(*ticket)
 	e, err := ending(t.call, h, message, h.Seq)
-	switch {
-	case err != nil:
+	if err != nil {
 		return err // this call ends with the others
-	case t.stage() == life.Ended: // late, and nobody's any more
-		delete(l.pending, t.seq)
-	default:
-		t.at.Heed(t.at.Life.Read())
-		t.at.Heed(t.at.Life.Answer(e.Result))
-		l.finishLocked(t, e)
+	}
+	ended, err := l.life.Answered(slot, e.Result)
+	t.at.Heed(err)
+	if ended {
+		t.done <- e
 	}
 	return nil
 }
@@ -373,12 +313,10 @@
 		return // it is idle, or gone
 	}
 	l.mu.Lock()
-	busy, reuse := l.writing, !l.broken && !l.suspect && !l.key.server.Retired()
-	for _, t := range l.pending {
-		busy = busy || reuse || t.stage() != life.Ended
-	}
+	rests, reuse := l.life.Rests(l.key.server.Retired())
+	rests = rests && !l.writing
 	l.mu.Unlock()
-	if busy {
+	if !rests {
 		return
 	}
 	if lines := m.lines[l.key]; len(lines) == 1 {
--- a/internal/thriftback/thriftback_test.go
+++ b/internal/thriftback/thriftback_test.go
@@ -335,7 +335,11 @@
 	for _, lines := range tr.multi.lines {
 		for _, l := range lines {
 			l.mu.Lock()
-			n += len(l.queue)
+			for _, s := range l.life.Slots() {
+				if s.Life.Stage() == life.Ready {
+					n++
+				}
+			}
 			l.mu.Unlock()
 		}
 	}
