--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -108,9 +108,9 @@
 // Two states that are taken for one lead to the same ones.
 func TestStatesTakenForOneGoOnAlike(t *testing.T) {
 	for name, cfg := range map[string]Config{
-		"two calls":   {Servers: 2, Calls: []choice.Effect{choice.Safe, choice.Unsafe}, Attempts: 2, Places: 4},
-		"a change":    {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Lists: 1, Leaves: 1},
-		"one place":   {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 2, Places: 1},
+		"two calls": {Servers: 2, Calls: []choice.Effect{choice.Safe, choice.Unsafe}, Attempts: 2, Places: 4},
+		"a change":  {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Lists: 1, Leaves: 1},
+		"one place": {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 2, Places: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/explore/host.go
+++ b/internal/explore/host.go
@@ -112,7 +112,7 @@
 	w.carry(t, t.conn)
 }
 
-// now is what holds for an attempt that would be sent, by what the world knows.
+// nowFor is what holds for an attempt that would be sent, by what the world knows.
 func (w *world) nowFor(t *try) life.Now {
 	return life.Now{Withdrawn: t.withdrawn, Late: w.now >= t.End || t.SendBy != 0 && w.now >= t.SendBy,
 		Over: t.Call.Over(), Retired: t.Server.Retired()}
@@ -197,7 +197,7 @@
 	}
 }
 
-// take lets the loop take an attempt's end.
+// takeEnd lets the loop take an attempt's end.
 func (w *world) takeEnd(t *try) {
 	w.tries = slices.DeleteFunc(w.tries, func(o *try) bool { return o == t })
 	e := ledger.Ended(t.Life.Result())
