Translation begun: shapes and mappings, checked and compiled, HTTP to HTTP without I/O

Old kiosks are to reach servers of a newer shape. internal/translate reads shapes and mappings from a file, demands that every field is accounted for and says what is lost, and translates requests there and replies back: paths, queries, headers, forms and JSON, exact amounts, dates at changed clocks, keys byte for byte. JSON is read by jsontext, which refuses duplicate members and broken UTF-8. Not in the agent yet.

--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -7,3 +7,8 @@
 //
 //go:embed thrift.toml
 var Thrift string
+
+// Translate is the sample of shapes and mappings.
+//
+//go:embed translate.toml
+var Translate string
--- /dev/null
+++ b/internal/translate/http.go
@@ -0,0 +1,545 @@
+package translate
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// HTTP is a request or a reply over HTTP/1.1, as far as shapes speak of it.
+type HTTP struct {
+	Method string // of a request
+	Target string // of a request: its path and query, as they stand in it
+	Header []Header
+	Body   []byte
+}
+
+// Header is a field of a head.
+type Header struct{ Name, Value string }
+
+// mostDepth is how deep a JSON body may nest.
+const mostDepth = 64
+
+// node is a JSON object of a message, or a member that is a field.
+type node struct {
+	name    string
+	quoted  []byte // the name as it is written, with a colon
+	field   int    // -1 for an object
+	members []*node
+}
+
+// tree arranges the JSON fields of a message as they nest, members by their names.
+func tree(m *message) *node {
+	root := &node{field: -1}
+	for i, f := range m.fields {
+		if f.place != inJSON {
+			continue
+		}
+		at := root
+		for depth, name := range f.path {
+			n := at.member(name)
+			if n == nil {
+				quoted, err := jsontext.AppendQuote(nil, name)
+				if err != nil {
+					quoted = []byte(`""`) // of a name that is not UTF-8, which TOML has none of
+				}
+				n = &node{name: name, field: -1, quoted: append(quoted, ':')}
+				at.members = append(at.members, n)
+			}
+			if depth == len(f.path)-1 {
+				n.field = i
+			}
+			at = n
+		}
+	}
+	root.sort()
+	return root
+}
+
+func (n *node) sort() {
+	slices.SortFunc(n.members, func(a, b *node) int { return strings.Compare(a.name, b.name) })
+	for _, m := range n.members {
+		m.sort()
+	}
+}
+
+func (n *node) member(name string) *node {
+	for _, m := range n.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// reading is what is kept between messages: decoders and the values of fields.
+type reading struct {
+	in       bytes.Reader
+	decoder  *jsontext.Decoder
+	src, dst []value
+	kept     []member
+}
+
+// member is one that no field names, as it stands in the body.
+type member struct{ name, text []byte }
+
+var readings = sync.Pool{New: func() any { return &reading{decoder: jsontext.NewDecoder(bytes.NewReader(nil))} }}
+
+func (c *conversion) open() *reading {
+	r := readings.Get().(*reading)
+	r.src, r.dst = room(r.src, len(c.src.fields)), room(r.dst, len(c.dst.fields))
+	r.kept = r.kept[:0]
+	return r
+}
+
+func room(have []value, n int) []value {
+	have = slices.Grow(have[:0], n)[:n]
+	clear(have)
+	return have
+}
+
+// close keeps what may be used again, and nothing of the message.
+func (r *reading) close() {
+	clear(r.src)
+	clear(r.dst)
+	clear(r.kept)
+	readings.Put(r)
+}
+
+// Request translates a request. What it returns shares no memory with what it was given, and needs none of it.
+func (p *Plan) Request(m *HTTP) (*HTTP, error) {
+	r := p.request.open()
+	defer r.close()
+	if m.Method != p.From.method {
+		return nil, &Refusal{Malformed, "", fmt.Sprintf("a %s, not a %s", m.Method, p.From.method)}
+	}
+	path, query, _ := strings.Cut(m.Target, "?")
+	if refusal := p.From.readPath(path, r.src); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := p.request.src.readPairs(inQuery, query, r.src); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := p.request.read(m, r); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := p.request.convert(r.src, r.dst); refusal != nil {
+		return nil, refusal
+	}
+	out := &HTTP{Method: p.To.method}
+	target, refusal := p.To.appendTarget(nil, r.dst)
+	if refusal != nil {
+		return nil, refusal
+	}
+	out.Target = string(target)
+	if refusal := p.request.write(out, r); refusal != nil {
+		return nil, refusal
+	}
+	return out, nil
+}
+
+// Reply translates a reply back.
+func (p *Plan) Reply(m *HTTP) (*HTTP, error) {
+	r := p.reply.open()
+	defer r.close()
+	if refusal := p.reply.read(m, r); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := p.reply.convert(r.src, r.dst); refusal != nil {
+		return nil, refusal
+	}
+	out := &HTTP{}
+	if refusal := p.reply.write(out, r); refusal != nil {
+		return nil, refusal
+	}
+	return out, nil
+}
+
+// readPath reads the fields of a path.
+func (s *Shape) readPath(path string, to []value) *Refusal {
+	rest, rooted := strings.CutPrefix(path, "/")
+	if !rooted {
+		return &Refusal{Malformed, "", "a path that begins with no slash"}
+	}
+	for i, seg := range s.path {
+		part, after, more := strings.Cut(rest, "/")
+		if more != (i < len(s.path)-1) {
+			return &Refusal{Malformed, "", "a path of another form"}
+		}
+		rest = after
+		if seg.field == nil {
+			if part != seg.text {
+				return &Refusal{Malformed, "", "a path of another form"}
+			}
+			continue
+		}
+		text, err := url.PathUnescape(part)
+		if err != nil {
+			return seg.field.refuse(Malformed, "%v", err)
+		}
+		v, refusal := seg.field.parse([]byte(text))
+		if refusal != nil {
+			return refusal
+		}
+		to[slices.Index(s.request.fields, seg.field)] = v
+	}
+	return nil
+}
+
+// readPairs reads the fields of a query or a form (WHATWG URL, section 5.1: names and values joined by = and &).
+func (m *message) readPairs(p place, text string, to []value) *Refusal {
+	for text != "" {
+		var pair string
+		pair, text, _ = strings.Cut(text, "&")
+		if pair == "" {
+			continue
+		}
+		rawName, rawValue, _ := strings.Cut(pair, "=")
+		name, err := url.QueryUnescape(rawName)
+		if err != nil {
+			return &Refusal{Malformed, "", err.Error()}
+		}
+		i := slices.IndexFunc(m.fields, func(f *field) bool { return f.place == p && f.at == name })
+		if i < 0 {
+			if m.unknown == "refuse" {
+				return &Refusal{Forbidden, "", fmt.Sprintf("no field is called %q", clip([]byte(name)))}
+			}
+			continue
+		}
+		value, err := url.QueryUnescape(rawValue)
+		if err != nil {
+			return m.fields[i].refuse(Malformed, "%v", err)
+		}
+		if refusal := m.set(i, []byte(value), to); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+// set reads a field that must not have been there before.
+func (m *message) set(i int, text []byte, to []value) *Refusal {
+	if to[i].set {
+		return m.fields[i].refuse(Malformed, "it is given twice")
+	}
+	v, refusal := m.fields[i].parse(text)
+	to[i] = v
+	return refusal
+}
+
+// read reads the head's fields and the body, and sees whether all is there that must be.
+func (c *conversion) read(m *HTTP, r *reading) *Refusal {
+	if len(m.Body) > c.src.most {
+		return &Refusal{TooLarge, "", fmt.Sprintf("a body of %d bytes, at most %d are possible", len(m.Body), c.src.most)}
+	}
+	for _, h := range m.Header {
+		i := slices.IndexFunc(c.src.fields, func(f *field) bool { return f.place == inHeader && strings.EqualFold(f.at, h.Name) })
+		if i >= 0 {
+			if refusal := c.src.set(i, []byte(h.Value), r.src); refusal != nil {
+				return refusal
+			}
+		}
+	}
+	switch {
+	case c.src.has(inForm):
+		if refusal := c.src.readPairs(inForm, string(m.Body), r.src); refusal != nil {
+			return refusal
+		}
+	case c.src.has(inJSON):
+		if refusal := c.readJSON(m.Body, r); refusal != nil {
+			return refusal
+		}
+	case len(m.Body) > 0 && c.src.unknown == "refuse":
+		return &Refusal{Forbidden, "", "a body, and no field is in one"}
+	}
+	for i, f := range c.src.fields {
+		if !f.optional && !r.src[i].set {
+			return f.refuse(Missing, "it is needed")
+		}
+	}
+	return nil
+}
+
+// readJSON reads a body: one object (RFC 8259), in UTF-8, no member given twice.
+func (c *conversion) readJSON(body []byte, r *reading) *Refusal {
+	r.in.Reset(body)
+	r.decoder.Reset(&r.in)
+	if refusal := c.readObject(c.src.json, r, 0); refusal != nil {
+		return refusal
+	}
+	if _, err := r.decoder.ReadToken(); !errors.Is(err, io.EOF) {
+		return &Refusal{Malformed, "", "bytes behind the body's end"}
+	}
+	return nil
+}
+
+func broken(err error) *Refusal { return &Refusal{Malformed, "", err.Error()} }
+
+func (c *conversion) readObject(n *node, r *reading, depth int) *Refusal {
+	if r.decoder.PeekKind() != '{' {
+		if _, err := r.decoder.ReadToken(); err != nil {
+			return broken(err)
+		}
+		return &Refusal{Malformed, n.name, "no JSON object"}
+	}
+	if _, err := r.decoder.ReadToken(); err != nil {
+		return broken(err)
+	}
+	for r.decoder.PeekKind() != '}' {
+		name, err := r.decoder.ReadToken()
+		if err != nil {
+			return broken(err)
+		}
+		m := n.member(name.String())
+		switch {
+		case m == nil:
+			if refusal := c.readUnknown(n, name.String(), r, depth); refusal != nil {
+				return refusal
+			}
+		case m.field < 0:
+			if refusal := c.readObject(m, r, depth+1); refusal != nil {
+				return refusal
+			}
+		default:
+			if refusal := c.readMember(m.field, r); refusal != nil {
+				return refusal
+			}
+		}
+	}
+	if _, err := r.decoder.ReadToken(); err != nil {
+		return broken(err)
+	}
+	return nil
+}
+
+func (c *conversion) readUnknown(n *node, name string, r *reading, depth int) *Refusal {
+	if c.src.unknown == "refuse" {
+		return &Refusal{Forbidden, n.name, fmt.Sprintf("no field is called %q", clip([]byte(name)))}
+	}
+	text, err := r.decoder.ReadValue()
+	if err != nil {
+		return broken(err)
+	}
+	if deep(text) > mostDepth {
+		return &Refusal{TooLarge, n.name, fmt.Sprintf("it nests more than %d deep", mostDepth)}
+	}
+	if c.src.unknown == "keep" {
+		if depth > 0 {
+			return &Refusal{Forbidden, n.name, fmt.Sprintf("no field is called %q, and only members of the body itself can be kept", clip([]byte(name)))}
+		}
+		r.kept = append(r.kept, member{[]byte(name), bytes.Clone(text)})
+	}
+	return nil
+}
+
+// deep is how deep a value nests.
+func deep(text []byte) (most int) {
+	depth, quoted := 0, false
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '{' || c == '[':
+			depth++
+			most = max(most, depth)
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return most
+}
+
+// readMember reads a field. Null is as if it were absent.
+func (c *conversion) readMember(i int, r *reading) *Refusal {
+	f := c.src.fields[i]
+	kind := r.decoder.PeekKind()
+	if kind == '{' || kind == '[' {
+		return f.refuse(Malformed, "neither a text, a number nor a bool")
+	}
+	token, err := r.decoder.ReadToken()
+	if err != nil {
+		return broken(err)
+	}
+	wanted := jsontext.Kind('"')
+	switch {
+	case kind == 'n':
+		return nil
+	case f.Type == Bool:
+		if kind == 't' || kind == 'f' {
+			wanted = kind
+		}
+	case f.number():
+		wanted = '0'
+	}
+	if kind != wanted {
+		return f.refuse(Malformed, "a %v in place of %s", kind, f.wants())
+	}
+	return c.src.set(i, []byte(token.String()), r.src)
+}
+
+// number reports whether JSON has the field as a number.
+func (f *field) number() bool {
+	switch f.Type {
+	case Int, Decimal:
+		return !f.quoted
+	case Date:
+		return f.layout == ""
+	case Instant:
+		return f.form == "unix-s" || f.form == "unix-ms"
+	}
+	return false
+}
+
+func (f *field) wants() string {
+	switch {
+	case f.Type == Bool:
+		return "a bool"
+	case f.number():
+		return "a number"
+	}
+	return "a text"
+}
+
+// appendTarget writes the path and the query of a request.
+func (s *Shape) appendTarget(to []byte, from []value) ([]byte, *Refusal) {
+	for _, seg := range s.path {
+		to = append(to, '/')
+		if seg.field == nil {
+			to = append(to, seg.text...)
+			continue
+		}
+		text, refusal := seg.field.append(nil, from[slices.Index(s.request.fields, seg.field)])
+		if refusal != nil {
+			return to, refusal
+		}
+		if len(text) == 0 || string(text) == "." || string(text) == ".." {
+			return to, seg.field.refuse(OutOfRange, "%q can't stand in a path", text)
+		}
+		to = append(to, url.PathEscape(string(text))...)
+	}
+	return s.request.appendPairs(to, inQuery, '?', from)
+}
+
+// appendPairs writes the fields of a query or a form.
+func (m *message) appendPairs(to []byte, p place, before byte, from []value) ([]byte, *Refusal) {
+	for i, f := range m.fields {
+		if f.place != p || !from[i].set {
+			continue
+		}
+		text, refusal := f.append(nil, from[i])
+		if refusal != nil {
+			return to, refusal
+		}
+		if before != 0 {
+			to = append(to, before)
+		}
+		before = '&'
+		to = append(append(append(to, url.QueryEscape(f.at)...), '='), url.QueryEscape(string(text))...)
+	}
+	return to, nil
+}
+
+// write writes the head's fields and the body.
+func (c *conversion) write(out *HTTP, r *reading) (refusal *Refusal) {
+	for i, f := range c.dst.fields {
+		switch {
+		case !r.dst[i].set && !f.optional:
+			return f.refuse(Missing, "it is needed")
+		case f.place == inHeader && r.dst[i].set:
+			text, refusal := f.append(nil, r.dst[i])
+			if refusal != nil {
+				return refusal
+			}
+			if j := slices.IndexFunc(text, func(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }); j >= 0 {
+				return f.refuse(OutOfRange, "byte %d can't stand in a header", j) // RFC 9110, section 5.5
+			}
+			if t := bytes.Trim(text, " \t"); len(t) != len(text) {
+				return f.refuse(OutOfRange, "a header loses the space around it")
+			}
+			out.Header = append(out.Header, Header{f.at, string(text)})
+		}
+	}
+	switch {
+	case c.dst.has(inForm):
+		out.Body, refusal = c.dst.appendPairs(nil, inForm, 0, r.dst)
+	case c.dst.has(inJSON):
+		out.Body, refusal = c.appendObject(nil, c.dst.json, r)
+	}
+	if refusal == nil && len(out.Body) > c.dst.most {
+		refusal = &Refusal{TooLarge, "", fmt.Sprintf("its translation has %d bytes, at most %d are possible", len(out.Body), c.dst.most)}
+	}
+	return refusal
+}
+
+// any reports whether something of an object is there.
+func (n *node) any(from []value) bool {
+	if n.field >= 0 {
+		return from[n.field].set
+	}
+	return slices.ContainsFunc(n.members, func(m *node) bool { return m.any(from) })
+}
+
+func (c *conversion) appendObject(to []byte, n *node, r *reading) ([]byte, *Refusal) {
+	to = append(to, '{')
+	begin := len(to)
+	next := func(name []byte) {
+		if len(to) > begin {
+			to = append(to, ',')
+		}
+		to = append(to, name...)
+	}
+	for _, m := range n.members {
+		if !m.any(r.dst) {
+			continue
+		}
+		next(m.quoted)
+		var refusal *Refusal
+		if m.field < 0 {
+			to, refusal = c.appendObject(to, m, r)
+		} else {
+			to, refusal = c.appendMember(to, c.dst.fields[m.field], r.dst[m.field])
+		}
+		if refusal != nil {
+			return to, refusal
+		}
+	}
+	if n == c.dst.json {
+		for _, k := range r.kept {
+			if n.member(string(k.name)) != nil {
+				return to, &Refusal{Forbidden, string(clip(k.name)), "what is kept has the name of a field"}
+			}
+			name, err := jsontext.AppendQuote(nil, k.name)
+			if err != nil {
+				return to, broken(err)
+			}
+			next(append(name, ':'))
+			to = append(to, k.text...)
+		}
+	}
+	return append(to, '}'), nil
+}
+
+func (c *conversion) appendMember(to []byte, f *field, v value) ([]byte, *Refusal) {
+	if f.Type == Bool || f.number() {
+		return f.append(to, v)
+	}
+	text, refusal := f.append(nil, v)
+	if refusal != nil {
+		return to, refusal
+	}
+	to, err := jsontext.AppendQuote(to, text)
+	if err != nil {
+		return to, f.refuse(OutOfRange, "%v", err)
+	}
+	return to, nil
+}
--- /dev/null
+++ b/internal/translate/shape.go
@@ -0,0 +1,354 @@
+// Package translate turns messages of one shape into another, by a mapping that is declared in a file, checked and
+// compiled once. It does no I/O: bytes and a plan go in, bytes or a typed refusal come out.
+package translate
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+	_ "time/tzdata" // zones must mean the same on every host
+
+	"ternbeam/internal/conffile"
+)
+
+// Bounds of what a file may declare.
+const (
+	mostFields  = 256     // of a message
+	mostName    = 64      // bytes of a name
+	mostBody    = 1 << 24 // bytes of a message
+	defaultBody = 64 << 10
+	mostText    = 64 << 10 // bytes of a field, where it says nothing of its own
+)
+
+// place is where in a message a field is.
+type place uint8
+
+const (
+	inPath place = iota
+	inQuery
+	inHeader
+	inJSON
+	inForm
+	inThrift
+)
+
+var placeNames = map[string]place{"path": inPath, "query": inQuery, "header": inHeader, "json": inJSON, "form": inForm,
+	"thrift": inThrift}
+
+// field is a field of a shape's message.
+type field struct {
+	Type
+	name     string
+	place    place
+	at       string   // in its place: a name, or the names of nested JSON objects with points between
+	path     []string // of those
+	optional bool
+	quoted   bool // a number that JSON has as a string
+	min, max int64
+	scale    int
+	values   []string
+	form     string
+	layout   string
+	zone     *time.Location
+}
+
+// message is what a shape says of a request or a reply.
+type message struct {
+	fields  []*field // by name
+	byName  map[string]*field
+	json    *node  // its JSON fields as they nest
+	unknown string // JSON members that no field names: refuse, drop or keep
+	most    int    // bytes of a body
+}
+
+// Shape is a version of a class's request and reply.
+type Shape struct {
+	Name     string
+	Class    string
+	Version  string // as servers' entries in the list name it
+	Protocol string
+	method   string
+	path     []segment
+	request  message
+	reply    message
+}
+
+// segment is a part of a path between slashes: a text, or a field.
+type segment struct {
+	text  string
+	field *field
+}
+
+// The file.
+type (
+	fileText struct {
+		Shapes   map[string]*shapeText   `toml:"shapes"`
+		Mappings map[string]*mappingText `toml:"mappings"`
+	}
+	shapeText struct {
+		Class    string                `toml:"class"`
+		Version  string                `toml:"version"`
+		Protocol string                `toml:"protocol"`
+		Method   string                `toml:"method"`
+		Path     string                `toml:"path"`
+		Request  map[string]*fieldText `toml:"request"`
+		Reply    map[string]*fieldText `toml:"reply"`
+		Unknown  struct {
+			Request string `toml:"request"`
+			Reply   string `toml:"reply"`
+		} `toml:"unknown"`
+		Most struct {
+			Request int `toml:"request"`
+			Reply   int `toml:"reply"`
+		} `toml:"max_body_bytes"`
+	}
+	fieldText struct {
+		At       string   `toml:"at"`
+		Type     string   `toml:"type"`
+		Optional bool     `toml:"optional"`
+		Quoted   bool     `toml:"quoted"`
+		Min      string   `toml:"min"`
+		Max      string   `toml:"max"`
+		Scale    int      `toml:"scale"`
+		Values   []string `toml:"values"`
+		Form     string   `toml:"form"`
+		Zone     string   `toml:"zone"`
+	}
+	mappingText struct {
+		From    string               `toml:"from"`
+		To      string               `toml:"to"`
+		Request map[string]*ruleText `toml:"request"`
+		Reply   map[string]*ruleText `toml:"reply"`
+		Drop    struct {
+			Request []string `toml:"request"`
+			Reply   []string `toml:"reply"`
+		} `toml:"drop"`
+		Absent struct {
+			Request []string `toml:"request"`
+			Reply   []string `toml:"reply"`
+		} `toml:"absent"`
+		Omit struct {
+			Request []string `toml:"request"`
+			Reply   []string `toml:"reply"`
+		} `toml:"omit"`
+		Lossless bool `toml:"lossless"`
+	}
+	ruleText struct {
+		From    string            `toml:"from"`
+		Value   *string           `toml:"value"`
+		Default *string           `toml:"default"`
+		Values  map[string]string `toml:"values"`
+		Times   string            `toml:"times"`
+		Join    []string          `toml:"join"`
+		With    string            `toml:"with"`
+		Split   string            `toml:"split"`
+		Part    int               `toml:"part"`
+	}
+)
+
+// compiler reads a file.
+type compiler struct {
+	file   *conffile.File
+	shapes map[string]*Shape
+}
+
+// shape compiles one shape.
+func (c *compiler) shape(name string, t *shapeText) *Shape {
+	key := "shapes." + name
+	s := &Shape{Name: name, Class: t.Class, Version: t.Version, Protocol: t.Protocol, method: t.Method}
+	if len(name) > mostName {
+		c.file.Problem(key, "a name of more than %d bytes", mostName)
+	}
+	for what, text := range map[string]string{"class": t.Class, "version": t.Version} {
+		if text == "" {
+			c.file.Problem(key+"."+what, "it is needed")
+		}
+	}
+	if t.Protocol != "http" {
+		c.file.Problem(key+".protocol", "%q, http is possible", t.Protocol)
+	}
+	if t.Method != "GET" && t.Method != "POST" && t.Method != "PUT" {
+		c.file.Problem(key+".method", "%q, one of GET, POST and PUT is needed", t.Method)
+	}
+	s.request = c.message(key+".request", t.Request, t.Unknown.Request, t.Most.Request, key)
+	s.reply = c.message(key+".reply", t.Reply, t.Unknown.Reply, t.Most.Reply, key)
+	c.pathOf(key, s, t.Path)
+	for _, f := range s.reply.fields {
+		if f.place == inPath || f.place == inQuery || f.place == inForm {
+			c.file.Problem(key+".reply."+f.name+".at", "a reply has no such place")
+		}
+	}
+	if s.request.has(inJSON) && s.request.has(inForm) {
+		c.file.Problem(key+".request", "a body is JSON or a form, not both")
+	}
+	if s.method == "GET" && (s.request.has(inJSON) || s.request.has(inForm)) {
+		c.file.Problem(key+".method", "a GET has no body")
+	}
+	return s
+}
+
+func (m *message) has(p place) bool {
+	return slices.ContainsFunc(m.fields, func(f *field) bool { return f.place == p })
+}
+
+// pathOf compiles a shape's path: parts between slashes, each a text or a field in braces.
+func (c *compiler) pathOf(key string, s *Shape, path string) {
+	if !strings.HasPrefix(path, "/") {
+		c.file.Problem(key+".path", "%q, it must begin with a slash", path)
+		return
+	}
+	used := map[*field]bool{}
+	for _, part := range strings.Split(path[1:], "/") {
+		name, braced := strings.CutPrefix(part, "{")
+		if !braced {
+			if strings.ContainsAny(part, "{}?#% ") {
+				c.file.Problem(key+".path", "%q is neither a plain text nor a field in braces", part)
+			}
+			s.path = append(s.path, segment{text: part})
+			continue
+		}
+		name, closed := strings.CutSuffix(name, "}")
+		at := slices.IndexFunc(s.request.fields, func(f *field) bool { return f.place == inPath && f.at == name })
+		if !closed || at < 0 {
+			c.file.Problem(key+".path", "%q: no field is at path:%s", part, name)
+			continue
+		}
+		if f := s.request.fields[at]; used[f] || f.optional {
+			c.file.Problem(key+".path", "%q: a field of a path stands there once, and is not optional", part)
+		} else {
+			used[f] = true
+			s.path = append(s.path, segment{field: f})
+		}
+	}
+	for _, f := range s.request.fields {
+		if f.place == inPath && !used[f] {
+			c.file.Problem(key+".request."+f.name+".at", "the path has no {%s}", f.at)
+		}
+	}
+}
+
+// message compiles the fields of a request or a reply.
+func (c *compiler) message(key string, fields map[string]*fieldText, unknown string, most int, shape string) message {
+	m := message{byName: map[string]*field{}, unknown: cmp.Or(unknown, "refuse"), most: cmp.Or(most, defaultBody)}
+	if len(fields) > mostFields {
+		c.file.Problem(key, "%d fields, at most %d are possible", len(fields), mostFields)
+	}
+	if !slices.Contains([]string{"refuse", "drop", "keep"}, m.unknown) {
+		c.file.Problem(shape+".unknown", "%q, one of refuse, drop and keep is possible", unknown)
+	}
+	if m.most < 1 || m.most > mostBody {
+		c.file.Problem(shape+".max_body_bytes", "%d, 1 to %d is possible", most, mostBody)
+	}
+	for _, name := range sortedKeys(fields) {
+		f := c.field(key+"."+name, name, fields[name])
+		for _, other := range m.fields {
+			if f.place == other.place && (f.at == other.at || f.place == inHeader && strings.EqualFold(f.at, other.at)) {
+				c.file.Problem(key+"."+name+".at", "%s is there too", other.name)
+			}
+			if f.place == inJSON && other.place == inJSON && (strings.HasPrefix(f.at, other.at+".") || strings.HasPrefix(other.at, f.at+".")) {
+				c.file.Problem(key+"."+name+".at", "it can't be in %s, or that in it", other.name)
+			}
+		}
+		m.fields = append(m.fields, f)
+		m.byName[name] = f
+	}
+	m.json = tree(&m)
+	return m
+}
+
+// sortedKeys are the keys of a table, so that what is said of it has an order.
+func sortedKeys[T any](table map[string]T) []string {
+	keys := make([]string, 0, len(table))
+	for k := range table {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// field compiles one field.
+func (c *compiler) field(key, name string, t *fieldText) *field {
+	f := &field{name: name, optional: t.Optional, quoted: t.Quoted, form: t.Form}
+	where, at, _ := strings.Cut(t.At, ":")
+	var known bool
+	if f.place, known = placeNames[where]; !known || at == "" || f.place == inThrift {
+		c.file.Problem(key+".at", "%q, one of path:, query:, header:, json: and form: with a name is needed", t.At)
+	}
+	f.at, f.path = at, strings.Split(at, ".")
+	if f.place == inJSON && slices.Contains(f.path, "") {
+		c.file.Problem(key+".at", "%q: a name of a JSON member is empty", t.At)
+	}
+	if f.Type, known = typeNames[t.Type]; !known {
+		c.file.Problem(key+".type", "%q, one of %s is possible", t.Type, strings.Join(sortedKeys(typeNames), ", "))
+	}
+	only := func(set bool, what string, types ...Type) {
+		if set && !slices.Contains(types, f.Type) {
+			c.file.Problem(key+"."+what, "a %v has none", f.Type)
+		}
+	}
+	only(t.Scale != 0, "scale", Decimal)
+	only(len(t.Values) > 0, "values", Enum)
+	only(t.Form != "", "form", Date, Instant)
+	only(t.Zone != "", "zone", Instant)
+	only(t.Quoted, "quoted", Int, Decimal)
+	only(t.Min != "", "min", Text, Bytes, Int, Decimal)
+	only(t.Max != "", "max", Text, Bytes, Int, Decimal)
+	if f.scale = t.Scale; f.scale < 0 || f.scale > mostDecimals {
+		c.file.Problem(key+".scale", "%d, 0 to %d is possible", t.Scale, mostDecimals)
+		f.scale = 0
+	}
+	f.min, f.max = math.MinInt64, math.MaxInt64
+	if f.Type == Text || f.Type == Bytes {
+		f.min, f.max = 0, mostText
+	}
+	for what, bound := range map[string]struct {
+		text string
+		to   *int64
+	}{"min": {t.Min, &f.min}, "max": {t.Max, &f.max}} {
+		if bound.text != "" {
+			n, err := parseDecimal([]byte(bound.text), f.scale)
+			if *bound.to = n; err != nil {
+				c.file.Problem(key+"."+what, "%q: %v", bound.text, err)
+			}
+		}
+	}
+	if f.min > f.max {
+		c.file.Problem(key+".max", "less than min")
+	}
+	if f.values = t.Values; f.Type == Enum {
+		sorted := slices.Sorted(slices.Values(t.Values))
+		if len(sorted) == 0 || len(slices.Compact(sorted)) < len(t.Values) {
+			c.file.Problem(key+".values", "an enum needs some, each once")
+		}
+	}
+	c.timeForm(key, f, t)
+	return f
+}
+
+// timeForm compiles how a date or an instant is written.
+func (c *compiler) timeForm(key string, f *field, t *fieldText) {
+	var err error
+	switch {
+	case f.Type == Date:
+		layouts := map[string]string{"": isoDate, "iso": isoDate, "dd/mm/yyyy": "02/01/2006", "dd.mm.yyyy": "02.01.2006",
+			"yyyymmdd": "20060102", "unix-days": ""}
+		layout, known := layouts[t.Form]
+		if f.layout = layout; !known {
+			c.file.Problem(key+".form", "%q, one of %s is possible", t.Form, strings.Join(sortedKeys(layouts)[1:], ", "))
+		}
+	case f.Type != Instant:
+	case !slices.Contains([]string{"", "rfc3339", "unix-s", "unix-ms", "local"}, t.Form):
+		c.file.Problem(key+".form", "%q, one of rfc3339, unix-s, unix-ms and local is possible", t.Form)
+	case t.Form == "local" && t.Zone == "":
+		c.file.Problem(key+".zone", "a local time needs one")
+	case t.Form != "local" && t.Zone != "":
+		c.file.Problem(key+".zone", "only a local time has one")
+	case t.Zone != "":
+		if f.zone, err = time.LoadLocation(t.Zone); err != nil {
+			c.file.Problem(key+".zone", "%q: %v", t.Zone, fmt.Errorf("no such zone: %w", err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/translate/value.go
@@ -0,0 +1,395 @@
+package translate
+
+import (
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+	"unicode/utf8"
+)
+
+// Type is what a field holds.
+type Type uint8
+
+// The types of fields. Amounts are never floats.
+const (
+	Text    Type = iota // valid UTF-8
+	Bytes               // any; base64 (RFC 4648, section 4) where the place holds text
+	Int                 // 64 bits, signed
+	Decimal             // 64 bits, signed, with a fixed number of decimals
+	Bool                //
+	Enum                // one of a list of texts
+	Date                // a day of the Gregorian calendar
+	Instant             // a millisecond
+)
+
+var typeNames = map[string]Type{"text": Text, "bytes": Bytes, "int": Int, "decimal": Decimal, "bool": Bool, "enum": Enum,
+	"date": Date, "instant": Instant}
+
+func (t Type) String() string {
+	for name, other := range typeNames {
+		if other == t {
+			return name
+		}
+	}
+	return fmt.Sprintf("type %d", uint8(t))
+}
+
+// value is what a field of a message holds.
+type value struct {
+	set  bool
+	num  int64  // an Int; a Decimal times 10^scale; 1 for true; an Enum's place; days or milliseconds since 1970
+	text []byte // of a Text or Bytes
+}
+
+// Kind is why a message is refused.
+type Kind uint8
+
+// The kinds of refusals.
+const (
+	Malformed  Kind = iota // it does not have the shape's form
+	Missing                // a field that must be there is not
+	OutOfRange             // a value is beyond what either shape holds
+	Forbidden              // a field is there that must be absent, or none knows
+	TooLarge               // the message is, or its translation would be
+)
+
+var kindNames = [...]string{"malformed", "missing", "out of range", "forbidden", "too large"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Refusal says why a message can't be translated.
+type Refusal struct {
+	Kind   Kind
+	Field  string // of the shape that was read or written; empty for the whole message
+	Reason string
+}
+
+func (r *Refusal) Error() string {
+	if r.Field == "" {
+		return fmt.Sprintf("%v: %s", r.Kind, r.Reason)
+	}
+	return fmt.Sprintf("%s: %v: %s", r.Field, r.Kind, r.Reason)
+}
+
+var (
+	errDigits   = errors.New("not a decimal number")
+	errDecimals = errors.New("more decimals than the field holds")
+	errRange    = errors.New("beyond 64 bits")
+)
+
+// mostDecimals is how many decimals a field may have: 10^18 still fits 64 bits.
+const mostDecimals = 18
+
+// parseDecimal reads a decimal number as JSON has it (RFC 8259, section 6), with any number of leading zeros, and
+// returns it times 10^scale. It is exact or fails: a digit that does not fit is not rounded off.
+func parseDecimal(b []byte, scale int) (int64, error) {
+	negative := len(b) > 0 && b[0] == '-'
+	if negative {
+		b = b[1:]
+	}
+	digits, point, exponent := b, -1, 0
+	for i, c := range b {
+		if c == 'e' || c == 'E' {
+			digits = b[:i]
+			n, err := strconv.ParseInt(string(b[i+1:]), 10, 16)
+			if err != nil {
+				if errors.Is(err, strconv.ErrRange) {
+					return 0, errRange
+				}
+				return 0, errDigits
+			}
+			exponent = int(n)
+			break
+		}
+		if c == '.' && point < 0 {
+			point = i
+		} else if c < '0' || c > '9' {
+			return 0, errDigits
+		}
+	}
+	whole := len(digits) // how many digits stand before the point
+	if point >= 0 {
+		whole = point
+	}
+	if whole == 0 || point == len(digits)-1 && point >= 0 {
+		return 0, errDigits
+	}
+	n := uint64(0)
+	after := whole + exponent + scale // digits that count, the point left out
+	seen := 0
+	for i, c := range digits {
+		if i == point {
+			continue
+		}
+		if seen++; seen > after {
+			if c != '0' {
+				return 0, errDecimals
+			}
+			continue
+		}
+		if n > (math.MaxInt64-9)/10 && (n > math.MaxInt64/10 || n*10+uint64(c-'0') > math.MaxInt64) {
+			return 0, errRange
+		}
+		n = n*10 + uint64(c-'0')
+	}
+	for ; seen < after && n != 0; seen++ {
+		if n > math.MaxInt64/10 {
+			return 0, errRange
+		}
+		n *= 10
+	}
+	if negative {
+		return -int64(n), nil
+	}
+	return int64(n), nil
+}
+
+// appendDecimal writes n over 10^scale, with all its decimals.
+func appendDecimal(to []byte, n int64, scale int) []byte {
+	var room [24]byte
+	u := uint64(n)
+	if n < 0 {
+		to, u = append(to, '-'), -u
+	}
+	digits := strconv.AppendUint(room[:0], u, 10)
+	whole := len(digits) - scale
+	if whole > 0 {
+		to = append(to, digits[:whole]...)
+	} else {
+		to = append(to, '0')
+	}
+	if scale == 0 {
+		return to
+	}
+	to = append(to, '.')
+	for i := whole; i < 0; i++ {
+		to = append(to, '0')
+	}
+	return append(to, digits[max(0, whole):]...)
+}
+
+// rescale turns n over 10^from into a number over 10^to, exactly.
+func rescale(n int64, from, to int) (int64, error) {
+	for ; from < to; from++ {
+		if n > math.MaxInt64/10 || n < math.MinInt64/10 {
+			return 0, errRange
+		}
+		n *= 10
+	}
+	for ; from > to; from-- {
+		if n%10 != 0 {
+			return 0, errDecimals
+		}
+		n /= 10
+	}
+	return n, nil
+}
+
+// Dates and instants as text.
+const (
+	isoDate  = "2006-01-02"
+	local    = "2006-01-02T15:04:05"
+	dayInMS  = 24 * 60 * 60 * 1000
+	leastDay = -719162 // 0001-01-01
+	mostDay  = 2932896 // 9999-12-31
+)
+
+func parseDate(b []byte, layout string) (int64, error) {
+	if layout == "" {
+		days, err := parseDecimal(b, 0)
+		if err == nil && (days < leastDay || days > mostDay) {
+			err = errors.New("beyond the years 1 to 9999")
+		}
+		return days, err
+	}
+	t, err := time.Parse(layout, string(b))
+	if err != nil || t.Format(layout) != string(b) { // the library takes some other forms too
+		return 0, fmt.Errorf("not a date like %s", layout)
+	}
+	return t.Unix() / (24 * 60 * 60), nil
+}
+
+func appendDate(to []byte, days int64, layout string) []byte {
+	if layout == "" {
+		return strconv.AppendInt(to, days, 10)
+	}
+	return time.Unix(days*24*60*60, 0).UTC().AppendFormat(to, layout)
+}
+
+// errClocks says that the clocks were changed: a time came twice, or never.
+var errClocks = errors.New("came twice or never, as the clocks were changed")
+
+// parseInstant reads an instant. A local time must be one that came exactly once.
+func parseInstant(b []byte, f *field) (int64, error) {
+	switch f.form {
+	case "unix-s", "unix-ms":
+		scale := map[string]int{"unix-s": 3}[f.form]
+		n, err := parseDecimal(b, scale)
+		if err == nil && (n < leastDay*dayInMS || n >= (mostDay+1)*dayInMS) {
+			err = errors.New("beyond the years 1 to 9999")
+		}
+		return n, err
+	case "local":
+		t, err := time.Parse(local, string(b))
+		if err != nil || t.Format(local) != string(b) {
+			return 0, fmt.Errorf("not a time like %s", local)
+		}
+		return instantOf(t, f.zone)
+	}
+	t, err := time.Parse(time.RFC3339, string(b))
+	if err != nil || len(b) < 20 || b[10] != 'T' {
+		return 0, errors.New("not a time as RFC 3339 has it")
+	}
+	if t.Nanosecond()%1e6 != 0 {
+		return 0, errors.New("finer than a millisecond")
+	}
+	return t.UnixMilli(), nil
+}
+
+// instantOf finds the instant at which the clocks of a zone showed a time.
+func instantOf(shown time.Time, zone *time.Location) (int64, error) {
+	var found []int64
+	// A zone's clocks are at most 15 hours off, and change by no more than a day.
+	for _, at := range []int64{-26 * 3600, 26 * 3600} {
+		_, offset := time.Unix(shown.Unix()+at, 0).In(zone).Zone()
+		t := shown.Unix() - int64(offset)
+		if showsAt(t, zone) == shown.Unix() && (len(found) == 0 || found[0] != t) {
+			found = append(found, t)
+		}
+	}
+	if len(found) != 1 {
+		return 0, errClocks
+	}
+	return found[0] * 1000, nil
+}
+
+// showsAt is what the clocks of a zone show at an instant, as seconds since 1970 on them.
+func showsAt(t int64, zone *time.Location) int64 {
+	_, offset := time.Unix(t, 0).In(zone).Zone()
+	return t + int64(offset)
+}
+
+// appendInstant writes an instant. One that a form can't hold, or whose local time came twice, is an error.
+func appendInstant(to []byte, ms int64, f *field) ([]byte, error) {
+	t := time.UnixMilli(ms)
+	switch f.form {
+	case "unix-ms":
+		return strconv.AppendInt(to, ms, 10), nil
+	case "unix-s":
+		if ms%1000 != 0 {
+			return to, errors.New("finer than a second")
+		}
+		return strconv.AppendInt(to, ms/1000, 10), nil
+	case "local":
+		if ms%1000 != 0 {
+			return to, errors.New("finer than a second")
+		}
+		shown := time.Unix(showsAt(ms/1000, f.zone), 0).UTC()
+		if back, err := instantOf(shown, f.zone); err != nil || back != ms {
+			return to, errClocks
+		}
+		return shown.AppendFormat(to, local), nil
+	}
+	return t.UTC().AppendFormat(to, "2006-01-02T15:04:05.999Z07:00"), nil
+}
+
+// parse reads a field from its text.
+func (f *field) parse(b []byte) (value, *Refusal) {
+	v := value{set: true}
+	var err error
+	switch f.Type {
+	case Text:
+		if v.text = b; !utf8.Valid(b) {
+			return v, f.refuse(Malformed, "not valid UTF-8")
+		}
+	case Bytes:
+		if v.text = b; f.place != inThrift {
+			v.text = make([]byte, base64.StdEncoding.DecodedLen(len(b)))
+			var n int
+			n, err = base64.StdEncoding.Strict().Decode(v.text, b)
+			v.text = v.text[:n]
+		}
+	case Int:
+		v.num, err = parseDecimal(b, 0)
+	case Decimal:
+		v.num, err = parseDecimal(b, f.scale)
+	case Bool:
+		switch string(b) {
+		case "true":
+			v.num = 1
+		case "false":
+		default:
+			err = errors.New("neither true nor false")
+		}
+	case Enum:
+		v.num = -1
+		for i, name := range f.values {
+			if name == string(b) {
+				v.num = int64(i)
+			}
+		}
+		if v.num < 0 {
+			return v, f.refuse(OutOfRange, "%q is none of its values", clip(b))
+		}
+	case Date:
+		v.num, err = parseDate(b, f.layout)
+	case Instant:
+		v.num, err = parseInstant(b, f)
+	}
+	switch {
+	case errors.Is(err, errRange) || errors.Is(err, errDecimals) || errors.Is(err, errClocks):
+		return v, f.refuse(OutOfRange, "%q is %v", clip(b), err)
+	case err != nil:
+		return v, f.refuse(Malformed, "%q: %v", clip(b), err)
+	}
+	return v, f.check(v)
+}
+
+// clip keeps what is told of a value short.
+func clip(b []byte) []byte { return b[:min(len(b), 40)] }
+
+// check holds a value against the field's bounds.
+func (f *field) check(v value) *Refusal {
+	switch f.Type {
+	case Text, Bytes:
+		if int64(len(v.text)) > f.max || int64(len(v.text)) < f.min {
+			return f.refuse(OutOfRange, "%d bytes, %d to %d are possible", len(v.text), f.min, f.max)
+		}
+	case Int, Decimal:
+		if v.num > f.max || v.num < f.min {
+			return f.refuse(OutOfRange, "%s is not between %s and %s", appendDecimal(nil, v.num, f.scale),
+				appendDecimal(nil, f.min, f.scale), appendDecimal(nil, f.max, f.scale))
+		}
+	}
+	return nil
+}
+
+func (f *field) refuse(k Kind, format string, args ...any) *Refusal {
+	return &Refusal{Kind: k, Field: f.name, Reason: fmt.Sprintf(format, args...)}
+}
+
+// append writes a field as text.
+func (f *field) append(to []byte, v value) ([]byte, *Refusal) {
+	switch f.Type {
+	case Text:
+		return append(to, v.text...), nil
+	case Bytes:
+		return base64.StdEncoding.AppendEncode(to, v.text), nil
+	case Bool:
+		return strconv.AppendBool(to, v.num != 0), nil
+	case Enum:
+		return append(to, f.values[v.num]...), nil
+	case Date:
+		return appendDate(to, v.num, f.layout), nil
+	case Instant:
+		to, err := appendInstant(to, v.num, f)
+		if err != nil {
+			return to, f.refuse(OutOfRange, "%v", err)
+		}
+		return to, nil
+	}
+	return appendDecimal(to, v.num, f.scale), nil
+}
