Explorer: its reduction is held against what each attempt comes to, and an ejection

Planted mistakes in the reduction itself went unseen: a host that may not rest, servers forgotten too early. The comparison looks at the ends of attempts now, not of calls only, and a world of two calls with four attempts ejects servers; both are found.

--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"ternbeam/choice"
+	"ternbeam/internal/life"
 )
 
 // Every ordering of a small world, to the end: no property is broken.
@@ -38,8 +39,14 @@
 	}
 }
 
-// What a call came to: its answers, its runs and whether its client left, once nothing more can come of it.
+// What an attempt came to, and a call: its answers, its runs and whether its client left, once nothing more can come of
+// it.
 func outcomes(w *world, to map[string]bool) {
+	for _, t := range w.tries {
+		if t.Life.Stage() == life.Ended {
+			to[fmt.Sprint(t.call, t.Number, t.Server.ID, t.Life.Result(), t.ran, t.unsent)] = true
+		}
+	}
 	for i, c := range w.calls {
 		live := slices.ContainsFunc(w.tries, func(t *try) bool { return t.call == i })
 		if !live && c.asked && c.life.Over() && !w.ledger.Knows(c.life) {
@@ -108,9 +115,10 @@
 // Two states that are taken for one lead to the same ones.
 func TestStatesTakenForOneGoOnAlike(t *testing.T) {
 	for name, cfg := range map[string]Config{
-		"two calls": {Servers: 2, Calls: []choice.Effect{choice.Safe, choice.Unsafe}, Attempts: 2, Places: 4},
-		"a change":  {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Lists: 1, Leaves: 1},
-		"one place": {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 2, Places: 1},
+		"two calls":   {Servers: 2, Calls: []choice.Effect{choice.Safe, choice.Unsafe}, Attempts: 2, Places: 4},
+		"a change":    {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Lists: 1, Leaves: 1},
+		"one place":   {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 2, Places: 1},
+		"an ejection": {Servers: 2, Calls: []choice.Effect{choice.Unsafe, choice.Unsafe}, Attempts: 4, Places: 8},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/explore/host.go
+++ b/internal/explore/host.go
@@ -124,6 +124,7 @@
 	ok, err := t.Life.Begin(size, now)
 	t.Heed(err)
 	if !ok {
+		t.unsent = true
 		w.checkEnding(t)
 		return
 	}
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -115,6 +115,7 @@
 	conn      *life.Conn // that it waits for or has
 	withdrawn bool
 	ran       bool // its server may have run it, and has not said otherwise
+	unsent    bool // it ended when it was to be sent
 	waits     bool // for another's dial
 	hangs     bool // nothing more comes by the network
 	rests     bool // its host takes no step until something changes that it depends on
