After a second reading: one writer, one timer list, one close; a count nobody read goes

Two fingerprints of the module wrote numbers and sorted requests each for itself; three places took a due timer off the explorer's list; the driver closed its stage in six; the translator looked a path's field up for each message, and made a table for each time.

--- a/choice/explore.go
+++ b/choice/explore.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"math"
@@ -18,14 +19,24 @@
 	return b, err
 }
 
+func appendNumbers(to []byte, all []float64) []byte {
+	for _, x := range all {
+		to = binary.LittleEndian.AppendUint64(to, math.Float64bits(x))
+	}
+	return to
+}
+
+// inOrder returns the requests by their ids.
+func (b *Balancer) inOrder() []*request {
+	all := slices.AppendSeq(make([]*request, 0, len(b.requests)), maps.Values(b.requests))
+	slices.SortFunc(all, func(x, y *request) int { return cmp.Compare(x.ID, y.ID) })
+	return all
+}
+
 // Fingerprint appends all that the Balancer's next decisions depend on, but for chance. Two Balancers of equal settings
 // with equal fingerprints act alike from then on, whatever led there.
 func (b *Balancer) Fingerprint(to []byte) []byte {
-	num := func(all ...float64) {
-		for _, x := range all {
-			to = binary.LittleEndian.AppendUint64(to, math.Float64bits(x))
-		}
-	}
+	num := func(all ...float64) { to = appendNumbers(to, all) }
 	flags := func(all ...bool) {
 		for _, x := range all {
 			to = append(to, map[bool]byte{true: 1}[x])
@@ -49,14 +60,8 @@
 	for _, s := range b.servers {
 		server(s)
 	}
-	ids := make([]string, 0, len(b.requests))
-	for id := range b.requests {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		r := b.requests[id]
-		text(id)
+	for _, r := range b.inOrder() {
+		text(r.ID)
 		num(float64(r.Deadline), float64(r.since), float64(r.waits), float64(r.out), float64(len(r.attempts)))
 		flags(r.closed, b.timers[r.due] == r, b.timers[r.late] == r)
 		for _, a := range r.attempts {
@@ -88,11 +93,7 @@
 	if ahead.Looks {
 		return b.Fingerprint(to)
 	}
-	num := func(all ...float64) {
-		for _, x := range all {
-			to = binary.LittleEndian.AppendUint64(to, math.Float64bits(x))
-		}
-	}
+	num := func(all ...float64) { to = appendNumbers(to, all) }
 	more := func(r *request) int { // attempts that it may still get
 		if r.closed || ahead.Now >= r.Deadline {
 			return 0
@@ -101,9 +102,8 @@
 	}
 	further := ahead.Requests * b.set.MaxAttempts
 	judged := further // outcomes that may come
-	ids := make([]string, 0, 8)
-	for id, r := range b.requests {
-		ids = append(ids, id)
+	requests := b.inOrder()
+	for _, r := range requests {
 		further += more(r)
 		judged += r.out + more(r)
 	}
@@ -127,10 +127,8 @@
 			}
 		}
 	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		r := b.requests[id]
-		to = append(append(to, id...), 0, byte(r.out), byte(len(r.attempts)))
+	for _, r := range requests {
+		to = append(append(to, r.ID...), 0, byte(r.out), byte(len(r.attempts)))
 		for _, a := range r.attempts {
 			var state byte
 			if a.out {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -156,10 +156,10 @@
 			s.release[attempt{e.Call, e.Attempt}] = make(chan struct{})
 		}
 	}
+	defer s.close()
 	if err := s.open(ctx, cfg, seed); err != nil {
 		return err
 	}
-	defer s.close()
 	results := 0
 	for i, e := range events {
 		if err := s.step(ctx, e, fates, &results); err != nil {
@@ -180,7 +180,6 @@
 		server, err := standin.Start(standin.Options{ID: fmt.Sprint("server-", i), Protocol: s.o.Protocol, Cell: i % max(1, cfg.Cells),
 			Multiplexed: s.o.Multiplexed, Script: func(c standin.Call) standin.Step { return s.arrived(i, c) }, NoLoad: true})
 		if err != nil {
-			s.close()
 			return err
 		}
 		s.servers = append(s.servers, server)
@@ -191,17 +190,14 @@
 	p.Known.Version = 0 // so that the watch has something to say, and the agent is ready at once
 	conf, service, err := p.Load()
 	if err != nil {
-		s.close()
 		return err
 	}
 	conf.Seed += uint64(seed)
 	if s.agent, err = agent.New(conf, service, slog.New(slog.DiscardHandler)); err != nil {
-		s.close()
 		return err
 	}
 	at, err := s.agent.Listen()
 	if err != nil {
-		s.close()
 		return err
 	}
 	addr := at[0]
@@ -212,20 +208,20 @@
 	select {
 	case <-s.agent.Ready():
 	case <-ctx.Done():
-		s.close()
 		return ctx.Err()
 	}
-	if s.kiosk, err = standin.NewKiosk(s.o.Protocol, addr); err != nil {
-		s.close()
-	}
+	s.kiosk, err = standin.NewKiosk(s.o.Protocol, addr)
 	return err
 }
 
+// close ends what open has started, as far as it came.
 func (s *stage) close() {
 	for _, server := range s.servers {
 		server.Close()
 	}
-	s.list.Close()
+	if s.list != nil {
+		s.list.Close()
+	}
 	if s.kiosk != nil {
 		s.kiosk.Close()
 	}
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -18,7 +18,6 @@
 	Transitions int
 	Depth       int
 	Ends        int // states in which nothing more can happen
-	Never       int // states that no schedule leads to: somebody rests for what does not come
 	Took        time.Duration
 	Complete    bool       // not cut by the bound on states
 	Steps       [kinds]int // how often each kind of step was taken
@@ -149,9 +148,6 @@
 	if c.end {
 		r.Ends++
 	}
-	if c.never {
-		r.Never++
-	}
 	return !c.end && !c.never
 }
 
--- a/internal/explore/steps.go
+++ b/internal/explore/steps.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"ternbeam/choice"
@@ -140,7 +139,7 @@
 		if i < 0 || w.module.Heeds(w.timers[i].token) {
 			break
 		}
-		w.timers = slices.Delete(w.timers, i, i+1)
+		w.pop(i)
 	}
 	if w.due(w.now) >= 0 {
 		add(Fire, 0)
@@ -340,10 +339,7 @@
 		w.now = w.next()
 		w.wakeByTime()
 	case Fire:
-		i := w.due(w.now)
-		token := w.timers[i].token
-		w.timers = slices.Delete(w.timers, i, i+1)
-		w.do(w.ledger.Fired(w.now, token))
+		w.do(w.ledger.Fired(w.now, w.pop(w.due(w.now)).token))
 	}
 }
 
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -192,11 +192,7 @@
 	for n := 0; ; n++ {
 		at := w.now + time.Millisecond
 		last := at+deadline >= start // of those that end before the world begins
-		for i := w.due(at); i >= 0; i = w.due(at) {
-			t := w.timers[i]
-			w.timers = slices.Delete(w.timers, i, i+1)
-			w.keepTimers(w.ledger.Fired(t.at, t.token))
-		}
+		w.fireBy(at)
 		if w.now = at; last {
 			break
 		}
@@ -215,13 +211,24 @@
 	if lost != nil {
 		w.keepTimers(w.ledger.Ended(w.now, lost, ledger.Ended(choice.TimedOut)))
 	}
-	for i := w.due(start); i >= 0; i = w.due(start) { // those of calls that are over, and a look that finds nothing
-		t := w.timers[i]
-		w.timers = slices.Delete(w.timers, i, i+1)
+	w.fireBy(start) // those of calls that are over, and a look that finds nothing
+}
+
+// fireBy fires what is due by some time, in the past.
+func (w *world) fireBy(at time.Duration) {
+	for i := w.due(at); i >= 0; i = w.due(at) {
+		t := w.pop(i)
 		w.keepTimers(w.ledger.Fired(t.at, t.token))
 	}
 }
 
+// pop takes a timer off the list.
+func (w *world) pop(i int) timer {
+	t := w.timers[i]
+	w.timers = slices.Delete(w.timers, i, i+1)
+	return t
+}
+
 // keepTimers sets the timers that are ordered, and returns what else is.
 func (w *world) keepTimers(orders []ledger.Order) (others []ledger.Order) {
 	for _, o := range orders {
--- a/internal/translate/http.go
+++ b/internal/translate/http.go
@@ -188,7 +188,7 @@
 		if refusal != nil {
 			return refusal
 		}
-		to[slices.Index(s.request.fields, seg.field)] = v
+		to[seg.at] = v
 	}
 	return nil
 }
@@ -418,7 +418,7 @@
 			to = append(to, seg.text...)
 			continue
 		}
-		text, refusal := seg.field.append(nil, from[slices.Index(s.request.fields, seg.field)])
+		text, refusal := seg.field.append(nil, from[seg.at])
 		if refusal != nil {
 			return to, refusal
 		}
--- a/internal/translate/shape.go
+++ b/internal/translate/shape.go
@@ -80,6 +80,7 @@
 type segment struct {
 	text  string
 	field *field
+	at    int // the field's place among those of the request
 }
 
 // The file.
@@ -220,7 +221,7 @@
 			c.file.Problem(key+".path", "%q: a field of a path stands there once, and is not optional", part)
 		} else {
 			used[f] = true
-			s.path = append(s.path, segment{field: f})
+			s.path = append(s.path, segment{field: f, at: at})
 		}
 	}
 	for _, f := range s.request.fields {
--- a/internal/translate/value.go
+++ b/internal/translate/value.go
@@ -226,7 +226,10 @@
 func parseInstant(b []byte, f *field) (int64, error) {
 	switch f.form {
 	case "unix-s", "unix-ms":
-		scale := map[string]int{"unix-s": 3}[f.form]
+		scale := 0 // milliseconds
+		if f.form == "unix-s" {
+			scale = 3
+		}
 		n, err := parseDecimal(b, scale)
 		if err == nil && (n < leastDay*dayInMS || n >= (mostDay+1)*dayInMS) {
 			err = errors.New("beyond the years 1 to 9999")
