--- a/choice/state.go
+++ b/choice/state.go
@@ -100,8 +100,9 @@
 // fresh reports whether the server has told its load since the request asked.
 func (r *request) fresh(s *server) bool { return s.seen > 0 && s.seen >= r.since }
 
-// close marks the request as ended; it is kept while attempts are in flight. Its timers go on and mean nothing: they
-// must not keep it, as at many requests a second most of the memory would be of those that are over.
+// close marks the request as ended; it is kept while attempts are in flight. Its timers go on and mean
+// nothing: they must not keep it, as at many requests a second most of the memory would be of those that are
+// over.
 func (b *Balancer) close(r *request) {
 	r.closed = true
 	delete(b.timers, r.due)
@@ -120,6 +121,6 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.ColdFor))
 }
 
-// passedOver reports whether the server has answered one that it was sent longer after this one than is usual for
-// an answer: that is no queue, this one is lost or costly.
+// passedOver reports whether the server has answered one that it was sent longer after this one than is usual
+// for an answer: that is no queue, this one is lost or costly.
 func (a *attempt) passedOver(usual float64) bool { return float64(a.srv.passed-a.sent) > usual }
--- a/cmd/ternbeam-explore/main.go
+++ b/cmd/ternbeam-explore/main.go
@@ -15,8 +15,8 @@
 	"github.com/alecthomas/kong"
 
 	"ternbeam/choice"
-	"ternbeam/internal/drive"
-	"ternbeam/internal/explore"
+	"ternbeam/internal/lab/drive"
+	"ternbeam/internal/lab/explore"
 )
 
 type commands struct {
--- a/cmd/ternbeam-load/main.go
+++ b/cmd/ternbeam-load/main.go
@@ -25,7 +25,7 @@
 
 	"ternbeam/internal/agent"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/loadgen"
+	"ternbeam/internal/lab/loadgen"
 )
 
 type commands struct {
--- a/cmd/ternbeam/check_test.go
+++ b/cmd/ternbeam/check_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"ternbeam/deploy"
-	"ternbeam/internal/standin"
+	"ternbeam/internal/lab/standin"
 )
 
 // What is wrong in a configuration is told by line and key; the classes of a service are held against the settings.
--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -22,9 +22,9 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/agent"
-	"ternbeam/internal/config"
-	"ternbeam/internal/demo"
-	"ternbeam/internal/thriftmap"
+	"ternbeam/internal/lab/demo"
+	"ternbeam/internal/settings/config"
+	"ternbeam/internal/thrift/thriftmap"
 )
 
 type commands struct {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/wire"
+	"ternbeam/internal/settings/wire"
 )
 
 func main() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,16 +11,16 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/config"
-	"ternbeam/internal/core"
-	"ternbeam/internal/door"
-	"ternbeam/internal/httpback"
-	"ternbeam/internal/httpfront"
-	"ternbeam/internal/pool"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/door"
+	"ternbeam/internal/host/pool"
+	"ternbeam/internal/http/httpback"
+	"ternbeam/internal/http/httpfront"
 	"ternbeam/internal/protocol"
-	"ternbeam/internal/thriftback"
-	"ternbeam/internal/thriftfront"
-	"ternbeam/internal/thriftmap"
+	"ternbeam/internal/settings/config"
+	"ternbeam/internal/thrift/thriftback"
+	"ternbeam/internal/thrift/thriftfront"
+	"ternbeam/internal/thrift/thriftmap"
 )
 
 // Agent is one client-side balancer on real sockets.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -18,11 +18,11 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/config"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/httpback"
-	"ternbeam/internal/testkit"
-	"ternbeam/internal/thriftmap"
+	"ternbeam/internal/http/httpmsg"
+	"ternbeam/internal/lab/testkit"
+	"ternbeam/internal/settings/config"
+	"ternbeam/internal/thrift/thriftmap"
 )
 
 // settings are those of the tests: a class of each effect.
@@ -249,7 +249,7 @@
 		{name: "error that claims not to have run", status: 500, unprocessed: true, want: 502},
 		{name: "other success", status: 204, want: 502},
 		{name: "cut short", status: 200, body: "half", promise: "9", want: 502},
-		{name: "too long", status: 200, body: strings.Repeat("x", httpback.MaxBody+1), want: 502},
+		{name: "too long", status: 200, body: strings.Repeat("x", httpmsg.MaxBody+1), want: 502},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newBackend(t, "b", func(w http.ResponseWriter, r *http.Request) {
@@ -359,13 +359,13 @@
 			}
 		})
 	}
-	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", httpback.MaxBody+1))); status != 413 {
+	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", httpmsg.MaxBody+1))); status != 413 {
 		t.Errorf("an oversized body was answered %d", status)
 	}
 	if n := seen.Of("id"); n != 0 {
 		t.Errorf("%d malformed requests were passed on", n)
 	}
-	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", httpback.MaxBody))); status != 200 {
+	if status, _ := do(t, r.ask("record", "id", 5, strings.Repeat("x", httpmsg.MaxBody))); status != 200 {
 		t.Errorf("the largest body was answered %d", status)
 	}
 }
--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/loadgen"
+	"ternbeam/internal/lab/loadgen"
 )
 
 // BenchmarkThrough makes calls through an agent, 16 at a time, to servers that answer at once; direct is the same
--- a/internal/agent/parity_test.go
+++ b/internal/agent/parity_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"ternbeam/internal/standin"
-	"ternbeam/internal/testkit"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
 )
 
 // outcome is what is to come of a call.
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -13,7 +13,7 @@
 	"testing"
 
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/testkit"
+	"ternbeam/internal/lab/testkit"
 )
 
 // registry is a discovery that pushes what it is given to those who watch, and counts versions in its own way.
--- a/internal/agent/thrift_test.go
+++ b/internal/agent/thrift_test.go
@@ -16,10 +16,10 @@
 	"github.com/apache/thrift/lib/go/thrift"
 
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/formapi"
-	"ternbeam/internal/standin"
-	"ternbeam/internal/testkit"
-	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/lab/formapi"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 var encodings = []thriftwire.Encoding{thriftwire.Binary, thriftwire.Compact}
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"ternbeam/internal/standin"
-	"ternbeam/internal/testkit"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
 )
 
 // speech is a way in which kiosks and servers speak.
--- a/internal/ledger/copy.go
+++ b/internal/decide/ledger/copy.go
@@ -2,7 +2,7 @@
 
 import (
 	"ternbeam/choice"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/life"
 )
 
 // Twins are copies of what a Ledger speaks of.
--- a/internal/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/life"
 )
 
 // Call is one call of a client. Its Needs name the protocol that a server must speak to be sent it.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/lab/testkit"
 	"ternbeam/internal/protocol"
-	"ternbeam/internal/testkit"
 )
 
 // A watch that ends, and one that stays open and is silent, are both begun again from the last version.
--- a/internal/core/core.go
+++ b/internal/host/core/core.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/ledger"
-	"ternbeam/internal/pool"
+	"ternbeam/internal/host/pool"
 )
 
 // ErrWithdrawn is the cause with which the context of an attempt ends that the module cancels.
--- a/internal/core/list.go
+++ b/internal/host/core/list.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
+	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/ledger"
 )
 
 // Follow watches another discovery from now on; the same one changes nothing.
--- a/internal/core/list_test.go
+++ b/internal/host/core/list_test.go
@@ -11,9 +11,9 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/pool"
+	"ternbeam/internal/host/pool"
+	"ternbeam/internal/lab/testkit"
 	"ternbeam/internal/protocol"
-	"ternbeam/internal/testkit"
 )
 
 // newCore returns a Core that knows the servers of a list; its transports do nothing but what the test says.
--- a/internal/door/door.go
+++ b/internal/host/door/door.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"ternbeam/internal/peek"
+	"ternbeam/internal/host/peek"
 )
 
 const (
--- a/internal/door/door_test.go
+++ b/internal/host/door/door_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"ternbeam/internal/testkit"
+	"ternbeam/internal/lab/testkit"
 )
 
 func openDoor(t *testing.T, most int) *Listener {
--- a/internal/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"ternbeam/internal/core"
-	"ternbeam/internal/life"
-	"ternbeam/internal/pool"
+	"ternbeam/internal/decide/life"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/pool"
 )
 
 const (
--- a/internal/pool/pool.go
+++ b/internal/host/pool/pool.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/life"
-	"ternbeam/internal/peek"
+	"ternbeam/internal/decide/life"
+	"ternbeam/internal/host/peek"
 )
 
 // ErrNoPlace says that every place for a connection is in use by an attempt.
--- a/internal/httpback/fuzz_test.go
+++ b/internal/http/httpback/fuzz_test.go
@@ -8,7 +8,8 @@
 	"strings"
 	"testing"
 
-	"ternbeam/internal/exchange"
+	"ternbeam/internal/host/exchange"
+	"ternbeam/internal/http/httpmsg"
 )
 
 // answers are seeds: in order, odd and spoilt.
@@ -44,7 +45,7 @@
 		case err != nil && !errors.Is(err, exchange.ErrSpoilt) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) &&
 			!strings.Contains(err.Error(), "chunk"):
 			t.Fatalf("error %v", err)
-		case err == nil && len(ans.body) > MaxBody:
+		case err == nil && len(ans.body) > httpmsg.MaxBody:
 			t.Fatalf("a body of %d bytes", len(ans.body))
 		case err == nil && ans.status < 200:
 			t.Fatalf("status %d", ans.status)
--- a/internal/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -15,42 +15,22 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/core"
-	"ternbeam/internal/exchange"
-	"ternbeam/internal/pool"
-	"ternbeam/internal/wire"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/exchange"
+	"ternbeam/internal/host/pool"
+	"ternbeam/internal/http/httpmsg"
+	"ternbeam/internal/settings/wire"
 )
 
-const (
-	// MaxBody is the most that a request's or an answer's body may hold.
-	MaxBody = 64 << 10
-	// MaxHead is the most that a request's or an answer's head may hold.
-	MaxHead = 16 << 10
-)
-
-// Request is the payload of a call that came in HTTP.
-type Request struct {
-	Method string
-	URL    *url.URL
-	Header http.Header
-	Body   []byte
-}
-
-// Reply is what a server answered a call that it served.
-type Reply struct {
-	ContentType string
-	Body        []byte
-}
-
 // New returns a transport; the fields are the figures of load reports.
 func New(p *pool.Pool, fields []string) *exchange.Transport {
 	return &exchange.Transport{Pool: p, Stall: exchange.Stall, Begin: func(at *core.Attempt) exchange.Talk {
-		return talk{request: at.Call.Payload.(*Request), addr: at.Server.Addr, fields: fields}
+		return talk{request: at.Call.Payload.(*httpmsg.Request), addr: at.Server.Addr, fields: fields}
 	}}
 }
 
 type talk struct {
-	request *Request
+	request *httpmsg.Request
 	addr    string
 	fields  []string
 }
@@ -103,7 +83,7 @@
 
 // readAnswer reads one answer; begin waits for the first byte of a head.
 func readAnswer(r *bufio.Reader, begin func() error) (answer, error) {
-	for room := MaxHead; ; { // for the heads of 1xx answers too
+	for room := httpmsg.MaxHead; ; { // for the heads of 1xx answers too
 		if err := begin(); err != nil {
 			return answer{}, err
 		}
@@ -268,11 +248,11 @@
 func readBody(r *bufio.Reader, h head) (ans answer, err error) {
 	ans = answer{head: h}
 	switch {
-	case h.length > MaxBody:
+	case h.length > httpmsg.MaxBody:
 		return ans, fmt.Errorf("%w: its length", exchange.ErrSpoilt)
 	case h.chunked: // what follows the last chunk is left unread
-		ans.body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), MaxBody+1))
-		if len(ans.body) > MaxBody {
+		ans.body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), httpmsg.MaxBody+1))
+		if len(ans.body) > httpmsg.MaxBody {
 			return ans, fmt.Errorf("%w: its length", exchange.ErrSpoilt)
 		}
 	case h.length >= 0:
@@ -293,7 +273,7 @@
 	}
 	switch ans.status {
 	case http.StatusOK:
-		out.Result, out.Reply = choice.OK, &Reply{ContentType: ans.contentType, Body: ans.body}
+		out.Result, out.Reply = choice.OK, &httpmsg.Reply{ContentType: ans.contentType, Body: ans.body}
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if ans.unprocessed {
 			out.Result = choice.Rejected
--- a/internal/httpback/httpback_test.go
+++ b/internal/http/httpback/httpback_test.go
@@ -15,12 +15,13 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/core"
-	"ternbeam/internal/exchange"
-	"ternbeam/internal/life"
-	"ternbeam/internal/peek"
-	"ternbeam/internal/pool"
-	"ternbeam/internal/testkit"
+	"ternbeam/internal/decide/life"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/exchange"
+	"ternbeam/internal/host/peek"
+	"ternbeam/internal/host/pool"
+	"ternbeam/internal/http/httpmsg"
+	"ternbeam/internal/lab/testkit"
 )
 
 // newTransport returns a transport over a pool of its own; what the settings leave out is ample.
@@ -36,7 +37,7 @@
 }
 
 func attempt(id string, s *life.Server) *core.Attempt {
-	return &core.Attempt{Call: &core.Call{Request: choice.Request{ID: id}, Payload: &Request{Method: http.MethodPost,
+	return &core.Attempt{Call: &core.Call{Request: choice.Request{ID: id}, Payload: &httpmsg.Request{Method: http.MethodPost,
 		URL: &url.URL{Path: "/pay/x"}, Header: http.Header{"X-Correlation-Id": {id}}}}, Server: s}
 }
 
@@ -137,7 +138,7 @@
 }
 
 func body(e core.Ending) string {
-	if r, ok := e.Reply.(*Reply); ok {
+	if r, ok := e.Reply.(*httpmsg.Reply); ok {
 		return string(r.Body)
 	}
 	return ""
@@ -296,7 +297,7 @@
 		return c, err
 	}})
 	a := attempt("id", &life.Server{ID: "b", Addr: l.Addr().String()})
-	a.Call.Payload.(*Request).Body = make([]byte, MaxBody)
+	a.Call.Payload.(*httpmsg.Request).Body = make([]byte, httpmsg.MaxBody)
 	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
 	if got := u.Attempt(ctx, a).Result; got != choice.Rejected || count(u) != 0 {
--- a/internal/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -15,11 +15,11 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/config"
-	"ternbeam/internal/core"
-	"ternbeam/internal/door"
-	"ternbeam/internal/httpback"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/door"
+	"ternbeam/internal/http/httpmsg"
 	"ternbeam/internal/protocol"
+	"ternbeam/internal/settings/config"
 )
 
 const (
@@ -59,7 +59,7 @@
 		}
 	}
 	f.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout,
-		WriteTimeout: cfg.LongestDeadline() + lateWrite, IdleTimeout: idleTimeout, MaxHeaderBytes: httpback.MaxHead,
+		WriteTimeout: cfg.LongestDeadline() + lateWrite, IdleTimeout: idleTimeout, MaxHeaderBytes: httpmsg.MaxHead,
 		ConnState: f.note, ConnContext: countAsked, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	return f
 }
@@ -148,7 +148,7 @@
 func answer(w http.ResponseWriter, ans core.Answer) {
 	h, body := w.Header(), []byte(nil)
 	h["Content-Type"] = nil // no guess from the body
-	if reply, ok := ans.Reply.(*httpback.Reply); ok {
+	if reply, ok := ans.Reply.(*httpmsg.Reply); ok {
 		if body = reply.Body; reply.ContentType != "" {
 			h["Content-Type"] = []string{reply.ContentType}
 		}
@@ -179,7 +179,7 @@
 		return nil, errFraming
 	}
 	cfg, h := f.cfg, in.Header
-	payload := &httpback.Request{Method: in.Method, URL: in.URL, Header: h}
+	payload := &httpmsg.Request{Method: in.Method, URL: in.URL, Header: h}
 	call := &core.Call{Payload: payload}
 	call.Needs = protocol.HTTP
 	for _, name := range once {
@@ -219,8 +219,8 @@
 	}
 	call.Again = h.Get("X-Repeat") == "1"
 
-	if in.ContentLength > httpback.MaxBody {
-		return nil, &http.MaxBytesError{Limit: httpback.MaxBody} // without reading it
+	if in.ContentLength > httpmsg.MaxBody {
+		return nil, &http.MaxBytesError{Limit: httpmsg.MaxBody} // without reading it
 	}
 	if in.ContentLength != 0 {
 		payload.Body = make([]byte, in.ContentLength)
--- /dev/null
+++ b/internal/http/httpmsg/httpmsg.go
@@ -0,0 +1,28 @@
+// Package httpmsg holds what an HTTP call is between the front that takes it and the transport that makes its attempts.
+package httpmsg
+
+import (
+	"net/http"
+	"net/url"
+)
+
+const (
+	// MaxBody is the most that a request's or an answer's body may hold.
+	MaxBody = 64 << 10
+	// MaxHead is the most that a request's or an answer's head may hold.
+	MaxHead = 16 << 10
+)
+
+// Request is the payload of a call that came in HTTP.
+type Request struct {
+	Method string
+	URL    *url.URL
+	Header http.Header
+	Body   []byte
+}
+
+// Reply is what a server answered a call that it served.
+type Reply struct {
+	ContentType string
+	Body        []byte
+}
--- a/internal/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"ternbeam/internal/agent"
-	"ternbeam/internal/standin"
+	"ternbeam/internal/lab/standin"
 )
 
 // Options say how long the demo lasts and how much is asked.
--- a/internal/drive/drive.go
+++ b/internal/lab/drive/drive.go
@@ -15,9 +15,9 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/agent"
-	"ternbeam/internal/explore"
-	"ternbeam/internal/ledger"
-	"ternbeam/internal/standin"
+	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/lab/explore"
+	"ternbeam/internal/lab/standin"
 )
 
 // ErrNotForced says that sockets don't allow an order to be forced.
--- a/internal/drive/drive_test.go
+++ b/internal/lab/drive/drive_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/explore"
+	"ternbeam/internal/lab/explore"
 )
 
 // The agent does on sockets what the stories of small worlds say, on every protocol.
--- a/internal/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -12,7 +12,7 @@
 	"testing"
 
 	"ternbeam/choice"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/life"
 )
 
 // Every ordering of a small world, to the end: no property is broken.
--- a/internal/explore/host.go
+++ b/internal/lab/explore/host.go
@@ -4,11 +4,11 @@
 	"slices"
 
 	"ternbeam/choice"
-	"ternbeam/internal/ledger"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/decide/life"
 )
 
-// The steps of an attempt's host, as internal/pool and internal/exchange take them.
+// The steps of an attempt's host, as internal/host/pool and internal/host/exchange take them.
 
 // wide reports whether there is always a place for one more connection. Then attempts touch one another only by idle
 // connections to the same server.
--- a/internal/explore/key.go
+++ b/internal/lab/explore/key.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"ternbeam/choice"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/life"
 )
 
 // key is a fingerprint of the state: all that what comes next depends on, and what the properties look at. An exact one
--- a/internal/explore/line.go
+++ b/internal/lab/explore/line.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/ledger"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/decide/life"
 )
 
-// Lines carry several attempts at a time. Their host's steps are those of internal/thriftback's multiplexer: what
+// Lines carry several attempts at a time. Their host's steps are those of internal/thrift/thriftback's multiplexer: what
 // happens to one attempt ends others, so that every order of steps is tried.
 
 // perLine is how many attempts one line may carry.
--- a/internal/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -12,33 +12,33 @@
 
 // planted are bugs, each a single change of the code that runs, and the world in which it shows.
 var planted = []struct{ name, file, old, new, world string }{
-	{"told as never run after the last byte", "internal/life/attempt.go", "case !a.CanHaveRun():", "case true:", "unsafe"},
+	{"told as never run after the last byte", "internal/decide/life/attempt.go", "case !a.CanHaveRun():", "case true:", "unsafe"},
 	{"refused after a reset", "choice/choice.go", "} else if r.mayRefuse() {", "} else if true {", "unsafe"},
-	{"answered twice as the reply meets the deadline", "internal/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil {", "unsafe"},
-	{"connection used again with bytes behind the answer", "internal/explore/host.go", "if !c.Host.(*on).foreign {", "if true {", "one-place"},
-	{"connection kept whose server sent a second answer", "internal/life/conn.go", "if c.State() == InUse && len(b.queue) == 0 {", "if c.State() != Closed && len(b.queue) == 0 {", "one-place"},
-	{"sent to a server after its drain", "internal/life/attempt.go", "case now.Retired:", "case now.Retired && now.Late:", "unsafe"},
+	{"answered twice as the reply meets the deadline", "internal/decide/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil {", "unsafe"},
+	{"connection used again with bytes behind the answer", "internal/lab/explore/host.go", "if !c.Host.(*on).foreign {", "if true {", "one-place"},
+	{"connection kept whose server sent a second answer", "internal/decide/life/conn.go", "if c.State() == InUse && len(b.queue) == 0 {", "if c.State() != Closed && len(b.queue) == 0 {", "one-place"},
+	{"sent to a server after its drain", "internal/decide/life/attempt.go", "case now.Retired:", "case now.Retired && now.Late:", "unsafe"},
 	{"window not looked at when a repeat is written", "choice/choice.go", "first != nil && r.class.Effect == Keyed {", "first != nil && r.class.Effect == Unsafe {", "keyed"},
 	{"window counted from the repeat", "choice/choice.go", "send.Within = first.sent", "send.Within = b.now", "keyed"},
 	{"group of a keyed call not looked at", "choice/choice.go", "return s.Cell == first.srv.Cell", "return true", "keyed"},
 	{"unsafe call sent again", "choice/choice.go", "case first == nil || c.Effect == Safe:", "case first == nil || c.Effect != Keyed:", "unsafe"},
-	{"place leaked where a dial is given up", "internal/life/conn.go", "\t\treturn nil, nil\n\t}\n\treturn b.free(), nil", "\t}\n\treturn nil, nil", "withdrawn"},
-	{"withdrawn copy's reply wins", "internal/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil || call.Over() && call.out == 0 {", "copies"},
-	{"sent after it was withdrawn", "internal/life/attempt.go", "case now.Withdrawn:", "case now.Withdrawn && now.Late:", "withdrawn"},
-	{"withdrawn and told as never run", "internal/life/attempt.go", "case c == Withdrawn:\n\t\ta.end(choice.Cancelled)", "case c == Withdrawn:\n\t\ta.end(choice.ConnectFailed)", "withdrawn"},
-	{"sequence id used again while its reply may come", "internal/life/line.go", "if l.seq++; l.slots[l.seq] == nil {", "if l.seq = 1; true {", "line"},
-	{"what is being written on a line counts as never run", "internal/life/line.go", "return s.Life.Unsure()", "return nil", "line"},
-	{"line given back with a call on it", "internal/life/line.go", "if reuse || s.Life.stage != Ended {", "if false && s != nil {", "line"},
-	{"early error told as never run", "internal/life/attempt.go", "answered := a.stage == Ended && (a.result == choice.OK || a.result == choice.Failed)", "answered := false", "unsafe"},
-	{"count not lowered on what is not sent", "internal/ledger/ledger.go", "\tcall.out--\n", "\tif e.Result != choice.NotSent {\n\t\tcall.out--\n\t}\n", "unsafe"},
-	{"sent after the final answer", "internal/life/attempt.go", "case now.Late || now.Over:", "case now.Late:", "unsafe"},
-	{"sent after the deadline", "internal/life/attempt.go", "case now.Late || now.Over:", "case now.Over:", "unsafe"},
-	{"answered after its client left", "internal/ledger/ledger.go", "\t\tl.stats.Gone++\n\t\tl.end(call)\n", "\t\tl.stats.Gone++\n", "unsafe"},
+	{"place leaked where a dial is given up", "internal/decide/life/conn.go", "\t\treturn nil, nil\n\t}\n\treturn b.free(), nil", "\t}\n\treturn nil, nil", "withdrawn"},
+	{"withdrawn copy's reply wins", "internal/decide/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil || call.Over() && call.out == 0 {", "copies"},
+	{"sent after it was withdrawn", "internal/decide/life/attempt.go", "case now.Withdrawn:", "case now.Withdrawn && now.Late:", "withdrawn"},
+	{"withdrawn and told as never run", "internal/decide/life/attempt.go", "case c == Withdrawn:\n\t\ta.end(choice.Cancelled)", "case c == Withdrawn:\n\t\ta.end(choice.ConnectFailed)", "withdrawn"},
+	{"sequence id used again while its reply may come", "internal/decide/life/line.go", "if l.seq++; l.slots[l.seq] == nil {", "if l.seq = 1; true {", "line"},
+	{"what is being written on a line counts as never run", "internal/decide/life/line.go", "return s.Life.Unsure()", "return nil", "line"},
+	{"line given back with a call on it", "internal/decide/life/line.go", "if reuse || s.Life.stage != Ended {", "if false && s != nil {", "line"},
+	{"early error told as never run", "internal/decide/life/attempt.go", "answered := a.stage == Ended && (a.result == choice.OK || a.result == choice.Failed)", "answered := false", "unsafe"},
+	{"count not lowered on what is not sent", "internal/decide/ledger/ledger.go", "\tcall.out--\n", "\tif e.Result != choice.NotSent {\n\t\tcall.out--\n\t}\n", "unsafe"},
+	{"sent after the final answer", "internal/decide/life/attempt.go", "case now.Late || now.Over:", "case now.Late:", "unsafe"},
+	{"sent after the deadline", "internal/decide/life/attempt.go", "case now.Late || now.Over:", "case now.Over:", "unsafe"},
+	{"answered after its client left", "internal/decide/ledger/ledger.go", "\t\tl.stats.Gone++\n\t\tl.end(call)\n", "\t\tl.stats.Gone++\n", "unsafe"},
 }
 
 // Each planted bug is found. The program is built from the sources with the one change laid over them.
 func TestPlantedBugs(t *testing.T) {
-	root, err := filepath.Abs("../..")
+	root, err := filepath.Abs("../../..")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/explore/properties.go
+++ b/internal/lab/explore/properties.go
@@ -4,8 +4,8 @@
 	"slices"
 
 	"ternbeam/choice"
-	"ternbeam/internal/ledger"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/decide/life"
 )
 
 // The properties, each checked where it could cease to hold. What a property looks at is kept by the world itself, from
--- a/internal/explore/steps.go
+++ b/internal/lab/explore/steps.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/ledger"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/decide/life"
 )
 
 // Kind is what happens in a step.
--- a/internal/explore/story.go
+++ b/internal/lab/explore/story.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"ternbeam/choice"
-	"ternbeam/internal/ledger"
+	"ternbeam/internal/decide/ledger"
 )
 
 // Story is a story as it is kept in a file.
--- a/internal/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/ledger"
-	"ternbeam/internal/life"
+	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/decide/life"
 )
 
 // Config says how large the world is.
--- a/internal/loadgen/loadgen.go
+++ b/internal/lab/loadgen/loadgen.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"ternbeam/internal/standin"
-	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 // Protocols are those that can be measured.
--- a/internal/standin/config.go
+++ b/internal/lab/standin/config.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"ternbeam/deploy"
-	"ternbeam/internal/config"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/thriftmap"
+	"ternbeam/internal/settings/config"
+	"ternbeam/internal/thrift/thriftmap"
 )
 
 // Tenants are those of the stand-in configuration.
--- a/internal/standin/kiosk.go
+++ b/internal/lab/standin/kiosk.go
@@ -14,7 +14,7 @@
 
 	"github.com/apache/thrift/lib/go/thrift"
 
-	"ternbeam/internal/formapi"
+	"ternbeam/internal/lab/formapi"
 )
 
 // Ask is what a kiosk asks.
--- a/internal/standin/thrift.go
+++ b/internal/lab/standin/thrift.go
@@ -11,7 +11,7 @@
 
 	"github.com/apache/thrift/lib/go/thrift"
 
-	"ternbeam/internal/formapi"
+	"ternbeam/internal/lab/formapi"
 )
 
 // thriftFace words the replies to one call.
--- a/internal/testkit/testkit.go
+++ b/internal/lab/testkit/testkit.go
@@ -1,5 +1,5 @@
 // Package testkit holds what tests of several packages need: waiting for events, counting what servers get, and a
-// server that answers with given texts. The form servers that go wrong by script are in internal/standin.
+// server that answers with given texts. The form servers that go wrong by script are in internal/lab/standin.
 package testkit
 
 import (
--- a/internal/config/config.go
+++ b/internal/settings/config/config.go
@@ -13,7 +13,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/discovery"
-	"ternbeam/internal/wire"
+	"ternbeam/internal/settings/wire"
 )
 
 // Limits are what the platform grants the agent.
--- a/internal/config/where.go
+++ b/internal/settings/config/where.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"ternbeam/internal/wire"
+	"ternbeam/internal/settings/wire"
 )
 
 // Where adds to an error of Parse's the line and the key that it is about, as far as that can be told.
--- a/internal/thriftback/multiplexed.go
+++ b/internal/thrift/thriftback/multiplexed.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/core"
-	"ternbeam/internal/exchange"
-	"ternbeam/internal/life"
-	"ternbeam/internal/pool"
-	"ternbeam/internal/thriftmap"
+	"ternbeam/internal/decide/life"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/exchange"
+	"ternbeam/internal/host/pool"
+	"ternbeam/internal/thrift/thriftmap"
 )
 
 // multiplexer sends several calls at a time on a connection and tells their replies apart by sequence ids of its own.
--- a/internal/thriftback/serial.go
+++ b/internal/thrift/thriftback/serial.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/core"
-	"ternbeam/internal/exchange"
-	"ternbeam/internal/pool"
-	"ternbeam/internal/thriftmap"
-	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/exchange"
+	"ternbeam/internal/host/pool"
+	"ternbeam/internal/thrift/thriftmap"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 // Transport makes attempts at Thrift servers. The payload of their calls is a *thriftmap.Call, the reply of those
--- a/internal/thriftback/thriftback_test.go
+++ b/internal/thrift/thriftback/thriftback_test.go
@@ -11,14 +11,14 @@
 
 	"ternbeam/choice"
 	"ternbeam/deploy"
-	"ternbeam/internal/core"
-	"ternbeam/internal/life"
-	"ternbeam/internal/pool"
+	"ternbeam/internal/decide/life"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/pool"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
 	"ternbeam/internal/protocol"
-	"ternbeam/internal/standin"
-	"ternbeam/internal/testkit"
-	"ternbeam/internal/thriftmap"
-	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/thrift/thriftmap"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 var classes = []choice.Class{{Name: "form-check"}, {Name: "refund-record", Effect: choice.Keyed},
--- a/internal/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -10,10 +10,10 @@
 	"syscall"
 	"time"
 
-	"ternbeam/internal/core"
-	"ternbeam/internal/peek"
-	"ternbeam/internal/thriftmap"
-	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/peek"
+	"ternbeam/internal/thrift/thriftmap"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 // chunks are what calls are read into. A connection holds one only while bytes of a frame are there.
--- a/internal/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -10,12 +10,12 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/config"
-	"ternbeam/internal/core"
-	"ternbeam/internal/door"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/door"
 	"ternbeam/internal/protocol"
-	"ternbeam/internal/thriftmap"
-	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/settings/config"
+	"ternbeam/internal/thrift/thriftmap"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 const (
--- a/internal/thriftmap/call.go
+++ b/internal/thrift/thriftmap/call.go
@@ -9,8 +9,8 @@
 	"unicode/utf8"
 
 	"ternbeam/choice"
-	"ternbeam/internal/thriftwire"
-	"ternbeam/internal/wire"
+	"ternbeam/internal/settings/wire"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 // Slots of the fields in a call and in a result.
--- a/internal/thriftmap/call_test.go
+++ b/internal/thrift/thriftmap/call_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 // vendor is another vendor's service: no correlation id, the time in seconds as a double, an id that is a number, the
--- a/internal/thriftmap/file.go
+++ b/internal/thrift/thriftmap/file.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"ternbeam/choice"
-	"ternbeam/internal/conffile"
-	"ternbeam/internal/thriftwire"
+	"ternbeam/internal/settings/conffile"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 // file is the configuration as it is written.
--- a/internal/thriftwire/bench_test.go
+++ b/internal/thrift/thriftwire/bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/apache/thrift/lib/go/thrift"
 
-	"ternbeam/internal/formapi"
+	"ternbeam/internal/lab/formapi"
 )
 
 // benchCall is a formCheck as a kiosk sends it, with a form of so many bytes.
--- a/internal/translate/mapping.go
+++ b/internal/translate/mapping.go
@@ -7,7 +7,7 @@
 	"slices"
 	"unicode/utf8"
 
-	"ternbeam/internal/conffile"
+	"ternbeam/internal/settings/conffile"
 )
 
 // Set is what a file of shapes and mappings was compiled into.
--- a/internal/translate/shape.go
+++ b/internal/translate/shape.go
@@ -11,7 +11,7 @@
 	"time"
 	_ "time/tzdata" // zones must mean the same on every host
 
-	"ternbeam/internal/conffile"
+	"ternbeam/internal/settings/conffile"
 )
 
 // Bounds of what a file may declare.
