--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,7 @@
 	failEject   = 0.6  // ejected above it: three failures in a row, from nothing
 	lostFrom    = 0.03 // share of attempts lost at servers that answer others, from which late ones are copied
 	copyTimes   = 2    // usual times to an answer after which an attempt counts as late then
+	coldHeed    = 0.5  // failures at cold servers lower their part by so much of their share
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
 	retryShare  = 0.1  // further attempts as a share of first ones, besides what gets lost
 	retrySaved  = 10   // most further attempts saved up
@@ -120,6 +121,7 @@
 	if s.reported == 0 {
 		keep = 0
 	}
+	b.news++
 	s.reported, s.used = b.now, r.Util
 	s.done = keep*s.done + (1-keep)*r.Rate
 	s.util = keep*s.util + (1-keep)*r.Util
@@ -347,6 +349,11 @@
 		b.jam += b.jamWeight * (b.slackUsed(a, late) - b.jam)
 	}
 	s.failing += failWeight * (bad - s.failing)
+	s.judged, b.judged, b.news = b.now, b.now, b.news+1
+	if s.coldShare(b) < 1 {
+		b.coldSeen = min(b.coldSeen+1, 1/learn)
+		b.coldBad += (bad - b.coldBad) / b.coldSeen
+	}
 	switch {
 	case s.until > 0 && bad == 0 && (s.trial || s.failing < failEject):
 		s.until, s.trial, s.failing = 0, false, 0
@@ -356,7 +363,7 @@
 }
 
 // eject keeps a server out of the draws for a horizon; then one request to spare tries it.
-func (b *Balancer) eject(s *server) { s.until, s.trial = b.now+b.horizon, false }
+func (b *Balancer) eject(s *server) { s.until, s.trial, b.news = b.now+b.horizon, false, b.news+1 }
 
 // rescue withdraws what waits at a silent server and may go elsewhere; the outcome sends it again.
 func (b *Balancer) rescue(s *server) {
@@ -427,7 +434,7 @@
 func (b *Balancer) fillSpare() {
 	for _, s := range b.servers {
 		if s.coldShare(b) < 1 {
-			s.spare = min(s.spare+coldTimes*s.weight/b.total, 2)
+			s.spare = min(s.spare+coldTimes*(1-coldHeed*b.coldBad)*s.weight/b.total, 2)
 		}
 	}
 }
@@ -577,7 +584,7 @@
 	switch known := r.fresh(s); {
 	case b.asks() && !known && r.late > 0:
 		return 1
-	case !known || !b.set.ReportsLoad || s.rate == 0:
+	case !known || !b.set.ReportsLoad || s.rate == 0 || s.reported == 0:
 		return 0
 	}
 	now := s.capacity * s.coldShare(b) * b.left(r, s)
--- a/choice/state.go
+++ b/choice/state.go
@@ -34,6 +34,10 @@
 	lost      float64       // share of attempts lost at servers that answer others
 	served    float64       // own answers a second, averaged
 	worth     float64       // mean worth of a request lately
+	coldBad   float64       // share of failures among attempts at cold servers
+	coldSeen  float64       // how many attempts that rests on, up to 1 / learn
+	judged    time.Duration // the latest outcome
+	news      uint64        // reports, outcomes and ejections so far
 }
 
 // server is all that is known of one server.
@@ -57,6 +61,7 @@
 	heard    time.Duration // the latest sign of life or, if later, the first send that waits for one
 	passed   time.Duration // when the latest sent of those that it has answered was sent
 	failing  float64       // share of failures among the latest outcomes
+	judged   time.Duration // the latest of these
 	until    time.Duration // ejected to then; 0 when not
 	trial    bool          // one trial is under way
 	spare    float64       // sends it may get while cold
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -1,13 +1,12 @@
 package explore
 
 import (
-	"encoding/json"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"testing"
+
+	"ternbeam/internal/lab/testkit"
 )
 
 // planted are bugs, each a single change of the code that runs, and the world in which it shows.
@@ -38,37 +37,14 @@
 
 // Each planted bug is found. The program is built from the sources with the one change laid over them.
 func TestPlantedBugs(t *testing.T) {
-	root, err := filepath.Abs("../../..")
-	if err != nil {
-		t.Fatal(err)
-	}
 	told := regexp.MustCompile(`(\d+) states(?s:.*\n)(\d+) steps: (.*)`)
 	for _, bug := range planted {
 		t.Run(bug.name, func(t *testing.T) {
 			t.Parallel()
-			dir := t.TempDir()
-			source := filepath.Join(root, bug.file)
-			text, err := os.ReadFile(source)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if strings.Count(string(text), bug.old) != 1 {
-				t.Fatalf("%s does not hold %q once", bug.file, bug.old)
-			}
-			changed, overlay := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
-			if err := os.WriteFile(changed, []byte(strings.Replace(string(text), bug.old, bug.new, 1)), 0o600); err != nil {
-				t.Fatal(err)
-			}
-			over, err := json.Marshal(map[string]any{"Replace": map[string]string{source: changed}})
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := os.WriteFile(overlay, over, 0o600); err != nil {
-				t.Fatal(err)
-			}
-			program := filepath.Join(dir, "explore")
+			overlay := testkit.Overlay(t, bug.file, bug.old, bug.new)
+			program := filepath.Join(t.TempDir(), "explore")
 			build := exec.Command("go", "build", "-overlay", overlay, "-o", program, "./cmd/ternbeam-explore")
-			build.Dir = root
+			build.Dir = testkit.Root(t)
 			if out, err := build.CombinedOutput(); err != nil {
 				t.Fatalf("%v\n%s", err, out)
 			}
