What was learned is kept in a folder and recalled, aged, by the next agent; off by default

After a restart an agent relearned which servers are slow, silent or cold at travellers' expense.

No rule rests on it: six worlds of the explorer begin with hostile memories and hold all properties, and two planted bugs that make a rule rest on memory are found.

--- a/cmd/ternbeam-explore/main.go
+++ b/cmd/ternbeam-explore/main.go
@@ -36,7 +36,7 @@
 	Leaves   int      `default:"1" help:"Clients that may leave."`
 	Cells    int      `default:"2" help:"Groups of servers that drop one another's repeats."`
 	Lines    bool     `help:"A connection carries several calls at a time."`
-	Past     string   `default:"" enum:",losing,quick" help:"What the module has lived through: servers that lost calls (late ones are copied), or quick ones (late ones are withdrawn)."`
+	Past     string   `default:"" enum:",losing,quick,ill,out,absurd" help:"What the module has lived through: servers that lost calls (late ones are copied), or quick ones (late ones are withdrawn); or what it is told to remember, as bad as it can be: all ill, all out, absurd figures."`
 	Most     int      `default:"20000000" help:"States at which to stop."`
 	Save     string   `help:"Save the story of a fault in this file." placeholder:"FILE"`
 }
--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,12 +25,14 @@
 	"ternbeam/internal/agent"
 	"ternbeam/internal/lab/demo"
 	"ternbeam/internal/settings/config"
+	"ternbeam/internal/settings/stateconf"
 	"ternbeam/internal/thrift/thriftmap"
 )
 
 type commands struct {
 	Run   runCommand   `cmd:"" default:"withargs" help:"Serve, as the environment tells (the default)."`
 	Check checkCommand `cmd:"" help:"Say what is wrong in configuration files, by line and key."`
+	State stateCommand `cmd:"" help:"Look at what an agent keeps of what it learned, or reset it."`
 	Demo  demoCommand  `cmd:"" help:"Show the agent at work on loopback, with a hang and a rolling replacement."`
 	Help  helpCommand  `cmd:"" help:"Show this text, or that of a command."`
 }
@@ -66,6 +69,7 @@
 
 type runCommand struct {
 	Thrift string `help:"Take Thrift too, as this file says (see deploy/thrift.toml)." placeholder:"FILE"`
+	State  string `help:"Keep what is learned, as this file says (see deploy/state.toml)." placeholder:"FILE"`
 }
 
 // Run serves.
@@ -94,6 +98,13 @@
 	if err != nil {
 		return err
 	}
+	if r.State != "" {
+		set, err := loadState(r.State)
+		if err != nil {
+			return err
+		}
+		a.Keep(set)
+	}
 	return a.Run(ctx, reload)
 }
 
@@ -110,7 +121,7 @@
 }
 
 type checkCommand struct {
-	Files []string `arg:"" help:"An agent's configuration (.json) or a Thrift service's (.toml). The classes of a service are held against those of the configuration, where both are given."`
+	Files []string `arg:"" help:"An agent's configuration (.json), a Thrift service's (.toml) or that of what is kept (state.toml, or any with a table half_life). The classes of a service are held against those of the configuration, where both are given."`
 }
 
 // Run checks the files.
@@ -141,6 +152,8 @@
 			text, err := os.ReadFile(name)
 			switch {
 			case err != nil:
+			case later && bytes.Contains(text, []byte("\n[half_life]")) || filepath.Base(name) == "state.toml":
+				_, err = stateconf.Parse(text)
 			case later:
 				_, err = thriftmap.Parse(text, classes)
 			default:
--- /dev/null
+++ b/cmd/ternbeam/state.go
@@ -0,0 +1,313 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"ternbeam/choice"
+	"ternbeam/internal/decide/aging"
+	"ternbeam/internal/decide/learned"
+	"ternbeam/internal/host/keeper"
+	"ternbeam/internal/settings/stateconf"
+	"ternbeam/internal/store"
+)
+
+// loadState reads the file that says where and how what is learned is kept.
+func loadState(name string) (stateconf.Config, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return stateconf.Config{}, err
+	}
+	set, err := stateconf.Parse(text)
+	if err != nil {
+		return set, fmt.Errorf("%s: %w", name, err)
+	}
+	return set, nil
+}
+
+type stateCommand struct {
+	Show   stateShow   `cmd:"" help:"Every fact, its age and what it would be worth now."`
+	Verify stateVerify `cmd:"" help:"Read everything; say what would be dropped and why. Fails where anything is."`
+	Diff   stateDiff   `cmd:"" help:"What differs between two folders."`
+	Export stateExport `cmd:"" help:"Everything that is kept, as JSON."`
+	Reset  stateReset  `cmd:"" help:"Forget everything. Fails while an agent owns the folder."`
+}
+
+// kept is what a folder holds.
+type kept struct {
+	State   learned.State  `json:"state"`
+	Report  store.Report   `json:"report"`
+	Dropped []learned.Drop `json:"-"`
+}
+
+func peek(folder string) (k kept, err error) {
+	records, report, err := store.Peek(store.Dir(folder), store.Settings{MostBytes: 1 << 30})
+	if err != nil {
+		return k, err
+	}
+	k.Report = report
+	k.State, k.Dropped, err = learned.Read(keeper.Records(records))
+	return k, err
+}
+
+// faults are what was dropped, in words.
+func (k kept) faults() (all []string) {
+	for _, d := range k.Report.Dropped {
+		all = append(all, fmt.Sprintf("%s: %d bytes: %s", d.File, d.Bytes, d.Why))
+	}
+	for _, d := range k.Dropped {
+		all = append(all, fmt.Sprintf("%s: %v", d.Name, d.Why))
+	}
+	return all
+}
+
+type stateShow struct {
+	Folder string `arg:"" help:"The folder."`
+	State  string `help:"The file that says how facts age (see deploy/state.toml); the defaults without it." placeholder:"FILE"`
+	JSON   bool   `name:"json" help:"For programs."`
+}
+
+// shown is a fact as it is shown. Durations are in seconds.
+type shown struct {
+	ID       string  `json:"id"`
+	Addr     string  `json:"addr"`
+	Age      float64 `json:"age_s"` // -1 where it cannot be told
+	Rate     float64 `json:"rate"`
+	Trust    float64 `json:"trust_now"`
+	RateNow  float64 `json:"rate_now"`
+	Failing  float64 `json:"failing"`
+	FailsNow float64 `json:"failing_now"`
+	Ejected  bool    `json:"ejected"`
+	TrialNow bool    `json:"trial_now"`
+}
+
+func ageOf(age time.Duration, known bool) float64 {
+	if !known {
+		return -1
+	}
+	return age.Seconds()
+}
+
+// Run shows the facts.
+func (c *stateShow) Run(k *kong.Kong) error {
+	set := aging.Defaults
+	if c.State != "" {
+		conf, err := loadState(c.State)
+		if err != nil {
+			return err
+		}
+		set = conf.Aging
+	}
+	found, err := peek(c.Folder)
+	if err != nil {
+		return err
+	}
+	return show(k.Stdout, found, aging.New(set, found.State), keeper.Clock(), c.JSON)
+}
+
+func show(out io.Writer, found kept, past *aging.Past, now learned.Clock, asJSON bool) error {
+	age, known, shared := past.ShowShared(now)
+	facts := []shown{}
+	for _, f := range past.Show(now) {
+		facts = append(facts, shown{ID: f.ID, Addr: f.Addr, Age: ageOf(f.Age, f.Known), Rate: f.Rate, Trust: f.Now.Trust,
+			RateNow: f.Now.Rate, Failing: f.Failing, FailsNow: f.Now.Failing, Ejected: f.Ejected, TrialNow: f.Now.Ejected})
+	}
+	if asJSON {
+		return writeJSON(out, map[string]any{"agent": found.State.Shared.Agent, "age_s": ageOf(age, known),
+			"fleet": len(found.State.Shared.Fleet), "shared": found.State.Shared.Memory, "shared_now": shared, "servers": facts,
+			"dropped": found.faults()})
+	}
+	fmt.Fprintf(out, "agent %s, %d servers in the list then, written %s\n\n", found.State.Shared.Agent,
+		len(found.State.Shared.Fleet), ageText(ageOf(age, known)))
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "class\tusual\tleast\ttrust now")
+	trust := map[string]float64{}
+	for _, class := range shared.Classes {
+		trust[class.Name] = class.Trust
+	}
+	for _, class := range found.State.Shared.Memory.Classes {
+		fmt.Fprintf(w, "%s\t%v\t%v\t%.2f\n", class.Name, class.Usual.Round(time.Microsecond), class.Least.Round(time.Microsecond), trust[class.Name])
+	}
+	fmt.Fprintln(w, "\nserver\taddress\tage\trate/s\tnow\ttrust now\tfailing\tnow\tejected\tcomes back so")
+	for _, f := range facts {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%t\t%t\n", f.ID, f.Addr, ageText(f.Age), f.Rate, f.RateNow, f.Trust,
+			f.Failing, f.FailsNow, f.Ejected, f.TrialNow)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, fault := range found.faults() {
+		fmt.Fprintln(out, "dropped:", fault)
+	}
+	return nil
+}
+
+func ageText(s float64) string {
+	if s < 0 {
+		return "at a time that cannot be told"
+	}
+	return time.Duration(s*float64(time.Second)).Round(time.Second).String() + " ago"
+}
+
+func writeJSON(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+type stateVerify struct {
+	Folder string `arg:"" help:"The folder."`
+	JSON   bool   `name:"json" help:"For programs."`
+}
+
+// Run reads everything.
+func (c *stateVerify) Run(k *kong.Kong) error {
+	found, err := peek(c.Folder)
+	faults := found.faults()
+	if c.JSON {
+		said := map[string]any{"generation": found.Report.From, "batches": found.Report.Batches, "records": found.Report.Records,
+			"servers": found.State.Count(), "dropped": faults}
+		if err != nil {
+			said["error"] = err.Error()
+		}
+		if e := writeJSON(k.Stdout, said); e != nil {
+			return e
+		}
+	} else {
+		fmt.Fprintf(k.Stdout, "generation %d, %d batches from logs, %d records, %d servers\n", found.Report.From,
+			found.Report.Batches, found.Report.Records, found.State.Count())
+		for _, f := range faults {
+			fmt.Fprintln(k.Stdout, "dropped:", f)
+		}
+	}
+	if err == nil && len(faults) > 0 {
+		err = errors.New("not everything can be read")
+	}
+	return err
+}
+
+type stateDiff struct {
+	Before string `arg:"" help:"A folder."`
+	After  string `arg:"" help:"Another one."`
+	JSON   bool   `name:"json" help:"For programs."`
+}
+
+// differs is a server that is not the same in two folders.
+type differs struct {
+	ID     string          `json:"id"`
+	What   string          `json:"what"`
+	Before *learned.Server `json:"before,omitempty"`
+	After  *learned.Server `json:"after,omitempty"`
+}
+
+// Run shows what differs.
+func (c *stateDiff) Run(k *kong.Kong) error {
+	before, err := peek(c.Before)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Before, err)
+	}
+	after, err := peek(c.After)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.After, err)
+	}
+	all := diff(before.State, after.State)
+	if c.JSON {
+		return writeJSON(k.Stdout, all)
+	}
+	w := tabwriter.NewWriter(k.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "server\twhat\trate/s\tfailing\tejected")
+	for _, d := range all {
+		var b, a choice.ServerMemory
+		if d.Before != nil {
+			b = d.Before.ServerMemory
+		}
+		if d.After != nil {
+			a = d.After.ServerMemory
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.1f > %.1f\t%.2f > %.2f\t%t > %t\n", d.ID, d.What, b.Rate, a.Rate, b.Failing, a.Failing, b.Ejected, a.Ejected)
+	}
+	return w.Flush()
+}
+
+// diff lists the servers of which two states say something else, beyond their ages.
+func diff(before, after learned.State) (all []differs) {
+	byID := func(s learned.State) map[string]*learned.Server {
+		m := map[string]*learned.Server{}
+		for _, b := range s.Buckets {
+			for i := range b.Servers {
+				m[b.Servers[i].ID] = &b.Servers[i]
+			}
+		}
+		return m
+	}
+	old, now := byID(before), byID(after)
+	for id, b := range old {
+		a := now[id]
+		switch {
+		case a == nil:
+			all = append(all, differs{id, "no longer known", b, nil})
+		case a.Identity != b.Identity:
+			all = append(all, differs{id, "another server", b, a})
+		case a.Rate != b.Rate || a.Failing != b.Failing || a.Ejected != b.Ejected:
+			all = append(all, differs{id, "changed", b, a})
+		}
+	}
+	for id, a := range now {
+		if old[id] == nil {
+			all = append(all, differs{id, "new", nil, a})
+		}
+	}
+	slices.SortFunc(all, func(x, y differs) int { return cmp.Compare(x.ID, y.ID) })
+	return all
+}
+
+type stateExport struct {
+	Folder string `arg:"" help:"The folder."`
+}
+
+// Run writes everything.
+func (c *stateExport) Run(k *kong.Kong) error {
+	found, err := peek(c.Folder)
+	if err != nil {
+		return err
+	}
+	return writeJSON(k.Stdout, found)
+}
+
+type stateReset struct {
+	Folder string `arg:"" help:"The folder."`
+}
+
+// Run forgets everything, in the generation before too.
+func (c *stateReset) Run(k *kong.Kong) (err error) {
+	st, _, err := store.Open(store.Dir(c.Folder), store.Settings{MostBytes: 1 << 30})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, st.Close()) }()
+	var gone []store.Record
+	for _, name := range slices.Sorted(maps.Keys(st.All())) {
+		if r, _ := st.Get(name); r.Kind == learned.Kind {
+			r.Body, r.Gone = nil, true
+			gone = append(gone, r)
+		}
+	}
+	if err := st.Put(gone...); err != nil {
+		return err
+	}
+	if err := errors.Join(st.Compact(), st.Compact()); err != nil {
+		return err
+	}
+	fmt.Fprintf(k.Stdout, "%d records forgotten\n", len(gone))
+	return nil
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,11 +13,13 @@
 	"ternbeam/choice"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
+	"ternbeam/internal/host/keeper"
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/http/httpback"
 	"ternbeam/internal/http/httpfront"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/settings/config"
+	"ternbeam/internal/settings/stateconf"
 	"ternbeam/internal/thrift/thriftback"
 	"ternbeam/internal/thrift/thriftfront"
 	"ternbeam/internal/thrift/thriftmap"
@@ -32,6 +34,8 @@
 	pool   *pool.Pool
 	door   *door.Door
 
+	keeper *keeper.Keeper // nil where nothing is kept
+
 	listeners []*net.TCPListener // the application's, then Thrift's if it is on
 	illegal   atomic.Int64       // steps of attempts and connections that must not come
 }
@@ -59,6 +63,11 @@
 	return a, err
 }
 
+// Keep has the agent keep what it learns in a folder, and begin with what is there. It is called before Run.
+func (a *Agent) Keep(set stateconf.Config) {
+	a.keeper = keeper.New(keeper.Settings{Config: set, Name: a.cfg.Name, Seed: a.cfg.Seed, Log: a.log})
+}
+
 // noteIllegal takes a step that must not come, a fault of this program: it is logged once and survived.
 func (a *Agent) noteIllegal(err error) {
 	if a.illegal.Add(1) == 1 {
@@ -124,6 +133,12 @@
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	if a.keeper != nil {
+		go a.keeper.Run(a.core)
+		if past := a.keeper.Past(); past != nil {
+			a.core.Remember(past, a.keeper.Clock)
+		}
+	}
 	go a.core.Run(work)
 	failed := make(chan error, len(fronts))
 	for _, f := range fronts {
@@ -146,6 +161,9 @@
 	for _, f := range fronts {
 		go func() { f.Stop(lingering, a.cfg.LongestDeadline()+closing); stopped <- struct{}{} }()
 	}
+	if a.keeper != nil {
+		a.keeper.End() // at once: what kills an agent that ends too slowly gives no further notice
+	}
 	for range fronts {
 		<-stopped
 	}
--- /dev/null
+++ b/internal/decide/aging/aging_test.go
@@ -0,0 +1,200 @@
+package aging
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ternbeam/choice"
+	"ternbeam/internal/decide/learned"
+)
+
+const day = 24 * time.Hour
+
+func clock(wall, boot time.Duration, id string) learned.Clock {
+	return learned.Clock{Wall: wall, Boot: boot, BootID: id}
+}
+
+// A clock that stepped, and a file from the future, make nothing fresh.
+func TestSince(t *testing.T) {
+	const now = 1000 * day
+	unsure := clock(now-time.Hour, 0, "a")
+	unsure.Unsure = time.Hour
+	for name, c := range map[string]struct {
+		then, now learned.Clock
+		age       time.Duration
+		known     bool
+	}{
+		"same boot":                       {clock(now, time.Hour, "a"), clock(now+time.Minute, time.Hour+time.Minute, "a"), time.Minute, true},
+		"same boot, clock 1 h ahead":      {clock(now, time.Hour, "a"), clock(now+time.Hour+time.Minute, time.Hour+time.Minute, "a"), time.Minute, true},
+		"same boot, clock 1 h back":       {clock(now, time.Hour, "a"), clock(now-time.Hour, time.Hour+time.Minute, "a"), time.Minute, true},
+		"same boot, earlier":              {clock(now, time.Hour, "a"), clock(now, time.Minute, "a"), 0, false},
+		"same boot, read a little before": {clock(now, time.Hour, "a"), clock(now, time.Hour-time.Millisecond, "a"), 0, true},
+		"another boot":                    {clock(now, time.Hour, "a"), clock(now+time.Minute, time.Second, "b"), time.Minute, true},
+		"another boot, clock 1 h ahead":   {clock(now, time.Hour, "a"), clock(now+time.Hour+time.Minute, time.Second, "b"), time.Hour + time.Minute, true},
+		"another boot, clock 1 h back":    {clock(now, time.Hour, "a"), clock(now-time.Hour, time.Second, "b"), 0, false},
+		"another boot, it stepped before": {unsure, clock(now, time.Second, "b"), 2 * time.Hour, true},
+		"no boot known":                   {clock(now, 0, ""), clock(now+time.Minute, 0, ""), time.Minute, true},
+		"never":                           {clock(0, 0, ""), clock(now, 0, ""), 0, false},
+	} {
+		if age, known := Since(c.then, c.now); known != c.known || known && age != c.age {
+			t.Errorf("%s: %v, %t; want %v, %t", name, age, known, c.age, c.known)
+		}
+	}
+}
+
+// fleet is a remembered fleet: rates 100, one of 10, one that fails and is ejected.
+func fleet(at learned.Clock, n int) (learned.State, []Listed) {
+	var servers []learned.Server
+	var ids []uint64
+	var named []Listed
+	for i := range n {
+		s := choice.Server{ID: "s" + string(rune('a'+i)), Started: time.Duration(i) * time.Second, Weight: 1}
+		l := Listed{ID: s.ID, Started: s.Started, Identity: learned.Identity(s, "127.0.0.1:1", false)}
+		m := choice.ServerMemory{ID: s.ID, Started: s.Started, Rate: 100, Trust: 1, Use: 0.5}
+		switch i {
+		case 1:
+			m.Rate = 10
+		case 2:
+			m.Failing, m.Ejected, m.Trial = 0.8, true, time.Second
+		}
+		servers = append(servers, learned.Server{ServerMemory: m, Addr: "127.0.0.1:1", Identity: l.Identity})
+		ids, named = append(ids, l.Identity), append(named, l)
+	}
+	return learned.New(at, "n1", choice.Memory{Served: 100, Lost: 0.02, ColdBad: 0.5, ColdSeen: 20, Classes: []choice.ClassMemory{
+		{Name: "check", Usual: 50 * time.Millisecond, Least: 10 * time.Millisecond, Trust: 1}}}, servers, ids), named
+}
+
+// at gives the memory of the fleet after some time, as a new agent that knows so much of it would have it.
+func at(t *testing.T, age time.Duration, named func([]Listed) []Listed) choice.Memory {
+	t.Helper()
+	state, all := fleet(clock(1000*day, time.Hour, "a"), 8)
+	listed := named(all)
+	return New(Defaults, state).Recall(clock(1000*day+age, time.Hour+age, "a"), listed, len(listed))
+}
+
+func all(l []Listed) []Listed { return l }
+
+func server(m choice.Memory, id string) (s choice.ServerMemory) {
+	for _, s := range m.Servers {
+		if s.ID == id {
+			return s
+		}
+	}
+	return s
+}
+
+// Each kind of fact has its half-life; capacities are bent by so much at most; an ejection comes back as one trial, soon,
+// and not at all when it is old.
+func TestWorth(t *testing.T) {
+	m := at(t, 0, all)
+	slow, ill := server(m, "sb"), server(m, "sc")
+	if len(m.Servers) != 8 || server(m, "sa").Trust != 1 || slow.Rate != 100/Defaults.Bend || !ill.Ejected || ill.Trial != time.Second ||
+		ill.Failing != 0.8 || m.Served != 100 || m.Lost != 0.02 || m.ColdSeen != 20 || m.Classes[0].Trust != 1 {
+		t.Errorf("at once: %+v", m)
+	}
+	m = at(t, 2*time.Minute, all)
+	if s := server(m, "sa"); math.Abs(s.Trust-math.Exp2(-0.2)) > 1e-9 || s.Reported != 2*time.Minute {
+		t.Errorf("capacity after 2 min: %+v", s)
+	}
+	if s := server(m, "sc"); math.Abs(s.Failing-0.4) > 1e-9 || !s.Ejected || s.Trial != 250*time.Millisecond {
+		t.Errorf("failing after 2 min: %+v", s)
+	}
+	if math.Abs(m.Lost-0.01) > 1e-9 {
+		t.Errorf("losses after 2 min: %v", m.Lost)
+	}
+	if m = at(t, time.Hour, all); math.Abs(m.Classes[0].Trust-0.5) > 1e-9 || m.Lost != 0 || server(m, "sc").Ejected || server(m, "sc").Failing != 0 {
+		t.Errorf("after 1 h: %+v", m)
+	}
+	if m = at(t, day, all); len(m.Servers) != 0 || math.Abs(m.ColdSeen-10) > 1e-9 || len(m.Classes) != 0 {
+		t.Errorf("after a day: %+v", m)
+	}
+	if m = at(t, 4*day, all); len(m.Servers) != 0 || m.ColdSeen != 0 || m.Served != 0 {
+		t.Errorf("after 4 days: %+v", m)
+	}
+}
+
+// Servers that are others by now have no past, and the more of them are, the less everything counts.
+func TestFleetThatChanged(t *testing.T) {
+	other := func(from int, change func(*Listed)) func([]Listed) []Listed {
+		return func(l []Listed) []Listed {
+			for i := from; i < len(l); i++ {
+				change(&l[i])
+			}
+			return l
+		}
+	}
+	restarted := func(l *Listed) { l.Started += time.Minute; l.Identity++ }
+	moved := func(l *Listed) { l.Identity++ }
+	renamed := func(l *Listed) { l.ID += "'"; l.Identity++ }
+	for name, c := range map[string]struct {
+		named   func([]Listed) []Listed
+		servers int
+		trust   float64
+	}{
+		"the same":               {all, 8, 1},
+		"all restarted":          {other(0, restarted), 0, 0},
+		"all moved":              {other(0, moved), 0, 0},
+		"all under other ids":    {other(0, renamed), 0, 0},
+		"half restarted":         {other(4, restarted), 4, 4. / 12},
+		"half under other ids":   {other(4, renamed), 4, 4. / 12},
+		"half gone":              {func(l []Listed) []Listed { return l[:4] }, 4, 0.5},
+		"one restarted":          {other(7, restarted), 7, 7. / 9},
+		"twice as many":          {func(l []Listed) []Listed { return append(l, make([]Listed, 8)...) }, 8, 0.5},
+		"all but one are others": {other(1, renamed), 0, 0},
+	} {
+		m := at(t, 0, c.named)
+		if len(m.Servers) != c.servers || c.servers > 0 && math.Abs(server(m, "sa").Trust-c.trust) > 1e-9 {
+			t.Errorf("%s: %d servers, trust %v", name, len(m.Servers), server(m, "sa").Trust)
+		}
+	}
+}
+
+// A list that is older than what is remembered costs nothing: the one after it finds the facts; and none is given twice.
+func TestListsInTurn(t *testing.T) {
+	at := clock(1000*day, time.Hour, "a")
+	state, now := fleet(at, 8)
+	p := New(Defaults, state)
+	old := append([]Listed{}, now...)
+	for i := range old {
+		old[i].Identity++
+	}
+	if m := p.Recall(at, old, 8); len(m.Servers) != 0 {
+		t.Errorf("%+v", m)
+	}
+	if m := p.Recall(at, now, 8); len(m.Servers) != 8 || p.Left() != 0 {
+		t.Errorf("%d servers, %d left", len(m.Servers), p.Left())
+	}
+	if m := p.Recall(at, now, 8); len(m.Servers) != 0 || len(m.Classes) != 0 {
+		t.Errorf("given twice: %+v", m)
+	}
+}
+
+// Older is never worth more, whatever the state: not for a server, not for what is shared.
+func TestOlderIsNeverWorthMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		age := func(name string) time.Duration { return time.Duration(rapid.Int64Range(0, int64(5*day)).Draw(t, name)) }
+		first := age("first")
+		second := first + age("more")
+		state, named := fleet(clock(1000*day, time.Hour, "a"), 8)
+		idle := age("reported")
+		for i := range state.Buckets[0].Servers {
+			state.Buckets[0].Servers[i].Reported = idle
+		}
+		when := func(age time.Duration) choice.Memory {
+			return New(Defaults, state).Recall(clock(0, time.Hour+age, "a"), named, 8)
+		}
+		young, old := when(first), when(second)
+		for _, l := range named {
+			y, o := server(young, l.ID), server(old, l.ID)
+			if o.Trust > y.Trust || o.Failing > y.Failing || o.Ejected && !y.Ejected || o.Trial > y.Trial {
+				t.Fatalf("%v: %+v, %v: %+v", first, y, second, o)
+			}
+		}
+		if old.Served > young.Served || old.Lost > young.Lost || old.ColdSeen > young.ColdSeen || len(old.Classes) > len(young.Classes) {
+			t.Fatalf("%v: %+v, %v: %+v", first, young, second, old)
+		}
+	})
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/aging"
+	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/life"
 )
 
@@ -138,6 +140,8 @@
 	servers  map[string]*life.Server
 	open     int // calls not answered yet
 	stats    Stats
+	past     *aging.Past    // what an earlier agent knew; nil for nothing
+	named    []aging.Listed // by the list, and not asked for in the past yet
 }
 
 // New returns a Ledger over a module.
@@ -248,7 +252,16 @@
 		s = nil
 	}
 	if s == nil && e.State == choice.Ready {
-		l.servers[e.ID] = &life.Server{ID: e.ID, Addr: e.Addr, Started: started, Speaks: e.Speaks, Multiplexed: e.Multiplexed}
+		s = &life.Server{ID: e.ID, Addr: e.Addr, Started: started, Speaks: e.Speaks, Multiplexed: e.Multiplexed}
+		l.servers[e.ID] = s
+	}
+	if s == nil {
+		return
+	}
+	anew := s.Identity == 0
+	s.Identity = learned.Identity(e.Server, e.Addr, e.Multiplexed)
+	if anew && l.past != nil {
+		l.named = append(l.named, listed(s))
 	}
 }
 
--- a/internal/decide/life/conn.go
+++ b/internal/decide/life/conn.go
@@ -14,7 +14,8 @@
 	Addr        string
 	Started     int64 // Unix milliseconds, as the list has it
 	Speaks      choice.Protocols
-	Multiplexed bool // takes several calls at a time on a connection
+	Multiplexed bool   // takes several calls at a time on a connection
+	Identity    uint64 // the ledger's: what makes it this server in this life
 
 	retired atomic.Bool
 }
--- a/internal/decide/life/copy.go
+++ b/internal/decide/life/copy.go
@@ -31,7 +31,8 @@
 
 // CopyTo makes another Server equal.
 func (s *Server) CopyTo(twin *Server) {
-	twin.ID, twin.Addr, twin.Started, twin.Speaks, twin.Multiplexed = s.ID, s.Addr, s.Started, s.Speaks, s.Multiplexed
+	twin.ID, twin.Addr, twin.Started, twin.Speaks, twin.Multiplexed, twin.Identity = s.ID, s.Addr, s.Started, s.Speaks,
+		s.Multiplexed, s.Identity
 	twin.retired.Store(s.retired.Load())
 }
 
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/host/pool"
@@ -80,6 +81,7 @@
 	watch     func() // begins a watch there
 	unwatch   func() // ends it; nothing that it has delivered is applied from then on
 	haveWatch bool
+	clock     func() learned.Clock // nil where nothing is remembered
 }
 
 // New returns a Core that is ready to Run.
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -67,5 +67,6 @@
 		entries = append(entries, ledger.Entry{Server: s, Addr: e.Addr, Multiplexed: e.Multiplexed})
 	}
 	c.do(c.ledger.List(c.Now(), l.Full, entries))
+	c.recall()
 	c.log.Info("list", "version", l.Version, "full", l.Full, "entries", len(l.Servers), "backends", c.ledger.ServerCount())
 }
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -32,6 +32,8 @@
 	{"count not lowered on what is not sent", "internal/decide/ledger/ledger.go", "\tcall.out--\n", "\tif e.Result != choice.NotSent {\n\t\tcall.out--\n\t}\n", "unsafe"},
 	{"sent after the final answer", "internal/decide/life/attempt.go", "case now.Late || now.Over:", "case now.Late:", "unsafe"},
 	{"sent after the deadline", "internal/decide/life/attempt.go", "case now.Late || now.Over:", "case now.Over:", "unsafe"},
+	{"unsafe call sent again where servers are remembered as failing", "choice/choice.go", "case first == nil || c.Effect == Safe:", "case first == nil || c.Effect == Safe || s.failing >= recallFailing:", "ill"},
+	{"group not looked at where servers are remembered as failing", "choice/choice.go", "return s.Cell == first.srv.Cell", "return s.Cell == first.srv.Cell || s.failing >= recallFailing", "ill-keyed"},
 	{"answered after its client left", "internal/decide/ledger/ledger.go", "\t\tl.stats.Gone++\n\t\tl.end(call)\n", "\t\tl.stats.Gone++\n", "unsafe"},
 }
 
--- a/internal/lab/explore/story.go
+++ b/internal/lab/explore/story.go
@@ -153,5 +153,11 @@
 	"line":       {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 1, Places: 1, Cells: 1, Lines: true},
 	"lines":      {Servers: 1, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Lists: 1, Leaves: 1, Cells: 1, Lines: true},
 	"line-late":  {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Cells: 1, Past: Quick, Lines: true},
+	"ill":        {Servers: 4, Calls: []choice.Effect{choice.Unsafe}, Attempts: 3, Places: 3, Lists: 1, Leaves: 1, Cells: 2, Past: Ill},
+	"ill-keyed":  {Servers: 4, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Past: Ill},
+	"ill-two":    {Servers: 4, Calls: []choice.Effect{choice.Safe, choice.Unsafe}, Attempts: 1, Places: 1, Cells: 2, Past: Ill},
+	"out":        {Servers: 4, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Lists: 1, Leaves: 1, Cells: 2, Past: Out},
+	"out-keyed":  {Servers: 4, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Lists: 1, Cells: 2, Past: Out},
+	"absurd":     {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 3, Places: 2, Cells: 2, Leaves: 1, Past: Absurd},
 	"late":       {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Leaves: 1, Cells: 1, Past: Losing},
 }
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -36,8 +37,33 @@
 	NoPast Past = ""
 	Losing Past = "losing" // servers lost some calls: late ones are copied
 	Quick  Past = "quick"  // servers were so quick that late calls are withdrawn from them
+
+	// What an earlier agent is said to have known, as bad as it can be.
+	Ill    Past = "ill"    // every server fails, one is out and due to be tried, all was lost and took no time
+	Out    Past = "out"    // one is out for good, the others have no capacity, all took for ever
+	Absurd Past = "absurd" // figures that are none, servers that are none, other starts
 )
 
+// memories are what the module is told for such pasts.
+var memories = map[Past]choice.Memory{
+	Ill: remembered(choice.ServerMemory{Failing: 1, Ejected: true, Rate: 1e30, Trust: 1}, choice.ClassMemory{Usual: 1, Least: 1, Trust: 1}, 1),
+	Out: remembered(choice.ServerMemory{Failing: 1, Ejected: true, Trial: math.MaxInt64, Rate: 1e-30, Use: 1, Trust: 1},
+		choice.ClassMemory{Usual: math.MaxInt64, Least: math.MaxInt64, Trust: 1}, 0),
+	Absurd: remembered(choice.ServerMemory{Started: 1, Failing: math.NaN(), Ejected: true, Trial: math.MinInt64, Rate: math.Inf(1), Use: -1,
+		Trust: math.NaN()}, choice.ClassMemory{Usual: math.MinInt64, Least: math.MaxInt64, Trust: math.Inf(-1)}, math.NaN()),
+}
+
+// remembered says the same of every server and class, and of some that are not there.
+func remembered(s choice.ServerMemory, c choice.ClassMemory, share float64) choice.Memory {
+	m := choice.Memory{Served: share * 1e9, Lost: share, ColdBad: share, ColdSeen: share * 100}
+	for i := range 8 {
+		s.ID, c.Name = fmt.Sprint("server ", i), fmt.Sprint(choice.Effect(i))
+		m.Servers, m.Classes = append(m.Servers, s), append(m.Classes, c)
+		s.Started = 0 // it holds for the start of all but the first
+	}
+	return m
+}
+
 // The times of the world.
 const (
 	start    = time.Minute
@@ -161,6 +187,10 @@
 	w.do(w.ledger.Start(w.now))
 	w.do(w.ledger.List(w.now, true, entries))
 	w.live(cfg.Past)
+	if m, ok := memories[cfg.Past]; ok {
+		w.fireBy(start)
+		w.module.Recall(start, m)
+	}
 	w.now = start
 	for i, e := range cfg.Calls {
 		c := &call{effect: e}
--- /dev/null
+++ b/internal/settings/stateconf/stateconf.go
@@ -0,0 +1,108 @@
+// Package stateconf reads where and how an agent keeps what it has learned.
+package stateconf
+
+import (
+	"path/filepath"
+	"time"
+
+	"ternbeam/internal/decide/aging"
+	"ternbeam/internal/decide/keeping"
+	"ternbeam/internal/settings/conffile"
+)
+
+// Config is what such a file says.
+type Config struct {
+	Folder    string
+	Load      time.Duration // how long a start waits for the folder
+	End       time.Duration // for the last write of an agent that ends
+	MostBytes int64         // of all that is kept
+	Keeping   keeping.Settings
+	Aging     aging.Settings
+}
+
+// Default is the configuration of a folder about which nothing else is said.
+func Default(folder string) Config {
+	return Config{Folder: folder, Load: 200 * time.Millisecond, End: 300 * time.Millisecond, MostBytes: 64 << 20,
+		Keeping: keeping.Defaults, Aging: aging.Defaults}
+}
+
+// file is the form of the file. What is absent has its default.
+type file struct {
+	Folder  string   `toml:"folder"`
+	LoadMS  *float64 `toml:"load_ms"`
+	MostMiB *float64 `toml:"most_mib"`
+	Write   struct {
+		LookMS     *float64 `toml:"look_ms"`
+		LeastS     *float64 `toml:"least_s"`
+		MostS      *float64 `toml:"most_s"`
+		Enough     *float64 `toml:"enough"`
+		Busy       *float64 `toml:"busy"`
+		KiBAMinute *float64 `toml:"kib_a_minute"`
+		Change     *float64 `toml:"change"`
+		StaleS     *float64 `toml:"stale_s"`
+		EndMS      *float64 `toml:"end_ms"`
+	} `toml:"write"`
+	HalfLife struct {
+		CapacityS *float64 `toml:"capacity_s"`
+		FailingS  *float64 `toml:"failing_s"`
+		EjectionS *float64 `toml:"ejection_s"`
+		TimesS    *float64 `toml:"times_s"`
+		TrafficS  *float64 `toml:"traffic_s"`
+		ColdS     *float64 `toml:"cold_s"`
+	} `toml:"half_life"`
+	Bounds struct {
+		Bend    *float64 `toml:"bend"`
+		ForgetH *float64 `toml:"forget_h"`
+	} `toml:"bounds"`
+}
+
+// Parse reads such a file. An error holds every problem, by line and key.
+func Parse(text []byte) (Config, error) {
+	var f file
+	src := conffile.Read(text, &f)
+	c := Default(f.Folder)
+	if !filepath.IsAbs(f.Folder) {
+		src.Problem("folder", "must be the full path of a folder")
+	}
+	number := func(key string, given *float64, least, most float64, set func(float64)) {
+		switch {
+		case given == nil:
+		case !(*given >= least && *given <= most):
+			src.Problem(key, "must be from %v to %v", least, most)
+		default:
+			set(*given)
+		}
+	}
+	span := func(key string, given *float64, unit time.Duration, least, most float64, into *time.Duration) {
+		number(key, given, least, most, func(x float64) { *into = time.Duration(x * float64(unit)) })
+	}
+	plain := func(key string, given *float64, least, most float64, into *float64) {
+		number(key, given, least, most, func(x float64) { *into = x })
+	}
+	const year = 31_536_000
+	span("load_ms", f.LoadMS, time.Millisecond, 0, 5000, &c.Load)
+	number("most_mib", f.MostMiB, 1, 1024, func(x float64) { c.MostBytes = int64(x * (1 << 20)) })
+	k, w := &c.Keeping, &f.Write
+	span("write.look_ms", w.LookMS, time.Millisecond, 20, 60_000, &k.Look)
+	span("write.least_s", w.LeastS, time.Second, 0.02, 3600, &k.Least)
+	span("write.most_s", w.MostS, time.Second, 0.02, 86_400, &k.Most)
+	if k.Most < k.Least {
+		src.Problem("write.most_s", "must not be below least_s")
+	}
+	plain("write.enough", w.Enough, 0, 1000, &k.Enough)
+	number("write.busy", w.Busy, 0.01, 1, func(x float64) { k.Busy = x })
+	number("write.kib_a_minute", w.KiBAMinute, 1, 1<<20, func(x float64) { k.MostBytes = x * (1 << 10) })
+	plain("write.change", w.Change, 0, 1000, &k.Change)
+	span("write.stale_s", w.StaleS, time.Second, 1, 86_400, &k.Stale)
+	span("write.end_ms", w.EndMS, time.Millisecond, 0, 10_000, &c.End)
+	a, h := &c.Aging, &f.HalfLife
+	span("half_life.capacity_s", h.CapacityS, time.Second, 1, year, &a.Capacity)
+	span("half_life.failing_s", h.FailingS, time.Second, 1, year, &a.Failing)
+	span("half_life.ejection_s", h.EjectionS, time.Second, 1, year, &a.Ejection)
+	span("half_life.times_s", h.TimesS, time.Second, 1, year, &a.Times)
+	span("half_life.traffic_s", h.TrafficS, time.Second, 1, year, &a.Traffic)
+	span("half_life.cold_s", h.ColdS, time.Second, 1, year, &a.Cold)
+	plain("bounds.bend", f.Bounds.Bend, 1, 16, &a.Bend)
+	span("bounds.forget_h", f.Bounds.ForgetH, time.Hour, 0.001, 8760, &a.Forget)
+	return c, src.Err()
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -189,6 +189,9 @@
 	if s.fs == nil {
 		return ErrClosed
 	}
+	if len(batch) == 0 {
+		return nil
+	}
 	if err := s.fits(batch); err != nil {
 		return err
 	}
--- a/layout_test.go
+++ b/layout_test.go
@@ -18,7 +18,7 @@
 var floors = [][]string{
 	{"choice"},
 	{"internal/decide", "internal/protocol", "internal/settings/conffile", "internal/settings/wire"},
-	{"internal/discovery", "internal/translate"},
+	{"internal/discovery", "internal/store", "internal/translate"},
 	{"internal/settings"},
 	{"internal/host"},
 	{"internal/http", "internal/thrift"},
