--- a/cmd/ternbeam-lab/main.go
+++ b/cmd/ternbeam-lab/main.go
@@ -8,11 +8,13 @@
 
 	"github.com/alecthomas/kong"
 
+	"ternbeam/internal/lab/outage"
 	"ternbeam/internal/lab/restart"
 )
 
 type commands struct {
 	Restart restartCommand `cmd:"" help:"What an agent loses after a restart, with what it remembers and without."`
+	Outage  outageCommand  `cmd:"" help:"What an agent loses while its list is down and the fleet is replaced, with SRV records and without."`
 }
 
 func main() {
@@ -23,6 +25,20 @@
 	}
 }
 
+type outageCommand struct {
+	Seeds int     `default:"20" help:"Seeds for each variant."`
+	Rate  float64 `default:"100" help:"Calls a second."`
+}
+
+// Run compares.
+func (c *outageCommand) Run() error {
+	rows, err := outage.Compare(c.Rate, c.Seeds)
+	if err != nil {
+		return err
+	}
+	return restart.Table(os.Stdout, rows)
+}
+
 type restartCommand struct {
 	Seeds int    `default:"30" help:"Seeds for each variant."`
 	Wrong int    `default:"300" help:"Files that say what is not so."`
--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -25,16 +25,18 @@
 	"ternbeam/internal/agent"
 	"ternbeam/internal/lab/demo"
 	"ternbeam/internal/settings/config"
+	"ternbeam/internal/settings/sourceconf"
 	"ternbeam/internal/settings/stateconf"
 	"ternbeam/internal/thrift/thriftmap"
 )
 
 type commands struct {
-	Run   runCommand   `cmd:"" default:"withargs" help:"Serve, as the environment tells (the default)."`
-	Check checkCommand `cmd:"" help:"Say what is wrong in configuration files, by line and key."`
-	State stateCommand `cmd:"" help:"Look at what an agent keeps of what it learned, or reset it."`
-	Demo  demoCommand  `cmd:"" help:"Show the agent at work on loopback, with a hang and a rolling replacement."`
-	Help  helpCommand  `cmd:"" help:"Show this text, or that of a command."`
+	Run     runCommand     `cmd:"" default:"withargs" help:"Serve, as the environment tells (the default)."`
+	Check   checkCommand   `cmd:"" help:"Say what is wrong in configuration files, by line and key."`
+	State   stateCommand   `cmd:"" help:"Look at what an agent keeps of what it learned, or reset it."`
+	Members membersCommand `cmd:"" help:"Say which servers the sources of a file name, by whose word and which rule."`
+	Demo    demoCommand    `cmd:"" help:"Show the agent at work on loopback, with a hang and a rolling replacement."`
+	Help    helpCommand    `cmd:"" help:"Show this text, or that of a command."`
 }
 
 func main() {
@@ -68,8 +70,9 @@
 }
 
 type runCommand struct {
-	Thrift string `help:"Take Thrift too, as this file says (see deploy/thrift.toml)." placeholder:"FILE"`
-	State  string `help:"Keep what is learned, as this file says (see deploy/state.toml)." placeholder:"FILE"`
+	Thrift  string `help:"Take Thrift too, as this file says (see deploy/thrift.toml)." placeholder:"FILE"`
+	Sources string `help:"Take servers from the sources of this file (see deploy/sources.toml)." placeholder:"FILE"`
+	State   string `help:"Keep what is learned, as this file says (see deploy/state.toml)." placeholder:"FILE"`
 }
 
 // Run serves.
@@ -94,7 +97,13 @@
 		}
 	}
 	limit(cfg.Limits)
-	a, err := agent.New(cfg, service, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	var sources *sourceconf.Config
+	if r.Sources != "" {
+		if sources, err = loadSources(r.Sources); err != nil {
+			return err
+		}
+	}
+	a, err := agent.NewFrom(cfg, service, sources, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	if err != nil {
 		return err
 	}
@@ -121,7 +130,7 @@
 }
 
 type checkCommand struct {
-	Files []string `arg:"" help:"An agent's configuration (.json), a Thrift service's (.toml) or that of what is kept (state.toml, or any with a table half_life). The classes of a service are held against those of the configuration, where both are given."`
+	Files []string `arg:"" help:"An agent's configuration (.json), a Thrift service's (.toml) that of what is kept (state.toml, or any with a table half_life) or that of the sources (sources.toml, or any with a table dns). The classes of a service are held against those of the configuration, where both are given."`
 }
 
 // Run checks the files.
@@ -154,6 +163,8 @@
 			case err != nil:
 			case later && bytes.Contains(text, []byte("\n[half_life]")) || filepath.Base(name) == "state.toml":
 				_, err = stateconf.Parse(text)
+			case later && (bytes.Contains(text, []byte("\n[[dns]]")) || filepath.Base(name) == "sources.toml"):
+				_, err = sourceconf.Parse(text)
 			case later:
 				_, err = thriftmap.Parse(text, classes)
 			default:
--- a/cmd/ternbeam/state.go
+++ b/cmd/ternbeam/state.go
@@ -51,7 +51,7 @@
 }
 
 func peek(folder string) (k kept, err error) {
-	records, report, err := store.Peek(store.Dir(folder), store.Settings{MostBytes: 1 << 30})
+	records, report, err := store.Peek(store.Dir(folder), keeper.Bounds(1<<30))
 	if err != nil {
 		return k, err
 	}
@@ -290,7 +290,7 @@
 
 // Run forgets everything, in the generation before too.
 func (c *stateReset) Run(k *kong.Kong) (err error) {
-	st, _, err := store.Open(store.Dir(c.Folder), store.Settings{MostBytes: 1 << 30})
+	st, _, err := store.Open(store.Dir(c.Folder), keeper.Bounds(1<<30))
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,14 +11,17 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/keeper"
+	"ternbeam/internal/host/members"
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/http/httpback"
 	"ternbeam/internal/http/httpfront"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/settings/config"
+	"ternbeam/internal/settings/sourceconf"
 	"ternbeam/internal/settings/stateconf"
 	"ternbeam/internal/thrift/thriftback"
 	"ternbeam/internal/thrift/thriftfront"
@@ -48,9 +51,21 @@
 
 // New returns an Agent that is ready to Run. With a Thrift service, which may be nil, it takes calls in Thrift too.
 func New(cfg *config.Config, service *thriftmap.Map, log *slog.Logger) (*Agent, error) {
+	return NewFrom(cfg, service, nil, log)
+}
+
+// NewFrom is New for an agent whose servers come from the sources of a file; the platform's list alone where that is nil.
+func NewFrom(cfg *config.Config, service *thriftmap.Map, sources *sourceconf.Config, log *slog.Logger) (*Agent, error) {
 	a := &Agent{cfg: cfg, thrift: service, log: log, door: door.New(cfg.ClientSockets())}
-	a.pool = pool.New(pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleFor: cfg.IdleFor(), Most: cfg.BackendSockets(),
-		Illegal: a.noteIllegal})
+	pooled := pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleFor: cfg.IdleFor(), Most: cfg.BackendSockets(),
+		Illegal: a.noteIllegal, Addresses: addresses.Defaults}
+	var feed core.Feed
+	if sources != nil {
+		pooled.Addresses = sources.Addresses
+		feed = members.New(members.Settings{Config: *sources, Discovery: cfg.Discovery, Known: cfg.Known, Zones: cfg.Host.Zones, Seed: cfg.Seed,
+			Log: log}).Feed
+	}
+	a.pool = pool.New(pooled)
 	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(a.pool, cfg.Fields)}
 	if service != nil {
 		t := thriftback.New(a.pool, service)
@@ -58,7 +73,7 @@
 	}
 	var err error
 	a.core, err = core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
-		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Pool: a.pool, Log: log,
+		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Feed: feed, Pool: a.pool, Log: log,
 		Transports: transports, Illegal: a.noteIllegal})
 	return a, err
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -102,6 +102,12 @@
 		set.Load, set.End = testkit.Patience, testkit.Patience
 		a.Keep(set)
 	}
+	return run(t, a, cfg)
+}
+
+// run runs an agent; one that the test did not end is ended after it.
+func run(t testing.TB, a *Agent, cfg *config.Config) *running {
+	t.Helper()
 	at, err := a.Listen()
 	if err != nil {
 		t.Fatal(err)
@@ -115,7 +121,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Agent: a, url: "http://" + cfg.Listen, end: cancel, done: make(chan error, 1),
 		reload: make(chan os.Signal, 1)}
-	if service != nil {
+	if len(at) > 1 {
 		r.thrift = at[1]
 	}
 	go func() { r.done <- a.Run(ctx, r.reload) }()
--- a/internal/agent/learned_test.go
+++ b/internal/agent/learned_test.go
@@ -64,7 +64,7 @@
 			}
 			asks.Wait()
 			next("learned: recalled")
-			records, _, err := store.Peek(store.Dir(dir), store.Settings{})
+			records, _, err := store.Peek(store.Dir(dir), keeper.Bounds(0))
 			if err != nil {
 				t.Fatal(err)
 			}
--- /dev/null
+++ b/internal/agent/sources_test.go
@@ -0,0 +1,395 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
+	"ternbeam/internal/settings/sourceconf"
+)
+
+// trials is how often each drain is tried; more by the environment, for the table in docs/design/membership.md.
+func trials(t *testing.T, usual int) int {
+	t.Helper()
+	if text := os.Getenv("TERNBEAM_TRIALS"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	return usual
+}
+
+// sourced is an agent whose servers come from a list and from SRV records.
+type sourced struct {
+	*world
+	names *standin.Names
+	sp    speech
+}
+
+// records are those of the servers but for some.
+func (s *sourced) records(but ...string) (all []string) {
+	for _, server := range s.servers {
+		e := server.Entry()
+		if slices.Contains(but, e.ID) {
+			continue
+		}
+		at := netip.MustParseAddrPort(e.Addr)
+		all = append(all, fmt.Sprintf("_forms._tcp.example.org. 0 SRV 1 5 %d %s.example.org.", at.Port(), e.ID),
+			fmt.Sprintf("%s.example.org. 0 A %s", e.ID, at.Addr()))
+	}
+	return all
+}
+
+func newSourced(t *testing.T, sp speech, servers ...standin.Options) *sourced {
+	t.Helper()
+	list, err := standin.NewList()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(list.Close)
+	names, err := standin.NewNames()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(names.Close)
+	s := &sourced{world: &world{list: list}, names: names, sp: sp}
+	for _, o := range servers {
+		s.add(t, o)
+	}
+	if err := names.Set(s.records()...); err != nil {
+		t.Fatal(err)
+	}
+	conf, err := sourceconf.Parse(fmt.Appendf(nil, `[[dns]]
+name = "_forms._tcp.example.org"
+servers = [%q]
+protocol = %q
+least_s = 0.05
+budget = 100000
+[guard]
+share = 0.6
+wait_s = 0.2
+`, names.Addr(), sp.protocol))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := standin.Platform{Discovery: list.Addr(), Known: list.Full(), Deadline: 5 * time.Second}
+	cfg, service, err := p.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Listen = "127.0.0.1:0"
+	a, err := NewFrom(cfg, service, conf, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.running = run(t, a, cfg)
+	addr := s.thrift
+	if sp.protocol == "http" {
+		addr = cfg.Listen
+	}
+	if s.kiosk, err = standin.NewKiosk(sp.protocol, addr); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.kiosk.Close)
+	return s
+}
+
+func (s *sourced) add(t *testing.T, o standin.Options) *standin.Server {
+	t.Helper()
+	o.Protocol, o.Multiplexed = s.sp.protocol, s.sp.multiplexed
+	server, err := standin.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	s.servers = append(s.servers, server)
+	s.list.Tell(server.Entry())
+	return server
+}
+
+// A server reported draining by the list, or taken out of the SRV records, gets no new work 500 ms after the agent was
+// told, while calls come all the time: on every protocol. When it was told is what the list and the name server saw.
+func TestDrainByEitherSource(t *testing.T) {
+	for _, sp := range speeches {
+		for _, by := range []string{"list", "srv"} {
+			t.Run(sp.name+"/"+by, func(t *testing.T) {
+				t.Parallel()
+				var mu sync.Mutex
+				last := map[string]time.Time{} // when each server last got something new
+				options := func(id string) standin.Options {
+					return standin.Options{ID: id, Script: func(standin.Call) standin.Step {
+						mu.Lock()
+						defer mu.Unlock()
+						last[id] = time.Now()
+						return standin.Step{}
+					}}
+				}
+				s := newSourced(t, sp, options("stays-0"), options("stays-1"), options("stays-2"), options("stays-3"))
+				ctx, cancel := context.WithCancel(context.Background())
+				var kiosks sync.WaitGroup
+				defer kiosks.Wait()
+				defer cancel()
+				var served atomic.Int64
+				for k := range 4 {
+					kiosks.Go(func() {
+						for i := 0; ctx.Err() == nil; i++ {
+							a := ask(standin.Check, fmt.Sprintf("k%d-%d", k, i))
+							if s.kiosk.Ask(a).Kind == standin.Served {
+								served.Add(1)
+							}
+						}
+					})
+				}
+				var took []time.Duration
+				for n := range trials(t, 3) {
+					id := fmt.Sprint("drains-", n)
+					server := s.add(t, options(id))
+					if err := s.names.Set(s.records()...); err != nil {
+						t.Fatal(err)
+					}
+					testkit.Eventually(t, "it gets work, and both sources have named it", func() bool {
+						mu.Lock()
+						defer mu.Unlock()
+						return !last[id].IsZero() && s.names.Named(id+".example.org.") > 3 // its addresses are asked for after the first
+					})
+					var told time.Time
+					if by == "list" {
+						e := server.Entry()
+						e.State = "terminating"
+						told = time.Now()
+						s.list.Tell(e)
+					} else {
+						if err := s.names.Set(s.records(id)...); err != nil {
+							t.Fatal(err)
+						}
+						testkit.Eventually(t, "it is told by SRV", func() (ok bool) {
+							told, ok = s.names.Withdrawn(id + ".example.org.")
+							return ok
+						})
+					}
+					before := served.Load() // from when on no work has come for long, by the work that others got
+					testkit.Eventually(t, "work goes on", func() bool { return served.Load() > before+200 && time.Since(told) > 600*time.Millisecond })
+					mu.Lock()
+					late := last[id].Sub(told)
+					mu.Unlock()
+					took = append(took, late)
+					if late > 500*time.Millisecond {
+						t.Errorf("trial %d: new work %v after it was told", n, late)
+					}
+					e := server.Entry()
+					e.State = "terminated"
+					s.list.Tell(e)
+					s.servers = slices.DeleteFunc(s.servers, func(o *standin.Server) bool { return o == server })
+					if err := s.names.Set(s.records()...); err != nil {
+						t.Fatal(err)
+					}
+					server.Close()
+				}
+				slices.Sort(took)
+				t.Logf("%d trials: new work till %v (p50), %v (worst) after it was told", len(took), took[len(took)/2], took[len(took)-1])
+			})
+		}
+	}
+}
+
+// The list is out of reach and the fleet is replaced: the agent follows the SRV records.
+func TestListDownAndFleetReplaced(t *testing.T) {
+	s := newSourced(t, speeches[0], standin.Options{ID: "a"}, standin.Options{ID: "b"})
+	served := func(id string) bool { return s.kiosk.Ask(ask(standin.Check, id)).Kind == standin.Served }
+	if !served("first") {
+		t.Fatal("not served at first")
+	}
+	s.list.Close()
+	old := s.servers
+	s.servers = nil
+	for _, id := range []string{"c", "d"} {
+		server, err := standin.Start(standin.Options{ID: id, Protocol: "http"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		s.servers = append(s.servers, server)
+	}
+	if err := s.names.Set(s.records()...); err != nil {
+		t.Fatal(err)
+	}
+	for _, server := range old {
+		server.Close()
+	}
+	n := 0
+	testkit.Eventually(t, "it is served by the new ones", func() bool { n++; return served(fmt.Sprint("then-", n)) })
+}
+
+// blackhole is an address at which dials hang: its listener's queue is full.
+func blackhole(t *testing.T, ip string) string {
+	t.Helper()
+	family, addr := syscall.AF_INET, syscall.Sockaddr(&syscall.SockaddrInet4{Addr: netip.MustParseAddr("127.0.0.1").As4()})
+	if ip == "::1" {
+		family, addr = syscall.AF_INET6, &syscall.SockaddrInet6{Addr: netip.MustParseAddr("::1").As16()}
+	}
+	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "blackhole")
+	t.Cleanup(func() { f.Close() })
+	if err := syscall.Bind(fd, addr); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := 0
+	switch a := bound.(type) {
+	case *syscall.SockaddrInet4:
+		port = a.Port
+	case *syscall.SockaddrInet6:
+		port = a.Port
+	}
+	at := net.JoinHostPort(ip, strconv.Itoa(port))
+	for range 8 { // until one hangs
+		c, err := net.DialTimeout("tcp", at, 100*time.Millisecond)
+		if err != nil {
+			return at
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Skip("dials to a full queue do not hang here")
+	return ""
+}
+
+// A server with a Unix socket, an IPv6 and an IPv4 address, each kind dead in turn, and all: every call is served by those
+// that are left, at one delivery an attempt; and only dials race.
+func TestAddressesBlackholed(t *testing.T) {
+	for _, sp := range speeches[:3] {
+		for _, dead := range [][]string{nil, {"unix"}, {"ipv6"}, {"ipv4"}, {"unix", "ipv6"}, {"unix", "ipv6", "ipv4"}} {
+			t.Run(fmt.Sprint(sp.name, dead), func(t *testing.T) {
+				t.Parallel()
+				server, err := standin.Start(standin.Options{ID: "many", Protocol: sp.protocol})
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(server.Close)
+				dir, err := os.MkdirTemp("", "tb") // the path of a socket must be short
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { os.RemoveAll(dir) })
+				path := filepath.Join(dir, "s")
+				addrs := []string{server.Addr(), forward(t, "tcp", "[::1]:0", server.Addr()), "unix:" + path}
+				if slices.Contains(dead, "ipv4") {
+					addrs[0] = blackhole(t, "127.0.0.1")
+				}
+				if slices.Contains(dead, "ipv6") {
+					addrs[1] = blackhole(t, "::1")
+				}
+				if !slices.Contains(dead, "unix") { // or its path is not there
+					forward(t, "unix", path, server.Addr())
+				}
+				e := server.Entry()
+				e.Addr, e.Addrs = addrs[0], addrs
+				list, err := standin.NewList(e)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(list.Close)
+				p := standin.Platform{Discovery: list.Addr(), Known: list.Full(), Deadline: 3 * time.Second, ConnectTimeout: 2 * time.Second}
+				cfg, service, err := p.Load()
+				if err != nil {
+					t.Fatal(err)
+				}
+				r := startWith(t, cfg, service)
+				addr := r.thrift
+				if sp.protocol == "http" {
+					addr = cfg.Listen
+				}
+				kiosk, err := standin.NewKiosk(sp.protocol, addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(kiosk.Close)
+				methods := []standin.Method{standin.Check, standin.Record, standin.Pay}
+				for i := range 6 {
+					a := ask(methods[i%3], fmt.Sprint("c", i))
+					a.Left = 2500 * time.Millisecond
+					got := kiosk.Ask(a)
+					if want := len(dead) < 3; (got.Kind == standin.Served) != want {
+						t.Errorf("%s: %v, %v", a.ID, got.Kind, got.Err)
+					}
+					if n := server.Pod().Deliveries(a.ID); n > 1 || n == 0 && got.Kind == standin.Served {
+						t.Errorf("%s was delivered %d times", a.ID, n)
+					}
+					if len(dead) == 3 {
+						break
+					}
+				}
+			})
+		}
+	}
+}
+
+// forward passes what comes at another address on to a server.
+func forward(t *testing.T, network, addr, to string) string {
+	t.Helper()
+	l, err := net.Listen(network, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				s, err := net.Dial("tcp", to)
+				if err != nil {
+					return
+				}
+				defer s.Close()
+				go pass(s, c)
+				pass(c, s)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func pass(to, from net.Conn) {
+	room := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(room)
+		if n > 0 {
+			if _, err := to.Write(room[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if c, ok := to.(*net.TCPConn); ok {
+				c.CloseWrite()
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/addresses/addresses_test.go
@@ -0,0 +1,157 @@
+package addresses
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	unix = "unix:/run/forms.sock"
+	six  = "[::1]:8000"
+	four = "127.0.0.1:8000"
+	name = "forms-07.example.org:8000"
+)
+
+func TestKinds(t *testing.T) {
+	for addr, want := range map[string]struct {
+		kind            Kind
+		network, target string
+	}{unix: {Unix, "unix", "/run/forms.sock"}, six: {IPv6, "tcp", six}, four: {IPv4, "tcp", four}, name: {Name, "tcp", name},
+		"[::ffff:127.0.0.1]:80": {IPv4, "tcp", "[::ffff:127.0.0.1]:80"}} {
+		if k, n, to := Of(addr); k != want.kind || n != want.network || to != want.target {
+			t.Errorf("%s: %v %s %s", addr, k, n, to)
+		}
+	}
+}
+
+// The order: what worked last, then kinds, then what failed lately, the shortest avoided first; none is left out.
+func TestOrder(t *testing.T) {
+	all := []string{name, four, six, unix}
+	b := NewBook(Defaults)
+	at := func(when time.Duration, want ...string) {
+		t.Helper()
+		if got := b.Order(when, all); !slices.Equal(got, want) {
+			t.Errorf("at %v: %q, not %q", when, got, want)
+		}
+	}
+	at(0, unix, six, four, name)
+	b.Worked(time.Second, four)
+	at(time.Second, four, unix, six, name)
+	b.Failed(2*time.Second, four)
+	at(2*time.Second, unix, six, name, four)
+	at(3*time.Second, unix, six, four, name) // avoided for a second
+	b.Failed(3*time.Second, four)
+	at(4900*time.Millisecond, unix, six, name, four) // for two now
+	b.Failed(4*time.Second, unix)
+	b.Failed(4*time.Second, unix)
+	at(4900*time.Millisecond, six, name, four, unix)
+	for range 100 {
+		b.Failed(5*time.Second, unix)
+	}
+	at(5*time.Second+Defaults.MostAvoid-1, six, four, name, unix)
+	at(5*time.Second+Defaults.MostAvoid, unix, six, four, name)
+	b.Worked(2*time.Minute, name)
+	at(2*time.Minute+Defaults.Remember-1, name, unix, six, four)
+	at(2*time.Minute+Defaults.Remember, unix, six, four, name)
+}
+
+// The next address is dialled when the one before fails, or after the delay, or never while there is no room.
+func TestRace(t *testing.T) {
+	const delay = 250 * time.Millisecond
+	begin := func() *Race { return NewBook(Defaults).Race(0, []string{four, six, unix}) }
+	start := func(r *Race, now time.Duration, room int, want ...string) {
+		t.Helper()
+		if got := r.Start(now, room); !slices.Equal(got, want) {
+			t.Errorf("at %v with room for %d: %q, not %q", now, room, got, want)
+		}
+	}
+	r := begin()
+	start(r, 0, 9, unix)
+	start(r, delay-1, 9)
+	start(r, delay, 9, six)
+	start(r, delay, 9)
+	if !r.Connected(300*time.Millisecond, six) || r.Connected(301*time.Millisecond, unix) {
+		t.Error("not the first to connect wins")
+	}
+	start(r, time.Hour, 9)
+
+	r = begin()
+	start(r, 0, 9, unix)
+	if r.Failed(time.Millisecond, unix) {
+		t.Error("lost with two addresses left")
+	}
+	start(r, time.Millisecond, 9, six) // at once
+	r.Failed(2*time.Millisecond, six)
+	start(r, 2*time.Millisecond, 9, four)
+	if !r.Failed(3*time.Millisecond, four) {
+		t.Error("not lost with none left")
+	}
+
+	r = begin()
+	start(r, 0, 0, unix)
+	start(r, time.Hour, 0)
+	start(r, time.Hour, 1, six)
+	r.GaveUp(2 * time.Hour)
+	start(r, 3*time.Hour, 9)
+	if got := r.book.Order(2*time.Hour, []string{unix, six, four}); !slices.Equal(got, []string{four, unix, six}) {
+		t.Errorf("those that hung are not put last: %q", got)
+	}
+}
+
+// Whatever happens: each address is dialled once at most, the first at once, never more at a time than there is room for,
+// and there is one winner.
+func TestRaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBook(Defaults)
+		all := []string{unix, six, four, name}[:rapid.IntRange(1, 4).Draw(t, "addresses")]
+		now := time.Duration(0)
+		for range 3 {
+			r := b.Race(now, all)
+			out, dialled := map[string]bool{}, map[string]bool{}
+			wins, over := 0, false
+			for range rapid.IntRange(0, 20).Draw(t, "steps") {
+				room := rapid.IntRange(-1, 3).Draw(t, "room")
+				before := len(out)
+				for _, a := range r.Start(now, room) {
+					if dialled[a] || over {
+						t.Fatalf("%s is dialled again, or after the end", a)
+					}
+					dialled[a], out[a] = true, true
+				}
+				if len(out) > max(1, before, min(Defaults.Most, 1+room)) {
+					t.Fatalf("%d at a time with room for %d", len(out), room)
+				}
+				if len(dialled) == 0 {
+					t.Fatal("the first is not dialled at once")
+				}
+				for a := range out {
+					switch rapid.IntRange(0, 3).Draw(t, "of "+a) {
+					case 0:
+						delete(out, a)
+						if r.Connected(now, a) {
+							wins++
+							over = true
+						}
+					case 1:
+						delete(out, a)
+						lost := r.Failed(now, a)
+						if lost != (!over && len(out) == 0 && len(dialled) == len(all)) {
+							t.Fatalf("lost %t with %d out of %d", lost, len(out), len(all)-len(dialled))
+						}
+						over = over || lost
+					}
+				}
+				now += time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "pass"))
+			}
+			if wins > 1 {
+				t.Fatalf("%d winners", wins)
+			}
+		}
+		if got := b.Order(now, all); len(got) != len(all) {
+			t.Fatalf("%q of %q", got, all)
+		}
+	})
+}
--- a/internal/decide/aging/aging.go
+++ b/internal/decide/aging/aging.go
@@ -19,6 +19,7 @@
 	Times    time.Duration // usual and least times to an answer
 	Traffic  time.Duration // own answers a second
 	Cold     time.Duration // how cold starts went
+	Address  time.Duration // which of a server's addresses connected
 	Bend     float64       // remembered capacities count as at most so many times the median one, and as its part at least
 	Forget   time.Duration // what is older is worth nothing
 }
@@ -26,13 +27,15 @@
 // Defaults are the settings where none are given. Failures and times go together: usual times that outlive what is known
 // of silent servers made quiet agents lose more than without a memory (docs/design/learning.md has the figures).
 var Defaults = Settings{Capacity: 10 * time.Minute, Failing: 15 * time.Minute, Ejection: time.Minute, Times: 15 * time.Minute,
-	Traffic: 15 * time.Minute, Cold: 24 * time.Hour, Bend: 4, Forget: 72 * time.Hour}
+	Traffic: 15 * time.Minute, Cold: 24 * time.Hour, Address: time.Hour, Bend: 4, Forget: 72 * time.Hour}
 
 const (
 	// leastWorth is what a fact must be worth to count at all.
 	leastWorth = 1.0 / 32
 	// leastEjection is what an ejection must be worth to come back: one in doubt is found again soon enough.
 	leastEjection = 1.0 / 4
+	// leastAddress is what an address that connected must be worth to be tried first.
+	leastAddress = 1.0 / 4
 	// sameLeast is the part of the fleet that must be the same for anything to count.
 	sameLeast = 0.1
 	// ahead is by how much a moment may lie in the future: clocks are read one after the other.
@@ -110,15 +113,15 @@
 func (p *Past) Left() int { return len(p.facts) }
 
 // Recall gives what is worth remembering of servers that the list names anew, of so many in all; and, the first time, what
-// is shared. It costs in proportion to the servers named.
-func (p *Past) Recall(now learned.Clock, named []Listed, fleet int) choice.Memory {
+// is shared. Of servers with several addresses it gives those that connected, too. It costs in proportion to the servers
+// named.
+func (p *Past) Recall(now learned.Clock, named []Listed, fleet int) (m choice.Memory, worked []string) {
 	for _, l := range named {
 		if _, found := slices.BinarySearch(p.shared.Fleet, l.Identity); found {
 			p.met[l.Identity] = true
 		}
 	}
 	same := p.Same(fleet)
-	var m choice.Memory
 	if !p.told && len(named) > 0 {
 		p.told = true
 		m = p.sharedMemory(now, same)
@@ -132,8 +135,11 @@
 		if s, any := p.aged(f, now, same); any {
 			m.Servers = append(m.Servers, s)
 		}
+		if age, known := Since(f.at, now); known && f.Worked != "" && same*p.set.Worth(p.set.Address, age) >= leastAddress {
+			worked = append(worked, f.Worked)
+		}
 	}
-	return m
+	return m, worked
 }
 
 // Same is the part of the fleet that is as it was, of all that it was and is, and nothing where that is next to nothing.
--- a/internal/decide/aging/aging_test.go
+++ b/internal/decide/aging/aging_test.go
@@ -15,7 +15,7 @@
 
 // set has another half-life for each kind of fact.
 var set = Settings{Capacity: 10 * time.Minute, Failing: 2 * time.Minute, Ejection: time.Minute, Times: time.Hour, Traffic: 5 * time.Minute,
-	Cold: day, Bend: 4, Forget: 72 * time.Hour}
+	Cold: day, Address: time.Hour, Bend: 4, Forget: 72 * time.Hour}
 
 func clock(wall, boot time.Duration, id string) learned.Clock {
 	return learned.Clock{Wall: wall, Boot: boot, BootID: id}
@@ -76,7 +76,8 @@
 	t.Helper()
 	state, all := fleet(clock(1000*day, time.Hour, "a"), 8)
 	listed := named(all)
-	return New(set, state).Recall(clock(1000*day+age, time.Hour+age, "a"), listed, len(listed))
+	m, _ := New(set, state).Recall(clock(1000*day+age, time.Hour+age, "a"), listed, len(listed))
+	return m
 }
 
 func all(l []Listed) []Listed { return l }
@@ -165,13 +166,13 @@
 	for i := range old {
 		old[i].Identity++
 	}
-	if m := p.Recall(at, old, 8); len(m.Servers) != 0 {
+	if m, _ := p.Recall(at, old, 8); len(m.Servers) != 0 {
 		t.Errorf("%+v", m)
 	}
-	if m := p.Recall(at, now, 8); len(m.Servers) != 8 || p.Left() != 0 {
+	if m, _ := p.Recall(at, now, 8); len(m.Servers) != 8 || p.Left() != 0 {
 		t.Errorf("%d servers, %d left", len(m.Servers), p.Left())
 	}
-	if m := p.Recall(at, now, 8); len(m.Servers) != 0 || len(m.Classes) != 0 {
+	if m, _ := p.Recall(at, now, 8); len(m.Servers) != 0 || len(m.Classes) != 0 {
 		t.Errorf("given twice: %+v", m)
 	}
 }
@@ -188,7 +189,8 @@
 			state.Buckets[0].Servers[i].Reported = idle
 		}
 		when := func(age time.Duration) choice.Memory {
-			return New(set, state).Recall(clock(0, time.Hour+age, "a"), named, 8)
+			m, _ := New(set, state).Recall(clock(0, time.Hour+age, "a"), named, 8)
+			return m
 		}
 		young, old := when(first), when(second)
 		for _, l := range named {
@@ -202,3 +204,18 @@
 		}
 	})
 }
+
+// The address that connected is remembered for two half-lives, of the same server.
+func TestAddressThatWorked(t *testing.T) {
+	for age, want := range map[time.Duration]int{0: 1, 2 * set.Address: 1, 2*set.Address + time.Second: 0} {
+		state, named := fleet(clock(1000*day, time.Hour, "a"), 8)
+		state.Buckets[0].Servers[3].Worked = "[::1]:80"
+		if _, worked := New(set, state).Recall(clock(0, time.Hour+age, "a"), named, 8); len(worked) != want {
+			t.Errorf("after %v: %q", age, worked)
+		}
+		named[3].Identity++
+		if _, worked := New(set, state).Recall(clock(0, time.Hour, "a"), named, 8); len(worked) != 0 {
+			t.Errorf("of another server: %q", worked)
+		}
+	}
+}
--- a/internal/decide/learned/learned.go
+++ b/internal/decide/learned/learned.go
@@ -27,6 +27,7 @@
 type Server struct {
 	choice.ServerMemory
 	Addr     string // for those who read it
+	Worked   string // of several addresses, the one that connected last; empty where none did
 	Identity uint64 // of all that the list says which makes it this server, in this life
 }
 
@@ -130,11 +131,12 @@
 
 // Weights of what may differ: one server's worth is 1.
 const (
-	weighCapacity = 1.0 // for a capacity that doubled, halved, came or went
-	weighFailing  = 1.0 // for a share of failures of 1 more or less
-	weighEjected  = 1.0 // for one that is ejected, or no longer is
-	weighTimes    = 1.0 // for a class whose usual time doubled or halved
-	weighFleet    = 0.5 // for a server that the list names, or no longer does
+	weighCapacity = 1.0  // for a capacity that doubled, halved, came or went
+	weighFailing  = 1.0  // for a share of failures of 1 more or less
+	weighEjected  = 1.0  // for one that is ejected, or no longer is
+	weighTimes    = 1.0  // for a class whose usual time doubled or halved
+	weighAddress  = 0.25 // for a server that connects by another address
+	weighFleet    = 0.5  // for a server that the list names, or no longer does
 )
 
 // doublings is how far two figures are apart, as a multiple of a doubling, 1 at most.
@@ -162,6 +164,9 @@
 			continue
 		}
 		delete(known, s.ID)
+		if was.Worked != s.Worked {
+			worth += weighAddress
+		}
 		worth += weighCapacity*doublings(was.Rate, s.Rate) + weighFailing*math.Abs(was.Failing-s.Failing)
 		if was.Ejected != s.Ejected {
 			worth += weighEjected
--- a/internal/decide/learned/records.go
+++ b/internal/decide/learned/records.go
@@ -13,13 +13,33 @@
 	"ternbeam/choice"
 )
 
-// Kind is that of the records that hold a State; Format is the form of their bodies. A new form gets the next number and
-// an upgrade from this one, which the store applies.
+// Kind is that of the records that hold a State; Format is the newest form of their bodies. A new form gets the next number
+// and an upgrade from the one before, which the store applies.
+//
+//	1: the first
+//	2: with the address of a server that connected last
 const (
 	Kind   = "learned"
-	Format = 1
+	Format = 2
 )
 
+// Upgrades turn a body of each older format into one of the next.
+var Upgrades = []func(body []byte) ([]byte, error){
+	func(body []byte) ([]byte, error) { // what format 2 adds may be missing; what is no body of format 1 is told
+		_, err := DecodeShared(body)
+		if err == nil {
+			return body, nil
+		}
+		b, err := DecodeBucket(body)
+		for _, s := range b.Servers {
+			if s.Worked != "" {
+				err = errors.New("it holds what came with format 2")
+			}
+		}
+		return body, err
+	},
+}
+
 // Bounds of what a body may hold.
 const (
 	maxElements = 1 << 17
@@ -82,6 +102,7 @@
 		Judged   int64   `cbor:"9,keyasint"`
 		Ejected  bool    `cbor:"10,keyasint"`
 		Trial    int64   `cbor:"11,keyasint"`
+		Worked   string  `cbor:"12,keyasint,omitempty"` // since format 2
 	}
 	bucketText struct {
 		At      clockText    `cbor:"1,keyasint"`
@@ -123,7 +144,8 @@
 	t := bucketText{At: wordClock(b.At), Servers: make([]serverText, 0, len(b.Servers))}
 	for _, s := range b.Servers {
 		t.Servers = append(t.Servers, serverText{ID: s.ID, Addr: s.Addr, Identity: s.Identity, Started: int64(s.Started), Rate: s.Rate,
-			Use: s.Use, Reported: int64(s.Reported), Failing: s.Failing, Judged: int64(s.Judged), Ejected: s.Ejected, Trial: int64(s.Trial)})
+			Use: s.Use, Reported: int64(s.Reported), Failing: s.Failing, Judged: int64(s.Judged), Ejected: s.Ejected, Trial: int64(s.Trial),
+			Worked: s.Worked})
 	}
 	return encoding.Marshal(t)
 }
@@ -207,7 +229,8 @@
 		if m.Rate > 0 {
 			m.Trust = 1
 		}
-		b.Servers = append(b.Servers, Server{ServerMemory: m, Addr: c.text(field+"addr", s.Addr), Identity: s.Identity})
+		b.Servers = append(b.Servers, Server{ServerMemory: m, Addr: c.text(field+"addr", s.Addr),
+			Worked: c.text(field+"worked", s.Worked), Identity: s.Identity})
 	}
 	return b, c.err
 }
--- a/internal/decide/ledger/bench_test.go
+++ b/internal/decide/ledger/bench_test.go
@@ -29,13 +29,13 @@
 			l.List(time.Hour, true, entries)
 			module.Recall(time.Hour, memory)
 			var into Learned
-			l.Export(time.Hour, &into)
+			l.Export(time.Hour, &into, nil)
 			if len(into.Servers) != n || len(into.Fleet) != n {
 				b.Fatalf("%d servers, %d in the fleet", len(into.Servers), len(into.Fleet))
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				l.Export(time.Hour, &into)
+				l.Export(time.Hour, &into, nil)
 			}
 		})
 	}
--- a/internal/decide/ledger/copy.go
+++ b/internal/decide/ledger/copy.go
@@ -1,9 +1,6 @@
 package ledger
 
-import (
-	"ternbeam/choice"
-	"ternbeam/internal/decide/life"
-)
+import "ternbeam/internal/decide/life"
 
 // Twins are copies of what a Ledger speaks of.
 type Twins struct {
@@ -31,7 +28,7 @@
 }
 
 // Copy returns an equal Ledger over an equal module. It must not be under way with anything.
-func (l *Ledger) Copy(set Settings, balancer *choice.Balancer, t *Twins) *Ledger {
+func (l *Ledger) Copy(set Settings, balancer Module, t *Twins) *Ledger {
 	twin := New(set, balancer)
 	twin.now, twin.open, twin.stats = l.now, l.open, l.stats
 	for id, c := range l.calls {
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -86,6 +87,7 @@
 type Entry struct {
 	choice.Server
 	Addr        string
+	Addrs       []string // all under which it can be reached, in the order to be tried; Addr alone where there are none
 	Multiplexed bool
 }
 
@@ -120,6 +122,15 @@
 	Results                                 [choice.NotSent + 1]int
 }
 
+// Module is the decision module, as a Ledger uses it: a choice.Balancer, or one that an explorer watches.
+type Module interface {
+	Start(now time.Duration) []choice.Action
+	Handle(now time.Duration, ev choice.Event) []choice.Action
+	Export(now time.Duration, into *choice.Memory)
+	Recall(now time.Duration, m choice.Memory)
+	News() uint64
+}
+
 // Settings are what a Ledger is made of.
 type Settings struct {
 	MaxAttempts int
@@ -131,7 +142,7 @@
 // Ledger keeps the calls. It is not safe for concurrent use.
 type Ledger struct {
 	set      Settings
-	balancer *choice.Balancer
+	balancer Module
 	now      time.Duration
 	queue    []choice.Event // to be handled; actions of one event may cause the next
 	handling bool
@@ -145,7 +156,7 @@
 }
 
 // New returns a Ledger over a module.
-func New(set Settings, balancer *choice.Balancer) *Ledger {
+func New(set Settings, balancer Module) *Ledger {
 	return &Ledger{set: set, balancer: balancer, calls: map[string]*Call{}, servers: map[string]*life.Server{}}
 }
 
@@ -246,13 +257,13 @@
 func (l *Ledger) entry(e Entry) {
 	started := e.Started.Milliseconds()
 	s := l.servers[e.ID]
-	if s != nil && (s.Addr != e.Addr || s.Started != started || s.Speaks != e.Speaks || s.Multiplexed != e.Multiplexed ||
+	if s != nil && (s.Addr != e.Addr || !slices.Equal(s.Addrs, e.Addrs) || s.Started != started || s.Speaks != e.Speaks || s.Multiplexed != e.Multiplexed ||
 		e.State != choice.Ready) {
 		l.retire(e.ID)
 		s = nil
 	}
 	if s == nil && e.State == choice.Ready {
-		s = &life.Server{ID: e.ID, Addr: e.Addr, Started: started, Speaks: e.Speaks, Multiplexed: e.Multiplexed}
+		s = &life.Server{ID: e.ID, Addr: e.Addr, Addrs: e.Addrs, Started: started, Speaks: e.Speaks, Multiplexed: e.Multiplexed}
 		l.servers[e.ID] = s
 	}
 	if s == nil {
--- a/internal/decide/life/conn.go
+++ b/internal/decide/life/conn.go
@@ -12,7 +12,8 @@
 type Server struct {
 	ID          string
 	Addr        string
-	Started     int64 // Unix milliseconds, as the list has it
+	Addrs       []string // all, where there are several
+	Started     int64    // Unix milliseconds, as the list has it
 	Speaks      choice.Protocols
 	Multiplexed bool   // takes several calls at a time on a connection
 	Identity    uint64 // the ledger's: what makes it this server in this life
--- a/internal/decide/life/copy.go
+++ b/internal/decide/life/copy.go
@@ -31,7 +31,7 @@
 
 // CopyTo makes another Server equal.
 func (s *Server) CopyTo(twin *Server) {
-	twin.ID, twin.Addr, twin.Started, twin.Speaks, twin.Multiplexed, twin.Identity = s.ID, s.Addr, s.Started, s.Speaks,
+	twin.ID, twin.Addr, twin.Addrs, twin.Started, twin.Speaks, twin.Multiplexed, twin.Identity = s.ID, s.Addr, s.Addrs, s.Started, s.Speaks,
 		s.Multiplexed, s.Identity
 	twin.retired.Store(s.retired.Load())
 }
--- /dev/null
+++ b/internal/decide/resolve/resolve_test.go
@@ -0,0 +1,350 @@
+package resolve
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"ternbeam/internal/decide/membership"
+)
+
+const service = "_forms._tcp.example.org."
+
+var root = Question{service, dns.TypeSRV}
+
+// answer words an answer to a question from records in the form of a zone file.
+func answer(t testing.TB, id uint16, q Question, rcode int, records ...string) []byte {
+	t.Helper()
+	m := new(dns.Msg)
+	m.SetQuestion(q.Name, q.Type)
+	m.Id, m.Response, m.Rcode = id, true, rcode
+	for _, text := range records {
+		section := &m.Answer
+		if rest, extra := strings.CutPrefix(text, "+"); extra {
+			text, section = rest, &m.Extra
+		} else if rest, ns := strings.CutPrefix(text, "^"); ns {
+			text, section = rest, &m.Ns
+		}
+		r, err := dns.NewRR(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		*section = append(*section, r)
+	}
+	wire, err := m.Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return wire
+}
+
+func TestRead(t *testing.T) {
+	loop := []string{}
+	for i := range 12 {
+		loop = append(loop, fmt.Sprintf("n%d.example.org. 60 CNAME n%d.example.org.", i, i+1))
+	}
+	chain := append([]string{service + " 60 CNAME n0.example.org."}, loop...)
+	many := []string{}
+	for i := range 1001 {
+		many = append(many, fmt.Sprintf("%s 60 SRV 0 0 80 n%d.example.org.", service, i))
+	}
+	for _, c := range []struct {
+		name    string
+		wire    []byte
+		verdict Verdict
+		targets int
+		ttl     time.Duration
+	}{
+		{"two records", answer(t, 7, root, 0, service+" 30 SRV 1 2 80 a.example.org.", service+" 60 SRV 1 0 80 b.example.org."), Good, 2, 30 * time.Second},
+		{"an alias", answer(t, 7, root, 0, service+" 10 CNAME _x.example.org.", "_x.example.org. 60 SRV 1 2 80 a.example.org."), Good, 1, 10 * time.Second},
+		{"a lifetime of 0", answer(t, 7, root, 0, service+" 0 SRV 1 2 80 a.example.org."), Good, 1, 0},
+		{"a lifetime of 2^31", answer(t, 7, root, 0, service+" 2147483648 SRV 1 2 80 a.example.org."), Good, 1, 0},
+		{"a lifetime of 2^31-1", answer(t, 7, root, 0, service+" 2147483647 SRV 1 2 80 a.example.org."), Good, 1, maxTTL},
+		{"of another name", answer(t, 7, root, 0, "other.example.org. 30 SRV 1 2 80 a.example.org."), None, 0, 0},
+		{"nothing, for a while", answer(t, 7, root, 0, "^example.org. 90 SOA a. b. 1 2 3 4 60"), None, 0, time.Minute},
+		{"no such name", answer(t, 7, root, dns.RcodeNameError, "^example.org. 90 SOA a. b. 1 2 3 4 86400"), None, 0, 90 * time.Second},
+		{"refused", answer(t, 7, root, dns.RcodeRefused), Refusal, 0, 0},
+		{"server failure", answer(t, 7, root, dns.RcodeServerFailure), Refusal, 0, 0},
+		{"a long chain", answer(t, 7, root, 0, chain...), Nonsense, 0, 0},
+		{"a loop", answer(t, 7, root, 0, service+" 60 CNAME n.example.org.", "n.example.org. 60 CNAME "+service), Nonsense, 0, 0},
+		{"too many", answer(t, 7, root, 0, many...), Nonsense, 0, 0},
+		{"half a message", answer(t, 7, root, 0, service+" 30 SRV 1 2 80 a.example.org.")[:60], Nonsense, 0, 0},
+		{"a name that points at itself", append(answer(t, 7, root, 0)[:12], 0xc0, 12, 0, 33, 0, 1), Nonsense, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := Read(c.wire, 7, root)
+			if err != nil || got.Verdict != c.verdict || len(got.Targets) != c.targets || got.TTL != c.ttl && c.verdict <= None {
+				t.Errorf("%v, %+v", err, got)
+			}
+		})
+	}
+	cut := answer(t, 7, root, 0, service+" 30 SRV 1 2 80 a.example.org.")
+	cut[2] |= 2
+	if got, err := Read(cut, 7, root); err != nil || got.Verdict != Cut {
+		t.Errorf("cut off: %v, %+v", err, got)
+	}
+	question := answer(t, 7, root, 0)
+	question[2] &^= 0x80
+	for name, wire := range map[string][]byte{"another id": answer(t, 8, root, 0), "another name": answer(t, 7, Question{"x.", dns.TypeSRV}, 0),
+		"another type": answer(t, 7, Question{service, dns.TypeA}, 0), "a question": question, "one byte": {7}, "nothing": nil} {
+		if got, err := Read(wire, 7, root); !errors.Is(err, ErrForeign) {
+			t.Errorf("%s: %v, %+v", name, err, got)
+		}
+	}
+	upper := answer(t, 7, Question{strings.ToUpper(service), dns.TypeSRV}, 0, strings.ToUpper(service)+" 30 SRV 1 2 80 A.example.org.")
+	if got, err := Read(upper, 7, root); err != nil || len(got.Targets) != 1 || got.Targets[0].Host != "a.example.org." {
+		t.Errorf("capital letters: %v, %+v", err, got)
+	}
+}
+
+// world answers a Resolver's questions in virtual time from a zone, and counts them.
+type world struct {
+	t     *testing.T
+	r     *Resolver
+	at    time.Duration
+	zone  func(a Ask) Answer
+	asked []Ask
+	word  *Word
+	words int
+	lost  int
+}
+
+func newWorld(t *testing.T, set Settings, zone func(Ask) Answer) *world {
+	set.Name = "_Forms._tcp.example.org"
+	return &world{t: t, r: New(set, 1), at: time.Hour, zone: zone}
+}
+
+// run lets time pass; answers come at once.
+func (w *world) run(d time.Duration) {
+	for end := w.at + d; ; {
+		asks, again := w.r.Due(w.at)
+		for len(asks) > 0 {
+			a := asks[0]
+			w.asked = append(w.asked, a)
+			if asks = append(asks[1:], w.r.Answered(w.at, a.Number, a.TCP, w.zone(a))...); len(asks) == 0 {
+				asks, again = w.r.Due(w.at) // what is to be asked may follow from an answer
+			}
+		}
+		word, lost := w.r.Told()
+		if word != nil {
+			w.word = word
+			w.words++
+		}
+		if lost {
+			w.lost++
+		}
+		if again <= w.at {
+			again = w.at + 1
+		}
+		if again > end {
+			w.at = end
+			return
+		}
+		w.at = again
+	}
+}
+
+var ip = netip.MustParseAddr
+
+// zone has two servers; what comes of each question may be changed.
+func zone(ttl time.Duration) func(Ask) Answer {
+	return func(a Ask) Answer {
+		switch {
+		case a.Type == dns.TypeSRV:
+			return Answer{TTL: ttl, Targets: []Target{{"a.example.org.", 80, 1, 0}, {"b.example.org.", 81, 2, 9}}}
+		case a.Name == "a.example.org." && a.Type == dns.TypeA:
+			return Answer{TTL: ttl, Addrs: []netip.Addr{ip("127.0.0.1")}}
+		case a.Name == "a.example.org.":
+			return Answer{TTL: ttl, Addrs: []netip.Addr{ip("::1")}}
+		case a.Type == dns.TypeA:
+			return Answer{TTL: ttl, Addrs: []netip.Addr{ip("127.0.0.2")}}
+		}
+		return Answer{Verdict: None, TTL: ttl}
+	}
+}
+
+func TestWord(t *testing.T) {
+	w := newWorld(t, Defaults, zone(time.Minute))
+	w.run(0)
+	want := []membership.Claim{{Key: "a.example.org.:80", Addrs: []string{"[::1]:80", "127.0.0.1:80"}, Tier: 1},
+		{Key: "b.example.org.:81", Addrs: []string{"127.0.0.2:81"}, Tier: 2, Weight: 9}}
+	if w.word == nil || !slices.EqualFunc(w.word.Claims, want, func(a, b membership.Claim) bool { return fmt.Sprint(a) == fmt.Sprint(b) }) ||
+		w.word.Until != time.Hour+time.Minute {
+		t.Errorf("%+v", w.word)
+	}
+	if w.asked[0].Question != root || len(w.asked) != 5 {
+		t.Errorf("asked %v", w.asked)
+	}
+}
+
+// How often it asks follows the lifetimes, within bounds, and never the number of calls, of which it knows nothing.
+func TestHowOftenItAsks(t *testing.T) {
+	for name, c := range map[string]struct {
+		ttl         time.Duration
+		least, most int // times that the records are asked for in 10 min
+	}{"a lifetime of 0": {0, 590, 620}, "of 10 s": {10 * time.Second, 60, 81}, "of a day": {24 * time.Hour, 2, 4}} {
+		t.Run(name, func(t *testing.T) {
+			set := Defaults
+			set.Budget = 1_000_000
+			w := newWorld(t, set, zone(c.ttl))
+			w.run(10 * time.Minute)
+			n := 0
+			for _, a := range w.asked {
+				if a.Question == root {
+					n++
+				}
+			}
+			if n < c.least || n > c.most {
+				t.Errorf("%d times", n)
+			}
+		})
+	}
+	set := Defaults
+	set.Budget = 60
+	w := newWorld(t, set, zone(0))
+	w.run(10 * time.Minute)
+	if n := len(w.asked); n > 60*10+15 || n < 500 {
+		t.Errorf("%d questions in 10 min with a budget of 60 a minute", n)
+	}
+}
+
+// Name servers that fail: the next one is asked, later and later; addresses are kept beyond their lifetimes for a while; it
+// is told once that nobody answers, and all is well again when one does.
+func TestNobodyAnswers(t *testing.T) {
+	for _, verdict := range []Verdict{Silence, Refusal, Nonsense} {
+		t.Run(verdict.String(), func(t *testing.T) {
+			set := Defaults
+			set.Servers = 2
+			well, up := zone(10*time.Second), true
+			w := newWorld(t, set, func(a Ask) Answer {
+				if up {
+					return well(a)
+				}
+				return Answer{Verdict: verdict}
+			})
+			w.run(0)
+			first := w.words
+			up = false
+			w.asked = nil
+			w.run(10 * time.Minute)
+			servers := map[int]int{}
+			for _, a := range w.asked {
+				if a.Question == root {
+					servers[a.Server]++
+				}
+			}
+			if w.lost != 1 || w.words > first+8 || servers[0] < 5 || servers[1] < 5 || servers[0] > 30 {
+				t.Errorf("told %d times that nobody answers, %d words, asked %v", w.lost, w.words-first, servers)
+			}
+			if w.word == nil || len(w.word.Claims) != 2 || w.word.Until > time.Hour+10*time.Second {
+				t.Errorf("%+v", w.word)
+			}
+			up = true
+			w.run(10 * time.Minute)
+			if w.word.Until < w.at || len(w.word.Claims) != 2 {
+				t.Errorf("well again: %+v at %v", w.word, w.at)
+			}
+		})
+	}
+}
+
+// A cut off answer is asked for by TCP, once; what fails there is the next server's.
+func TestCutOff(t *testing.T) {
+	set := Defaults
+	set.Servers = 2
+	well := zone(time.Minute)
+	first := -1
+	w := newWorld(t, set, func(a Ask) Answer {
+		if a.Question == root && first < 0 {
+			first = a.Server
+		}
+		switch {
+		case a.Question == root && !a.TCP && a.Server == first:
+			return Answer{Verdict: Cut}
+		case a.Question == root && a.Server == first:
+			return Answer{Verdict: Silence}
+		}
+		return well(a)
+	})
+	w.run(0)
+	if len(w.asked) < 3 || w.asked[0].TCP || !w.asked[1].TCP || w.asked[1].Server != first || w.asked[2].TCP || w.asked[2].Server == first ||
+		w.asked[1].Timeout != set.TCP || w.word == nil {
+		t.Errorf("asked %+v", w.asked)
+	}
+}
+
+// What SRV may say: not here, nothing, names without addresses, one place twice.
+func TestOddRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		targets []Target
+		claims  int // -1 for no word
+	}{
+		"not here":            {[]Target{{".", 0, 0, 0}}, 0},
+		"one place twice":     {[]Target{{"a.example.org.", 80, 1, 0}, {"a.example.org.", 80, 2, 0}}, 1},
+		"two ports":           {[]Target{{"a.example.org.", 80, 1, 0}, {"a.example.org.", 81, 1, 0}}, 2},
+		"no addresses":        {[]Target{{"none.example.org.", 80, 1, 0}}, -1},
+		"one without address": {[]Target{{"none.example.org.", 80, 1, 0}, {"a.example.org.", 80, 1, 0}}, 1},
+		"nothing at all":      {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			well := zone(time.Minute)
+			w := newWorld(t, Defaults, func(a Ask) Answer {
+				switch {
+				case a.Question == root && c.targets == nil:
+					return Answer{Verdict: None, TTL: time.Minute}
+				case a.Question == root:
+					return Answer{TTL: time.Minute, Targets: c.targets}
+				case strings.HasPrefix(a.Name, "none."):
+					return Answer{Verdict: None}
+				}
+				return well(a)
+			})
+			w.run(0)
+			switch {
+			case c.claims < 0 && w.word != nil, c.claims >= 0 && (w.word == nil || len(w.word.Claims) != c.claims):
+				t.Errorf("%+v", w.word)
+			}
+		})
+	}
+}
+
+// 4,000 records cost 4,000 names within the budget, and no more is asked than that allows.
+func TestManyRecords(t *testing.T) {
+	w := newWorld(t, Defaults, nil)
+	var targets []Target
+	for i := range 4000 {
+		targets = append(targets, Target{fmt.Sprintf("n%d.example.org.", i), 80, 0, 0})
+	}
+	w.zone = func(a Ask) Answer {
+		if a.Question == root {
+			return Answer{TTL: time.Hour, Targets: targets}
+		}
+		return Answer{TTL: time.Hour, Addrs: []netip.Addr{ip("127.0.0.1")}}
+	}
+	w.run(5 * time.Minute)
+	if n := len(w.asked); n > Defaults.Budget*5+Defaults.Budget/4 || n < Defaults.Budget*4 {
+		t.Errorf("%d questions in 5 min", n)
+	}
+}
+
+// Whatever bytes come, reading ends, and what is taken is within bounds.
+func FuzzRead(f *testing.F) {
+	f.Add(answer(f, 7, root, 0, service+" 30 SRV 1 2 80 a.example.org.", "+a.example.org. 5 A 127.0.0.1", "+a.example.org. 5 AAAA ::1"))
+	f.Add(answer(f, 7, root, 0, service+" 60 CNAME n.example.org.", "n.example.org. 60 CNAME "+service))
+	f.Add(answer(f, 7, root, dns.RcodeNameError, "^example.org. 90 SOA a. b. 1 2 3 4 86400"))
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		a, err := Read(wire, 7, root)
+		if err != nil {
+			return
+		}
+		if len(a.Targets) > maxRecords || len(a.Beside) > maxRecords || a.TTL < 0 || a.TTL > maxTTL || a.Verdict == Good && len(a.Targets) == 0 {
+			t.Fatalf("%+v", a)
+		}
+	})
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/protocol"
 )
 
@@ -27,17 +28,21 @@
 
 // Entry is a server in a List.
 type Entry struct {
-	ID          string  `json:"id"`
-	Addr        string  `json:"addr"`
-	Zone        string  `json:"zone"`
-	Cell        int     `json:"cell"`
-	State       string  `json:"state"`
-	Weight      float64 `json:"weight"`
-	StartedMS   int64   `json:"started_ms"`
-	Protocol    string  `json:"protocol,omitempty"`    // HTTP/1.1 where absent
-	Multiplexed bool    `json:"multiplexed,omitempty"` // takes several calls at a time on a connection
+	ID          string   `json:"id"`
+	Addr        string   `json:"addr"`
+	Addrs       []string `json:"addrs,omitempty"` // all under which it can be reached, the best first; Addr alone where absent
+	Zone        string   `json:"zone"`
+	Cell        int      `json:"cell"`
+	State       string   `json:"state"`
+	Weight      float64  `json:"weight"`
+	StartedMS   int64    `json:"started_ms"`
+	Protocol    string   `json:"protocol,omitempty"`    // HTTP/1.1 where absent
+	Multiplexed bool     `json:"multiplexed,omitempty"` // takes several calls at a time on a connection
 }
 
+// maxAddrs bounds the addresses of one server.
+const maxAddrs = 16
+
 var states = map[string]choice.State{"in_service": choice.Ready, "terminating": choice.Draining,
 	"terminated": choice.Gone}
 
@@ -48,8 +53,16 @@
 	if !ok {
 		return choice.Server{}, fmt.Errorf("backend %q has the Unknown state %q", e.ID, e.State)
 	}
-	if _, _, err := net.SplitHostPort(e.Addr); err != nil && state != choice.Gone {
-		return choice.Server{}, fmt.Errorf("backend %q: %w", e.ID, err)
+	if len(e.Addrs) > maxAddrs {
+		return choice.Server{}, fmt.Errorf("backend %q: %d addresses, %d at most are taken", e.ID, len(e.Addrs), maxAddrs)
+	}
+	for _, addr := range append([]string{e.Addr}, e.Addrs...) {
+		if kind, _, target := addresses.Of(addr); kind == addresses.Unix && target != "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(addr); err != nil && state != choice.Gone {
+			return choice.Server{}, fmt.Errorf("backend %q: %w", e.ID, err)
+		}
 	}
 	speaks, err := protocol.Parse(e.Protocol)
 	if err != nil {
--- /dev/null
+++ b/internal/discovery/dnssource/dnssource_test.go
@@ -0,0 +1,135 @@
+package dnssource
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"ternbeam/internal/decide/resolve"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
+)
+
+const service = "_forms._tcp.example.org."
+
+// running is a source under way.
+type running struct {
+	words chan resolve.Word
+	lost  chan struct{}
+}
+
+func start(t *testing.T, least time.Duration, servers ...string) running {
+	t.Helper()
+	set := Settings{Settings: resolve.Defaults, Addrs: servers, Seed: 1, Log: slog.New(slog.DiscardHandler),
+		Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }}
+	set.Name, set.Timeout, set.TCP, set.Least, set.Most = service, 50*time.Millisecond, 50*time.Millisecond, least, least
+	ctx, cancel := context.WithCancel(context.Background())
+	r := running{make(chan resolve.Word, 1000), make(chan struct{}, 1000)}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		Run(ctx, set, func(w resolve.Word) { r.words <- w }, func() { r.lost <- struct{}{} })
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+	return r
+}
+
+// until waits for a word.
+func (r running) until(t *testing.T, what string, holds func(resolve.Word) bool) {
+	t.Helper()
+	timeout := time.After(testkit.Patience)
+	for {
+		select {
+		case w := <-r.words:
+			if holds(w) {
+				return
+			}
+		case <-timeout:
+			t.Fatal("not told: " + what)
+		}
+	}
+}
+
+func newNames(t *testing.T, records ...string) *standin.Names {
+	t.Helper()
+	n, err := standin.NewNames()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	if err := n.Set(records...); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func records(ttl, n int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprintf("%s %d SRV 1 5 %d forms-%d.example.org.", service, ttl, 8000+i, i),
+			fmt.Sprintf("forms-%d.example.org. %d A 127.0.0.1", i, ttl), fmt.Sprintf("forms-%d.example.org. %d AAAA ::1", i, ttl))
+	}
+	return all
+}
+
+func has(n int) func(resolve.Word) bool {
+	return func(w resolve.Word) bool { return len(w.Claims) == n }
+}
+
+// Each fault of a name server: another one is asked, or, where there is none, it is told that nobody answers; and all is
+// well when it is.
+func TestFaults(t *testing.T) {
+	for name, fault := range map[string]standin.NameFault{"silent": standin.NameSilent, "cut off, and TCP hangs": standin.NameCutHang,
+		"refused": standin.NameRefused, "fails": standin.NameFails, "another id": standin.NameOtherID, "another port": standin.NameOtherPort,
+		"a loop of names": standin.NameLoop} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bad := newNames(t, records(1, 2)...)
+			bad.Fault(fault)
+			alone := start(t, 20*time.Millisecond, bad.Addr())
+			select {
+			case <-alone.lost:
+			case w := <-alone.words:
+				t.Fatalf("told %+v", w)
+			case <-time.After(testkit.Patience):
+				t.Fatal("nothing is told")
+			}
+			good := newNames(t, records(1, 2)...)
+			start(t, 20*time.Millisecond, bad.Addr(), good.Addr()).until(t, "by the other server", has(2))
+			bad.Fault(standin.NameWell)
+			alone.until(t, "when it is well", has(2))
+		})
+	}
+}
+
+// An answer that is cut off comes by TCP; so do 600 records, which no packet holds.
+func TestLargeAnswers(t *testing.T) {
+	n := newNames(t, records(60, 3)...)
+	n.Fault(standin.NameCut)
+	start(t, time.Second, n.Addr()).until(t, "by TCP", has(3))
+	var many []string
+	for i := range 600 {
+		many = append(many, fmt.Sprintf("%s 60 SRV 1 5 %d forms-0.example.org.", service, 1000+i))
+	}
+	large := newNames(t, append(many, "forms-0.example.org. 60 A 127.0.0.1")...)
+	start(t, time.Second, large.Addr()).until(t, "600 records", has(600))
+}
+
+// What changes in the zone is told soon after its lifetime; a name that is no more is told as empty.
+func TestChanges(t *testing.T) {
+	n := newNames(t, records(0, 3)...)
+	r := start(t, 20*time.Millisecond, n.Addr())
+	r.until(t, "three servers", has(3))
+	if err := n.Set(records(0, 2)...); err != nil {
+		t.Fatal(err)
+	}
+	r.until(t, "two servers", has(2))
+	n.Fault(standin.NameEmpty)
+	r.until(t, "none", has(0))
+	n.Fault(standin.NameWell)
+	r.until(t, "two again", func(w resolve.Word) bool {
+		return len(w.Claims) == 2 && strings.HasPrefix(w.Claims[0].Addrs[0], "[::1]:")
+	})
+}
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -56,6 +56,7 @@
 	MostHeld   int            // calls not answered yet; 0 for no bound
 	Known      discovery.List // the list as it was last had
 	Discovery  string         // address of the list
+	Feed       Feed           // brings the list where not nil; Known and Discovery mean nothing then
 	Pool       *pool.Pool
 	Transports map[choice.Protocols]Transport // by what a call needs
 	Log        *slog.Logger
@@ -127,11 +128,16 @@
 
 // Run is the loop. It owns the Balancer: it takes one event after the other, and timers when they are due.
 func (c *Core) Run(ctx context.Context) {
-	c.follow(ctx, c.set.Discovery, c.set.Known.Version)
-	c.do(c.ledger.Start(c.Now()))
-	c.list(c.set.Known)
-	if !c.set.Module.Subscribe {
-		c.beginWatch()
+	if c.set.Feed != nil {
+		c.do(c.ledger.Start(c.Now()))
+		c.feed(ctx)
+	} else {
+		c.follow(ctx, c.set.Discovery, c.set.Known.Version)
+		c.do(c.ledger.Start(c.Now()))
+		c.list(c.set.Known)
+		if !c.set.Module.Subscribe {
+			c.beginWatch()
+		}
 	}
 	first := time.AfterFunc(firstList, func() { c.post(c.markReady) })
 	defer first.Stop()
@@ -215,7 +221,7 @@
 		case ledger.SetTimer:
 			heap.Push(&c.timers, timer{at: o.At, token: o.Token})
 		case ledger.Subscribe:
-			if !c.haveWatch {
+			if !c.haveWatch && c.set.Feed == nil {
 				c.beginWatch()
 			}
 		case ledger.Begin:
--- a/internal/host/core/learned.go
+++ b/internal/host/core/learned.go
@@ -28,8 +28,10 @@
 	if c.clock == nil {
 		return
 	}
-	if n := c.ledger.Recall(c.Now(), c.clock()); n > 0 {
-		c.log.Info("learned: recalled", "servers", n, "of", c.ledger.ServerCount())
+	n, worked := c.ledger.Recall(c.Now(), c.clock())
+	c.set.Pool.Remember(worked)
+	if n+len(worked) > 0 {
+		c.log.Info("learned: recalled", "servers", n, "addresses", len(worked), "of", c.ledger.ServerCount())
 	}
 }
 
@@ -48,7 +50,7 @@
 // Export asks the loop for what was learned. The value is the loop's until it is returned; after an error it may be still.
 func (c *Core) Export(ctx context.Context, into *ledger.Learned) (keeping.View, error) {
 	return ask(ctx, c, func() keeping.View {
-		c.ledger.Export(c.Now(), into)
+		c.ledger.Export(c.Now(), into, c.set.Pool.Worked)
 		return keeping.View{News: c.ledger.News(), Servers: c.ledger.ServerCount()}
 	})
 }
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -7,9 +7,28 @@
 	"ternbeam/internal/discovery"
 )
 
+// Feed brings changes of the list from elsewhere than one discovery, until the context ends.
+type Feed func(ctx context.Context, deliver func([]ledger.Entry))
+
+// feed begins to take changes from a Feed.
+func (c *Core) feed(ctx context.Context) {
+	go c.set.Feed(ctx, func(changes []ledger.Entry) {
+		c.post(func() {
+			c.do(c.ledger.List(c.Now(), false, changes))
+			c.recall()
+			c.markReady()
+			c.log.Info("list", "changes", len(changes), "backends", c.ledger.ServerCount())
+		})
+	})
+}
+
 // Follow watches another discovery from now on; the same one changes nothing.
 func (c *Core) Follow(ctx context.Context, addr string) {
 	c.post(func() {
+		if c.set.Feed != nil {
+			c.log.Info("the list comes from the sources of a file, as before")
+			return
+		}
 		c.log.Info("new configuration", "discovery", addr, "before", c.discovery)
 		if addr != c.discovery {
 			c.follow(ctx, addr, discovery.Unknown)
@@ -64,7 +83,7 @@
 			c.log.Error("passing over an entry of the list", "error", err)
 			continue
 		}
-		entries = append(entries, ledger.Entry{Server: s, Addr: e.Addr, Multiplexed: e.Multiplexed})
+		entries = append(entries, ledger.Entry{Server: s, Addr: e.Addr, Addrs: e.Addrs, Multiplexed: e.Multiplexed})
 	}
 	c.do(c.ledger.List(c.Now(), l.Full, entries))
 	c.recall()
--- a/internal/host/keeper/keeper.go
+++ b/internal/host/keeper/keeper.go
@@ -186,7 +186,16 @@
 	return aging.New(k.set.Aging, state)
 }
 
-func (k *Keeper) bounds() store.Settings { return store.Settings{MostBytes: k.set.MostBytes} }
+func (k *Keeper) bounds() store.Settings { return Bounds(k.set.MostBytes) }
+
+// Bounds are the settings of a store that holds what was learned, with what brings older formats up to date.
+func Bounds(most int64) store.Settings {
+	var upgrades []store.Upgrade
+	for _, up := range learned.Upgrades {
+		upgrades = append(upgrades, up)
+	}
+	return store.Settings{MostBytes: most, Upgrades: map[string][]store.Upgrade{learned.Kind: upgrades}}
+}
 
 func (k *Keeper) open() (report store.Report, err error) {
 	k.store, report, err = store.Open(k.set.FS, k.bounds())
--- a/internal/host/keeper/keeper_test.go
+++ b/internal/host/keeper/keeper_test.go
@@ -119,6 +119,35 @@
 	}
 }
 
+// What an agent of the first format kept is taken by one of this format, and written in it.
+func TestFirstFormat(t *testing.T) {
+	fs := crashfs.New()
+	life(t, fs, "n1", `"learned: written"`)
+	st, _, err := store.Open(fs, store.Settings{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first []store.Record
+	for _, r := range st.All() { // what the second adds is absent in bodies that do not need it
+		r.Format = 1
+		first = append(first, r)
+	}
+	if err := errors.Join(st.Put(first...), st.Close()); err != nil {
+		t.Fatal(err)
+	}
+	past, said := life(t, fs, "n1", `"learned: written"`)
+	if past == nil || past.Left() != 1 {
+		t.Errorf("remembers %v\n%s", past, said)
+	}
+	records, _, err := store.Peek(fs, store.Settings{})
+	if err != nil || records[learned.SharedName()].Format != learned.Format {
+		t.Errorf("%v, format %d", err, records[learned.SharedName()].Format)
+	}
+	if _, err := learned.Upgrades[0]([]byte("neither")); err == nil {
+		t.Error("what is no body of the first format is taken for one")
+	}
+}
+
 // failing is a folder that fails at some operations.
 type failing struct {
 	mu sync.Mutex
--- a/internal/host/pool/pool.go
+++ b/internal/host/pool/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/life"
 	"ternbeam/internal/host/peek"
 )
@@ -32,6 +33,7 @@
 	IdleFor     time.Duration                                                     // an idle connection may still be used
 	Most        int                                                               // connections
 	Illegal     func(error)                                                       // takes steps that must not come; none where nil
+	Addresses   addresses.Settings                                                // of servers that have several
 }
 
 // Pool holds the connections to all servers. It may be used by several goroutines.
@@ -41,6 +43,9 @@
 	mu    sync.Mutex
 	book  *life.Book
 	turns map[*life.Conn]chan struct{} // closed when one that waits for a place has it
+	addrs *addresses.Book
+	extra int // dials beside the first of each race
+	began time.Time
 }
 
 // New returns an empty Pool.
@@ -51,7 +56,8 @@
 	if set.Illegal == nil {
 		set.Illegal = func(error) {}
 	}
-	return &Pool{set: set, book: life.NewBook(set.Most), turns: map[*life.Conn]chan struct{}{}}
+	return &Pool{set: set, book: life.NewBook(set.Most), turns: map[*life.Conn]chan struct{}{},
+		addrs: addresses.NewBook(set.Addresses), began: time.Now()}
 }
 
 // Acquire returns an idle connection on which the protocol was spoken, or dials a new one: a server that speaks
@@ -76,7 +82,7 @@
 	}
 
 	p.heed(at.Dial())
-	socket, err := p.set.Dial(ctx, "tcp", s.Addr)
+	socket, err := p.dial(ctx, s)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -89,6 +95,110 @@
 	return c, nil
 }
 
+// dial connects to a server, by the one of its addresses that comes up first.
+func (p *Pool) dial(ctx context.Context, s *life.Server) (net.Conn, error) {
+	if len(s.Addrs) < 2 {
+		_, network, target := addresses.Of(s.Addr)
+		return p.set.Dial(ctx, network, target)
+	}
+	return p.race(ctx, s)
+}
+
+// Worked returns which of a server's addresses connected last, as far as that is remembered; empty for none.
+func (p *Pool) Worked(addrs []string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addrs.Best(time.Since(p.began), addrs)
+}
+
+// Remember takes addresses that connected in an earlier life.
+func (p *Pool) Remember(worked []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, addr := range worked {
+		p.addrs.Worked(time.Since(p.began), addr)
+	}
+}
+
+// dialled is what came of a dial.
+type dialled struct {
+	addr string
+	conn net.Conn
+	err  error
+}
+
+// race dials several addresses as the race says, and closes what does not win.
+func (p *Pool) race(ctx context.Context, s *life.Server) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.mu.Lock()
+	r := p.addrs.Race(time.Since(p.began), s.Addrs)
+	p.mu.Unlock()
+	results := make(chan dialled, len(s.Addrs)) // so that who comes too late need not wait
+	out, beside := 0, 0
+	defer func() {
+		go func() { // those that are under way, which the context ends
+			for range out {
+				if d := <-results; d.conn != nil {
+					d.conn.Close()
+				}
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.extra -= beside
+		}()
+	}()
+	var last error
+	for {
+		p.mu.Lock()
+		open, _, _ := p.book.Count()
+		dial := r.Start(time.Since(p.began), p.set.Most-open-p.extra+beside)
+		due, more := r.Due()
+		p.extra -= beside
+		beside = max(0, out+len(dial)-1)
+		p.extra += beside
+		p.mu.Unlock()
+		for _, addr := range dial {
+			out++
+			go func() {
+				_, network, target := addresses.Of(addr)
+				conn, err := p.set.Dial(ctx, network, target)
+				results <- dialled{addr, conn, err}
+			}()
+		}
+		var next <-chan time.Time
+		if wait := due - time.Since(p.began); more && wait > 0 {
+			timer := time.NewTimer(wait)
+			defer timer.Stop()
+			next = timer.C
+		}
+		select {
+		case d := <-results:
+			out--
+			p.mu.Lock()
+			now, lost := time.Since(p.began), false
+			if d.err == nil {
+				r.Connected(now, d.addr)
+			} else {
+				lost = r.Failed(now, d.addr)
+			}
+			p.mu.Unlock()
+			if d.err == nil {
+				return d.conn, nil
+			}
+			if last = d.err; lost {
+				return nil, last
+			}
+		case <-next:
+		case <-ctx.Done():
+			p.mu.Lock()
+			r.GaveUp(time.Since(p.began))
+			p.mu.Unlock()
+			return nil, errors.Join(context.Cause(ctx), last)
+		}
+	}
+}
+
 // heed passes on a step that must not come.
 func (p *Pool) heed(err error) {
 	if err != nil {
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/exchange"
 	"ternbeam/internal/host/pool"
@@ -25,16 +26,24 @@
 // New returns a transport; the fields are the figures of load reports.
 func New(p *pool.Pool, fields []string) *exchange.Transport {
 	return &exchange.Transport{Pool: p, Stall: exchange.Stall, Begin: func(at *core.Attempt) exchange.Talk {
-		return talk{request: at.Call.Payload.(*httpmsg.Request), addr: at.Server.Addr, fields: fields}
+		return talk{request: at.Call.Payload.(*httpmsg.Request), host: host(at.Server.Addr), fields: fields}
 	}}
 }
 
 type talk struct {
 	request *httpmsg.Request
-	addr    string
+	host    string
 	fields  []string
 }
 
+// host is what the Host header says of an address. A Unix socket has no host (RFC 9110, section 7.2, asks for one).
+func host(addr string) string {
+	if kind, _, _ := addresses.Of(addr); kind == addresses.Unix {
+		return "localhost"
+	}
+	return addr
+}
+
 // passedOn are the headers that go on to a server. X-Time-Left is worded anew.
 var passedOn = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "Idempotency-Key", "X-Repeat",
 	"X-Weight-Hint", "X-Facts", "Content-Type"}
@@ -45,7 +54,7 @@
 	target := (&url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}).RequestURI()
 	m := make([]byte, 0, 512+len(r.Body))
 	m = append(append(append(append(m, r.Method...), ' '), target...), " HTTP/1.1\r\nHost: "...)
-	m = append(append(m, t.addr...), "\r\n"...)
+	m = append(append(m, t.host...), "\r\n"...)
 	for _, name := range passedOn {
 		for _, v := range r.Header[name] {
 			m = append(append(append(append(m, name...), ": "...), v...), "\r\n"...)
--- a/internal/lab/explore/host.go
+++ b/internal/lab/explore/host.go
@@ -108,7 +108,7 @@
 // opened says that the dial of an attempt succeeded.
 func (w *world) opened(t *try) {
 	t.Heed(t.Life.Connect())
-	t.Heed(w.book.Open(t.conn, &on{by: -1}))
+	t.Heed(w.book.Open(t.conn, &on{by: -1, to: w.process(t.Server.ID)}))
 	w.carry(t, t.conn)
 }
 
@@ -128,7 +128,7 @@
 		w.checkEnding(t)
 		return
 	}
-	w.checkSend(t, now.Retired)
+	w.checkSend(t)
 }
 
 // write says that so many bytes are written.
--- a/internal/lab/explore/key.go
+++ b/internal/lab/explore/key.go
@@ -46,8 +46,8 @@
 	}
 	slices.Sort(timers)
 	num(timers...)
-	for _, s := range w.servers {
-		num(int(s.State), int(s.Started))
+	for i, s := range w.servers {
+		num(int(s.State), int(s.Started), w.moves[i])
 	}
 	server := func(s *life.Server) {
 		to = append(append(to, s.ID...), 0)
@@ -93,12 +93,25 @@
 		}
 		num(t.call, t.Number, int(stage), int(t.SendBy))
 		server(t.Server)
-		flag(t.withdrawn && stage != life.Ended, t.ran, a.CanHaveRun(), t.hangs, t.rests, t.waits)
+		flag(t.withdrawn && stage != life.Ended, t.taken && stage != life.Ended, t.ran, a.CanHaveRun(), t.hangs, t.rests, t.waits)
 		if t.conn != nil && (exact || !w.wide()) {
 			num(int(t.conn.State()), slices.Index(w.book.Queue(), t.conn))
 		}
 	}
+	for _, c := range w.book.Idle() { // there is none in code that keeps its word
+		if p := c.Host.(*on).to; p != w.process(c.Server.ID) && !c.Server.Retired() {
+			num(p.server, int(p.started), p.moves)
+		}
+	}
+	for _, t := range w.tries {
+		if c := t.conn; c != nil && c.Host != nil {
+			p := c.Host.(*on).to
+			num(int(p.started), p.moves)
+		}
+	}
 	for _, l := range w.lines {
+		p := l.conn.Host.(*on).to
+		num(int(p.started), p.moves)
 		num(int(l.conn.State()), len(l.out))
 		server(l.conn.Server)
 		number := func(s *life.Slot) int {
--- a/internal/lab/explore/line.go
+++ b/internal/lab/explore/line.go
@@ -177,7 +177,7 @@
 		w.endDial(t, life.NoPlace)
 	case DialSucceeds:
 		t.Heed(t.Life.Connect())
-		t.Heed(w.book.Open(t.conn, &on{by: -1}))
+		t.Heed(w.book.Open(t.conn, &on{by: -1, to: w.process(t.Server.ID)}))
 		l = &line{conn: t.conn, life: life.NewLine(w.clock())}
 		t.conn = nil
 		w.lines = append(w.lines, l)
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -34,6 +34,12 @@
 	{"sent after the deadline", "internal/decide/life/attempt.go", "case now.Late || now.Over:", "case now.Over:", "unsafe"},
 	{"unsafe call sent again where servers are remembered as failing", "choice/choice.go", "case first == nil || c.Effect == Safe:", "case first == nil || c.Effect == Safe || s.failing >= recallFailing:", "ill"},
 	{"group not looked at where servers are remembered as failing", "choice/choice.go", "return s.Cell == first.srv.Cell", "return s.Cell == first.srv.Cell || s.failing >= recallFailing", "ill-keyed"},
+	{"server that drains keeps its life", "internal/decide/ledger/ledger.go", "s.Multiplexed != e.Multiplexed ||\n\t\te.State != choice.Ready) {", "s.Multiplexed != e.Multiplexed) {", "changes"},
+	{"server missing from the whole list keeps its life", "internal/decide/ledger/ledger.go", "if full && !named[id] {", "if false {", "changes"},
+	{"restarted server keeps its life and connections", "internal/decide/ledger/ledger.go", "s.Started != started || ", "", "reuse"},
+	{"server that moved keeps its life and connections", "internal/decide/ledger/ledger.go", "s.Addr != e.Addr || !slices.Equal(s.Addrs, e.Addrs) || ", "slices.Equal(nil, []int{1}) || ", "reuse"},
+	{"withdrawal not carried out", "internal/decide/ledger/ledger.go", "if call != nil && act.Attempt < len(call.attempts) && call.attempts[act.Attempt] != nil {", "if false {", "withdrawn"},
+	{"retired server's attempts are sent", "internal/decide/life/attempt.go", "case now.Retired:\n\t\ta.end(choice.ConnectFailed)", "case false:", "changes"},
 	{"answered after its client left", "internal/decide/ledger/ledger.go", "\t\tl.stats.Gone++\n\t\tl.end(call)\n", "\t\tl.stats.Gone++\n", "unsafe"},
 }
 
--- a/internal/lab/explore/properties.go
+++ b/internal/lab/explore/properties.go
@@ -39,26 +39,37 @@
 	}
 }
 
-// checkBegin: attempts never exceed the most allowed.
+// checkBegin: attempts never exceed the most allowed, and none is ordered at a server that drains or is gone.
 func (w *world) checkBegin(t *try) {
-	if c := w.of(t); c.attempts >= w.cfg.Attempts {
-		w.violate("%s has more than %d attempts", c.life.ID, c.attempts)
-	} else {
-		c.attempts++
+	c := w.of(t)
+	if c.attempts++; c.attempts > w.cfg.Attempts {
+		w.violate("%s has more than %d attempts", c.life.ID, w.cfg.Attempts)
+	}
+	if s := w.servers[w.process(t.Server.ID).server]; s.State != choice.Ready {
+		w.violate("attempt %d of %s is begun at %s after its drain", t.Number, c.life.ID, s.ID)
 	}
 }
 
-// checkSend: nothing is sent after a final answer or the deadline, nor to a server after its drain was told.
-func (w *world) checkSend(t *try, retired bool) {
+// checkSend: nothing is sent after a final answer or the deadline, nor to a server after its drain was told, nor to a
+// process that the list says is no more, nor after the module has withdrawn it. What was told is the world's own memory:
+// the code that is judged has no say in it.
+func (w *world) checkSend(t *try) {
 	c := w.of(t)
+	now := w.process(t.Server.ID)
+	conn := t.conn
+	if l, _ := w.lineOf(t); l != nil {
+		conn = l.conn
+	}
 	switch {
 	case len(c.answers) > 0 || c.left:
 		w.violate("attempt %d of %s is sent after its final answer", t.Number, c.life.ID)
-	case retired:
+	case w.servers[now.server].State != choice.Ready:
 		w.violate("attempt %d of %s is sent to %s after its drain", t.Number, c.life.ID, t.Server.ID)
+	case conn.Host.(*on).to != now:
+		w.violate("attempt %d of %s is sent on a connection to the former process of %s", t.Number, c.life.ID, t.Server.ID)
 	case w.now >= start+deadline:
 		w.violate("attempt %d of %s is sent after its deadline", t.Number, c.life.ID)
-	case t.withdrawn:
+	case t.taken:
 		w.violate("attempt %d of %s is sent after it was withdrawn", t.Number, c.life.ID)
 	}
 }
--- a/internal/lab/explore/steps.go
+++ b/internal/lab/explore/steps.go
@@ -19,6 +19,8 @@
 	Drain                        // the list says that a server drains; N is the server
 	Restart                      // it says that a server has restarted at its address
 	Gone                         // it says that a server is gone
+	Missing                      // the whole list comes, and a server is not in it
+	Moves                        // it says that a server has another address
 	Time                         // time passes to the next moment at which something is due
 	Fire                         // the loop takes the next timer that is due
 	Take                         // the loop takes the end of an attempt, which is N from here on
@@ -55,7 +57,8 @@
 // draws reports whether the module may draw in such a step.
 func (k Kind) draws() bool { return k == Ask || k == Fire || k == Take }
 
-var kindNames = [kinds]string{"asks", "leaves", "drains", "restarts", "is gone", "time passes",
+var kindNames = [kinds]string{"asks", "leaves", "drains", "restarts", "is gone", "is missing from the whole list", "moves",
+	"time passes",
 	"the loop fires a timer", "is over for the loop", "asks for a connection",
 	"asks for a connection, where the idle one has spoken unasked", "asks for a connection, where the idle one is closed",
 	"has waited long enough for a place", "dial succeeds", "dial fails", "is sent, if it still may be",
@@ -81,7 +84,7 @@
 	switch {
 	case s.Kind <= Leave:
 		return fmt.Sprintf("the client of call %d %s%s", s.N, kindNames[s.Kind], luck)
-	case s.Kind <= Gone:
+	case s.Kind <= Moves:
 		return fmt.Sprintf("the list says: server %d %s", s.N, kindNames[s.Kind])
 	case s.Kind <= Fire:
 		return kindNames[s.Kind] + luck
@@ -125,6 +128,10 @@
 			add(Drain, i)
 			add(Restart, i)
 			add(Gone, i)
+			if w.cfg.More {
+				add(Missing, i)
+				add(Moves, i)
+			}
 		}
 	}
 	under := false
@@ -323,7 +330,7 @@
 		w.calls[s.N].left = true
 		w.do(w.ledger.Left(w.now, w.calls[s.N].life))
 		w.wakeCall(int(s.N))
-	case Drain, Restart, Gone:
+	case Drain, Restart, Gone, Missing, Moves:
 		w.lists++
 		e := &w.servers[s.N]
 		switch s.Kind {
@@ -331,10 +338,22 @@
 			e.State = choice.Draining
 		case Gone:
 			e.State = choice.Gone
+		case Missing:
+			e.State = choice.Gone
+			var others []ledger.Entry
+			for i, o := range w.servers {
+				if o.State == choice.Ready {
+					others = append(others, w.entry(i))
+				}
+			}
+			w.do(w.ledger.List(w.now, true, others))
+			return
+		case Moves:
+			w.moves[s.N]++
 		case Restart:
 			e.Started = start
 		}
-		w.do(w.ledger.List(w.now, false, []ledger.Entry{{Server: *e, Addr: e.ID}}))
+		w.do(w.ledger.List(w.now, false, []ledger.Entry{w.entry(int(s.N))}))
 	case Time:
 		w.now = w.next()
 		w.wakeByTime()
@@ -343,6 +362,11 @@
 	}
 }
 
+// entry words a server as the list does.
+func (w *world) entry(i int) ledger.Entry {
+	return ledger.Entry{Server: w.servers[i], Addr: fmt.Sprint(w.servers[i].ID, " at ", w.moves[i])}
+}
+
 // wakeByTime ends the rest of those for which the time makes a difference: a keyed call that is being written, and what
 // may no longer be sent.
 func (w *world) wakeByTime() {
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -22,6 +22,7 @@
 	Attempts int             // the most that one call may have
 	Places   int             // for connections
 	Lists    int             // how many changes of the list may come
+	More     bool            `json:",omitempty"` // servers may be missing from the whole list, or move
 	Leaves   int             // how many clients may leave
 	Cells    int             // over which the servers are spread
 	Past     Past            `json:",omitempty"`
@@ -100,9 +101,10 @@
 	lines   []*line // whose connections are in use or idle
 	timers  []timer
 	calls   []*call
-	servers []choice.Server
-	tries   []*try // attempts that the loop has not taken the end of, by their calls: in what order they were begun is a matter of names
-	begun   int    // attempts
+	servers []choice.Server // as the list has told of them: the world's own memory, which nobody else changes
+	moves   []int           // how often each has moved to another address, by the list
+	tries   []*try          // attempts that the loop has not taken the end of, by their calls: in what order they were begun is a matter of names
+	begun   int             // attempts
 	lists   int
 	leaves  int
 	fault   string // the first property that does not hold
@@ -139,18 +141,55 @@
 	call      int
 	cell      int
 	conn      *life.Conn // that it waits for or has
-	withdrawn bool
-	ran       bool // its server may have run it, and has not said otherwise
-	unsent    bool // it ended when it was to be sent
-	waits     bool // for another's dial
-	hangs     bool // nothing more comes by the network
-	rests     bool // its host takes no step until something changes that it depends on
+	withdrawn bool       // its host has been told
+	taken     bool       // the module has withdrawn it
+	ran       bool       // its server may have run it, and has not said otherwise
+	unsent    bool       // it ended when it was to be sent
+	waits     bool       // for another's dial
+	hangs     bool       // nothing more comes by the network
+	rests     bool       // its host takes no step until something changes that it depends on
 }
 
 // on is what is on a connection.
 type on struct {
-	foreign bool // bytes that nobody asked for
-	by      int  // the attempt that it carries, or -1
+	foreign bool    // bytes that nobody asked for
+	by      int     // the attempt that it carries, or -1
+	to      process // at its other end
+}
+
+// process is one life of a server at one address, as the list told of it when a connection to it came up.
+type process struct {
+	server  int
+	started time.Duration
+	moves   int
+}
+
+// process is the one that a server is now, by all that the list has told.
+func (w *world) process(id string) process {
+	i := slices.IndexFunc(w.servers, func(s choice.Server) bool { return s.ID == id })
+	return process{i, w.servers[i].Started, w.moves[i]}
+}
+
+// watched is the module as the ledger has it: what it withdraws is noted, whatever the ledger makes of that.
+type watched struct {
+	*choice.Balancer
+	w *world
+}
+
+// Handle hands an event on and looks at what is ordered.
+func (m watched) Handle(now time.Duration, ev choice.Event) []choice.Action {
+	actions := m.Balancer.Handle(now, ev)
+	for _, a := range actions {
+		if a.Kind != choice.Cancel {
+			continue
+		}
+		for _, t := range m.w.tries {
+			if t.Call.ID == a.Request && t.Number == a.Attempt {
+				t.taken, t.rests = true, false
+			}
+		}
+	}
+	return actions
 }
 
 // newWorld returns the world before anything has happened.
@@ -173,13 +212,13 @@
 	if w.module, err = choice.NewWithSource(w.set, w.chance); err != nil {
 		panic(err) // of plain values
 	}
-	w.ledger = ledger.New(w.books(), w.module)
+	w.ledger = ledger.New(w.books(), watched{w.module, w})
 	w.book = life.NewBook(cfg.Places)
 	var entries []ledger.Entry
 	for i := range cfg.Servers {
 		s := choice.Server{ID: fmt.Sprint("server ", i), Cell: i % max(1, cfg.Cells)}
-		w.servers = append(w.servers, s)
-		entries = append(entries, ledger.Entry{Server: s, Addr: s.ID})
+		w.servers, w.moves = append(w.servers, s), append(w.moves, 0)
+		entries = append(entries, w.entry(i))
 	}
 	if cfg.Past != NoPast {
 		w.now = start - time.Second // looks come every 50 ms from then on
@@ -275,9 +314,9 @@
 func (w *world) copy() *world {
 	twins := ledger.NewTwins()
 	c := &world{cfg: w.cfg, set: w.set, now: w.now, chance: &chance{}, timers: slices.Clone(w.timers),
-		servers: slices.Clone(w.servers), begun: w.begun, lists: w.lists, leaves: w.leaves, fault: w.fault}
+		servers: slices.Clone(w.servers), moves: slices.Clone(w.moves), begun: w.begun, lists: w.lists, leaves: w.leaves, fault: w.fault}
 	c.module = w.module.Copy(c.chance)
-	c.ledger = w.ledger.Copy(c.books(), c.module, twins)
+	c.ledger = w.ledger.Copy(c.books(), watched{c.module, c}, twins)
 	conns := life.Twins[life.Conn]{Fill: func(o, twin *life.Conn) {
 		var host any
 		if what, ok := o.Host.(*on); ok {
--- a/internal/lab/killer/killer.go
+++ b/internal/lab/killer/killer.go
@@ -253,7 +253,7 @@
 
 // look judges the folder that a kill left, by what the agent had confirmed.
 func (w *world) look(n, writes int) error {
-	records, report, err := store.Peek(store.Dir(w.folder), store.Settings{})
+	records, report, err := store.Peek(store.Dir(w.folder), keeper.Bounds(0))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -151,7 +151,8 @@
 	return distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975) * stat.StdDev(all, nil) / math.Sqrt(n)
 }
 
-func row(name string, losses []float64) Row {
+// NewRow sums up what a variant lost, by seed.
+func NewRow(name string, losses []float64) Row {
 	r := Row{Name: name, Losses: losses, Mean: stat.Mean(losses, nil), Interval: interval(losses)}
 	for _, x := range losses {
 		r.Worst = max(r.Worst, x)
@@ -191,7 +192,7 @@
 	work.Wait()
 	var rows []Row
 	for i, v := range variants {
-		rows = append(rows, row(v.Name, losses[i]))
+		rows = append(rows, NewRow(v.Name, losses[i]))
 	}
 	for _, base := range rows {
 		if base.Name != Without {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -27,6 +27,7 @@
 	Cores  int
 	Speed  float64 // work done in a second of a core, in seconds
 	Silent bool    // it takes calls and answers none
+	dead   bool    // it refuses connections
 }
 
 // Config is a world.
@@ -38,6 +39,7 @@
 	Work    []time.Duration // mean work of a call, by class; exponentially spread
 	Network time.Duration   // one way
 	Reports bool            // answers say the server's load
+	Told    bool            // the agent knows of no server but those that Tell names
 	Seed    uint64
 }
 
@@ -204,6 +206,9 @@
 	w.do(a, a.ledger.Start(w.now))
 	var entries []ledger.Entry
 	for _, s := range w.cfg.Servers {
+		if w.cfg.Told {
+			break
+		}
 		entries = append(entries, ledger.Entry{Server: choice.Server{ID: s.ID, Weight: 1}, Addr: s.ID})
 	}
 	if past != nil {
@@ -214,13 +219,32 @@
 	return nil
 }
 
+// Add starts a server, which the agent does not know by that.
+func (w *World) Add(s Server) { w.servers[s.ID] = &server{Server: s, since: w.now} }
+
+// Kill ends a server: it refuses connections, and what it has in hand is never answered.
+func (w *World) Kill(id string) {
+	s := w.servers[id]
+	s.dead, s.Silent, s.queue = true, true, nil
+}
+
+// At lets something happen at a time.
+func (w *World) At(at time.Duration, do func()) { w.after(at-w.now, do) }
+
+// Tell tells the agent of changes of its list. The address of a server is its id in this world.
+func (w *World) Tell(changes []ledger.Entry) {
+	if len(changes) > 0 {
+		w.do(w.agent, w.agent.ledger.List(w.now, false, changes))
+	}
+}
+
 // Clock is that of the agent's machine.
 func (w *World) Clock() learned.Clock { return learned.Clock{Wall: w.now, Boot: w.now, BootID: bootID} }
 
 // Kept is what the agent would keep now.
 func (w *World) Kept() learned.State {
 	var l ledger.Learned
-	w.agent.ledger.Export(w.now, &l)
+	w.agent.ledger.Export(w.now, &l, nil)
 	return learned.New(w.Clock(), "sim", l.Memory, l.Servers, l.Fleet, nil)
 }
 
@@ -259,11 +283,15 @@
 	p := at.Call.Payload.(*payload)
 	p.call.Attempts++
 	w.after(at.End-w.now, func() { w.end(a, t, ledger.Ended(choice.TimedOut)) })
-	s := w.servers[at.Server.ID]
+	s := w.servers[at.Server.Addr]
 	mean := float64(w.cfg.Work[at.Call.Class])
 	work := time.Duration(-math.Log(w.luck(p.n, "work"))*mean/s.Speed) + 1
 	w.after(w.cfg.Network, func() {
-		if s.Silent {
+		switch {
+		case s == nil || s.dead:
+			w.after(w.cfg.Network, func() { w.end(a, t, ledger.Ended(choice.ConnectFailed)) })
+			return
+		case s.Silent:
 			return
 		}
 		w.serve(s, &job{work, func() {
@@ -297,7 +325,9 @@
 		s.pass(w.now)
 		s.busy--
 		s.done += 1 / horizon.Seconds()
-		j.then()
+		if !s.dead {
+			j.then()
+		}
 		if len(s.queue) > 0 && s.busy < s.Cores {
 			next := s.queue[0]
 			s.queue = s.queue[1:]
--- a/internal/settings/stateconf/stateconf.go
+++ b/internal/settings/stateconf/stateconf.go
@@ -49,6 +49,7 @@
 		TimesS    *float64 `toml:"times_s"`
 		TrafficS  *float64 `toml:"traffic_s"`
 		ColdS     *float64 `toml:"cold_s"`
+		AddressS  *float64 `toml:"address_s"`
 	} `toml:"half_life"`
 	Bounds struct {
 		Bend    *float64 `toml:"bend"`
@@ -102,6 +103,7 @@
 	span("half_life.times_s", h.TimesS, time.Second, 1, year, &a.Times)
 	span("half_life.traffic_s", h.TrafficS, time.Second, 1, year, &a.Traffic)
 	span("half_life.cold_s", h.ColdS, time.Second, 1, year, &a.Cold)
+	span("half_life.address_s", h.AddressS, time.Second, 1, year, &a.Address)
 	plain("bounds.bend", f.Bounds.Bend, 1, 16, &a.Bend)
 	span("bounds.forget_h", f.Bounds.ForgetH, time.Hour, 0.001, 8760, &a.Forget)
 	return c, src.Err()
