--- a/internal/agent/sources_test.go
+++ b/internal/agent/sources_test.go
@@ -347,6 +347,68 @@
 	}
 }
 
+// The dial to the first address succeeds and the reply stalls: nothing goes by way of another address unless the module
+// orders an attempt, and of a call that must not run twice none ever does.
+func TestStalledReply(t *testing.T) {
+	for _, sp := range speeches[:3] {
+		for _, method := range []standin.Method{standin.Record, standin.Pay} {
+			t.Run(fmt.Sprint(sp.name, method), func(t *testing.T) {
+				t.Parallel()
+				server, err := standin.Start(standin.Options{ID: "many", Protocol: sp.protocol})
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(server.Close)
+				swallows, err := net.Listen("tcp", "[::1]:0") // takes all and answers nothing: the call may have run
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { swallows.Close() })
+				go func() {
+					for {
+						c, err := swallows.Accept()
+						if err != nil {
+							return
+						}
+						t.Cleanup(func() { c.Close() })
+					}
+				}()
+				e := server.Entry()
+				e.Addr, e.Addrs = server.Addr(), []string{server.Addr(), swallows.Addr().String()}
+				list, err := standin.NewList(e)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(list.Close)
+				cfg, service, err := standin.Platform{Discovery: list.Addr(), Known: list.Full(), Deadline: 700 * time.Millisecond,
+					Window: 300 * time.Millisecond}.Load()
+				if err != nil {
+					t.Fatal(err)
+				}
+				r := startWith(t, cfg, service)
+				addr := r.thrift
+				if sp.protocol == "http" {
+					addr = cfg.Listen
+				}
+				kiosk, err := standin.NewKiosk(sp.protocol, addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(kiosk.Close)
+				a := ask(method, "stalls")
+				a.Left = 700 * time.Millisecond
+				if got := kiosk.Ask(a); got.Kind != standin.Failed {
+					t.Errorf("%v, %v", got.Kind, got.Err)
+				}
+				testkit.Eventually(t, "the agent is at rest", func() bool { return r.Snapshot().Held == 0 })
+				if n := server.Accepted(); n != 0 {
+					t.Errorf("the second address got %d connections", n)
+				}
+			})
+		}
+	}
+}
+
 // forward passes what comes at another address on to a server.
 func forward(t *testing.T, network, addr, to string) string {
 	t.Helper()
--- a/internal/decide/addresses/addresses.go
+++ b/internal/decide/addresses/addresses.go
@@ -57,7 +57,6 @@
 type Book struct {
 	set   Settings
 	known map[string]*record // by address
-	swept time.Duration
 }
 
 type record struct {
@@ -224,3 +223,28 @@
 		r.out = slices.Delete(r.out, i, i+1)
 	}
 }
+
+// Copies are how an explorer tries what may come next from one state, several times.
+
+// Copy returns an equal Book.
+func (b *Book) Copy() *Book {
+	twin := &Book{set: b.set, known: make(map[string]*record, len(b.known))}
+	for addr, r := range b.known {
+		same := *r
+		twin.known[addr] = &same
+	}
+	return twin
+}
+
+// Copy returns an equal Race over an equal Book; nil is its own.
+func (r *Race) Copy(book *Book) *Race {
+	if r == nil {
+		return nil
+	}
+	twin := *r
+	twin.book, twin.out = book, slices.Clone(r.out)
+	return &twin
+}
+
+// Out lists the addresses that are being dialled, in the order in which that was begun.
+func (r *Race) Out() []string { return r.out }
--- a/internal/lab/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -76,6 +76,8 @@
 		"two calls":         {Servers: 2, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 1, Places: 2},
 		"two calls, change": {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 1, Places: 1, Lists: 1},
 		"copies":            {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 2, Past: Quick},
+		"a race of dials":   {Servers: 1, Calls: []choice.Effect{choice.Unsafe}, Attempts: 1, Places: 2, Lists: 1, Races: true},
+		"more changes":      {Servers: 1, Calls: []choice.Effect{choice.Unsafe}, Attempts: 1, Places: 1, Lists: 2, More: true},
 		"withdrawals":       {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Past: Quick},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/explore/host.go
+++ b/internal/lab/explore/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/ledger"
@@ -58,7 +59,7 @@
 	}
 	t.conn = c
 	if c.State() == life.Dialled {
-		t.Heed(t.Life.Dial())
+		w.dial(t)
 	}
 	w.wakeBook(t.Server, lent)
 }
@@ -67,12 +68,68 @@
 func (w *world) granted(c *life.Conn) {
 	for _, t := range w.tries {
 		if c != nil && t.conn == c && t.Life.Stage() == life.Placing {
-			t.Heed(t.Life.Dial())
+			w.dial(t)
 			t.rests = false
 		}
 	}
 }
 
+// dial begins to dial: one address, or where there are two a race.
+func (w *world) dial(t *try) {
+	t.Heed(t.Life.Dial())
+	if w.cfg.Races {
+		t.race = w.addrs.Race(w.now, w.addrsOf(t.Server.ID))
+		t.race.Start(w.now, w.room())
+	}
+}
+
+// addrsOf are the addresses of a server.
+func (w *world) addrsOf(id string) []string {
+	return []string{"127.0.0.1:1 of " + id, "127.0.0.1:2 of " + id}
+}
+
+// room is how many dials there may be beside the first of each race.
+func (w *world) room() int {
+	open, _, _ := w.book.Count()
+	return w.cfg.Places - open
+}
+
+// raceOptions are what a race may come to, beside what its first dial does.
+func (w *world) raceOptions(t *try) (all []Kind) {
+	if t.race == nil {
+		return nil
+	}
+	if _, more := t.race.Due(); more && len(t.race.Out()) <= w.room() {
+		all = append(all, DialNext)
+	}
+	if len(t.race.Out()) > 1 {
+		all = append(all, SecondSucceeds, SecondFails)
+	}
+	return all
+}
+
+// dialMore dials what the race says by some time.
+func (w *world) dialMore(t *try, by time.Duration) { t.race.Start(max(by, w.now), w.room()) }
+
+// connected says that one of an attempt's dials succeeded. A connection that does not win is closed at once.
+func (w *world) connected(t *try, n int) {
+	if t.race == nil || t.race.Connected(w.now, t.race.Out()[n]) {
+		w.opened(t)
+	}
+}
+
+// dialFailed says that one of an attempt's dials failed.
+func (w *world) dialFailed(t *try, n int) {
+	if t.race == nil || t.race.Failed(w.now, t.race.Out()[n]) {
+		w.fail(t, life.Broken)
+		return
+	}
+	w.dialMore(t, w.now)
+	if len(t.race.Out()) == 0 {
+		w.violate("attempt %d dials nothing, and its race is not lost", t.n)
+	}
+}
+
 // idle is the idle connection that an attempt would get, or nil.
 func (w *world) idle(t *try) (last *life.Conn) {
 	for _, c := range w.book.Idle() {
--- a/internal/lab/explore/key.go
+++ b/internal/lab/explore/key.go
@@ -98,6 +98,24 @@
 			num(int(t.conn.State()), slices.Index(w.book.Queue(), t.conn))
 		}
 	}
+	if w.cfg.Races {
+		for _, s := range w.servers {
+			for _, addr := range w.addrs.Order(w.now, w.addrsOf(s.ID)) {
+				to = append(append(to, addr...), 0)
+			}
+		}
+		for _, t := range w.tries {
+			if t.race == nil {
+				continue
+			}
+			_, more := t.race.Due()
+			flag(more)
+			for _, addr := range t.race.Out() {
+				to = append(append(to, addr...), 0)
+			}
+			num(len(t.race.Out()), t.sent)
+		}
+	}
 	for _, c := range w.book.Idle() { // there is none in code that keeps its word
 		if p := c.Host.(*on).to; p != w.process(c.Server.ID) && !c.Server.Retired() {
 			num(p.server, int(p.started), p.moves)
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -40,6 +40,8 @@
 	{"server that moved keeps its life and connections", "internal/decide/ledger/ledger.go", "s.Addr != e.Addr || !slices.Equal(s.Addrs, e.Addrs) || ", "slices.Equal(nil, []int{1}) || ", "reuse"},
 	{"withdrawal not carried out", "internal/decide/ledger/ledger.go", "if call != nil && act.Attempt < len(call.attempts) && call.attempts[act.Attempt] != nil {", "if false {", "withdrawn"},
 	{"retired server's attempts are sent", "internal/decide/life/attempt.go", "case now.Retired:\n\t\ta.end(choice.ConnectFailed)", "case false:", "changes"},
+	{"every dial that succeeds wins", "internal/decide/addresses/addresses.go", "wins = !r.won", "wins = true", "races"},
+	{"race lost while a dial is out", "internal/decide/addresses/addresses.go", "return !r.won && len(r.out) == 0 && r.next >= len(r.addrs)", "return false", "races"},
 	{"answered after its client left", "internal/decide/ledger/ledger.go", "\t\tl.stats.Gone++\n\t\tl.end(call)\n", "\t\tl.stats.Gone++\n", "unsafe"},
 }
 
--- a/internal/lab/explore/properties.go
+++ b/internal/lab/explore/properties.go
@@ -56,6 +56,9 @@
 func (w *world) checkSend(t *try) {
 	c := w.of(t)
 	now := w.process(t.Server.ID)
+	if t.sent++; t.sent > 1 {
+		w.violate("attempt %d of %s is sent on two connections", t.Number, c.life.ID)
+	}
 	conn := t.conn
 	if l, _ := w.lineOf(t); l != nil {
 		conn = l.conn
--- a/internal/lab/explore/steps.go
+++ b/internal/lab/explore/steps.go
@@ -30,6 +30,10 @@
 	NoPlace                      // it gives up waiting for a place
 	DialSucceeds                 // its dial succeeds
 	DialFails                    // its dial fails
+	DialNext                     // the dial takes long, and the next address is dialled beside it
+	SecondSucceeds               // the dial that was begun second succeeds
+	SecondFails                  // it fails
+	LoserConnects                // a dial succeeds after another one has
 	Send                         // it is sent, if that is still right
 	WriteAll                     // its last byte is written
 	WriteNone                    // the connection breaks before any byte is written
@@ -61,7 +65,8 @@
 	"time passes",
 	"the loop fires a timer", "is over for the loop", "asks for a connection",
 	"asks for a connection, where the idle one has spoken unasked", "asks for a connection, where the idle one is closed",
-	"has waited long enough for a place", "dial succeeds", "dial fails", "is sent, if it still may be",
+	"has waited long enough for a place", "dial succeeds", "dial fails", "dials the next address, too", "second dial succeeds",
+	"second dial fails", "other dial succeeds after the first", "is sent, if it still may be",
 	"last byte is written", "breaks before the first byte", "breaks before the last byte", "breaks, nobody can tell where",
 	"is turned away before all is written", "is answered with an error before all is written", "is served",
 	"is answered with an error", "is turned away", "is served twice", "gets a garbled answer", "breaks after the last byte",
@@ -205,9 +210,13 @@
 		return rest(!w.wide() && (t.conn == nil || w.now < t.End))
 	case life.Dialling:
 		all = append(all, DialSucceeds, DialFails)
+		all = append(all, w.raceOptions(t)...)
 		return hang()
 	case life.Ready:
 		all = append(all, Send)
+		if t.race != nil && len(t.race.Out()) > 0 {
+			all = append(all, LoserConnects)
+		}
 		return rest(!t.withdrawn && w.now < t.End)
 	case life.Writing:
 		if t.SendBy == 0 || w.now < t.SendBy { // or the write's deadline is over
@@ -220,6 +229,9 @@
 		return hang()
 	case life.Waiting:
 		all = append(all, AnswerOK, AnswerError, AnswerReject, AnswerTwice, AnswerGarbled, Reset)
+		if t.race != nil && len(t.race.Out()) > 0 {
+			all = append(all, LoserConnects)
+		}
 		return hang()
 	}
 	if t.conn != nil {
@@ -261,9 +273,18 @@
 	case NoPlace:
 		w.fail(t, life.NoPlace)
 	case DialSucceeds:
-		w.opened(t)
+		w.connected(t, 0)
 	case DialFails:
-		w.fail(t, life.Broken)
+		w.dialFailed(t, 0)
+	case DialNext:
+		due, _ := t.race.Due()
+		w.dialMore(t, due)
+	case SecondSucceeds:
+		w.connected(t, 1)
+	case SecondFails:
+		w.dialFailed(t, 1)
+	case LoserConnects:
+		w.connected(t, 0)
 	case Send:
 		w.send(t)
 	case WriteAll:
--- a/internal/lab/explore/story.go
+++ b/internal/lab/explore/story.go
@@ -152,6 +152,8 @@
 	"withdrawn":  {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 1, Past: Quick},
 	"changes":    {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 1, Lists: 2, More: true, Cells: 1},
 	"reuse":      {Servers: 1, Calls: []choice.Effect{choice.Safe, choice.Unsafe}, Attempts: 1, Places: 1, Lists: 1, More: true, Cells: 1},
+	"races":      {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Lists: 1, Leaves: 1, Cells: 1, Races: true},
+	"race-place": {Servers: 1, Calls: []choice.Effect{choice.Keyed, choice.Safe}, Attempts: 1, Places: 2, Cells: 1, Races: true},
 	"line":       {Servers: 1, Calls: []choice.Effect{choice.Unsafe, choice.Safe}, Attempts: 1, Places: 1, Cells: 1, Lines: true},
 	"lines":      {Servers: 1, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Lists: 1, Leaves: 1, Cells: 1, Lines: true},
 	"line-late":  {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Cells: 1, Past: Quick, Lines: true},
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/decide/life"
 )
@@ -26,6 +27,7 @@
 	Leaves   int             // how many clients may leave
 	Cells    int             // over which the servers are spread
 	Past     Past            `json:",omitempty"`
+	Races    bool            `json:",omitempty"` // each server has two addresses
 	Lines    bool            `json:",omitempty"` // a connection carries several calls at a time
 	Plain    bool            `json:",omitempty"` // every order of steps that do not touch one another is tried, too
 }
@@ -98,6 +100,7 @@
 	ledger  *ledger.Ledger
 	module  *choice.Balancer
 	book    *life.Book
+	addrs   *addresses.Book
 	lines   []*line // whose connections are in use or idle
 	timers  []timer
 	calls   []*call
@@ -140,14 +143,16 @@
 	n         int // among all
 	call      int
 	cell      int
-	conn      *life.Conn // that it waits for or has
-	withdrawn bool       // its host has been told
-	taken     bool       // the module has withdrawn it
-	ran       bool       // its server may have run it, and has not said otherwise
-	unsent    bool       // it ended when it was to be sent
-	waits     bool       // for another's dial
-	hangs     bool       // nothing more comes by the network
-	rests     bool       // its host takes no step until something changes that it depends on
+	conn      *life.Conn      // that it waits for or has
+	withdrawn bool            // its host has been told
+	taken     bool            // the module has withdrawn it
+	race      *addresses.Race // its dials, where servers have several addresses
+	sent      int             // on how many connections it was begun
+	ran       bool            // its server may have run it, and has not said otherwise
+	unsent    bool            // it ended when it was to be sent
+	waits     bool            // for another's dial
+	hangs     bool            // nothing more comes by the network
+	rests     bool            // its host takes no step until something changes that it depends on
 }
 
 // on is what is on a connection.
@@ -213,7 +218,7 @@
 		panic(err) // of plain values
 	}
 	w.ledger = ledger.New(w.books(), watched{w.module, w})
-	w.book = life.NewBook(cfg.Places)
+	w.book, w.addrs = life.NewBook(cfg.Places), addresses.NewBook(addresses.Defaults)
 	var entries []ledger.Entry
 	for i := range cfg.Servers {
 		s := choice.Server{ID: fmt.Sprint("server ", i), Cell: i % max(1, cfg.Cells)}
@@ -325,7 +330,7 @@
 		}
 		o.CopyTo(twin, &twins.Servers, host)
 	}}
-	c.book = w.book.Copy(&conns, &twins.Servers)
+	c.book, c.addrs = w.book.Copy(&conns, &twins.Servers), w.addrs.Copy()
 	c.calls = make([]*call, len(w.calls))
 	for i, k := range w.calls {
 		same := *k
@@ -338,7 +343,7 @@
 		same := *t
 		same.Attempt = twins.Attempts.Of(t.Attempt)
 		same.Illegal = func(err error) { c.violate("%v", err) }
-		same.conn = conns.Of(t.conn)
+		same.conn, same.race = conns.Of(t.conn), t.race.Copy(c.addrs)
 		c.tries[i] = &same
 	}
 	c.lines = w.copyLines(twins, &conns)
