Servers without a tier are in the best one; a tier opens at once where no other works

A server that only SRV names, of priority 10, was in a worse tier than one that only the list names, which has none: work went nowhere near it. Whoever names no tier now puts a server into the best that was ever named. To hold back a part of a tier while nothing else works put all work on the other part. Tests of the commands that look at what is kept and at sources.

--- /dev/null
+++ b/cmd/ternbeam/state_test.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ternbeam/choice"
+	"ternbeam/internal/decide/aging"
+	"ternbeam/internal/decide/learned"
+	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/host/keeper"
+	"ternbeam/internal/host/members"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/store"
+)
+
+// kept writes a state of servers with a rate each into a new folder.
+func keptIn(t *testing.T, rates map[string]float64) string {
+	t.Helper()
+	dir := t.TempDir()
+	var servers []learned.Server
+	var fleet []uint64
+	for id, rate := range rates {
+		servers = append(servers, learned.Server{ServerMemory: choice.ServerMemory{ID: id, Rate: rate, Trust: 1, Failing: 0.5}, Addr: "127.0.0.1:80", Identity: 1})
+		fleet = append(fleet, 1)
+	}
+	at := keeper.Clock()
+	at.Wall, at.Boot = at.Wall-time.Minute, at.Boot-time.Minute
+	s := learned.New(at, "n1", choice.Memory{Classes: []choice.ClassMemory{{Name: "check", Usual: time.Second, Least: 1, Trust: 1}}}, servers, fleet, nil)
+	shared, err := learned.EncodeShared(s.Shared)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bucket, err := learned.EncodeBucket(s.Buckets[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	st, _, err := store.Open(store.Dir(dir), keeper.Bounds(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Put(store.Record{Name: learned.SharedName(), Kind: learned.Kind, Format: learned.Format, Body: shared},
+		store.Record{Name: learned.BucketName(0), Kind: learned.Kind, Format: learned.Format, Body: bucket}); err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// What is kept is shown with its age and worth, compared, checked and reset.
+func TestStateCommands(t *testing.T) {
+	dir := keptIn(t, map[string]float64{"a": 100, "b": 10})
+	found, err := peek(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := show(&out, found, aging.New(aging.Defaults, found.State), keeper.Clock(), true); err != nil {
+		t.Fatal(err)
+	}
+	var said struct {
+		Agent   string
+		Age     float64 `json:"age_s"`
+		Servers []shown
+	}
+	if err := json.Unmarshal(out.Bytes(), &said); err != nil {
+		t.Fatal(err)
+	}
+	if said.Agent != "n1" || len(said.Servers) != 2 || said.Age < 59 || said.Age > 90 || said.Servers[1].ID != "b" || said.Servers[1].Rate != 10 ||
+		said.Servers[1].RateNow != 25 || said.Servers[0].Trust >= 1 || said.Servers[0].Trust < 0.8 || said.Servers[0].FailsNow >= 0.5 {
+		t.Errorf("%+v", said)
+	}
+	out.Reset()
+	if err := show(&out, found, aging.New(aging.Defaults, found.State), keeper.Clock(), false); err != nil || !strings.Contains(out.String(), "1m") {
+		t.Errorf("%v\n%s", err, out.String())
+	}
+	other, err := peek(keptIn(t, map[string]float64{"a": 50, "c": 1}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var what []string
+	for _, d := range diff(found.State, other.State) {
+		what = append(what, d.ID+" "+d.What)
+	}
+	if got := strings.Join(what, ", "); got != "a changed, b no longer known, c new" {
+		t.Error(got)
+	}
+	if err := run([]string{"state", "verify", dir}); err != nil {
+		t.Error(err)
+	}
+	names, err := store.Dir(dir).List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if strings.HasPrefix(name, "snapshot") {
+			file := filepath.Join(dir, name)
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text[len(text)/2] ^= 1
+			if err := os.WriteFile(file, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := run([]string{"state", "verify", dir}); err == nil {
+		t.Error("a folder that was spoilt is good")
+	}
+	if err := run([]string{"state", "reset", dir}); err != nil {
+		t.Error(err)
+	}
+	if _, err := peek(dir); err == nil {
+		t.Error("something is left after a reset")
+	}
+}
+
+// The merged view of a list and SRV records: states, rules, and each source's word.
+func TestMembersView(t *testing.T) {
+	names, err := standin.NewNames()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer names.Close()
+	if err := names.Set("_forms._tcp.example.org. 60 SRV 1 5 8001 a.example.org.", "a.example.org. 60 A 127.0.0.1"); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "sources.toml")
+	if err := os.WriteFile(file, fmt.Appendf(nil, "[[dns]]\nname = \"_forms._tcp.example.org\"\nservers = [%q]\n", names.Addr()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	set, err := loadSources(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h := members.New(members.Settings{Config: *set, Log: slog.New(slog.DiscardHandler)})
+	h.Feed(ctx, func([]ledger.Entry) { cancel() })
+	var out bytes.Buffer
+	c := membersCommand{JSON: true}
+	if err := c.show(&out, h.Members()); err != nil {
+		t.Fatal(err)
+	}
+	var said []struct {
+		ID, State, Rule string
+		Addrs           []string
+		Facts           []struct{ Name, Value, Source string }
+	}
+	if err := json.Unmarshal(out.Bytes(), &said); err != nil {
+		t.Fatal(err)
+	}
+	if len(said) != 1 || said[0].State != "ready" || said[0].Addrs[0] != "127.0.0.1:8001" || said[0].Rule != "agreed" || len(said[0].Facts) != 4 {
+		t.Errorf("%s", out.String())
+	}
+	c.JSON = false
+	if out.Reset(); c.show(&out, h.Members()) != nil || !strings.Contains(out.String(), "[127.0.0.1:8001]") {
+		t.Errorf("%s", out.String())
+	}
+}
+
+// Sample files are good; what is wrong in one is named by line and key.
+func TestCheckOfNewFiles(t *testing.T) {
+	dir := t.TempDir()
+	for name, c := range map[string]struct{ text, want string }{
+		"state.toml":   {"folder = \"kept\"\n[write]\nleast_s = 0\nmost = 1\n", "line 1: folder: must be the full path"},
+		"sources.toml": {"[guard]\nshare = 2\n[[dns]]\nname = \"x\"\n", "line 2: guard.share: must be from 0 to 1"},
+	} {
+		file := filepath.Join(dir, name)
+		if err := os.WriteFile(file, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out bytes.Buffer
+		if err := check([]string{file}, &out); err == nil || !strings.Contains(out.String(), c.want) || strings.Count(out.String(), "line") < 3 {
+			t.Errorf("%s: %v\n%s", name, err, out.String())
+		}
+		out.Reset()
+		if err := check([]string{filepath.Join("../../deploy", name)}, &out); err != nil {
+			t.Errorf("the sample: %s", out.String())
+		}
+	}
+}
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -67,7 +67,8 @@
 	ID      string   // over all sources; empty where the source knows none
 	Addrs   []string // in the order in which they are to be tried
 	State   choice.State
-	Tier    int
+	Tiered  bool    // the source has tiers
+	Tier    int     // the least is the best
 	Weight  float64 // 0 is a weight, too
 	Details bool    // what follows is said
 	Zone    int
@@ -81,7 +82,7 @@
 func (c *Claim) same(o *Claim) bool {
 	a, b := *c, *o
 	a.Addrs, b.Addrs = nil, nil
-	return slices.Equal(c.Addrs, o.Addrs) && a.Key == b.Key && a.ID == b.ID && a.State == b.State && a.Tier == b.Tier &&
+	return slices.Equal(c.Addrs, o.Addrs) && a.Key == b.Key && a.ID == b.ID && a.State == b.State && a.Tiered == b.Tiered && a.Tier == b.Tier &&
 		a.Weight == b.Weight && a.Details == b.Details && a.Zone == b.Zone && a.Cell == b.Cell && a.Started == b.Started &&
 		a.Speaks == b.Speaks && a.Multi == b.Multi
 }
@@ -106,8 +107,13 @@
 	touched []*member
 	changes []ledger.Entry
 	tiers   tiers
+	tiered  bool // a source has named a tier
+	best    int  // the best that any ever named: what a server is in of which nobody names one
 }
 
+// maxClaims bounds what one source may name.
+const maxClaims = 1 << 17
+
 type source struct {
 	Source
 	claims  map[string]*claim
@@ -276,6 +282,15 @@
 // claim takes what a source says of one server.
 func (s *Set) claim(src *source, c Claim, first bool) {
 	old := src.claims[c.Key]
+	if old == nil && len(src.claims) >= maxClaims {
+		return
+	}
+	if c.Tiered && (!s.tiered || c.Tier < s.best) {
+		s.tiered, s.best = true, c.Tier
+		for _, o := range s.sources {
+			s.touchAll(o)
+		}
+	}
 	if old != nil && old.member != nil && !s.movesIn(old, &c) {
 		changed := old.gone || old.leaves > 0 || !old.same(&c)
 		if old.gone || !old.same(&c) {
@@ -521,12 +536,9 @@
 		state, v.rule = choice.Gone, Lapsed
 	}
 	v.entry = s.entry(m, first, state)
-	v.tier = first.Tier
-	for _, c := range m.claims {
-		if !c.gone && !c.source.dead {
-			v.tier = c.Tier
-			break
-		}
+	v.tier = s.best
+	if i := slices.IndexFunc(m.claims, func(c *claim) bool { return !c.gone && c.Tiered }); i >= 0 {
+		v.tier = m.claims[i].Tier
 	}
 	v.ready = state == choice.Ready
 	s.tiers.place(m, v)
@@ -649,7 +661,9 @@
 			add("state", state, c.State == v.State)
 			add("addresses", fmt.Sprint(c.Addrs), true)
 			add("weight", fmt.Sprint(c.Weight), c.Weight == m.view.entry.Weight)
-			add("tier", fmt.Sprint(c.Tier), c.Tier == v.Tier)
+			if c.Tiered {
+				add("tier", fmt.Sprint(c.Tier), c.Tier == v.Tier)
+			}
 		}
 		all = append(all, v)
 	}
--- a/internal/decide/membership/tiers.go
+++ b/internal/decide/membership/tiers.go
@@ -95,13 +95,16 @@
 		switch parts := t.set.set.RampParts; {
 		case !of.open:
 			e.State, rule = choice.Draining, ClosedTier
-		case parts > 0 && m.place%parts >= of.parts:
+		case parts > 0 && m.place%parts >= of.parts && !m.works(): // who has work keeps it, by whatever tier's name
 			e.State, rule = choice.Draining, Ramping
 		}
 	}
 	t.set.say(m, e, rule, v.tier, v.ready)
 }
 
+// works reports whether the server was said to be ready.
+func (m *member) works() bool { return m.view.known && m.view.entry.State == choice.Ready }
+
 // pass lets time pass.
 func (t *tiers) pass() {
 	ramps := func(of *tier) bool { return of.open && of.parts < t.set.set.RampParts }
@@ -123,8 +126,8 @@
 		}
 		switch {
 		case i == 0 && !of.open:
-			// The best tier that there is takes all at once where it is the first; one that becomes the best ramps up.
-			t.open(of, t.want == of.weight && t.alone(of))
+			// Where no other tier works, to hold a part of the best back would put all work on the other part.
+			t.open(of, t.alone(of))
 		case i > 0 && !of.open && better < set.OpenBelow*t.want:
 			t.open(of, false)
 		case i > 0 && of.open && better >= set.CloseAbove*t.want:
--- a/internal/decide/resolve/resolve.go
+++ b/internal/decide/resolve/resolve.go
@@ -318,7 +318,7 @@
 			continue
 		}
 		here = true
-		c := membership.Claim{Key: fmt.Sprintf("%s:%d", t.Host, t.Port), Tier: int(t.Priority), Weight: float64(t.Weight), Speaks: r.set.Speaks}
+		c := membership.Claim{Key: fmt.Sprintf("%s:%d", t.Host, t.Port), Tiered: true, Tier: int(t.Priority), Weight: float64(t.Weight), Speaks: r.set.Speaks}
 		if seen[c.Key] {
 			continue // of two records for one place the first counts
 		}
