--- a/internal/lab/standin/names.go
+++ b/internal/lab/standin/names.go
@@ -41,16 +41,11 @@
 // NewNames runs a name server on a free loopback port until Close.
 func NewNames() (*Names, error) {
 	n := &Names{zone: map[dns.Question][]dns.RR{}, told: map[string]time.Time{}, last: map[string]int{}}
-	packets, err := net.ListenPacket("udp", "127.0.0.1:0")
+	packets, streams, err := onePort()
 	if err != nil {
 		return nil, err
 	}
 	n.addr = packets.LocalAddr().String()
-	streams, err := net.Listen("tcp", n.addr)
-	if err != nil {
-		packets.Close()
-		return nil, err
-	}
 	for _, s := range []*dns.Server{{PacketConn: packets}, {Listener: streams}} {
 		up := make(chan struct{})
 		s.Handler, s.NotifyStartedFunc = dns.HandlerFunc(n.answer), func() { close(up) }
@@ -61,6 +56,20 @@
 	return n, nil
 }
 
+// onePort listens by UDP and TCP on one port. One that is free for the one may be taken for the other.
+func onePort() (packets net.PacketConn, streams net.Listener, err error) {
+	for range 100 {
+		if packets, err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
+			return nil, nil, err
+		}
+		if streams, err = net.Listen("tcp", packets.LocalAddr().String()); err == nil {
+			return packets, streams, nil
+		}
+		packets.Close()
+	}
+	return nil, nil, err
+}
+
 // Addr returns where it answers.
 func (n *Names) Addr() string { return n.addr }
 
