After a second reading: one watch loop, one check of figures, one log and set-up for tests

The host of the membership had a copy of the watch loop: discovery's now says when a watch is lost. Two readers of settings had the same checks of bounds: they are conffile's. Two test packages had a log of their own, two tests the same set-up of a server with several addresses, two the same build. The HTTP transport parsed each server's address for each attempt only to see a Unix socket: it looks at the prefix. The module asks once whether memory is believed, not for each server.

--- a/choice/memory.go
+++ b/choice/memory.go
@@ -136,8 +136,11 @@
 	if rate > s.rate*recallOff || rate < s.rate/recallOff {
 		b.wrong++
 	}
+	if b.wrong < recallWrong || 2*b.wrong <= b.checked {
+		return
+	}
 	for _, o := range b.servers {
-		if o.recalled && b.wrong >= recallWrong && 2*b.wrong > b.checked {
+		if o.recalled {
 			o.rate, o.trust, o.util, o.recalled = 0, 0, 0, false
 		}
 	}
--- a/internal/agent/learned_test.go
+++ b/internal/agent/learned_test.go
@@ -1,10 +1,8 @@
 package agent
 
 import (
-	"bytes"
 	"fmt"
 	"log/slog"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,24 +14,6 @@
 	"ternbeam/internal/store"
 )
 
-// said is a log that may be read while it is written.
-type said struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *said) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *said) has(text string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.text.String(), text)
-}
-
 // An agent on sockets that ends keeps what it has learned of a silent server; the next one on the folder recalls it, and
 // one whose servers were all replaced recalls nothing.
 func TestNextAgentRecalls(t *testing.T) {
@@ -49,9 +29,9 @@
 				if err := <-w.done; err != nil {
 					t.Fatal(err)
 				}
-				log := new(said)
+				log := new(testkit.Log)
 				w.again(t, sp, p, slog.New(slog.NewTextHandler(log, nil)), dir)
-				testkit.Eventually(t, "it says "+until, func() bool { return log.has(until) })
+				testkit.Eventually(t, "it says "+until, func() bool { return log.Has(until) })
 			}
 			next("nothing is kept yet")
 			var asks sync.WaitGroup
@@ -83,11 +63,11 @@
 			}
 			w.end()
 			<-w.done
-			log := new(said)
+			log := new(testkit.Log)
 			w.again(t, sp, p, slog.New(slog.NewTextHandler(log, nil)), dir)
 			w.atRest(t) // the loop has gone through what was posted before
-			if !log.has("learned: loaded") || log.has("learned: recalled") {
-				t.Errorf("of servers that were all replaced it says\n%s", log.text.String())
+			if !log.Has("learned: loaded") || log.Has("learned: recalled") {
+				t.Errorf("of servers that were all replaced it says\n%s", log)
 			}
 		})
 	}
--- a/internal/agent/sources_test.go
+++ b/internal/agent/sources_test.go
@@ -277,6 +277,34 @@
 	return ""
 }
 
+// several starts an agent whose list names one server under several addresses, and a kiosk.
+func several(t *testing.T, sp speech, server *standin.Server, addrs []string, p standin.Platform) (*running, standin.Kiosk) {
+	t.Helper()
+	e := server.Entry()
+	e.Addr, e.Addrs = addrs[0], addrs
+	list, err := standin.NewList(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(list.Close)
+	p.Discovery, p.Known = list.Addr(), list.Full()
+	cfg, service, err := p.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := startWith(t, cfg, service)
+	addr := r.thrift
+	if sp.protocol == "http" {
+		addr = cfg.Listen
+	}
+	kiosk, err := standin.NewKiosk(sp.protocol, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(kiosk.Close)
+	return r, kiosk
+}
+
 // A server with a Unix socket, an IPv6 and an IPv4 address, each kind dead in turn, and all: every call is served by those
 // that are left, at one delivery an attempt; and only dials race.
 func TestAddressesBlackholed(t *testing.T) {
@@ -305,28 +333,7 @@
 				if !slices.Contains(dead, "unix") { // or its path is not there
 					forward(t, "unix", path, server.Addr())
 				}
-				e := server.Entry()
-				e.Addr, e.Addrs = addrs[0], addrs
-				list, err := standin.NewList(e)
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(list.Close)
-				p := standin.Platform{Discovery: list.Addr(), Known: list.Full(), Deadline: 3 * time.Second, ConnectTimeout: 2 * time.Second}
-				cfg, service, err := p.Load()
-				if err != nil {
-					t.Fatal(err)
-				}
-				r := startWith(t, cfg, service)
-				addr := r.thrift
-				if sp.protocol == "http" {
-					addr = cfg.Listen
-				}
-				kiosk, err := standin.NewKiosk(sp.protocol, addr)
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(kiosk.Close)
+				_, kiosk := several(t, sp, server, addrs, standin.Platform{Deadline: 3 * time.Second, ConnectTimeout: 2 * time.Second})
 				methods := []standin.Method{standin.Check, standin.Record, standin.Pay}
 				for i := range 6 {
 					a := ask(methods[i%3], fmt.Sprint("c", i))
@@ -373,28 +380,8 @@
 						t.Cleanup(func() { c.Close() })
 					}
 				}()
-				e := server.Entry()
-				e.Addr, e.Addrs = server.Addr(), []string{server.Addr(), swallows.Addr().String()}
-				list, err := standin.NewList(e)
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(list.Close)
-				cfg, service, err := standin.Platform{Discovery: list.Addr(), Known: list.Full(), Deadline: 700 * time.Millisecond,
-					Window: 300 * time.Millisecond}.Load()
-				if err != nil {
-					t.Fatal(err)
-				}
-				r := startWith(t, cfg, service)
-				addr := r.thrift
-				if sp.protocol == "http" {
-					addr = cfg.Listen
-				}
-				kiosk, err := standin.NewKiosk(sp.protocol, addr)
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(kiosk.Close)
+				r, kiosk := several(t, sp, server, []string{server.Addr(), swallows.Addr().String()},
+					standin.Platform{Deadline: 700 * time.Millisecond, Window: 300 * time.Millisecond})
 				a := ask(method, "stalls")
 				a.Left = 700 * time.Millisecond
 				if got := kiosk.Ask(a); got.Kind != standin.Failed {
--- a/internal/decide/addresses/addresses.go
+++ b/internal/decide/addresses/addresses.go
@@ -39,6 +39,9 @@
 	return IPv6, "tcp", addr
 }
 
+// IsUnix reports whether an address is the path of a Unix socket.
+func IsUnix(addr string) bool { return strings.HasPrefix(addr, unixPrefix) }
+
 // Settings say how addresses are tried.
 type Settings struct {
 	Order     []Kind        // the kinds, the best first; those that are not named come last
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -291,7 +291,7 @@
 			s.touchAll(o)
 		}
 	}
-	if old != nil && old.member != nil && !s.movesIn(old, &c) {
+	if old != nil && old.ID == c.ID {
 		changed := old.gone || old.leaves > 0 || !old.same(&c)
 		if old.gone || !old.same(&c) {
 			old.since = s.now
@@ -307,7 +307,7 @@
 		}
 		return
 	}
-	if old != nil {
+	if old != nil { // under this key the source names another server now
 		s.drop(old)
 	}
 	m := s.find(src, &c)
@@ -327,9 +327,6 @@
 	s.touch(m)
 }
 
-// movesIn reports whether what a source says now makes the server another one than it was for it.
-func (s *Set) movesIn(old *claim, c *Claim) bool { return c.ID != old.ID }
-
 func (s *Set) rank(c *claim) int { return slices.Index(s.sources, c.source) }
 
 // find is the member that a claim is about: by its id, or by an address under which another source names one. Of one
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -105,9 +105,9 @@
 	}}
 }
 
-// KeepWatching watches until ctx ends, again and again from the last version. An agent goes on with the list
-// that it has while there is no watch.
-func (d *Client) KeepWatching(ctx context.Context, deliver func(List)) {
+// KeepWatching watches until ctx ends, again and again from the last version. An agent goes on with the list that it has
+// while there is no watch; lost, if it is not nil, is called at each that ends.
+func (d *Client) KeepWatching(ctx context.Context, deliver func(List), lost func()) {
 	wait := leastBackoff
 	for ctx.Err() == nil {
 		before := d.version
@@ -119,6 +119,9 @@
 			return
 		}
 		d.log.Warn("the watch ended", "error", err, "version", d.version, "again_in", wait)
+		if lost != nil {
+			lost()
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -42,7 +42,7 @@
 	go d.KeepWatching(ctx, func(l List) {
 		got = append(got, fmt.Sprintln(l.Version, l.Full, l.Servers[0].ID))
 		delivered <- struct{}{}
-	})
+	}, nil)
 	for range 3 {
 		wait(t, delivered)
 	}
@@ -81,7 +81,7 @@
 	d := New(s.Listener.Addr().String(), 7, slog.New(slog.DiscardHandler))
 	d.silence = 2 * time.Second // the list comes after 3 s
 	delivered := make(chan struct{}, 8)
-	go d.KeepWatching(ctx, func(List) { delivered <- struct{}{} })
+	go d.KeepWatching(ctx, func(List) { delivered <- struct{}{} }, nil)
 	wait(t, delivered)
 	if len(calls) != 1 {
 		t.Errorf("%d watches", len(calls))
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -56,7 +56,7 @@
 		})
 	}
 	deliver := func(l discovery.List) { current(func() { c.list(l); c.markReady() }) }
-	c.watch = func() { d.KeepWatching(ctx, deliver) }
+	c.watch = func() { d.KeepWatching(ctx, deliver, nil) }
 	if c.set.Module.Subscribe {
 		c.watch = func() { // each time that the module asks for it
 			err := d.Watch(ctx, deliver)
--- a/internal/host/keeper/keeper_test.go
+++ b/internal/host/keeper/keeper_test.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -43,24 +42,6 @@
 	return v, nil
 }
 
-// log is where a Keeper logs.
-type log struct {
-	mu sync.Mutex
-	bytes.Buffer
-}
-
-func (l *log) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.Buffer.Write(p)
-}
-
-func (l *log) text() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.String()
-}
-
 func quick() stateconf.Config {
 	c := stateconf.Default("/kept")
 	c.Load, c.End = testkit.Patience, testkit.Patience
@@ -72,13 +53,13 @@
 // life runs a Keeper of a name until something is logged, and returns what it remembered and logged.
 func life(t *testing.T, fs store.FS, name, until string) (*aging.Past, string) {
 	t.Helper()
-	var l log
+	var l testkit.Log
 	k := New(Settings{Config: quick(), Name: name, Log: slog.New(slog.NewTextHandler(&l, nil)), FS: fs})
 	go k.Run(new(agent))
 	past := k.Past()
-	testkit.Eventually(t, "it logs "+until, func() bool { return strings.Contains(l.text(), until) })
+	testkit.Eventually(t, "it logs "+until, func() bool { return l.Has(until) })
 	k.End()
-	return past, l.text()
+	return past, l.String()
 }
 
 // What one agent wrote the next one remembers; another agent's is neither taken nor written over.
@@ -186,7 +167,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			fs := newFailing(ops...)
-			var l log
+			var l testkit.Log
 			k := New(Settings{Config: quick(), Name: "n1", Log: slog.New(slog.NewTextHandler(&l, nil)), FS: fs})
 			a := new(agent)
 			go k.Run(a)
@@ -195,11 +176,11 @@
 			}
 			looks := func() uint64 { a.mu.Lock(); defer a.mu.Unlock(); return a.news }
 			testkit.Eventually(t, "it tried several times", func() bool { return looks() > 2000 })
-			if said := l.text(); strings.Count(said, "level=WARN") != 1 {
+			if said := l.String(); strings.Count(said, "level=WARN") != 1 {
 				t.Errorf("said\n%s", said)
 			}
 			fs.heal()
-			testkit.Eventually(t, "it writes again", func() bool { return strings.Contains(l.text(), "learned: written again") })
+			testkit.Eventually(t, "it writes again", func() bool { return l.Has("learned: written again") })
 			k.End()
 			records, _, err := store.Peek(fs, store.Settings{})
 			if s, _, e := read(records); err != nil || e != nil || s.Count() != 1 {
@@ -216,17 +197,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var l log
+	var l testkit.Log
 	k := New(Settings{Config: quick(), Name: "n1", Log: slog.New(slog.NewTextHandler(&l, nil)), FS: dir})
 	go k.Run(new(agent))
 	if past := k.Past(); past != nil {
 		t.Error("remembers something")
 	}
-	testkit.Eventually(t, "it says so", func() bool { return strings.Contains(l.text(), "another process owns the folder") })
+	testkit.Eventually(t, "it says so", func() bool { return l.Has("another process owns the folder") })
 	if err := first.Close(); err != nil {
 		t.Fatal(err)
 	}
-	testkit.Eventually(t, "it writes", func() bool { return strings.Contains(l.text(), `"learned: written"`) })
+	testkit.Eventually(t, "it writes", func() bool { return l.Has(`"learned: written"`) })
 	k.End()
 }
 
@@ -245,7 +226,7 @@
 func TestHungFolder(t *testing.T) {
 	set := quick()
 	set.Load, set.End = 20*time.Millisecond, 20*time.Millisecond
-	var l log
+	var l testkit.Log
 	fs := hung{crashfs.New(), make(chan struct{})}
 	k := New(Settings{Config: set, Name: "n1", Log: slog.New(slog.NewTextHandler(&l, nil)), FS: fs})
 	go k.Run(new(agent))
@@ -253,7 +234,7 @@
 		t.Error("remembers something")
 	}
 	k.End()
-	if said := l.text(); !strings.Contains(said, "not read in time") || !strings.Contains(said, "not done in time") {
+	if said := l.String(); !strings.Contains(said, "not read in time") || !strings.Contains(said, "not done in time") {
 		t.Errorf("said\n%s", said)
 	}
 	close(fs.until)
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -156,32 +156,14 @@
 	return r
 }
 
-const (
-	leastBackoff = 50 * time.Millisecond
-	mostBackoff  = 500 * time.Millisecond
-)
-
 // watch watches the platform's list, again and again.
 func (h *Host) watch(ctx context.Context, deliver func([]ledger.Entry)) {
-	d := discovery.New(h.set.Discovery, h.set.Known.Version, h.set.Log)
-	wait := leastBackoff
-	for ctx.Err() == nil {
-		err := d.Watch(ctx, func(l discovery.List) {
-			wait = leastBackoff
-			r := h.word(l)
-			h.post(ctx, func() { h.report(r, deliver) })
-		})
-		if ctx.Err() != nil {
-			return
-		}
-		h.set.Log.Warn("the watch ended", "error", err, "again_in", wait)
+	discovery.New(h.set.Discovery, h.set.Known.Version, h.set.Log).KeepWatching(ctx, func(l discovery.List) {
+		r := h.word(l)
+		h.post(ctx, func() { h.report(r, deliver) })
+	}, func() {
 		h.post(ctx, func() {
 			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(now(), h.list) })
 		})
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-		wait = min(2*wait, mostBackoff)
-	}
+	})
 }
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -38,7 +38,7 @@
 
 // host is what the Host header says of an address. A Unix socket has no host (RFC 9110, section 7.2, asks for one).
 func host(addr string) string {
-	if kind, _, _ := addresses.Of(addr); kind == addresses.Unix {
+	if addresses.IsUnix(addr) {
 		return "localhost"
 	}
 	return addr
--- a/internal/lab/killer/killer_test.go
+++ b/internal/lab/killer/killer_test.go
@@ -8,14 +8,21 @@
 	"ternbeam/internal/lab/testkit"
 )
 
-// The real agent, killed while it writes: each start is from what had been confirmed.
-func TestKilledWhileItWrites(t *testing.T) {
+// build builds the agent and returns its program.
+func build(t *testing.T, flags ...string) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "ternbeam")
-	build := exec.Command("go", "build", "-o", program, "./cmd/ternbeam")
+	build := exec.Command("go", append(append([]string{"build"}, flags...), "-o", program, "./cmd/ternbeam")...)
 	build.Dir = testkit.Root(t)
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	return program
+}
+
+// The real agent, killed while it writes: each start is from what had been confirmed.
+func TestKilledWhileItWrites(t *testing.T) {
+	program := build(t)
 	const kills = 20
 	r, err := Run(Options{Program: program, Dir: t.TempDir(), Kills: kills, Seed: 1})
 	if err != nil {
@@ -30,12 +37,7 @@
 // A store that confirms before it has written is found.
 func TestPlantedBug(t *testing.T) {
 	overlay := testkit.Overlay(t, "internal/store/store.go", "_, err = s.log.Write(f)", "_, err = 0, nil")
-	program := filepath.Join(t.TempDir(), "ternbeam")
-	build := exec.Command("go", "build", "-overlay", overlay, "-o", program, "./cmd/ternbeam")
-	build.Dir = testkit.Root(t)
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	program := build(t, "-overlay", overlay)
 	r, err := Run(Options{Program: program, Dir: t.TempDir(), Kills: 8, Seed: 1})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/settings/conffile/conffile.go
+++ b/internal/settings/conffile/conffile.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -94,6 +95,38 @@
 	}
 }
 
+// Number sets a figure that the file gives, if it lies within bounds; one that does not is a problem.
+func (f *File) Number(key string, given *float64, least, most float64, set func(float64)) {
+	switch {
+	case given == nil:
+	case !(*given >= least && *given <= most):
+		f.Problem(key, "must be from %v to %v", least, most)
+	default:
+		set(*given)
+	}
+}
+
+// Share is Number for a figure that is kept as it is.
+func (f *File) Share(key string, given *float64, least, most float64, into *float64) {
+	f.Number(key, given, least, most, func(x float64) { *into = x })
+}
+
+// Span is Number for a length of time in some unit.
+func (f *File) Span(key string, given *float64, unit time.Duration, least, most float64, into *time.Duration) {
+	f.Number(key, given, least, most, func(x float64) { *into = time.Duration(x * float64(unit)) })
+}
+
+// Count is Number for a whole figure.
+func (f *File) Count(key string, given *int, least, most int, into *int) {
+	switch {
+	case given == nil:
+	case *given < least || *given > most:
+		f.Problem(key, "must be from %d to %d", least, most)
+	default:
+		*into = *given
+	}
+}
+
 // Err returns all problems, by their lines, or nil.
 func (f *File) Err() error {
 	slices.SortStableFunc(f.problems, func(a, b problem) int { return a.line - b.line })
--- a/internal/settings/sourceconf/sourceconf.go
+++ b/internal/settings/sourceconf/sourceconf.go
@@ -78,92 +78,61 @@
 	IPv4         *bool    `toml:"ipv4"`
 }
 
-// reader checks figures as it takes them.
-type reader struct{ src *conffile.File }
-
-func (r reader) number(key string, given *float64, least, most float64, set func(float64)) {
-	switch {
-	case given == nil:
-	case !(*given >= least && *given <= most):
-		r.src.Problem(key, "must be from %v to %v", least, most)
-	default:
-		set(*given)
-	}
-}
-
-func (r reader) span(key string, given *float64, unit time.Duration, least, most float64, into *time.Duration) {
-	r.number(key, given, least, most, func(x float64) { *into = time.Duration(x * float64(unit)) })
-}
-
-func (r reader) share(key string, given *float64, least, most float64, into *float64) {
-	r.number(key, given, least, most, func(x float64) { *into = x })
-}
-
-func (r reader) count(key string, given *int, least, most int, into *int) {
-	switch {
-	case given == nil:
-	case *given < least || *given > most:
-		r.src.Problem(key, "must be from %d to %d", least, most)
-	default:
-		*into = *given
-	}
-}
-
 var kinds = map[string]addresses.Kind{"unix": addresses.Unix, "ipv6": addresses.IPv6, "ipv4": addresses.IPv4, "name": addresses.Name}
 
 // Parse reads such a file. An error holds every problem, by line and key.
 func Parse(text []byte) (*Config, error) {
 	var f file
-	r := reader{conffile.Read(text, &f)}
+	src := conffile.Read(text, &f)
 	c := &Config{Membership: membership.Defaults, Addresses: addresses.Defaults}
-	r.span("list.hold_s", f.List.HoldS, time.Second, 0, 86_400, &c.ListHold)
+	src.Span("list.hold_s", f.List.HoldS, time.Second, 0, 86_400, &c.ListHold)
 	m, g, t := &c.Membership, &f.Guard, &f.Tiers
-	r.share("guard.share", g.Share, 0, 1, &m.GuardShare)
-	r.count("guard.least", g.Least, 0, 100_000, &m.GuardLeast)
-	r.span("guard.wait_s", g.WaitS, time.Second, 0, 3600, &m.GuardWait)
-	r.share("tiers.open_below", t.OpenBelow, 0, 1, &m.OpenBelow)
-	r.share("tiers.close_above", t.CloseAbove, 0, 10, &m.CloseAbove)
+	src.Share("guard.share", g.Share, 0, 1, &m.GuardShare)
+	src.Count("guard.least", g.Least, 0, 100_000, &m.GuardLeast)
+	src.Span("guard.wait_s", g.WaitS, time.Second, 0, 3600, &m.GuardWait)
+	src.Share("tiers.open_below", t.OpenBelow, 0, 1, &m.OpenBelow)
+	src.Share("tiers.close_above", t.CloseAbove, 0, 10, &m.CloseAbove)
 	if m.CloseAbove < m.OpenBelow {
-		r.src.Problem("tiers.close_above", "must not be below open_below")
+		src.Problem("tiers.close_above", "must not be below open_below")
 	}
-	r.span("tiers.calm_s", t.CalmS, time.Second, 0, 3600, &m.Calm)
-	r.span("tiers.ramp_step_s", t.RampStepS, time.Second, 0, 600, &m.RampStep)
-	r.count("tiers.ramp_parts", t.RampParts, 1, 100, &m.RampParts)
+	src.Span("tiers.calm_s", t.CalmS, time.Second, 0, 3600, &m.Calm)
+	src.Span("tiers.ramp_step_s", t.RampStepS, time.Second, 0, 600, &m.RampStep)
+	src.Count("tiers.ramp_parts", t.RampParts, 1, 100, &m.RampParts)
 	a, d := &c.Addresses, &f.Addresses
 	if d.Order != nil {
 		a.Order = nil
 		for i, name := range d.Order {
 			kind, ok := kinds[name]
 			if !ok {
-				r.src.Problem("addresses.order", "entry %d: %q is none of unix, ipv6, ipv4, name", i+1, name)
+				src.Problem("addresses.order", "entry %d: %q is none of unix, ipv6, ipv4, name", i+1, name)
 			}
 			a.Order = append(a.Order, kind)
 		}
 	}
-	r.span("addresses.delay_ms", d.DelayMS, time.Millisecond, 10, 5000, &a.Delay)
-	r.span("addresses.avoid_s", d.AvoidS, time.Second, 0.01, 3600, &a.Avoid)
-	r.span("addresses.most_avoid_s", d.MostAvoidS, time.Second, 0.01, 86_400, &a.MostAvoid)
-	r.span("addresses.remember_s", d.RememberS, time.Second, 0, 86_400, &a.Remember)
-	r.count("addresses.most", d.Most, 1, 8, &a.Most)
+	src.Span("addresses.delay_ms", d.DelayMS, time.Millisecond, 10, 5000, &a.Delay)
+	src.Span("addresses.avoid_s", d.AvoidS, time.Second, 0.01, 3600, &a.Avoid)
+	src.Span("addresses.most_avoid_s", d.MostAvoidS, time.Second, 0.01, 86_400, &a.MostAvoid)
+	src.Span("addresses.remember_s", d.RememberS, time.Second, 0, 86_400, &a.Remember)
+	src.Count("addresses.most", d.Most, 1, 8, &a.Most)
 	if a.MostAvoid < a.Avoid {
-		r.src.Problem("addresses.most_avoid_s", "must not be below avoid_s")
+		src.Problem("addresses.most_avoid_s", "must not be below avoid_s")
 	}
 	if len(f.DNS) > maxSources {
-		r.src.Problem("dns", "%d tables, %d at most are allowed", len(f.DNS), maxSources)
+		src.Problem("dns", "%d tables, %d at most are allowed", len(f.DNS), maxSources)
 	}
 	for i := range f.DNS {
-		c.DNS = append(c.DNS, r.dns(i, &f.DNS[i]))
+		c.DNS = append(c.DNS, readDNS(src, i, &f.DNS[i]))
 	}
-	if err := r.src.Err(); err != nil {
+	if err := src.Err(); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-func (r reader) dns(i int, t *dnsTable) DNS {
+func readDNS(src *conffile.File, i int, t *dnsTable) DNS {
 	d := DNS{Name: t.Name, Servers: t.Servers, Hold: 5 * time.Minute, Resolve: resolve.Defaults}
 	problem := func(key, format string, args ...any) {
-		r.src.Problem("dns."+key, "table %d: %s", i+1, fmt.Sprintf(format, args...))
+		src.Problem("dns."+key, "table %d: %s", i+1, fmt.Sprintf(format, args...))
 	}
 	if labels, ok := dns.IsDomainName(t.Name); !ok || labels < 2 {
 		problem("name", "%q is no name of SRV records", t.Name)
@@ -182,13 +151,13 @@
 	}
 	s := &d.Resolve
 	s.Name, s.Speaks = t.Name, speaks
-	r.span("dns.hold_s", t.HoldS, time.Second, 0, 86_400, &d.Hold)
-	r.span("dns.timeout_ms", t.TimeoutMS, time.Millisecond, 10, 30_000, &s.Timeout)
-	r.span("dns.tcp_timeout_ms", t.TCPTimeoutMS, time.Millisecond, 10, 30_000, &s.TCP)
-	r.span("dns.least_s", t.LeastS, time.Second, 0.05, 3600, &s.Least)
-	r.span("dns.most_s", t.MostS, time.Second, 0.05, 86_400, &s.Most)
-	r.span("dns.stale_s", t.StaleS, time.Second, 0, 604_800, &s.Stale)
-	r.count("dns.budget", t.Budget, 1, 100_000, &s.Budget)
+	src.Span("dns.hold_s", t.HoldS, time.Second, 0, 86_400, &d.Hold)
+	src.Span("dns.timeout_ms", t.TimeoutMS, time.Millisecond, 10, 30_000, &s.Timeout)
+	src.Span("dns.tcp_timeout_ms", t.TCPTimeoutMS, time.Millisecond, 10, 30_000, &s.TCP)
+	src.Span("dns.least_s", t.LeastS, time.Second, 0.05, 3600, &s.Least)
+	src.Span("dns.most_s", t.MostS, time.Second, 0.05, 86_400, &s.Most)
+	src.Span("dns.stale_s", t.StaleS, time.Second, 0, 604_800, &s.Stale)
+	src.Count("dns.budget", t.Budget, 1, 100_000, &s.Budget)
 	if t.IPv6 != nil {
 		s.IPv6 = *t.IPv6
 	}
--- a/internal/settings/stateconf/stateconf.go
+++ b/internal/settings/stateconf/stateconf.go
@@ -65,46 +65,31 @@
 	if !filepath.IsAbs(f.Folder) {
 		src.Problem("folder", "must be the full path of a folder")
 	}
-	number := func(key string, given *float64, least, most float64, set func(float64)) {
-		switch {
-		case given == nil:
-		case !(*given >= least && *given <= most):
-			src.Problem(key, "must be from %v to %v", least, most)
-		default:
-			set(*given)
-		}
-	}
-	span := func(key string, given *float64, unit time.Duration, least, most float64, into *time.Duration) {
-		number(key, given, least, most, func(x float64) { *into = time.Duration(x * float64(unit)) })
-	}
-	plain := func(key string, given *float64, least, most float64, into *float64) {
-		number(key, given, least, most, func(x float64) { *into = x })
-	}
 	const year = 31_536_000
-	span("load_ms", f.LoadMS, time.Millisecond, 0, 5000, &c.Load)
-	number("most_mib", f.MostMiB, 1, 1024, func(x float64) { c.MostBytes = int64(x * (1 << 20)) })
+	src.Span("load_ms", f.LoadMS, time.Millisecond, 0, 5000, &c.Load)
+	src.Number("most_mib", f.MostMiB, 1, 1024, func(x float64) { c.MostBytes = int64(x * (1 << 20)) })
 	k, w := &c.Keeping, &f.Write
-	span("write.look_ms", w.LookMS, time.Millisecond, 20, 60_000, &k.Look)
-	span("write.least_s", w.LeastS, time.Second, 0.02, 3600, &k.Least)
-	span("write.most_s", w.MostS, time.Second, 0.02, 86_400, &k.Most)
+	src.Span("write.look_ms", w.LookMS, time.Millisecond, 20, 60_000, &k.Look)
+	src.Span("write.least_s", w.LeastS, time.Second, 0.02, 3600, &k.Least)
+	src.Span("write.most_s", w.MostS, time.Second, 0.02, 86_400, &k.Most)
 	if k.Most < k.Least {
 		src.Problem("write.most_s", "must not be below least_s")
 	}
-	plain("write.enough", w.Enough, 0, 1000, &k.Enough)
-	number("write.busy", w.Busy, 0.01, 1, func(x float64) { k.Busy = x })
-	number("write.kib_a_minute", w.KiBAMinute, 1, 1<<20, func(x float64) { k.MostBytes = x * (1 << 10) })
-	plain("write.change", w.Change, 0, 1000, &k.Change)
-	span("write.stale_s", w.StaleS, time.Second, 1, 86_400, &k.Stale)
-	span("write.end_ms", w.EndMS, time.Millisecond, 0, 10_000, &c.End)
+	src.Share("write.enough", w.Enough, 0, 1000, &k.Enough)
+	src.Number("write.busy", w.Busy, 0.01, 1, func(x float64) { k.Busy = x })
+	src.Number("write.kib_a_minute", w.KiBAMinute, 1, 1<<20, func(x float64) { k.MostBytes = x * (1 << 10) })
+	src.Share("write.change", w.Change, 0, 1000, &k.Change)
+	src.Span("write.stale_s", w.StaleS, time.Second, 1, 86_400, &k.Stale)
+	src.Span("write.end_ms", w.EndMS, time.Millisecond, 0, 10_000, &c.End)
 	a, h := &c.Aging, &f.HalfLife
-	span("half_life.capacity_s", h.CapacityS, time.Second, 1, year, &a.Capacity)
-	span("half_life.failing_s", h.FailingS, time.Second, 1, year, &a.Failing)
-	span("half_life.ejection_s", h.EjectionS, time.Second, 1, year, &a.Ejection)
-	span("half_life.times_s", h.TimesS, time.Second, 1, year, &a.Times)
-	span("half_life.traffic_s", h.TrafficS, time.Second, 1, year, &a.Traffic)
-	span("half_life.cold_s", h.ColdS, time.Second, 1, year, &a.Cold)
-	span("half_life.address_s", h.AddressS, time.Second, 1, year, &a.Address)
-	plain("bounds.bend", f.Bounds.Bend, 1, 16, &a.Bend)
-	span("bounds.forget_h", f.Bounds.ForgetH, time.Hour, 0.001, 8760, &a.Forget)
+	src.Span("half_life.capacity_s", h.CapacityS, time.Second, 1, year, &a.Capacity)
+	src.Span("half_life.failing_s", h.FailingS, time.Second, 1, year, &a.Failing)
+	src.Span("half_life.ejection_s", h.EjectionS, time.Second, 1, year, &a.Ejection)
+	src.Span("half_life.times_s", h.TimesS, time.Second, 1, year, &a.Times)
+	src.Span("half_life.traffic_s", h.TrafficS, time.Second, 1, year, &a.Traffic)
+	src.Span("half_life.cold_s", h.ColdS, time.Second, 1, year, &a.Cold)
+	src.Span("half_life.address_s", h.AddressS, time.Second, 1, year, &a.Address)
+	src.Share("bounds.bend", f.Bounds.Bend, 1, 16, &a.Bend)
+	src.Span("bounds.forget_h", f.Bounds.ForgetH, time.Hour, 0.001, 8760, &a.Forget)
 	return c, src.Err()
 }
