--- a/choice/api.go
+++ b/choice/api.go
@@ -88,7 +88,7 @@
 }
 
 // Protocols is a set of protocols, one bit each. What a bit stands for is the host's matter.
-type Protocols uint32
+type Protocols uint64
 
 // State is what the list says of a server.
 type State int
--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -28,15 +28,17 @@
 	"ternbeam/internal/settings/sourceconf"
 	"ternbeam/internal/settings/stateconf"
 	"ternbeam/internal/thrift/thriftmap"
+	"ternbeam/internal/translate"
 )
 
 type commands struct {
-	Run     runCommand     `cmd:"" default:"withargs" help:"Serve, as the environment tells (the default)."`
-	Check   checkCommand   `cmd:"" help:"Say what is wrong in configuration files, by line and key."`
-	State   stateCommand   `cmd:"" help:"Look at what an agent keeps of what it learned, or reset it."`
-	Members membersCommand `cmd:"" help:"Say which servers the sources of a file name, by whose word and which rule."`
-	Demo    demoCommand    `cmd:"" help:"Show the agent at work on loopback, with a hang and a rolling replacement."`
-	Help    helpCommand    `cmd:"" help:"Show this text, or that of a command."`
+	Run       runCommand       `cmd:"" default:"withargs" help:"Serve, as the environment tells (the default)."`
+	Check     checkCommand     `cmd:"" help:"Say what is wrong in configuration files, by line and key."`
+	State     stateCommand     `cmd:"" help:"Look at what an agent keeps of what it learned, or reset it."`
+	Members   membersCommand   `cmd:"" help:"Say which servers the sources of a file name, by whose word and which rule."`
+	Translate translateCommand `cmd:"" help:"Show what becomes of a message by a file of shapes, field by field."`
+	Demo      demoCommand      `cmd:"" help:"Show the agent at work on loopback, with a hang and a rolling replacement."`
+	Help      helpCommand      `cmd:"" help:"Show this text, or that of a command."`
 }
 
 func main() {
@@ -70,9 +72,10 @@
 }
 
 type runCommand struct {
-	Thrift  string `help:"Take Thrift too, as this file says (see deploy/thrift.toml)." placeholder:"FILE"`
-	Sources string `help:"Take servers from the sources of this file (see deploy/sources.toml)." placeholder:"FILE"`
-	State   string `help:"Keep what is learned, as this file says (see deploy/state.toml)." placeholder:"FILE"`
+	Thrift    string `help:"Take Thrift too, as this file says (see deploy/thrift.toml)." placeholder:"FILE"`
+	Sources   string `help:"Take servers from the sources of this file (see deploy/sources.toml)." placeholder:"FILE"`
+	Translate string `help:"Translate between the shapes of this file (see deploy/translate.toml)." placeholder:"FILE"`
+	State     string `help:"Keep what is learned, as this file says (see deploy/state.toml)." placeholder:"FILE"`
 }
 
 // Run serves.
@@ -103,7 +106,11 @@
 			return err
 		}
 	}
-	a, err := agent.NewFrom(cfg, service, sources, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	opts := agent.Options{Service: service, Sources: sources}
+	if r.Translate != "" {
+		opts.Shapes = func() (*translate.Set, error) { return loadShapes(r.Translate) }
+	}
+	a, err := agent.NewWith(cfg, opts, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	if err != nil {
 		return err
 	}
@@ -130,7 +137,7 @@
 }
 
 type checkCommand struct {
-	Files []string `arg:"" help:"An agent's configuration (.json), a Thrift service's (.toml) that of what is kept (state.toml, or any with a table half_life) or that of the sources (sources.toml, or any with a table dns). The classes of a service are held against those of the configuration, where both are given."`
+	Files []string `arg:"" help:"An agent's configuration (.json), a Thrift service's (.toml) that of what is kept (state.toml, or any with a table half_life) or that of the sources (sources.toml, or any with a table dns) or that of shapes (translate.toml, or any with a table shapes). The classes of a service are held against those of the configuration, where both are given."`
 }
 
 // Run checks the files.
@@ -165,6 +172,8 @@
 				_, err = stateconf.Parse(text)
 			case later && (bytes.Contains(text, []byte("\n[[dns]]")) || filepath.Base(name) == "sources.toml"):
 				_, err = sourceconf.Parse(text)
+			case later && (bytes.Contains(text, []byte("\n[shapes.")) || filepath.Base(name) == "translate.toml"):
+				_, err = translate.Compile(text)
 			case later:
 				_, err = thriftmap.Parse(text, classes)
 			default:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/bridge"
 	"ternbeam/internal/decide/addresses"
+	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/keeper"
@@ -26,6 +28,7 @@
 	"ternbeam/internal/thrift/thriftback"
 	"ternbeam/internal/thrift/thriftfront"
 	"ternbeam/internal/thrift/thriftmap"
+	"ternbeam/internal/translate"
 )
 
 // Agent is one client-side balancer on real sockets.
@@ -38,6 +41,8 @@
 	door   *door.Door
 
 	keeper *keeper.Keeper // nil where nothing is kept
+	bridge *bridge.Bridge // nil where calls have no shapes
+	shapes func() (*translate.Set, error)
 
 	listeners []*net.TCPListener // the application's, then Thrift's if it is on
 	illegal   atomic.Int64       // steps of attempts and connections that must not come
@@ -51,12 +56,20 @@
 
 // New returns an Agent that is ready to Run. With a Thrift service, which may be nil, it takes calls in Thrift too.
 func New(cfg *config.Config, service *thriftmap.Map, log *slog.Logger) (*Agent, error) {
-	return NewFrom(cfg, service, nil, log)
+	return NewWith(cfg, Options{Service: service}, log)
 }
 
-// NewFrom is New for an agent whose servers come from the sources of a file; the platform's list alone where that is nil.
-func NewFrom(cfg *config.Config, service *thriftmap.Map, sources *sourceconf.Config, log *slog.Logger) (*Agent, error) {
-	a := &Agent{cfg: cfg, thrift: service, log: log, door: door.New(cfg.ClientSockets())}
+// Options are what an agent may have beside its configuration.
+type Options struct {
+	Service *thriftmap.Map                 // takes Thrift too
+	Sources *sourceconf.Config             // where servers come from; the platform's list alone where nil
+	Shapes  func() (*translate.Set, error) // reads the shapes of calls, again with each reload; calls have none where nil
+}
+
+// NewWith is New with more options.
+func NewWith(cfg *config.Config, opts Options, log *slog.Logger) (*Agent, error) {
+	service, sources := opts.Service, opts.Sources
+	a := &Agent{cfg: cfg, thrift: service, log: log, door: door.New(cfg.ClientSockets()), shapes: opts.Shapes}
 	pooled := pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleFor: cfg.IdleFor(), Most: cfg.BackendSockets(),
 		Illegal: a.noteIllegal, Addresses: addresses.Defaults}
 	var feed core.Feed
@@ -71,10 +84,26 @@
 		t := thriftback.New(a.pool, service)
 		transports[protocol.ThriftBinary], transports[protocol.ThriftCompact] = t, t
 	}
+	var ways *routes.Routes
+	if opts.Shapes != nil {
+		set, err := opts.Shapes()
+		if err != nil {
+			return nil, err
+		}
+		if a.bridge, err = bridge.New(set, cfg, service); err != nil {
+			return nil, err
+		}
+		if ways, err = a.bridge.Routes(); err != nil {
+			return nil, err
+		}
+		for p, t := range transports {
+			transports[p] = a.bridge.Over(t)
+		}
+	}
 	var err error
 	a.core, err = core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
 		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Feed: feed, Pool: a.pool, Log: log,
-		Transports: transports, Illegal: a.noteIllegal})
+		Transports: transports, Illegal: a.noteIllegal, Routes: ways})
 	return a, err
 }
 
@@ -141,11 +170,7 @@
 			return err
 		}
 	}
-	fronts := []front{httpfront.New(a.cfg, a.core, a.door, a.listeners[0], a.log)}
-	if a.thrift != nil {
-		a.log.Info("taking Thrift", "listen", a.listeners[1].Addr().String())
-		fronts = append(fronts, thriftfront.New(a.cfg, a.thrift, a.core, a.door, a.listeners[1], a.log))
-	}
+	fronts := a.fronts()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	if a.keeper != nil {
@@ -186,8 +211,37 @@
 	return nil
 }
 
-// reload takes a changed configuration: discovery may have moved. One that can't be read changes nothing.
+// fronts are those that take calls.
+func (a *Agent) fronts() []front {
+	inHTTP := httpfront.New(a.cfg, a.core, a.door, a.listeners[0], a.log)
+	if a.bridge != nil {
+		inHTTP.WithShapes(a.bridge)
+	}
+	if a.thrift == nil {
+		return []front{inHTTP}
+	}
+	a.log.Info("taking Thrift", "listen", a.listeners[1].Addr().String())
+	inThrift := thriftfront.New(a.cfg, a.thrift, a.core, a.door, a.listeners[1], a.log)
+	if a.bridge != nil {
+		inThrift.WithShapes(a.bridge)
+	}
+	return []front{inHTTP, inThrift}
+}
+
+// reload takes a changed configuration: discovery may have moved, and shapes may have changed. One that can't be read
+// changes nothing.
 func (a *Agent) reload(ctx context.Context) {
+	if a.bridge != nil {
+		set, err := a.shapes()
+		if err == nil {
+			err = a.bridge.Replace(set, func(t *routes.Table) error { return a.core.Reroute(ctx, t) })
+		}
+		if err != nil {
+			a.log.Error("keeping the old shapes", "error", err)
+		} else {
+			a.log.Info("new shapes", "shapes", len(set.Shapes), "mappings", len(set.Plans))
+		}
+	}
 	addr, err := a.cfg.NewDiscovery()
 	if err != nil {
 		a.log.Error("keeping the old configuration", "error", err)
--- a/internal/decide/ledger/copy.go
+++ b/internal/decide/ledger/copy.go
@@ -18,7 +18,7 @@
 		twin.Call, twin.Server = t.Calls.Of(at.Call), t.Servers.Of(at.Server)
 	}
 	t.Calls.Fill = func(c, twin *Call) {
-		twin.Request, twin.Payload, twin.Answer, twin.out = c.Request, c.Payload, c.Answer, c.out
+		twin.Request, twin.Payload, twin.Tag, twin.Answer, twin.out = c.Request, c.Payload, c.Tag, c.Answer, c.out
 		twin.over.Store(c.over.Load())
 		for _, at := range c.attempts {
 			twin.attempts = append(twin.attempts, t.Attempts.Of(at))
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -13,17 +13,20 @@
 	"ternbeam/internal/decide/aging"
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/life"
+	"ternbeam/internal/decide/routes"
 )
 
 // Call is one call of a client. Its Needs name the protocol that a server must speak to be sent it.
 type Call struct {
 	choice.Request
 	Payload any          // for the transports of that protocol
+	Tag     routes.Tag   // in which shape it came; the zero one where it has none
 	Answer  func(Answer) // takes the one final answer, on the loop: it must not block
 
 	over     atomic.Bool // the final answer is given, or the client is gone
 	attempts []*Attempt  // by number; nil for one that has ended
 	out      int         // attempts in flight
+	unfit    error       // why it can't be put in another shape
 }
 
 // Over reports whether the call has its final answer or its client is gone: nothing may be sent for it any more.
@@ -41,6 +44,7 @@
 	Refused        // trying again does no harm
 	Failed         // no promise about its effect
 	Duplicate      // a call with this id is under way
+	Unfit          // a refusal: no server takes it in its shape, and it can't be put in another; trying again is of no use
 )
 
 // Answer is the final answer to a call.
@@ -48,6 +52,7 @@
 	Kind  Kind
 	After time.Duration // of a refusal: when to come back, 0 where that is not said
 	Reply any           // of a served call: what the transport brought
+	Cause error         // of an unfit one
 }
 
 // Attempt is one attempt of a call at a server.
@@ -60,6 +65,10 @@
 	SendBy time.Duration // its last byte must be written before, on the same; 0 for any time
 	Life   life.Attempt  // its transport's
 
+	Way     routes.Way       // in which shape it is sent, where the call has one
+	Speaks  choice.Protocols // what is spoken with the server
+	Payload any              // what is sent: the call's, or its translation
+
 	// Illegal takes a step that must not come: a fault of this program. None is taken where it is nil.
 	Illegal  func(error)
 	Withdraw context.CancelCauseFunc // the host's: ends the attempt's context
@@ -78,6 +87,10 @@
 	Result choice.Result
 	Report choice.Report
 	Reply  any // where it was served
+
+	Unfit        error // nothing was sent: the call can't be put in the shape that the server takes
+	ShapeUnknown bool  // the server does not know the shape, and so said; it never ran
+	Untold       error // it was served, and the answer can't be put in the client's shape
 }
 
 // Ended is an Ending that brought nothing.
@@ -89,6 +102,7 @@
 	Addr        string
 	Addrs       []string // all under which it can be reached, in the order to be tried; Addr alone where there are none
 	Multiplexed bool
+	Shapes      []string // class/version of those that it takes; none where it looks at no shape
 }
 
 // OrderKind names what an Order asks for.
@@ -120,6 +134,7 @@
 	Requests, Served, Refused, Failed, Gone int
 	Attempts, Reports                       int
 	Results                                 [choice.NotSent + 1]int
+	Translated, Unfit, Unknown, Untold      int // attempts; Unfit are calls
 }
 
 // Module is the decision module, as a Ledger uses it: a choice.Balancer, or one that an explorer watches.
@@ -137,6 +152,7 @@
 	MostHeld    int                               // calls not answered yet; 0 for no bound
 	Carries     func(needs choice.Protocols) bool // whether there is a transport for them
 	Illegal     func(error)
+	Routes      *routes.Routes // by shapes; nil where calls have none
 }
 
 // Ledger keeps the calls. It is not safe for concurrent use.
@@ -153,6 +169,7 @@
 	stats    Stats
 	past     *aging.Past    // what an earlier agent knew; nil for nothing
 	named    []aging.Listed // by the list, and not asked for in the past yet
+	due      time.Duration  // when a timer for the routes is set; 0 where none is
 }
 
 // New returns a Ledger over a module.
@@ -175,6 +192,11 @@
 // Fired says that a timer is due.
 func (l *Ledger) Fired(now time.Duration, token uint64) []Order {
 	l.begin(now)
+	if token == routesToken {
+		l.due = 0
+		l.tell(l.set.Routes.Expire(now))
+		return l.orders
+	}
 	l.handle(choice.TimerFired{Token: token})
 	return l.orders
 }
@@ -198,6 +220,7 @@
 	default:
 		l.calls[call.ID] = call
 		l.open++
+		l.classify(call)
 		l.handle(call.Request)
 	}
 	return l.orders
@@ -225,8 +248,16 @@
 	if e.Report != choice.NoReport {
 		l.stats.Reports++
 	}
-	if e.Result == choice.OK && l.finish(call.ID, Answer{Kind: Served, Reply: e.Reply}) {
+	l.routed(at, e)
+	switch {
+	case e.Result == choice.OK && e.Untold != nil: // it has run: no refusal, and nothing further is sent for it
+		if l.finish(call.ID, Answer{Kind: Failed}) {
+			l.stats.Failed++
+		}
+	case e.Result == choice.OK && l.finish(call.ID, Answer{Kind: Served, Reply: e.Reply}):
 		l.stats.Served++
+	case e.Unfit != nil && l.askAnew(at, e.Unfit):
+		return l.orders
 	}
 	l.handle(choice.Outcome{Request: call.ID, Attempt: at.Number, Server: at.Server.ID, Result: e.Result,
 		Took: now - at.Sent, Closed: call.Over(), Report: e.Report})
@@ -240,13 +271,16 @@
 	ev := choice.ServerList{Full: full}
 	named := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		ev.Servers = append(ev.Servers, e.Server)
+		ev.Servers = append(ev.Servers, l.listedAs(e))
 		named[e.ID] = true
 		l.entry(e)
 	}
 	for id := range l.servers {
 		if full && !named[id] {
 			l.retire(id)
+			if l.set.Routes != nil {
+				l.set.Routes.Gone(id)
+			}
 		}
 	}
 	l.handle(ev)
@@ -317,7 +351,11 @@
 				l.order(Order{Kind: Withdraw, Attempt: call.attempts[act.Attempt]})
 			}
 		case choice.Refuse:
-			if l.finish(act.Request, Answer{Kind: Refused, After: act.After}) {
+			answer := Answer{Kind: Refused, After: act.After}
+			if call := l.calls[act.Request]; call != nil && call.unfit != nil {
+				answer = Answer{Kind: Unfit, Cause: call.unfit}
+			}
+			if l.finish(act.Request, answer) {
 				l.stats.Refused++
 			}
 		case choice.Fail:
@@ -339,14 +377,16 @@
 		end = min(end, l.now+act.After)
 	}
 	s := l.servers[act.Server]
+	way, fits := l.way(call, act.Server)
 	failed := choice.Outcome{Request: call.ID, Attempt: n, Server: act.Server, Closed: call.Over(), Report: choice.NoReport}
 	switch {
-	case failed.Closed || n >= l.set.MaxAttempts || end <= l.now || !l.set.Carries(call.Needs):
+	case failed.Closed || n >= l.set.MaxAttempts || end <= l.now || s != nil && (!fits || !l.set.Carries(way.Protocol)):
 		failed.Result = choice.NotSent
 	case s == nil:
 		failed.Result = choice.ConnectFailed
 	default:
-		at := &Attempt{Call: call, Number: n, Server: s, Sent: l.now, End: end, Illegal: l.set.Illegal}
+		at := &Attempt{Call: call, Number: n, Server: s, Sent: l.now, End: end, Illegal: l.set.Illegal, Way: way,
+			Speaks: way.Protocol, Payload: call.Payload}
 		if act.Within != 0 {
 			at.SendBy = l.now + act.Within
 		}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -38,10 +38,14 @@
 	StartedMS   int64    `json:"started_ms"`
 	Protocol    string   `json:"protocol,omitempty"`    // HTTP/1.1 where absent
 	Multiplexed bool     `json:"multiplexed,omitempty"` // takes several calls at a time on a connection
+	Shapes      []string `json:"shapes,omitempty"`      // class/version of the messages that it takes, where it minds
 }
 
-// maxAddrs bounds the addresses of one server.
-const maxAddrs = 16
+// What one server may have.
+const (
+	maxAddrs  = 16
+	maxShapes = 64
+)
 
 var states = map[string]choice.State{"in_service": choice.Ready, "terminating": choice.Draining,
 	"terminated": choice.Gone}
@@ -64,6 +68,9 @@
 			return choice.Server{}, fmt.Errorf("backend %q: %w", e.ID, err)
 		}
 	}
+	if len(e.Shapes) > maxShapes {
+		return choice.Server{}, fmt.Errorf("backend %q: %d shapes, %d at most are taken", e.ID, len(e.Shapes), maxShapes)
+	}
 	speaks, err := protocol.Parse(e.Protocol)
 	if err != nil {
 		return choice.Server{}, fmt.Errorf("backend %q: %w", e.ID, err)
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"errors"
@@ -15,6 +16,7 @@
 	"ternbeam/choice"
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/host/pool"
 )
@@ -37,6 +39,7 @@
 	Refused   = ledger.Refused
 	Failed    = ledger.Failed
 	Duplicate = ledger.Duplicate
+	Unfit     = ledger.Unfit
 )
 
 // Ended is an Ending that brought nothing.
@@ -58,9 +61,10 @@
 	Discovery  string         // address of the list
 	Feed       Feed           // brings the list where not nil; Known and Discovery mean nothing then
 	Pool       *pool.Pool
-	Transports map[choice.Protocols]Transport // by what a call needs
+	Transports map[choice.Protocols]Transport // by what a server is spoken to in
 	Log        *slog.Logger
-	Illegal    func(error) // takes steps that must not come; none where nil
+	Illegal    func(error)    // takes steps that must not come; none where nil
+	Routes     *routes.Routes // by the shapes of calls; nil where they have none
 }
 
 // Core is one client-side balancer: the host of a Ledger. One goroutine, the loop, owns the Ledger and the timers;
@@ -93,7 +97,7 @@
 	}
 	now := time.Now()
 	books := ledger.New(ledger.Settings{MaxAttempts: set.Module.MaxAttempts, MostHeld: set.MostHeld,
-		Carries: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, Illegal: set.Illegal}, balancer)
+		Carries: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, Illegal: set.Illegal, Routes: set.Routes}, balancer)
 	return &Core{set: set, log: set.Log, events: make(chan func(), 1024), workers: newWorkers(), ready: make(chan struct{}),
 		started: now, origin: time.Duration(now.UnixNano()), ledger: books}, nil
 }
@@ -104,6 +108,16 @@
 // at turns a time of the module's clock into one of the system's.
 func (c *Core) at(t time.Duration) time.Time { return c.started.Add(t - c.origin) }
 
+// Reroute takes another table of shapes, once it is in use.
+func (c *Core) Reroute(ctx context.Context, t *routes.Table) error {
+	result, err := ask(ctx, c, func() error {
+		orders, err := c.ledger.Reroute(c.Now(), t)
+		c.do(orders)
+		return err
+	})
+	return cmp.Or(err, result)
+}
+
 // post hands an event to the loop.
 func (c *Core) post(event func()) { c.events <- event }
 
@@ -243,7 +257,7 @@
 	if at.SendBy != 0 {
 		at.WriteBy = c.at(at.SendBy)
 	}
-	transport := c.set.Transports[at.Call.Needs]
+	transport := c.set.Transports[at.Speaks]
 	c.workers.run(func() {
 		ctx, stop := context.WithDeadline(ctx, c.at(at.End))
 		ending := transport.Attempt(ctx, at)
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -83,7 +83,7 @@
 			c.log.Error("passing over an entry of the list", "error", err)
 			continue
 		}
-		entries = append(entries, ledger.Entry{Server: s, Addr: e.Addr, Addrs: e.Addrs, Multiplexed: e.Multiplexed})
+		entries = append(entries, ledger.Entry{Server: s, Addr: e.Addr, Addrs: e.Addrs, Multiplexed: e.Multiplexed, Shapes: e.Shapes})
 	}
 	c.do(c.ledger.List(c.Now(), l.Full, entries))
 	c.recall()
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -48,7 +48,7 @@
 
 // Attempt is core.Transport's.
 func (t *Transport) Attempt(ctx context.Context, at *core.Attempt) core.Ending {
-	c, err := t.Pool.Acquire(ctx, at.Server, at.Call.Needs, &at.Life)
+	c, err := t.Pool.Acquire(ctx, at.Server, at.Speaks, &at.Life)
 	if err != nil {
 		return NoConnection(ctx, at, err)
 	}
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"net/textproto"
 	"net/url"
 	"slices"
 	"strconv"
@@ -26,7 +27,7 @@
 // New returns a transport; the fields are the figures of load reports.
 func New(p *pool.Pool, fields []string) *exchange.Transport {
 	return &exchange.Transport{Pool: p, Stall: exchange.Stall, Begin: func(at *core.Attempt) exchange.Talk {
-		return talk{request: at.Call.Payload.(*httpmsg.Request), host: host(at.Server.Addr), fields: fields}
+		return talk{request: at.Payload.(*httpmsg.Request), host: host(at.Server.Addr), fields: fields}
 	}}
 }
 
@@ -55,9 +56,11 @@
 	m := make([]byte, 0, 512+len(r.Body))
 	m = append(append(append(append(m, r.Method...), ' '), target...), " HTTP/1.1\r\nHost: "...)
 	m = append(append(m, t.host...), "\r\n"...)
-	for _, name := range passedOn {
-		for _, v := range r.Header[name] {
-			m = append(append(append(append(m, name...), ": "...), v...), "\r\n"...)
+	for _, names := range [...][]string{passedOn, r.Pass} {
+		for _, name := range names {
+			for _, v := range r.Header[name] {
+				m = append(append(append(append(m, name...), ": "...), v...), "\r\n"...)
+			}
 		}
 	}
 	if !end.IsZero() {
@@ -65,7 +68,7 @@
 		m = strconv.AppendFloat(m, max(time.Until(end), 0).Seconds(), 'f', 3, 64)
 		m = append(m, "\r\n"...)
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost {
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		m = append(m, "Content-Length: "...)
 		m = strconv.AppendInt(m, int64(len(r.Body)), 10)
 		m = append(m, "\r\n"...)
@@ -76,11 +79,16 @@
 
 // Answer reads one answer.
 func (t talk) Answer(in *exchange.Inflow) (core.Ending, bool, error) {
-	ans, err := readAnswer(in.Reader, in.Begin)
+	ans, err := readAnswer(in.Reader, in.Begin, t.request.Wanted)
 	if err != nil {
 		return core.Ending{}, false, err
 	}
-	return ans.ending(t.fields), ans.reusable, nil
+	e := ans.ending(t.fields)
+	// Only the server's explicit word that it has not begun proves that the call never ran.
+	if ans.unprocessed && ans.status == t.request.Unknown {
+		e.Result, e.ShapeUnknown = choice.Rejected, true
+	}
+	return e, ans.reusable, nil
 }
 
 // answer is an answer that was read whole.
@@ -90,8 +98,8 @@
 	reusable bool // its connection
 }
 
-// readAnswer reads one answer; begin waits for the first byte of a head.
-func readAnswer(r *bufio.Reader, begin func() error) (answer, error) {
+// readAnswer reads one answer; begin waits for the first byte of a head. Some headers are wanted beside the usual ones.
+func readAnswer(r *bufio.Reader, begin func() error, wanted []string) (answer, error) {
 	for room := httpmsg.MaxHead; ; { // for the heads of 1xx answers too
 		if err := begin(); err != nil {
 			return answer{}, err
@@ -108,6 +116,11 @@
 			}
 		}
 		if h.status >= 200 {
+			if len(wanted) > 0 {
+				if h.wanted, err = wantedOf(text, wanted); err != nil {
+					return answer{}, err
+				}
+			}
 			return readBody(r, h)
 		}
 	}
@@ -123,6 +136,22 @@
 	reports     int // X-Backend-Load headers
 	report      string
 	contentType string
+	wanted      [][2]string
+}
+
+// wantedOf finds some headers in a head, each value of theirs.
+func wantedOf(text []byte, names []string) (found [][2]string, err error) {
+	_, fields, _ := bytes.Cut(text, []byte("\n"))
+	all, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
+	}
+	for _, name := range names {
+		for _, value := range all.Values(name) {
+			found = append(found, [2]string{name, value})
+		}
+	}
+	return found, nil
 }
 
 // plainHead reads the head of an answer as nearly all are: HTTP/1.1, one length in digits, each header on a line. It
@@ -282,7 +311,7 @@
 	}
 	switch ans.status {
 	case http.StatusOK:
-		out.Result, out.Reply = choice.OK, &httpmsg.Reply{ContentType: ans.contentType, Body: ans.body}
+		out.Result, out.Reply = choice.OK, &httpmsg.Reply{ContentType: ans.contentType, Header: ans.wanted, Body: ans.body}
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if ans.unprocessed {
 			out.Result = choice.Rejected
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/http/httpmsg"
@@ -35,6 +36,7 @@
 // Front is the HTTP/1.1 side of the agent towards its clients.
 type Front struct {
 	cfg    *config.Config
+	shapes Shapes // nil where calls have none
 	core   *core.Core
 	log    *slog.Logger
 	http   *http.Server
@@ -42,6 +44,16 @@
 	listen *door.Listener
 }
 
+// Shapes finds the shapes of requests.
+type Shapes interface {
+	// HTTP finds that of a request of a class, and whether its path ends in what it is about. The zero Tag is that of a
+	// class without shapes; a request in none of its class's is an error.
+	HTTP(class string, r *httpmsg.Request) (tag routes.Tag, keyLast bool, err error)
+}
+
+// WithShapes has the Front find the shapes of requests. It is called before Serve.
+func (f *Front) WithShapes(s Shapes) { f.shapes = s }
+
 // New returns a Front that takes the connections of a listener through a door.
 func New(cfg *config.Config, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
 	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l)}
@@ -143,7 +155,7 @@
 
 // statuses are those of the final answers.
 var statuses = [...]int{core.Served: http.StatusOK, core.Refused: http.StatusServiceUnavailable,
-	core.Failed: http.StatusBadGateway, core.Duplicate: http.StatusConflict}
+	core.Failed: http.StatusBadGateway, core.Duplicate: http.StatusConflict, core.Unfit: http.StatusUnprocessableEntity}
 
 func answer(w http.ResponseWriter, ans core.Answer) {
 	h, body := w.Header(), []byte(nil)
@@ -152,6 +164,13 @@
 		if body = reply.Body; reply.ContentType != "" {
 			h["Content-Type"] = []string{reply.ContentType}
 		}
+		for _, more := range reply.Header {
+			h[more[0]] = append(h[more[0]], more[1])
+		}
+	}
+	if ans.Cause != nil {
+		body = []byte(ans.Cause.Error())
+		h["Content-Type"] = []string{"text/plain; charset=utf-8"}
 	}
 	if ans.After > 0 {
 		h["Retry-After"] = []string{strconv.FormatFloat(ans.After.Seconds(), 'f', 3, 64)}
@@ -192,15 +211,25 @@
 	}
 	parts := strings.Split(strings.Trim(in.URL.Path, "/"), "/")
 	name := h.Get("X-Service-Class")
-	if call.Class = cfg.Class(name); call.Class < 0 || parts[0] != name {
+	call.Class = cfg.Class(name)
+	keyLast := true
+	if f.shapes != nil && call.Class >= 0 {
+		var err error
+		if call.Tag, keyLast, err = f.shapes.HTTP(name, payload); err != nil {
+			return nil, err
+		}
+	}
+	if call.Class < 0 || parts[0] != name && !call.Tag.Set() {
 		return nil, fmt.Errorf("class %q in X-Service-Class, %q in the path", name, parts[0])
 	}
 	effect := cfg.Module.Classes[call.Class].Effect
-	if in.Method != methods[effect] {
-		return nil, fmt.Errorf("method %s for class %q", in.Method, name)
-	}
-	if effect == choice.Safe && in.ContentLength != 0 {
-		return nil, fmt.Errorf("a body for class %q", name)
+	if !call.Tag.Set() { // or the shape says which method it has, and whether a body
+		if in.Method != methods[effect] {
+			return nil, fmt.Errorf("method %s for class %q", in.Method, name)
+		}
+		if effect == choice.Safe && in.ContentLength != 0 {
+			return nil, fmt.Errorf("a body for class %q", name)
+		}
 	}
 	if keyed := h.Get("Idempotency-Key") != ""; keyed != (effect == choice.Keyed) {
 		return nil, fmt.Errorf("Idempotency-Key given: %t, for class %q", keyed, name)
@@ -214,7 +243,7 @@
 	}
 	longest := cfg.Module.Classes[call.Class].Deadline
 	call.Deadline = arrival + time.Duration(min(left, longest.Seconds())*float64(time.Second))
-	if len(parts) > 1 {
+	if len(parts) > 1 && keyLast {
 		call.Key = parts[len(parts)-1]
 	}
 	call.Again = h.Get("X-Repeat") == "1"
--- a/internal/http/httpmsg/httpmsg.go
+++ b/internal/http/httpmsg/httpmsg.go
@@ -19,10 +19,16 @@
 	URL    *url.URL
 	Header http.Header
 	Body   []byte
+
+	// What follows is of calls that have a shape.
+	Pass    []string // further headers that go on to a server, in their canonical form
+	Wanted  []string // further headers of the answer that go back
+	Unknown int      // the status of a server that does not know the shape; 0 for none
 }
 
 // Reply is what a server answered a call that it served.
 type Reply struct {
 	ContentType string
+	Header      [][2]string // further ones that were wanted
 	Body        []byte
 }
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -279,7 +279,7 @@
 func (w *World) begin(a *agent, at *ledger.Attempt) {
 	t := &try{at: at}
 	a.tries[at] = t
-	p := at.Call.Payload.(*payload)
+	p := at.Payload.(*payload)
 	p.call.Attempts++
 	w.after(at.End-w.now, func() { w.end(a, t, ledger.Ended(choice.TimedOut)) })
 	s := w.servers[at.Server.Addr]
--- a/internal/thrift/thriftback/multiplexed.go
+++ b/internal/thrift/thriftback/multiplexed.go
@@ -71,7 +71,7 @@
 
 // attempt makes one attempt.
 func (m *multiplexer) attempt(ctx context.Context, at *core.Attempt) core.Ending {
-	t := &ticket{ctx: ctx, at: at, call: at.Call.Payload.(*thriftmap.Call), done: make(chan core.Ending, 1)}
+	t := &ticket{ctx: ctx, at: at, call: at.Payload.(*thriftmap.Call), done: make(chan core.Ending, 1)}
 	l, err := m.join(ctx, t)
 	if err != nil {
 		return exchange.NoConnection(ctx, at, err)
@@ -86,7 +86,7 @@
 
 // join puts a ticket on a line to its server: one that has room, or else an idle or a new one.
 func (m *multiplexer) join(ctx context.Context, t *ticket) (*line, error) {
-	k := key{t.at.Server, t.at.Call.Needs}
+	k := key{t.at.Server, t.at.Speaks}
 	m.mu.Lock()
 	for {
 		for _, l := range m.lines[k] {
--- a/internal/thrift/thriftback/serial.go
+++ b/internal/thrift/thriftback/serial.go
@@ -31,7 +31,7 @@
 	var seq atomic.Int32
 	t.serial = &exchange.Transport{Pool: p, Stall: exchange.Stall, Begin: func(at *core.Attempt) exchange.Talk {
 		// An id that was not used for long, on any connection: a reply that comes late and to another fits nothing.
-		return &talk{call: at.Call.Payload.(*thriftmap.Call), seq: seq.Add(1), most: m.MaxFrame}
+		return &talk{call: at.Payload.(*thriftmap.Call), seq: seq.Add(1), most: m.MaxFrame}
 	}}
 	return t
 }
@@ -89,7 +89,7 @@
 	if err != nil {
 		return core.Ending{}, fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
 	}
-	e := core.Ending{Result: out.Result, Report: out.Report}
+	e := core.Ending{Result: out.Result, Report: out.Report, ShapeUnknown: out.ShapeUnknown}
 	if out.Result == choice.OK {
 		e.Reply = &thriftmap.Reply{Head: h, Message: message}
 	}
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -199,6 +199,8 @@
 		}
 	case core.Refused:
 		return read.Refused(nil, ans.After)
+	case core.Unfit: // what can't be put in another shape is the client's fault, like what can't be read
+		return read.Application(nil, thriftwire.ProtocolError, ans.Cause.Error())
 	case core.Duplicate:
 		return read.Failed(nil, "a call with this correlation id is under way")
 	}
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/protocol"
@@ -28,6 +29,7 @@
 // Front is the Thrift side of the agent towards its clients.
 type Front struct {
 	cfg    *config.Config
+	shapes Shapes // nil where calls have none
 	m      *thriftmap.Map
 	core   *core.Core
 	log    *slog.Logger
@@ -42,6 +44,16 @@
 	left     chan struct{} // told when one is forgotten
 }
 
+// Shapes finds the shapes of calls.
+type Shapes interface {
+	// Thrift finds that of a call in an encoding. The zero Tag is that of a class without shapes; a method that is in none
+	// of its class's is an error.
+	Thrift(c *thriftmap.Call, spoken choice.Protocols) (routes.Tag, error)
+}
+
+// WithShapes has the Front find the shapes of calls. It is called before Serve.
+func (f *Front) WithShapes(s Shapes) { f.shapes = s }
+
 // New returns a Front that takes the connections of a listener through a door.
 func New(cfg *config.Config, m *thriftmap.Map, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
 	return &Front{cfg: cfg, m: m, core: c, log: log, door: d, listen: d.Listen(l),
@@ -114,6 +126,12 @@
 		call.ID = fmt.Sprint(f.idOf, f.ids.Add(1))
 	}
 	call.Class, call.Key, call.Again, call.Needs = read.Method.Class, read.Key, read.Again, needs[read.Head.Encoding]
+	if f.shapes != nil {
+		var err error
+		if call.Tag, err = f.shapes.Thrift(read, call.Needs); err != nil {
+			return nil, &thriftmap.Refusal{Kind: thriftwire.UnknownMethod, Text: err.Error()}
+		}
+	}
 	left := f.cfg.Module.Classes[call.Class].Deadline
 	if read.Left > 0 {
 		left = min(left, read.Left)
--- a/internal/thrift/thriftmap/call.go
+++ b/internal/thrift/thriftmap/call.go
@@ -37,6 +37,9 @@
 // MaxText bounds a correlation id, a tenant and a key, in bytes.
 const MaxText = 128
 
+// MaxKey bounds an idempotency key, in bytes.
+const MaxKey = 4096
+
 // Method is what is known of a method.
 type Method struct {
 	Name   string
@@ -71,6 +74,9 @@
 	Again  bool
 	Left   time.Duration // 0 where it is not said
 
+	Idempotency string // any bytes; empty where there is none
+	Unknown     int32  // the type of the application exception of a server that does not know the call's shape; 0 for none
+
 	left thriftwire.Field
 }
 
@@ -115,11 +121,13 @@
 	if c.Key, err = text(message, found[keySlot], "key", false); err != nil {
 		return nil, err
 	}
-	idempotency, err := text(message, found[idempotencySlot], "idempotency key", method.effect == choice.Keyed)
-	if err != nil {
+	if c.Idempotency, err = idempotency(message, found[idempotencySlot]); err != nil {
 		return nil, err
 	}
-	if method.effect == choice.Keyed && idempotency == "" {
+	if method.effect == choice.Keyed && !found[idempotencySlot].Found() {
+		return nil, refusal(thriftwire.ProtocolError, "no idempotency key")
+	}
+	if method.effect == choice.Keyed && c.Idempotency == "" {
 		return nil, refusal(thriftwire.ProtocolError, "the idempotency key is empty")
 	}
 	if f := found[repeatSlot]; f.Found() {
@@ -160,6 +168,21 @@
 	return string(b), nil
 }
 
+// idempotency reads the key of a call's repeats. Its bytes are the client's matter.
+func idempotency(message []byte, f thriftwire.Field) (string, error) {
+	switch {
+	case !f.Found():
+		return "", nil
+	case f.Type.Integer():
+		return strconv.FormatInt(f.Int(), 10), nil
+	case f.Type != thriftwire.String:
+		return "", refusal(thriftwire.ProtocolError, "the idempotency key is of type %d", f.Type)
+	case f.End-f.Start > MaxKey:
+		return "", refusal(thriftwire.ProtocolError, "an idempotency key of %d bytes, %d at most", f.End-f.Start, MaxKey)
+	}
+	return string(f.Bytes(message)), nil
+}
+
 // duration reads a time that is left: more than none, and no more than can be counted.
 func duration(f thriftwire.Field, unit time.Duration) (time.Duration, error) {
 	if !f.Type.Integer() && f.Type != thriftwire.Double {
@@ -204,8 +227,13 @@
 type Outcome struct {
 	Result choice.Result
 	Report choice.Report
+
+	ShapeUnknown bool // the server does not know the shape of the call, which never ran
 }
 
+// exceptionKind is where an application exception has its type (thrift-rpc.md, "Exceptions").
+var exceptionKind, _ = thriftwire.NewPlan(4, "2")
+
 // errReply is why a message is no reply to a call.
 var errReply = errors.New("no reply to this call")
 
@@ -228,7 +256,12 @@
 		return out, err
 	}
 	if h.Type == thriftwire.Exception {
-		return out, nil // it may have run, whatever the exception says
+		// It may have run, whatever the exception says, but where the call's shape has a word for not being known.
+		var kind [1]thriftwire.Field
+		if c.Unknown != 0 && exceptionKind.Scan(h, message, kind[:]) == nil && kind[0].Type == thriftwire.I32 && kind[0].Int() == int64(c.Unknown) {
+			out.Result, out.ShapeUnknown = choice.Rejected, true
+		}
+		return out, nil
 	}
 	m := c.Method
 	out.Report = m.report(found[m.loadSlot:])
--- a/internal/thrift/thriftwire/plan.go
+++ b/internal/thrift/thriftwire/plan.go
@@ -11,8 +11,12 @@
 	nodes    []node // of the structs on the way; the first is the message's own
 	slots    int
 	maxDepth int
+	strict   bool
 }
 
+// Strict has Scan refuse a message that holds fields which are not asked for, with ErrUnasked.
+func (p *Plan) Strict() { p.strict = true }
+
 // node is what is looked for in one struct. Small numbers are found at once, as nearly all are small.
 type node struct {
 	wants []want
--- a/internal/thrift/thriftwire/thriftwire.go
+++ b/internal/thrift/thriftwire/thriftwire.go
@@ -77,6 +77,9 @@
 // ErrMalformed is what all errors of this package are about: a message that is none.
 var ErrMalformed = errors.New("malformed Thrift message")
 
+// ErrUnasked says that a message holds a field that a strict Plan does not ask for.
+var ErrUnasked = errors.New("a field that is not known")
+
 func malformed(at int, format string, args ...any) error {
 	return fmt.Errorf("%w: byte %d: %s", ErrMalformed, at, fmt.Sprintf(format, args...))
 }
@@ -510,6 +513,9 @@
 			id = int16(binary.BigEndian.Uint16(s.m[at+1:]))
 		}
 		w := s.plan.want(node, id)
+		if s.plan.strict && node >= 0 && (w == nil || w.slot < 0 && t != Struct) {
+			return fmt.Errorf("byte %d: %w: number %d", at, ErrUnasked, id)
+		}
 		if s.compact && t == Bool { // the value is in the type
 			if w != nil && w.slot >= 0 {
 				if err := s.note(w, id, Field{Type: Bool, Start: int32(s.at), End: int32(s.at), Bits: uint64(2 - b&15)}); err != nil {
--- a/internal/thrift/thriftwire/write.go
+++ b/internal/thrift/thriftwire/write.go
@@ -65,6 +65,24 @@
 	w.Buf = AppendInt(w.Buf, w.Encoding, t, x)
 }
 
+// Bool writes a field that is a bool. The compact protocol has the value in the field's type.
+func (w *Writer) Bool(id int16, x bool) {
+	if w.Encoding == Compact {
+		compact := byte(2)
+		if x {
+			compact = 1
+		}
+		w.field(Bool, compact, id)
+		return
+	}
+	w.field(Bool, 0, id)
+	b := byte(0)
+	if x {
+		b = 1
+	}
+	w.Buf = append(w.Buf, b)
+}
+
 // Double writes a field that is a double.
 func (w *Writer) Double(id int16, x float64) {
 	w.field(Double, compactIDs[Double], id)
--- a/internal/translate/http.go
+++ b/internal/translate/http.go
@@ -2,23 +2,43 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-json-experiment/json/jsontext"
+
+	"ternbeam/internal/thrift/thriftwire"
 )
 
-// HTTP is a request or a reply over HTTP/1.1, as far as shapes speak of it.
-type HTTP struct {
-	Method string // of a request
-	Target string // of a request: its path and query, as they stand in it
+// Message is a request or a reply, as far as shapes speak of it: in HTTP/1.1, or in Thrift.
+type Message struct {
+	Method string // of a request in HTTP
+	Target string // of a request in HTTP: its path and query, as they stand in it
 	Header []Header
 	Body   []byte
+	Thrift []byte // a whole message of Thrift's, without its frame; the rest is empty then
+}
+
+// Envelope is what goes with a call whatever its shape.
+type Envelope struct {
+	ID, Tenant  string
+	Idempotency string // any bytes
+	Left        time.Duration
+	Repeat      bool
+}
+
+// Words say how a translation is worded.
+type Words struct {
+	Encoding thriftwire.Encoding // of a message in Thrift
+	Envelope Envelope            // of a request
 }
 
 // Header is a field of a head.
@@ -30,27 +50,30 @@
 // node is a JSON object of a message, or a member that is a field.
 type node struct {
 	name    string
+	id      int16  // in Thrift
 	quoted  []byte // the name as it is written, with a colon
 	field   int    // -1 for an object
 	members []*node
 }
 
-// tree arranges the JSON fields of a message as they nest, members by their names.
-func tree(m *message) *node {
+// nest arranges the fields of a place as they nest, members by their names or numbers.
+func (m *message) nest(in place) *node {
 	root := &node{field: -1}
 	for i, f := range m.fields {
-		if f.place != inJSON {
+		if f.place != in {
 			continue
 		}
 		at := root
 		for depth, name := range f.path {
 			n := at.member(name)
 			if n == nil {
-				quoted, err := jsontext.AppendQuote(nil, name)
-				if err != nil {
-					quoted = []byte(`""`) // of a name that is not UTF-8, which TOML has none of
+				n = &node{name: name, field: -1}
+				if id, err := strconv.ParseInt(name, 10, 16); in == inThrift && err == nil {
+					n.id = int16(id)
+				}
+				if quoted, err := jsontext.AppendQuote(nil, name); err == nil { // TOML is UTF-8
+					n.quoted = append(quoted, ':')
 				}
-				n = &node{name: name, field: -1, quoted: append(quoted, ':')}
 				at.members = append(at.members, n)
 			}
 			if depth == len(f.path)-1 {
@@ -64,7 +87,9 @@
 }
 
 func (n *node) sort() {
-	slices.SortFunc(n.members, func(a, b *node) int { return strings.Compare(a.name, b.name) })
+	slices.SortFunc(n.members, func(a, b *node) int {
+		return cmp.Or(cmp.Compare(a.id, b.id), strings.Compare(a.name, b.name))
+	})
 	for _, m := range n.members {
 		m.sort()
 	}
@@ -84,6 +109,7 @@
 	in       bytes.Reader
 	decoder  *jsontext.Decoder
 	src, dst []value
+	found    []thriftwire.Field
 	kept     []member
 }
 
@@ -114,54 +140,117 @@
 }
 
 // Request translates a request. What it returns shares no memory with what it was given, and needs none of it.
-func (p *Plan) Request(m *HTTP) (*HTTP, error) {
+func (p *Plan) Request(m *Message, words Words) (*Message, error) {
 	r := p.request.open()
 	defer r.close()
+	if refusal := p.readRequest(m, r); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := p.request.convert(r.src, r.dst); refusal != nil {
+		return nil, refusal
+	}
+	out := &Message{}
+	if refusal := p.writeRequest(out, words, r); refusal != nil {
+		return nil, refusal
+	}
+	return out, nil
+}
+
+func (p *Plan) readRequest(m *Message, r *reading) *Refusal {
+	if p.From.Protocol == "thrift" {
+		return p.request.readThrift(thriftwire.Call, p.From.method, m.Thrift, r)
+	}
 	if m.Method != p.From.method {
-		return nil, &Refusal{Malformed, "", fmt.Sprintf("a %s, not a %s", m.Method, p.From.method)}
+		return &Refusal{Malformed, "", fmt.Sprintf("a %s, not a %s", m.Method, p.From.method)}
 	}
 	path, query, _ := strings.Cut(m.Target, "?")
 	if refusal := p.From.readPath(path, r.src); refusal != nil {
-		return nil, refusal
+		return refusal
 	}
 	if refusal := p.request.src.readPairs(inQuery, query, r.src); refusal != nil {
-		return nil, refusal
-	}
-	if refusal := p.request.read(m, r); refusal != nil {
-		return nil, refusal
+		return refusal
 	}
-	if refusal := p.request.convert(r.src, r.dst); refusal != nil {
-		return nil, refusal
+	return p.request.read(m, r)
+}
+
+func (p *Plan) writeRequest(out *Message, words Words, r *reading) (refusal *Refusal) {
+	if p.To.Protocol == "thrift" {
+		words.Envelope.fill(p.request.dst, r.dst)
+		out.Thrift, refusal = p.request.writeThrift(thriftwire.Call, p.To.method, words.Encoding, r)
+		return refusal
 	}
-	out := &HTTP{Method: p.To.method}
+	out.Method = p.To.method
 	target, refusal := p.To.appendTarget(nil, r.dst)
 	if refusal != nil {
-		return nil, refusal
+		return refusal
 	}
 	out.Target = string(target)
-	if refusal := p.request.write(out, r); refusal != nil {
-		return nil, refusal
+	if out.Header, refusal = words.Envelope.headers(p.To.Class); refusal != nil {
+		return refusal
 	}
-	return out, nil
+	return p.request.write(out, r)
+}
+
+// headers are those of a call's envelope in HTTP. The time that is left is worded when the call is sent.
+func (e *Envelope) headers(class string) ([]Header, *Refusal) {
+	all := []Header{{"X-Correlation-Id", e.ID}, {"X-Service-Class", class}, {"X-Account", e.Tenant}}
+	if e.Idempotency != "" {
+		all = append(all, Header{"Idempotency-Key", e.Idempotency})
+	}
+	if e.Repeat {
+		all = append(all, Header{"X-Repeat", "1"})
+	}
+	for _, h := range all {
+		if why := unfit(h.Value); why != "" {
+			return nil, &Refusal{OutOfRange, "", h.Name + ": " + why}
+		}
+	}
+	return all, nil
+}
+
+// unfit says why a text can't be the value of a header (RFC 9110, section 5.5).
+func unfit(text string) string {
+	for i := range len(text) {
+		if b := text[i]; b < ' ' && b != '\t' || b == 0x7f {
+			return fmt.Sprintf("byte %d can't stand in a header", i)
+		}
+	}
+	if strings.Trim(text, " \t") != text {
+		return "a header loses the space around it"
+	}
+	return ""
 }
 
 // Reply translates a reply back.
-func (p *Plan) Reply(m *HTTP) (*HTTP, error) {
+func (p *Plan) Reply(m *Message, words Words) (*Message, error) {
 	r := p.reply.open()
 	defer r.close()
-	if refusal := p.reply.read(m, r); refusal != nil {
+	refusal := p.readReply(m, r)
+	if refusal != nil {
 		return nil, refusal
 	}
 	if refusal := p.reply.convert(r.src, r.dst); refusal != nil {
 		return nil, refusal
 	}
-	out := &HTTP{}
-	if refusal := p.reply.write(out, r); refusal != nil {
+	out := &Message{}
+	if p.From.Protocol == "thrift" {
+		out.Thrift, refusal = p.reply.writeThrift(thriftwire.Reply, p.From.method, words.Encoding, r)
+	} else {
+		refusal = p.reply.write(out, r)
+	}
+	if refusal != nil {
 		return nil, refusal
 	}
 	return out, nil
 }
 
+func (p *Plan) readReply(m *Message, r *reading) *Refusal {
+	if p.To.Protocol == "thrift" {
+		return p.reply.readThrift(thriftwire.Reply, p.To.method, m.Thrift, r)
+	}
+	return p.reply.read(m, r)
+}
+
 // readPath reads the fields of a path.
 func (s *Shape) readPath(path string, to []value) *Refusal {
 	rest, rooted := strings.CutPrefix(path, "/")
@@ -235,9 +324,9 @@
 }
 
 // read reads the head's fields and the body, and sees whether all is there that must be.
-func (c *conversion) read(m *HTTP, r *reading) *Refusal {
+func (c *conversion) read(m *Message, r *reading) *Refusal {
 	if len(m.Body) > c.src.most {
-		return &Refusal{TooLarge, "", fmt.Sprintf("a body of %d bytes, at most %d are possible", len(m.Body), c.src.most)}
+		return tooLong(len(m.Body), c.src.most)
 	}
 	for _, h := range m.Header {
 		i := slices.IndexFunc(c.src.fields, func(f *field) bool { return f.place == inHeader && strings.EqualFold(f.at, h.Name) })
@@ -280,6 +369,10 @@
 	return nil
 }
 
+func tooLong(n, most int) *Refusal {
+	return &Refusal{TooLarge, "", fmt.Sprintf("a body of %d bytes, at most %d are possible", n, most)}
+}
+
 func broken(err error) *Refusal { return &Refusal{Malformed, "", err.Error()} }
 
 func (c *conversion) readObject(n *node, r *reading, depth int) *Refusal {
@@ -450,7 +543,7 @@
 }
 
 // write writes the head's fields and the body.
-func (c *conversion) write(out *HTTP, r *reading) (refusal *Refusal) {
+func (c *conversion) write(out *Message, r *reading) (refusal *Refusal) {
 	for i, f := range c.dst.fields {
 		switch {
 		case !r.dst[i].set && !f.optional:
@@ -460,11 +553,8 @@
 			if refusal != nil {
 				return refusal
 			}
-			if j := slices.IndexFunc(text, func(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }); j >= 0 {
-				return f.refuse(OutOfRange, "byte %d can't stand in a header", j) // RFC 9110, section 5.5
-			}
-			if t := bytes.Trim(text, " \t"); len(t) != len(text) {
-				return f.refuse(OutOfRange, "a header loses the space around it")
+			if why := unfit(string(text)); why != "" {
+				return f.refuse(OutOfRange, "%s", why)
 			}
 			out.Header = append(out.Header, Header{f.at, string(text)})
 		}
@@ -472,11 +562,13 @@
 	switch {
 	case c.dst.has(inForm):
 		out.Body, refusal = c.dst.appendPairs(nil, inForm, 0, r.dst)
+		out.Header = append(out.Header, Header{"Content-Type", "application/x-www-form-urlencoded"})
 	case c.dst.has(inJSON):
 		out.Body, refusal = c.appendObject(nil, c.dst.json, r)
+		out.Header = append(out.Header, Header{"Content-Type", "application/json"})
 	}
 	if refusal == nil && len(out.Body) > c.dst.most {
-		refusal = &Refusal{TooLarge, "", fmt.Sprintf("its translation has %d bytes, at most %d are possible", len(out.Body), c.dst.most)}
+		refusal = tooLong(len(out.Body), c.dst.most)
 	}
 	return refusal
 }
--- a/internal/translate/mapping.go
+++ b/internal/translate/mapping.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/bits"
 	"slices"
+	"strings"
+	"time"
 	"unicode/utf8"
 
 	"ternbeam/internal/settings/conffile"
@@ -12,10 +14,25 @@
 
 // Set is what a file of shapes and mappings was compiled into.
 type Set struct {
-	Shapes map[string]*Shape
-	Plans  []*Plan // by the names of their mappings
+	Shapes     map[string]*Shape
+	Plans      []*Plan       // by the names of their mappings, then as these name the shapes
+	Forget     time.Duration // how long a server that does not know a shape is not sent it, at first
+	MostForget time.Duration // and at the most
+
+	byClass  map[string][]*Shape // in HTTP, and an empty list where they are in Thrift only
+	byMethod map[string]*Shape   // in Thrift
 }
 
+// Bounds and defaults of these.
+const (
+	defaultForget     = 5 * time.Second
+	defaultMostForget = 80 * time.Second
+	leastForgetS      = 0.1
+	mostForgetS       = 3600
+	mostMostForgetS   = 86400
+	mostShapes        = 64
+)
+
 // Plan translates the messages of one shape into those of another: requests there, replies back.
 type Plan struct {
 	Name     string
@@ -48,6 +65,9 @@
 	to     *field
 }
 
+// mostEnds bounds the shapes that a mapping names on either side.
+const mostEnds = 16
+
 // Compile reads a file. All that is wrong in it is told, by line and key.
 func Compile(text []byte) (*Set, error) {
 	var t fileText
@@ -55,38 +75,109 @@
 	if err := c.file.Err(); err != nil {
 		return nil, err
 	}
-	set := &Set{Shapes: c.shapes}
+	set := &Set{Shapes: c.shapes, Forget: defaultForget, MostForget: defaultMostForget}
+	c.file.Span("drift.forget_s", t.Drift.ForgetS, time.Second, leastForgetS, mostForgetS, &set.Forget)
+	c.file.Span("drift.most_forget_s", t.Drift.MostForgetS, time.Second, leastForgetS, mostMostForgetS, &set.MostForget)
+	if set.MostForget < set.Forget {
+		c.file.Problem("drift.most_forget_s", "less than forget_s")
+	}
+	if len(t.Shapes) > mostShapes || len(t.Mappings) > mostShapes {
+		c.file.Problem("shapes", "%d shapes and %d mappings, %d of each at most", len(t.Shapes), len(t.Mappings), mostShapes)
+		return nil, c.file.Err()
+	}
 	for _, name := range sortedKeys(t.Shapes) {
 		c.shapes[name] = c.shape(name, t.Shapes[name])
 	}
+	c.ambiguous()
+	set.byClass, set.byMethod = map[string][]*Shape{}, map[string]*Shape{}
+	for _, s := range set.Shapes {
+		if s.Protocol == "thrift" {
+			set.byMethod[s.method] = s
+			set.byClass[s.Class] = append(set.byClass[s.Class], nil...)
+		} else {
+			set.byClass[s.Class] = append(set.byClass[s.Class], s)
+		}
+	}
 	for _, name := range sortedKeys(t.Mappings) {
-		if p := c.mapping(name, t.Mappings[name]); p != nil {
-			set.Plans = append(set.Plans, p)
+		set.Plans = append(set.Plans, c.mappings(name, t.Mappings[name])...)
+	}
+	taken := map[[2]*Shape]string{}
+	for _, p := range set.Plans {
+		if other := taken[[2]*Shape{p.From, p.To}]; other != "" {
+			c.file.Problem("mappings."+p.Name, "%s is mapped to %s by %s already", p.From.Name, p.To.Name, other)
 		}
+		taken[[2]*Shape{p.From, p.To}] = p.Name
 	}
 	return set, c.file.Err()
 }
 
+// ambiguous looks for shapes that could not be told apart.
+func (c *compiler) ambiguous() {
+	names := sortedKeys(c.shapes)
+	for i, name := range names {
+		s := c.shapes[name]
+		for _, before := range names[:i] {
+			o := c.shapes[before]
+			switch {
+			case s.Protocol != o.Protocol:
+			case s.Class == o.Class && s.Version == o.Version:
+				c.file.Problem("shapes."+name+".version", "%s is version %s of %s in %s too", before, s.Version, s.Class, s.Protocol)
+			case s.Protocol == "thrift" && s.method == o.method:
+				c.file.Problem("shapes."+name+".method", "%s has it too: calls could not be told apart", before)
+			case s.Protocol == "http" && s.Class == o.Class && s.method == o.method && s.overlaps(o):
+				c.file.Problem("shapes."+name+".path", "that of %s matches the same paths: calls could not be told apart", before)
+			}
+		}
+	}
+}
+
+// overlaps reports whether a path may fit both shapes.
+func (s *Shape) overlaps(o *Shape) bool {
+	if len(s.path) != len(o.path) {
+		return false
+	}
+	for i := range s.path {
+		if s.path[i].field == nil && o.path[i].field == nil && s.path[i].text != o.path[i].text {
+			return false
+		}
+	}
+	return true
+}
+
 // Loses says what a plan does not carry over, by the fields of the shapes. A plan that loses nothing refuses what it
 // can't carry over.
 func (p *Plan) Loses() []string { return slices.Concat(p.request.loses, p.reply.loses) }
 
-func (c *compiler) mapping(name string, t *mappingText) *Plan {
+// mappings compiles a table of rules for each pair of shapes that it is for: shapes of one version in several protocols
+// name their fields alike.
+func (c *compiler) mappings(name string, t *mappingText) (plans []*Plan) {
 	key := "mappings." + name
-	p := &Plan{Name: name, From: c.shapes[t.From], To: c.shapes[t.To]}
-	for what, end := range map[string]struct {
-		name  string
-		shape *Shape
-	}{"from": {t.From, p.From}, "to": {t.To, p.To}} {
-		if end.shape == nil {
-			c.file.Problem(key+"."+what, "no shape is called %q", end.name)
+	ends := map[string][]string{"from": t.From, "to": t.To}
+	for _, what := range sortedKeys(ends) {
+		if len(ends[what]) == 0 || len(ends[what]) > mostEnds {
+			c.file.Problem(key+"."+what, "%d shapes, 1 to %d are possible", len(ends[what]), mostEnds)
+		}
+		for _, shape := range ends[what] {
+			if c.shapes[shape] == nil {
+				c.file.Problem(key+"."+what, "no shape is called %q", shape)
+			}
 		}
 	}
-	if p.From == nil || p.To == nil {
-		return nil
+	for _, from := range t.From {
+		for _, to := range t.To {
+			if from, to := c.shapes[from], c.shapes[to]; from != nil && to != nil {
+				plans = append(plans, c.mapping(name, from, to, t))
+			}
+		}
 	}
-	if p.From.Class != p.To.Class {
-		c.file.Problem(key+".to", "%s is a %s, %s a %s", t.From, p.From.Class, t.To, p.To.Class)
+	return plans
+}
+
+func (c *compiler) mapping(name string, from, to *Shape, t *mappingText) *Plan {
+	key := "mappings." + name
+	p := &Plan{Name: name, From: from, To: to}
+	if from.Class != to.Class {
+		c.file.Problem(key+".to", "%s is a %s, %s a %s", from.Name, from.Class, to.Name, to.Class)
 	}
 	p.request = c.conversion(key, "request", &p.From.request, &p.To.request, t.Request, t.Drop.Request, t.Absent.Request, t.Omit.Request)
 	p.reply = c.conversion(key, "reply", &p.To.reply, &p.From.reply, t.Reply, t.Drop.Reply, t.Absent.Reply, t.Omit.Reply)
@@ -146,6 +237,9 @@
 		v.ops = append(v.ops, c.rule(key+what+"."+name, what, &v, dst.byName[name], rules[name], account))
 	}
 	for i, f := range dst.fields {
+		if f.envelope != noEnvelope {
+			continue
+		}
 		if rules[f.name] == nil && !slices.Contains(omit, f.name) {
 			c.file.Problem(key+what, "nothing is said of %s, which is written: a rule, or omit", f.name)
 		}
@@ -156,7 +250,7 @@
 		}
 	}
 	for _, f := range src.fields {
-		if used[f.name] == "" {
+		if used[f.name] == "" && f.envelope == noEnvelope {
 			c.file.Problem(key+what, "nothing is said of %s, which is read: a rule, drop or absent", f.name)
 		}
 	}
@@ -479,3 +573,56 @@
 	}
 	return nil
 }
+
+// HTTP returns the shape of a class in which a request in HTTP is worded, by its method and path, or nil.
+func (s *Set) HTTP(class, method, path string) *Shape {
+	for _, shape := range s.byClass[class] {
+		if shape.method == method && shape.fits(path) {
+			return shape
+		}
+	}
+	return nil
+}
+
+// fits reports whether a path, as it stands in a request, is of the shape's form.
+func (s *Shape) fits(path string) bool {
+	rest, rooted := strings.CutPrefix(path, "/")
+	for i, seg := range s.path {
+		part, after, more := strings.Cut(rest, "/")
+		if more != (i < len(s.path)-1) || seg.field == nil && part != seg.text {
+			return false
+		}
+		rest = after
+	}
+	return rooted
+}
+
+// Thrift returns the shape in which a call of a method is worded, or nil.
+func (s *Set) Thrift(method string) *Shape { return s.byMethod[method] }
+
+// Class reports whether any shape is of a class.
+func (s *Set) Class(name string) bool {
+	_, any := s.byClass[name]
+	return any
+}
+
+// Method is the method of a shape's requests.
+func (s *Shape) Method() string { return s.method }
+
+// KeyLast reports whether a path of the shape ends in what the call is about.
+func (s *Shape) KeyLast() bool { return len(s.path) > 0 && s.path[len(s.path)-1].field != nil }
+
+// RequestHeaders are the headers of a request in HTTP that the shape speaks of.
+func (s *Shape) RequestHeaders() []string { return s.request.headers() }
+
+// ReplyHeaders are the headers of a reply in HTTP that the shape speaks of.
+func (s *Shape) ReplyHeaders() []string { return s.reply.headers() }
+
+func (m *message) headers() (names []string) {
+	for _, f := range m.fields {
+		if f.place == inHeader {
+			names = append(names, f.at)
+		}
+	}
+	return names
+}
--- a/internal/translate/shape.go
+++ b/internal/translate/shape.go
@@ -12,6 +12,7 @@
 	_ "time/tzdata" // zones must mean the same on every host
 
 	"ternbeam/internal/settings/conffile"
+	"ternbeam/internal/thrift/thriftwire"
 )
 
 // Bounds of what a file may declare.
@@ -23,6 +24,24 @@
 	mostText    = 64 << 10 // bytes of a field, where it says nothing of its own
 )
 
+// envelope is what every message of a protocol carries for the agent, whatever its shape. In HTTP it has headers of its
+// own; in Thrift a shape says where.
+type envelope int
+
+const (
+	envelopeID envelope = iota
+	envelopeTenant
+	envelopeIdempotency
+	envelopeLeft
+	envelopeRepeat
+	envelopeLoad // of replies; any number
+	noEnvelope
+)
+
+// ownHeaders are those of the envelope in HTTP, and those that frame a message: no shape may name them.
+var ownHeaders = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key", "X-Repeat",
+	"X-Unprocessed", "X-Backend-Load", "Retry-After", "Content-Type", "Content-Length", "Transfer-Encoding", "Connection", "Host"}
+
 // place is where in a message a field is.
 type place uint8
 
@@ -53,13 +72,18 @@
 	form     string
 	layout   string
 	zone     *time.Location
+	wire     thriftwire.Type // in Thrift
+	numbers  []int64         // of an enum's values, in Thrift
+	envelope envelope
 }
 
 // message is what a shape says of a request or a reply.
 type message struct {
 	fields  []*field // by name
 	byName  map[string]*field
-	json    *node  // its JSON fields as they nest
+	json    *node // its JSON fields as they nest
+	thrift  *node // and its Thrift fields
+	scan    *thriftwire.Plan
 	unknown string // JSON members that no field names: refuse, drop or keep
 	most    int    // bytes of a body
 }
@@ -69,7 +93,8 @@
 	Name     string
 	Class    string
 	Version  string // as servers' entries in the list name it
-	Protocol string
+	Protocol string // http or thrift
+	Unknown  int    // what a server answers that does not know the shape, see its file; 0 where none says so
 	method   string
 	path     []segment
 	request  message
@@ -88,6 +113,10 @@
 	fileText struct {
 		Shapes   map[string]*shapeText   `toml:"shapes"`
 		Mappings map[string]*mappingText `toml:"mappings"`
+		Drift    struct {
+			ForgetS     *float64 `toml:"forget_s"`
+			MostForgetS *float64 `toml:"most_forget_s"`
+		} `toml:"drift"`
 	}
 	shapeText struct {
 		Class    string                `toml:"class"`
@@ -95,6 +124,8 @@
 		Protocol string                `toml:"protocol"`
 		Method   string                `toml:"method"`
 		Path     string                `toml:"path"`
+		Unknowns int                   `toml:"shape_unknown"`
+		Envelope envelopeText          `toml:"envelope"`
 		Request  map[string]*fieldText `toml:"request"`
 		Reply    map[string]*fieldText `toml:"reply"`
 		Unknown  struct {
@@ -106,6 +137,14 @@
 			Reply   int `toml:"reply"`
 		} `toml:"max_body_bytes"`
 	}
+	envelopeText struct {
+		ID          string   `toml:"id"`
+		Tenant      string   `toml:"tenant"`
+		Idempotency string   `toml:"idempotency_key"`
+		Left        string   `toml:"time_left_ms"`
+		Repeat      string   `toml:"repeat"`
+		Load        []string `toml:"load"`
+	}
 	fieldText struct {
 		At       string   `toml:"at"`
 		Type     string   `toml:"type"`
@@ -117,10 +156,12 @@
 		Values   []string `toml:"values"`
 		Form     string   `toml:"form"`
 		Zone     string   `toml:"zone"`
+		Wire     string   `toml:"wire"`
+		Numbers  []int64  `toml:"numbers"`
 	}
 	mappingText struct {
-		From    string               `toml:"from"`
-		To      string               `toml:"to"`
+		From    []string             `toml:"from"`
+		To      []string             `toml:"to"`
 		Request map[string]*ruleText `toml:"request"`
 		Reply   map[string]*ruleText `toml:"reply"`
 		Drop    struct {
@@ -159,23 +200,44 @@
 // shape compiles one shape.
 func (c *compiler) shape(name string, t *shapeText) *Shape {
 	key := "shapes." + name
-	s := &Shape{Name: name, Class: t.Class, Version: t.Version, Protocol: t.Protocol, method: t.Method}
+	s := &Shape{Name: name, Class: t.Class, Version: t.Version, Protocol: t.Protocol, Unknown: t.Unknowns, method: t.Method}
 	if len(name) > mostName {
 		c.file.Problem(key, "a name of more than %d bytes", mostName)
 	}
 	for what, text := range map[string]string{"class": t.Class, "version": t.Version} {
-		if text == "" {
-			c.file.Problem(key+"."+what, "it is needed")
+		if text == "" || len(text) > mostName || strings.ContainsAny(text, "/ ") {
+			c.file.Problem(key+"."+what, "%q: a name of 1 to %d bytes without slashes and spaces is needed", text, mostName)
 		}
 	}
-	if t.Protocol != "http" {
-		c.file.Problem(key+".protocol", "%q, http is possible", t.Protocol)
+	s.request = c.message(key+".request", t.Request, t.Unknown.Request, t.Most.Request, key)
+	s.reply = c.message(key+".reply", t.Reply, t.Unknown.Reply, t.Most.Reply, key)
+	switch t.Protocol {
+	case "http":
+		c.http(key, s, t)
+	case "thrift":
+		c.thrift(key, s, t)
+	default:
+		c.file.Problem(key+".protocol", "%q, http and thrift are possible", t.Protocol)
+	}
+	for what, m := range map[string]*message{"request": &s.request, "reply": &s.reply} {
+		for _, f := range m.fields {
+			if (f.place == inThrift) != (t.Protocol == "thrift") {
+				c.file.Problem(key+"."+what+"."+f.name+".at", "a message in %s has no such place", t.Protocol)
+			}
+			if f.place == inHeader && slices.ContainsFunc(ownHeaders, func(own string) bool { return strings.EqualFold(own, f.at) }) {
+				c.file.Problem(key+"."+what+"."+f.name+".at", "the agent carries %s itself, whatever the shape", f.at)
+			}
+		}
+		m.tree(c, key+"."+what, t.Protocol)
 	}
+	return s
+}
+
+// http compiles what only shapes in HTTP have.
+func (c *compiler) http(key string, s *Shape, t *shapeText) {
 	if t.Method != "GET" && t.Method != "POST" && t.Method != "PUT" {
 		c.file.Problem(key+".method", "%q, one of GET, POST and PUT is needed", t.Method)
 	}
-	s.request = c.message(key+".request", t.Request, t.Unknown.Request, t.Most.Request, key)
-	s.reply = c.message(key+".reply", t.Reply, t.Unknown.Reply, t.Most.Reply, key)
 	c.pathOf(key, s, t.Path)
 	for _, f := range s.reply.fields {
 		if f.place == inPath || f.place == inQuery || f.place == inForm {
@@ -188,7 +250,12 @@
 	if s.method == "GET" && (s.request.has(inJSON) || s.request.has(inForm)) {
 		c.file.Problem(key+".method", "a GET has no body")
 	}
-	return s
+	if t.Unknowns != 0 && (t.Unknowns < 400 || t.Unknowns > 599) {
+		c.file.Problem(key+".shape_unknown", "%d, a status from 400 to 599 is possible", t.Unknowns)
+	}
+	if e := t.Envelope; e.ID+e.Tenant+e.Idempotency+e.Left+e.Repeat != "" || len(e.Load) > 0 {
+		c.file.Problem(key+".envelope", "in HTTP it has headers of its own")
+	}
 }
 
 func (m *message) has(p place) bool {
@@ -249,17 +316,36 @@
 			if f.place == other.place && (f.at == other.at || f.place == inHeader && strings.EqualFold(f.at, other.at)) {
 				c.file.Problem(key+"."+name+".at", "%s is there too", other.name)
 			}
-			if f.place == inJSON && other.place == inJSON && (strings.HasPrefix(f.at, other.at+".") || strings.HasPrefix(other.at, f.at+".")) {
+			if f.place == other.place && (f.place == inJSON || f.place == inThrift) && (strings.HasPrefix(f.at, other.at+".") || strings.HasPrefix(other.at, f.at+".")) {
 				c.file.Problem(key+"."+name+".at", "it can't be in %s, or that in it", other.name)
 			}
 		}
 		m.fields = append(m.fields, f)
 		m.byName[name] = f
 	}
-	m.json = tree(&m)
 	return m
 }
 
+// tree arranges the fields as they nest.
+func (m *message) tree(c *compiler, key, protocol string) {
+	m.json = m.nest(inJSON)
+	if protocol != "thrift" {
+		return
+	}
+	m.thrift = m.nest(inThrift)
+	var paths []string
+	for _, f := range m.fields {
+		paths = append(paths, f.at)
+	}
+	plan, err := thriftwire.NewPlan(mostDepth, paths...)
+	if err != nil {
+		c.file.Problem(key, "%v", err)
+	}
+	if m.scan = plan; plan != nil && m.unknown == "refuse" {
+		plan.Strict()
+	}
+}
+
 // sortedKeys are the keys of a table, so that what is said of it has an order.
 func sortedKeys[T any](table map[string]T) []string {
 	keys := make([]string, 0, len(table))
@@ -272,11 +358,11 @@
 
 // field compiles one field.
 func (c *compiler) field(key, name string, t *fieldText) *field {
-	f := &field{name: name, optional: t.Optional, quoted: t.Quoted, form: t.Form}
+	f := &field{name: name, optional: t.Optional, quoted: t.Quoted, form: t.Form, envelope: noEnvelope}
 	where, at, _ := strings.Cut(t.At, ":")
 	var known bool
-	if f.place, known = placeNames[where]; !known || at == "" || f.place == inThrift {
-		c.file.Problem(key+".at", "%q, one of path:, query:, header:, json: and form: with a name is needed", t.At)
+	if f.place, known = placeNames[where]; !known || at == "" {
+		c.file.Problem(key+".at", "%q, one of path:, query:, header:, json:, form: and thrift: with a name is needed", t.At)
 	}
 	f.at, f.path = at, strings.Split(at, ".")
 	if f.place == inJSON && slices.Contains(f.path, "") {
@@ -326,6 +412,7 @@
 		}
 	}
 	c.timeForm(key, f, t)
+	c.wire(key, f, t)
 	return f
 }
 
