--- /dev/null
+++ b/internal/lab/replay/replay_test.go
@@ -0,0 +1,112 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"ternbeam/deploy"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
+	"ternbeam/internal/translate"
+)
+
+func shapes() (*translate.Set, error) { return translate.Compile([]byte(deploy.Translate)) }
+
+func newWorld(t testing.TB, p standin.Platform, servers ...standin.Options) *World {
+	t.Helper()
+	w, err := NewWorld(p, shapes, slog.New(slog.NewTextHandler(io.Discard, nil)), servers...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	return w
+}
+
+// speeches are the ways in which clients and servers speak; the servers' by the list.
+var speeches = []string{"http", "thrift-binary", "thrift-compact"}
+
+func (o Old) exchange(id, speech string) Exchange {
+	if speech == "http" {
+		return o.HTTP(id)
+	}
+	return o.Thrift(id, speech == "thrift-compact")
+}
+
+// The corpus, through all pairs of protocols: what the new servers got and what the clients were told is what it would be
+// with old servers, byte for byte.
+func TestCorpusThroughAllPairs(t *testing.T) {
+	all := load(t)
+	for _, client := range speeches {
+		for _, server := range speeches {
+			t.Run(client+" to "+server, func(t *testing.T) {
+				t.Parallel()
+				old := newWorld(t, standin.Platform{}, standin.Options{ID: "old", Protocol: client, Shapes: []string{"1"}, NoLoad: true})
+				new := newWorld(t, standin.Platform{}, standin.Options{ID: "new", Protocol: server, Shapes: []string{"2"}})
+				var served, unfit []Exchange
+				for i, o := range all {
+					id := fmt.Sprint("c-", i)
+					switch {
+					case o.Only != "" && !strings.HasPrefix(client, o.Only) && o.Only != client:
+					case o.Only == "thrift" && server == "http": // the key can't stand in a header
+						unfit = append(unfit, o.exchange(id, client))
+					case o.Fate == "served":
+						served = append(served, o.exchange(id, client))
+					default:
+						unfit = append(unfit, o.exchange(id, client))
+					}
+				}
+				r := Compare(old, new, served, testkit.Patience)
+				if r.Same != len(served) {
+					t.Errorf("%d of %d the same, unfit %q, different %q", r.Same, len(served), first(r.Unfit), first(r.Different))
+				}
+				r = Compare(old, new, unfit, testkit.Patience)
+				if len(r.Unfit) != len(unfit) {
+					t.Errorf("%d of %d unfit, same %d, different %q", len(r.Unfit), len(unfit), r.Same, first(r.Different))
+				}
+				for version, w := range map[string]*World{"1": old, "2": new} {
+					if saw := w.Saw("c-0"); len(saw) != 1 || saw[0].Version != version {
+						t.Errorf("servers of version %s saw %+v", version, saw)
+					}
+					if n := w.Agent.Illegal(); n > 0 {
+						t.Errorf("%d illegal steps", n)
+					}
+				}
+			})
+		}
+	}
+}
+
+func first(all []string) []string { return all[:min(len(all), 8)] }
+
+// A comparison sees a server that got something else, and a client that was told something else.
+func TestCompareSeesDifferences(t *testing.T) {
+	all := load(t)
+	wrong := strings.Replace(deploy.Translate, `W = "watch", J = "jewellery"`, `W = "jewellery", J = "watch"`, 1)
+	old := newWorld(t, standin.Platform{}, standin.Options{ID: "old", Protocol: "http", Shapes: []string{"1"}})
+	for name, c := range map[string]struct {
+		text   string
+		script standin.Script
+		want   string
+	}{
+		"goods swapped": {text: wrong, want: "a server got"},
+		"reply swapped": {text: strings.Replace(deploy.Translate, `paid = "true", pending = "false"`, `paid = "false", pending = "true"`, 1), want: "told"},
+		"an error":      {text: deploy.Translate, script: standin.First(9, standin.Step{Fault: standin.Error}), want: "told"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			new, err := NewWorld(standin.Platform{}, func() (*translate.Set, error) { return translate.Compile([]byte(c.text)) },
+				slog.New(slog.DiscardHandler), standin.Options{ID: "new", Protocol: "http", Shapes: []string{"2"}, Script: c.script})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer new.Close()
+			r := Compare(old, new, []Exchange{all[0].HTTP("a-" + name)}, 5*time.Second)
+			if len(r.Different) != 1 || !strings.Contains(r.Different[0], c.want) {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/replay/wording.go
@@ -0,0 +1,107 @@
+package replay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strings"
+
+	"github.com/apache/thrift/lib/go/thrift"
+
+	"ternbeam/internal/lab/standin"
+)
+
+type (
+	netConn = net.Conn
+	reader  = bufio.Reader
+)
+
+// Old is a refund in the old shape, as the texts that a client sends.
+type Old struct {
+	Name   string  `json:"name"`
+	Key    []byte  `json:"key64"` // the idempotency key
+	Form   string  `json:"form"`
+	Amount string  `json:"amount"`
+	Bought string  `json:"bought"`
+	Goods  string  `json:"goods"`
+	First  string  `json:"first"`
+	Last   string  `json:"last"`
+	Memo   *string `json:"memo,omitempty"`
+	Body   string  `json:"body,omitempty"` // in HTTP, in place of the fields above as a plain form
+	Fate   string  `json:"fate"`           // served, unfit (refused, as the new shape can't hold it) or malformed (never sent by an agent)
+	Only   string  `json:"only,omitempty"` // the one protocol that can say it
+}
+
+// HTTP words it in HTTP.
+func (o Old) HTTP(id string) Exchange {
+	body := o.Body
+	if body == "" {
+		pairs := []string{"amount=" + url.QueryEscape(o.Amount), "bought=" + url.QueryEscape(o.Bought), "goods=" + url.QueryEscape(o.Goods),
+			"first=" + url.QueryEscape(o.First), "last=" + url.QueryEscape(o.Last)}
+		if o.Memo != nil {
+			pairs = append(pairs, "memo="+url.QueryEscape(*o.Memo))
+		}
+		body = strings.Join(pairs, "&")
+	}
+	return Exchange{Protocol: "http", Request: Message{Method: "POST", Target: "/refund-record/" + url.PathEscape(o.Form),
+		Headers: [][2]string{{"X-Correlation-Id", id}, {"X-Service-Class", "refund-record"}, {"X-Account", standin.Tenants[0]},
+			{"X-Time-Left", "5.000"}, {"Idempotency-Key", string(o.Key)}, {"X-Repeat", "1"},
+			{"Content-Type", "application/x-www-form-urlencoded"}}, Body: []byte(body)}}
+}
+
+// Thrift words it in Thrift, by the Apache library.
+func (o Old) Thrift(id string, compact bool) Exchange {
+	args := map[int16]any{1: map[int16]any{1: id, 2: standin.Tenants[0], 3: o.Form, 4: string(o.Key), 5: int64(5000), 6: true},
+		2: o.Amount, 3: o.Bought, 4: o.Goods, 5: o.First, 6: o.Last}
+	if o.Memo != nil {
+		args[7] = *o.Memo
+	}
+	return Exchange{Protocol: "thrift", Request: Message{Thrift: standin.WordThrift("refund", 7, args, compact)}}
+}
+
+// envelope reads a request's correlation id and key, by the Apache library where it is in Thrift.
+func (e Exchange) envelope() (id, key string, err error) {
+	if e.Protocol == "http" {
+		for _, h := range e.Request.Headers {
+			switch {
+			case strings.EqualFold(h[0], "X-Correlation-Id"):
+				id = h[1]
+			case strings.EqualFold(h[0], "Idempotency-Key"):
+				key = h[1]
+			}
+		}
+	} else {
+		var args map[int16]any
+		if args, err = standin.ReadThrift(e.Request.Thrift); err == nil {
+			h, _ := args[1].(map[int16]any)
+			id, _ = h[1].(string)
+			key, _ = h[4].(string)
+		}
+	}
+	if err == nil && id == "" {
+		err = errors.New("no correlation id")
+	}
+	return id, key, err
+}
+
+// exceptionText is what an application exception says.
+func exceptionText(message []byte) string {
+	buf := thrift.NewTMemoryBuffer()
+	buf.Write(message)
+	var p thrift.TProtocol = thrift.NewTBinaryProtocolConf(buf, nil)
+	if message[0] == thrift.COMPACT_PROTOCOL_ID {
+		p = thrift.NewTCompactProtocolConf(buf, nil)
+	}
+	ctx := context.Background()
+	if _, _, _, err := p.ReadMessageBegin(ctx); err != nil {
+		return err.Error()
+	}
+	x := thrift.NewTApplicationException(0, "")
+	if err := x.Read(ctx, p); err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("%d: %s", x.TypeId(), x.Error())
+}
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,13 @@
 	Left        time.Duration
 	Text        string
 	Delivery    int // how often the pod has got this id, this time included
+
+	// What follows is of servers that look at shapes.
+	Tenant  string
+	Again   bool
+	Version string // of the shape that it came in
+	Refund  Refund
+	Broken  string // why the server can't read it in that shape
 }
 
 // Fault is what goes wrong with a call.
@@ -45,18 +53,20 @@
 
 // The faults. All but those that turn the call away let it run.
 const (
-	None        Fault = iota
-	Reject            // turned away unseen, and so said
-	Error             // an error, which may have run
-	Silence           // never answered; the connection stays open
-	ResetBefore       // the connection is reset before the reply
-	CutReply          // it ends in the midst of the reply
-	Trickle           // the reply comes a byte at a time
-	ResetAfter        // it is reset right after the reply
-	Spoilt            // noise in place of a reply
-	WrongSeq          // a reply to another call; in HTTP, where none can be told, noise
-	TwoReplies        // the reply comes twice
-	HugeReply         // a reply that says it has 2 GiB
+	None         Fault = iota
+	Reject             // turned away unseen, and so said
+	Error              // an error, which may have run
+	Silence            // never answered; the connection stays open
+	ResetBefore        // the connection is reset before the reply
+	CutReply           // it ends in the midst of the reply
+	Trickle            // the reply comes a byte at a time
+	ResetAfter         // it is reset right after the reply
+	Spoilt             // noise in place of a reply
+	WrongSeq           // a reply to another call; in HTTP, where none can be told, noise
+	TwoReplies         // the reply comes twice
+	HugeReply          // a reply that says it has 2 GiB
+	UnknownShape       // turned away unseen, as of a shape that is not known here
+	OddReply           // a reply in place of which its shape has none; of calls that have one
 )
 
 // Step is what a server does with a call.
@@ -155,6 +165,9 @@
 	ColdFrom    float64       // share of its speed that it starts with
 	ColdFor     time.Duration // until it has all of it
 	NoLoad      bool          // states no load
+	Shapes      []string      // takes refunds in these versions of their shape and nothing else; any class where nil
+	Listed      []string      // what the list says of them; Shapes where nil
+	Saw         func(Call)    // is told of each call that comes whole
 }
 
 // Server is a form server.
@@ -200,6 +213,13 @@
 func (s *Server) Entry() discovery.Entry {
 	e := discovery.Entry{ID: s.opts.ID, Addr: s.Addr(), Zone: "z", Cell: s.opts.Cell, State: "in_service", Weight: 1,
 		Protocol: s.opts.Protocol, Multiplexed: s.opts.Multiplexed}
+	listed := s.opts.Listed
+	if listed == nil {
+		listed = s.opts.Shapes
+	}
+	for _, version := range listed {
+		e.Shapes = append(e.Shapes, Classes[Record]+"/"+version)
+	}
 	if s.opts.ColdFor > 0 {
 		e.StartedMS = s.since.UnixMilli()
 	}
@@ -278,6 +298,7 @@
 	fault Fault // Reject, Error, WrongSeq, or None
 	text  string
 	load  *load
+	odd   bool
 }
 
 type load struct{ util, qps, eps, inFlight, queue float64 }
@@ -311,7 +332,13 @@
 }
 
 func (s *Server) read(in *bufio.Reader) (Call, face, error) {
-	if s.opts.Protocol == "" || s.opts.Protocol == "http" {
+	inHTTP := s.opts.Protocol == "" || s.opts.Protocol == "http"
+	switch {
+	case s.opts.Shapes != nil && inHTTP:
+		return readShapedHTTP(in)
+	case s.opts.Shapes != nil:
+		return readShapedThrift(in)
+	case inHTTP:
 		return readHTTP(in)
 	}
 	return readThrift(in)
@@ -325,6 +352,20 @@
 		step = s.opts.Script(call)
 	}
 	answer := reply{fault: step.Fault}
+	if step.Fault == OddReply {
+		answer.fault, answer.odd = None, true
+	}
+	if s.opts.Shapes != nil && answer.fault == None {
+		switch known := slices.Contains(s.opts.Shapes, call.Version); {
+		case !known:
+			answer.fault = UnknownShape
+		case call.Broken != "":
+			answer.fault = Error
+		}
+	}
+	if s.opts.Saw != nil {
+		s.opts.Saw(call)
+	}
 	s.mu.Lock()
 	if s.opts.Most > 0 && s.inFlight >= s.opts.Most {
 		answer.fault = Reject
@@ -332,7 +373,7 @@
 	s.inFlight++
 	answer.load = s.loadLocked()
 	s.mu.Unlock()
-	if answer.fault != Reject {
+	if answer.fault != Reject && answer.fault != UnknownShape && call.Broken == "" {
 		answer.text = s.opts.Pod.run(call)
 		s.wait(s.opts.Service, step)
 	} else {
--- a/internal/lab/standin/thrift.go
+++ b/internal/lab/standin/thrift.go
@@ -31,17 +31,23 @@
 	return func(t thrift.TTransport) thrift.TProtocol { return thrift.NewTBinaryProtocolConf(t, nil) }
 }
 
-func readThrift(in *bufio.Reader) (Call, face, error) {
+func readFrame(in *bufio.Reader) ([]byte, error) {
 	var prefix [4]byte
 	if _, err := io.ReadFull(in, prefix[:]); err != nil {
-		return Call{}, nil, err
+		return nil, err
 	}
 	n := binary.BigEndian.Uint32(prefix[:])
 	if n == 0 || n > 1<<20 {
-		return Call{}, nil, fmt.Errorf("frame of %d bytes", n)
+		return nil, fmt.Errorf("frame of %d bytes", n)
 	}
 	frame := make([]byte, n)
-	if _, err := io.ReadFull(in, frame); err != nil {
+	_, err := io.ReadFull(in, frame)
+	return frame, err
+}
+
+func readThrift(in *bufio.Reader) (Call, face, error) {
+	frame, err := readFrame(in)
+	if err != nil {
 		return Call{}, nil, err
 	}
 	ctx := context.Background()
@@ -130,13 +136,5 @@
 		}
 		result = res
 	}
-	ctx := context.Background()
-	buf := thrift.NewTMemoryBuffer()
-	p := f.protocol(buf)
-	err := errors.Join(p.WriteMessageBegin(ctx, f.name, thrift.REPLY, f.seq), result.Write(ctx, p),
-		p.WriteMessageEnd(ctx), p.Flush(ctx))
-	if err != nil {
-		panic(fmt.Sprintf("wording a reply: %v", err)) // into memory: a fault of this file
-	}
-	return append(binary.BigEndian.AppendUint32(nil, uint32(buf.Len())), buf.Bytes()...)
+	return f.word(thrift.REPLY, func(p thrift.TProtocol) error { return result.Write(context.Background(), p) }, false)
 }
