Routes by shape are walked against an oracle; the hard cases of translation on sockets

A repeat that goes to a server of another shape and protocol keeps its key and is dropped by the pod; an answer that can't be put in the client's shape is a failure after one delivery; growth past a server's bound is refused before anything is sent; calls keep their mapping over a reload; rolled-back servers are learned with one refused call each.

--- /dev/null
+++ b/internal/decide/routes/routes_test.go
@@ -0,0 +1,318 @@
+package routes
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ternbeam/choice"
+)
+
+// Protocols of the tests.
+const (
+	http choice.Protocols = 1 << iota
+	binary
+	compact
+	thrift = binary | compact
+)
+
+// table has versions 1 and 2 of a class in either protocol, ways from the old to the new, and a version 1 of another.
+func table(t interface{ Fatal(...any) }) *Table {
+	tab := NewTable([]Shape{{"old", "a/1", http}, {"new", "a/2", http}, {"old-thrift", "a/1", thrift}, {"new-thrift", "a/2", thrift}, {"other", "b/1", http}})
+	for _, l := range [][2]string{{"old", "new"}, {"old-thrift", "new-thrift"}, {"old", "new-thrift"}, {"old-thrift", "new"}} {
+		if err := tab.Link(l[0], l[1], l[0]+" to "+l[1]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return tab
+}
+
+func routes(t interface{ Fatal(...any) }, tab *Table) *Routes {
+	r, err := New(Settings{Forget: time.Second, MostForget: 4 * time.Second}, tab)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (t *Table) tag(name string, spoken choice.Protocols) Tag { return Tag{t, t.Index(name), spoken} }
+
+// Which way a call goes, by what it came in and what the server takes.
+func TestWays(t *testing.T) {
+	tab := table(t)
+	for _, c := range []struct {
+		from     string
+		spoken   choice.Protocols
+		speaks   choice.Protocols
+		versions []string
+		want     string // the plan, "as it came", or "none"
+		protocol choice.Protocols
+	}{
+		{"old", http, http, []string{"a/1"}, "as it came", http},
+		{"old", http, http, []string{"a/2"}, "old to new", http},
+		{"old", http, http, []string{"a/2", "a/1"}, "as it came", http},
+		{"old", http, thrift, []string{"a/1"}, "none", 0}, // the same version in another protocol has no mapping here
+		{"old", http, thrift, []string{"a/2"}, "old to new-thrift", binary},
+		{"old", http, compact, []string{"a/2"}, "old to new-thrift", compact},
+		{"old", http, http, []string{"a/3"}, "none", 0},
+		{"old", http, http, nil, "none", 0},
+		{"old", http, http, []string{"b/1"}, "none", 0},
+		{"new", http, http, []string{"a/1"}, "none", 0},
+		{"old-thrift", compact, thrift, []string{"a/1"}, "as it came", compact},
+		{"old-thrift", compact, binary, []string{"a/1"}, "none", 0}, // the other encoding has none either
+		{"old-thrift", compact, binary, []string{"a/2"}, "old-thrift to new-thrift", binary},
+		{"old-thrift", compact, thrift, []string{"a/2"}, "old-thrift to new-thrift", compact},
+		{"old-thrift", binary, http, []string{"a/2"}, "old-thrift to new", http},
+		{"other", http, http, []string{"a/1"}, "none", 0},
+	} {
+		r := routes(t, tab)
+		tag := tab.tag(c.from, c.spoken)
+		told := r.Listed(choice.Server{ID: "s", Speaks: c.speaks}, c.versions)
+		way, ok := r.Way(tag, "s")
+		got := "none"
+		if ok {
+			if got = "as it came"; way.Plan != nil {
+				got = way.Plan.(string)
+			}
+		}
+		if got != c.want || ok && way.Protocol != c.protocol {
+			t.Errorf("%s over %b to a server that takes %q over %b: %s over %b", c.from, c.spoken, c.versions, c.speaks, got, way.Protocol)
+		}
+		if can := r.Needs(tag, false)&^told.Speaks == 0; can != ok {
+			t.Errorf("%s to %q: the module is told %t", c.from, c.versions, can)
+		}
+		if exact := r.Needs(tag, true)&^told.Speaks == 0; exact != (ok && way.Plan == nil) {
+			t.Errorf("%s to %q: the module is told that it takes it as it came: %t", c.from, c.versions, exact)
+		}
+	}
+}
+
+// What a server says not to know is not sent to it for a while, longer each time; other versions are tried then, and only
+// then; a restart, or another word of the list, ends it.
+func TestDrift(t *testing.T) {
+	tab := table(t)
+	r := routes(t, tab)
+	s := choice.Server{ID: "s", Speaks: http, Started: 5}
+	r.Listed(s, []string{"a/2"})
+	tag := tab.tag("old", http)
+	plan := func() any {
+		way, ok := r.Way(tag, "s")
+		if !ok {
+			return "none"
+		}
+		return way.Plan
+	}
+	if got := plan(); got != "old to new" {
+		t.Fatal(got)
+	}
+	if changed := r.Unknown(10, "s", 4, "a/2"); changed != nil || plan() != "old to new" {
+		t.Errorf("the word of an earlier process counts: %v", changed)
+	}
+	if changed := r.Unknown(10, "s", 5, "a/2"); len(changed) != 1 || plan() != nil {
+		t.Fatalf("%v, %v", changed, plan())
+	}
+	if changed := r.Unknown(11, "s", 5, "a/2"); changed != nil {
+		t.Errorf("told twice: %v", changed)
+	}
+	if changed := r.Unknown(12, "s", 5, "a/1"); len(changed) != 1 || plan() != "none" {
+		t.Errorf("it knows none: %v, %v", changed, plan())
+	}
+	for i, until := range []time.Duration{10 + time.Second, 0, 0, 0} {
+		at, any := r.Next()
+		if !any || i == 0 && at != until {
+			t.Fatalf("next is %v, %t", at, any)
+		}
+		if changed := r.Expire(at - 1); changed != nil {
+			t.Errorf("forgotten too early: %v", changed)
+		}
+		r.Expire(at + 2)
+		if plan() != "old to new" {
+			t.Fatalf("after %d: %v", i, plan())
+		}
+		began := at + 2
+		r.Unknown(began, "s", 5, "a/2")
+		next, _ := r.Next()
+		if want := []time.Duration{2 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second}[i]; next-began != want {
+			t.Errorf("time %d it is kept for %v, not %v", i+2, next-began, want)
+		}
+	}
+	r.Listed(s, []string{"a/2"}) // the same word changes nothing
+	if plan() == "old to new" {
+		t.Error("the list's old word counts anew")
+	}
+	restarted := s
+	restarted.Started = 6
+	r.Listed(restarted, []string{"a/2"})
+	if _, any := r.Next(); any || plan() != "old to new" {
+		t.Errorf("after a restart: %v", plan())
+	}
+	r.Unknown(10, "s", 6, "a/2")
+	r.Listed(restarted, []string{"a/1"})
+	if _, any := r.Next(); any || plan() != nil {
+		t.Errorf("after another word of the list: %v", plan())
+	}
+	r.Listed(choice.Server{ID: "s", State: choice.Gone}, nil)
+	if plan() != "none" {
+		t.Errorf("after it has gone: %v", plan())
+	}
+}
+
+// A server that served a version again is not held to the wait that an earlier time has earned.
+func TestKnewEndsTheDoubling(t *testing.T) {
+	tab := table(t)
+	r := routes(t, tab)
+	r.Listed(choice.Server{ID: "s", Speaks: http}, []string{"a/2"})
+	r.Unknown(0, "s", 0, "a/2")
+	r.Expire(time.Second)
+	r.Knew("s", "a/2")
+	r.Unknown(time.Second, "s", 0, "a/2")
+	if at, _ := r.Next(); at != 2*time.Second {
+		t.Errorf("kept until %v", at)
+	}
+}
+
+// Bits keep their meaning over tables; calls of the old table keep its ways; too many shapes are an error that changes
+// nothing.
+func TestTablesChange(t *testing.T) {
+	one := table(t)
+	r := routes(t, one)
+	r.Listed(choice.Server{ID: "s", Speaks: http}, []string{"a/2"})
+	tag := one.tag("old", http)
+	needs := r.Needs(tag, false)
+	two := NewTable([]Shape{{"third", "c/1", http}, {"new", "a/2", http}, {"old", "a/1", http}})
+	if err := two.Link("old", "new", "another"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Replace(two); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.Needs(two.tag("old", http), false); got != needs {
+		t.Errorf("the bit was %b and is %b", needs, got)
+	}
+	if way, ok := r.Way(tag, "s"); !ok || way.Plan != "old to new" {
+		t.Errorf("a call of the old table goes by %v", way.Plan)
+	}
+	if way, ok := r.Way(two.tag("old", http), "s"); !ok || way.Plan != "another" {
+		t.Errorf("a call of the new one by %v", way.Plan)
+	}
+	var many []Shape
+	for i := range 30 {
+		many = append(many, Shape{fmt.Sprint(i), fmt.Sprint("d/", i), http})
+	}
+	if _, err := r.Replace(NewTable(many)); !errors.Is(err, ErrBits) {
+		t.Errorf("%v", err)
+	}
+	if way, ok := r.Way(two.tag("old", http), "s"); !ok || way.Plan != "another" {
+		t.Errorf("after the error by %v", way.Plan)
+	}
+	unseen := NewTable([]Shape{{"x", "x/1", http}})
+	if needs := r.Needs(unseen.tag("x", http), false); needs == 0 || needs&r.Listed(choice.Server{ID: "s", Speaks: http | thrift}, []string{"x/1"}).Speaks != 0 {
+		t.Errorf("a shape that was never laid out needs %b, which servers have", needs)
+	}
+}
+
+// Whatever happens, the module is told what the ways are: a server has the bit of a shape if and only if there is a way to
+// it, it is told of each change, and no way goes to what a server has said not to know, unless that is forgotten.
+func TestWalk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab := table(t)
+		r := routes(t, tab)
+		told := map[string]choice.Server{}
+		type word struct{ id, version string }
+		unknown := map[word]time.Duration{}
+		speaks := map[string]choice.Protocols{}
+		now := time.Duration(0)
+		tell := func(changed []choice.Server) {
+			for _, s := range changed {
+				told[s.ID] = s
+			}
+		}
+		ids, versions := []string{"s", "t"}, []string{"a/1", "a/2", "b/1", "z/9"}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := rapid.SampledFrom(ids).Draw(t, "server")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				s := choice.Server{ID: id, Speaks: rapid.SampledFrom([]choice.Protocols{http, thrift, compact}).Draw(t, "speaks"), Started: now}
+				takes := rapid.SliceOfNDistinct(rapid.SampledFrom(versions), 0, 3, rapid.ID).Draw(t, "versions")
+				told[id], speaks[id] = r.Listed(s, takes), s.Speaks
+				for w := range unknown {
+					if w.id == id {
+						delete(unknown, w)
+					}
+				}
+			case 1:
+				r.Gone(id)
+				delete(told, id)
+			case 2:
+				s, known := r.servers[id]
+				version := rapid.SampledFrom(versions).Draw(t, "version")
+				if known {
+					if _, said := unknown[word{id, version}]; !said {
+						unknown[word{id, version}] = now + time.Second // at the least
+					}
+					tell(r.Unknown(now, id, s.listed.Started, version))
+				}
+			case 3:
+				now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+				tell(r.Expire(now))
+				for w, until := range unknown {
+					if until <= now {
+						delete(unknown, w)
+					}
+				}
+			case 4:
+				r.Knew(id, rapid.SampledFrom(versions).Draw(t, "version"))
+			}
+			for i := range tab.shapes {
+				for _, spoken := range protocols(tab.shapes[i].Speaks) {
+					tag := Tag{tab, i, spoken}
+					for _, id := range ids {
+						way, ok := r.Way(tag, id)
+						s, known := told[id]
+						if bit := known && r.Needs(tag, false)&^s.Speaks == 0; bit != ok {
+							t.Fatalf("%s to %s: the module is told %t, there is a way: %t", tab.shapes[i].Name, id, bit, ok)
+						}
+						if !ok {
+							continue
+						}
+						if way.Protocol&speaks[id] == 0 || way.Protocol&(way.Protocol-1) != 0 {
+							t.Fatalf("%s to %s over %b, which it does not speak", tab.shapes[i].Name, id, way.Protocol)
+						}
+						if until, said := unknown[word{id, way.To.Version}]; said && until > now {
+							t.Fatalf("%s goes to %s as %s, which it does not know", tab.shapes[i].Name, id, way.To.Name)
+						}
+					}
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkWay is what a call asks of the routes.
+func BenchmarkWay(b *testing.B) {
+	tab := table(b)
+	r := routes(b, tab)
+	r.Listed(choice.Server{ID: "s", Speaks: http}, []string{"a/2"})
+	tag := tab.tag("old", http)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := r.Way(tag, "s"); !ok || r.Needs(tag, false) == 0 {
+			b.Fatal("no way")
+		}
+	}
+}
+
+// BenchmarkListed is what a change of the list costs a server.
+func BenchmarkListed(b *testing.B) {
+	r := routes(b, table(b))
+	s := choice.Server{ID: "s", Speaks: http}
+	versions := slices.Repeat([]string{"a/2"}, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Listed(s, versions)
+	}
+}
--- /dev/null
+++ b/internal/lab/replay/hard_test.go
@@ -0,0 +1,249 @@
+package replay
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ternbeam/deploy"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
+	"ternbeam/internal/translate"
+)
+
+// refund is a refund of the corpus under a key of its own.
+func refund(t testing.TB, key string) Old {
+	o := load(t)[0]
+	o.Key = []byte(key)
+	return o
+}
+
+// ask plays one exchange with a connection of its own.
+func (w *World) ask(t testing.TB, e Exchange) Message {
+	t.Helper()
+	p := w.Player(testkit.Patience)
+	defer p.Close()
+	m, err := p.Ask(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// The first attempt runs at an old server over HTTP and its answer is lost; the second goes to a new one over Thrift in the
+// same pod. It gets the same key and id, so that the pod drops the repeat.
+func TestRepeatInAnotherShapeIsDropped(t *testing.T) {
+	for _, key := range []string{"once", "%41 é+", strings.Repeat("k", 4090)} {
+		pod := standin.NewPod()
+		var first atomic.Bool
+		lose := func(c standin.Call) standin.Step {
+			if first.CompareAndSwap(false, true) {
+				return standin.Step{Fault: standin.ResetBefore}
+			}
+			return standin.Step{}
+		}
+		for tries := 0; ; tries++ { // until the draw goes to the old one first
+			if tries == 40 {
+				t.Fatal("never to the old one first, then to the new one")
+			}
+			first.Store(false)
+			id := fmt.Sprint("r-", tries)
+			w := newWorld(t, standin.Platform{}, standin.Options{ID: "old", Protocol: "http", Shapes: []string{"1"}, Pod: pod, Script: lose},
+				standin.Options{ID: "new", Protocol: "thrift-compact", Shapes: []string{"2"}, Pod: pod, Script: lose})
+			own := fmt.Sprint(tries, key)
+			m := w.ask(t, refund(t, own).HTTP(id))
+			saw := w.Saw(id)
+			if m.Status != 200 || len(saw) != 2 || pod.Effects(own) != 1 {
+				t.Fatalf("told %v, %d deliveries, %d effects", m, len(saw), pod.Effects(own))
+			}
+			if saw[0].Idempotency != own || saw[1].Idempotency != own || saw[0].Refund != saw[1].Refund {
+				t.Fatalf("servers saw %+v", saw)
+			}
+			if saw[0].Version == "1" && saw[1].Version == "2" {
+				break
+			}
+		}
+	}
+}
+
+// An answer that can't be put in the client's shape comes after the effect: a failure, and nothing is sent again.
+func TestReplyThatCannotBeToldIsAFailure(t *testing.T) {
+	odd := func(standin.Call) standin.Step { return standin.Step{Fault: standin.OddReply} }
+	for _, client := range speeches {
+		for _, server := range speeches {
+			pod := standin.NewPod()
+			w := newWorld(t, standin.Platform{}, standin.Options{ID: "a", Protocol: server, Shapes: []string{"2"}, Pod: pod, Script: odd},
+				standin.Options{ID: "b", Protocol: server, Shapes: []string{"2"}, Pod: pod, Script: odd})
+			m := w.ask(t, refund(t, "once").exchange("o-1", client))
+			failed := m.Status == 502
+			if client != "http" {
+				result, err := standin.ReadThrift(m.Thrift)
+				failed = err == nil && result[2] != nil && result[0] == nil && result[1] == nil
+			}
+			if saw := w.Saw("o-1"); !failed || len(saw) != 1 || pod.Effects("once") != 1 {
+				t.Errorf("%s to %s: told %v, %d deliveries, %d effects", client, server, m, len(saw), pod.Effects("once"))
+			}
+		}
+	}
+}
+
+// What grows beyond the server's bound is refused before anything is sent, and the server that takes it as it came still
+// gets it.
+func TestGrowthBeyondTheBound(t *testing.T) {
+	text := strings.Replace(deploy.Translate, "[shapes.refund-record-2.request]", "[shapes.refund-record-2.max_body_bytes]\nrequest = 200\n\n[shapes.refund-record-2.request]", 1)
+	world := func(servers ...standin.Options) *World {
+		w, err := NewWorld(standin.Platform{}, func() (*translate.Set, error) { return translate.Compile([]byte(text)) }, slog.New(slog.DiscardHandler), servers...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(w.Close)
+		return w
+	}
+	long := refund(t, "once")
+	memo := strings.Repeat("m", 200)
+	long.Memo = &memo
+	new := standin.Options{ID: "new", Protocol: "http", Shapes: []string{"2"}}
+	w := world(new)
+	if m := w.ask(t, refund(t, "short").HTTP("g-0")); m.Status != 200 {
+		t.Errorf("told %v", m)
+	}
+	if m := w.ask(t, long.HTTP("g-1")); m.Status != 422 || !strings.Contains(string(m.Body), "200") || len(w.Saw("g-1")) > 0 {
+		t.Errorf("told %v %s, deliveries %v", m, m.Body, w.Saw("g-1"))
+	}
+	w = world(new, standin.Options{ID: "new2", Protocol: "http", Shapes: []string{"2"}}, standin.Options{ID: "old", Protocol: "http", Shapes: []string{"1"}})
+	for i := range 20 {
+		id := fmt.Sprint("g-", i)
+		long.Key = []byte(id)
+		if m := w.ask(t, long.HTTP(id)); m.Status != 200 || len(w.Saw(id)) != 1 || w.Saw(id)[0].Version != "1" {
+			t.Fatalf("told %v, deliveries %+v", m, w.Saw(id))
+		}
+	}
+}
+
+// A call that no server can take is refused at once, with a time to return; so is one in a shape of which nobody knows.
+func TestNobodyTakesIt(t *testing.T) {
+	w := newWorld(t, standin.Platform{MaxRetryAfter: time.Second}, standin.Options{ID: "a", Protocol: "http", Shapes: []string{"3"}})
+	began := time.Now()
+	m := w.ask(t, refund(t, "k").HTTP("n-1"))
+	if m.Status != 503 || len(m.Headers) != 1 || m.Headers[0][0] != "Retry-After" || len(w.Saw("n-1")) > 0 || time.Since(began) > 2*time.Second {
+		t.Errorf("told %v after %v", m, time.Since(began))
+	}
+	odd := refund(t, "k").HTTP("n-2")
+	odd.Request.Target += "/more"
+	if m := w.ask(t, odd); m.Status != 400 || !strings.Contains(string(m.Body), "none of the shapes") {
+		t.Errorf("told %v %s", m, m.Body)
+	}
+}
+
+// A call keeps the mapping that it began with, however often the file changes before its next attempt.
+func TestCallsKeepTheirMapping(t *testing.T) {
+	first := strings.Replace(deploy.Translate, `currency = { value = "GBP" }`, `currency = { value = "GBP" }`, 1)
+	second := strings.Replace(deploy.Translate, `values = { W = "watch", J = "jewellery", O = "other" }`, `values = { W = "watch", J = "other", O = "jewellery" }`, 1)
+	if second == deploy.Translate {
+		t.Fatal("the sample has changed")
+	}
+	var text atomic.Pointer[string]
+	text.Store(&first)
+	log := new(testkit.Log)
+	held, go1 := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	script := func(c standin.Call) standin.Step {
+		if c.ID == "m-1" && c.Delivery == 1 {
+			once.Do(func() { close(held) })
+			return standin.Step{Fault: standin.ResetBefore, Until: go1}
+		}
+		return standin.Step{}
+	}
+	pod := standin.NewPod()
+	w, err := NewWorld(standin.Platform{}, func() (*translate.Set, error) { return translate.Compile([]byte(*text.Load())) },
+		slog.New(slog.NewTextHandler(log, nil)), standin.Options{ID: "a", Protocol: "http", Shapes: []string{"2"}, Pod: pod, Script: script},
+		standin.Options{ID: "b", Protocol: "thrift-binary", Shapes: []string{"2"}, Pod: pod, Script: script})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	told := make(chan Message)
+	go func() { told <- w.ask(t, refund(t, "k1").HTTP("m-1")) }()
+	<-held
+	text.Store(&second)
+	w.Reload()
+	testkit.Eventually(t, "the new file is in use", func() bool { return log.Has("new shapes") })
+	m2 := w.ask(t, refund(t, "k2").HTTP("m-2"))
+	close(go1)
+	m1 := <-told
+	saw := w.Saw("m-1")
+	if m1.Status != 200 || m2.Status != 200 || len(saw) != 2 || saw[0].Refund.Goods != "jewellery" || saw[1].Refund != saw[0].Refund {
+		t.Errorf("told %v, servers saw %+v", m1, saw)
+	}
+	if saw := w.Saw("m-2"); len(saw) != 1 || saw[0].Refund.Goods != "other" {
+		t.Errorf("after the change servers saw %+v", saw)
+	}
+	broken := "shapes"
+	text.Store(&broken)
+	w.Reload()
+	testkit.Eventually(t, "the broken file is refused", func() bool { return log.Has("keeping the old shapes") })
+	if m := w.ask(t, refund(t, "k3").HTTP("m-3")); m.Status != 200 || w.Saw("m-3")[0].Refund.Goods != "other" {
+		t.Errorf("told %v", m)
+	}
+}
+
+// Servers that were rolled back while the list still says otherwise are learned by their own word, and nobody is told of
+// it; when they are rolled forward the list's word holds again.
+func TestDriftIsLearnedAndForgotten(t *testing.T) {
+	for _, speech := range speeches {
+		t.Run(speech, func(t *testing.T) {
+			var refused atomic.Int32
+			drifted := func(forget string) (*World, *standin.Pod) {
+				pod := standin.NewPod()
+				count := func(c standin.Call) {
+					if c.Version == "2" {
+						refused.Add(1)
+					}
+				}
+				text := strings.Replace(deploy.Translate, "forget_s = 5.0", "forget_s = "+forget, 1)
+				// The list says 2; they take 1.
+				w, err := NewWorld(standin.Platform{}, func() (*translate.Set, error) { return translate.Compile([]byte(text)) }, slog.New(slog.DiscardHandler),
+					standin.Options{ID: "a", Protocol: speech, Shapes: []string{"1"}, Listed: []string{"2"}, Pod: pod, Saw: count},
+					standin.Options{ID: "b", Protocol: speech, Shapes: []string{"1"}, Listed: []string{"2"}, Pod: pod, Saw: count})
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(w.Close)
+				return w, pod
+			}
+			w, pod := drifted("80.0")
+			for i := range 20 {
+				id := fmt.Sprint("d-", i)
+				m := w.ask(t, refund(t, id).exchange(id, speech))
+				saw := w.Saw(id)
+				if last := saw[len(saw)-1]; unserved(m) || last.Version != "1" || pod.Effects(id) != 1 {
+					t.Fatalf("call %d: told %v, servers saw %+v", i, m, saw)
+				}
+			}
+			learning := refused.Load()
+			if learning != 2 { // one for each server
+				t.Errorf("%d calls met a server that does not know their shape", learning)
+			}
+			w, _ = drifted("0.3")
+			testkit.Eventually(t, "what was learned is forgotten, and learned again", func() bool {
+				id := fmt.Sprint("f-", time.Now().UnixNano())
+				if m := w.ask(t, refund(t, id).exchange(id, speech)); unserved(m) {
+					t.Fatalf("told %v", m)
+				}
+				return refused.Load() > 2*learning
+			})
+		})
+	}
+}
+
+func unserved(m Message) bool {
+	if m.Thrift == nil {
+		return m.Status != 200
+	}
+	result, err := standin.ReadThrift(m.Thrift)
+	return err != nil || result[0] == nil
+}
