--- a/cmd/ternbeam-lab/main.go
+++ b/cmd/ternbeam-lab/main.go
@@ -5,15 +5,18 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"ternbeam/internal/lab/outage"
 	"ternbeam/internal/lab/restart"
+	"ternbeam/internal/lab/rollout"
 )
 
 type commands struct {
 	Restart restartCommand `cmd:"" help:"What an agent loses after a restart, with what it remembers and without."`
+	Rollout rolloutCommand `cmd:"" help:"A rolling deploy from an old shape to a new one and back, on sockets, with a hang on the way."`
 	Outage  outageCommand  `cmd:"" help:"What an agent loses while its list is down and the fleet is replaced, with SRV records and without."`
 }
 
@@ -25,6 +28,42 @@
 	}
 }
 
+type rolloutCommand struct {
+	Servers int           `default:"8" help:"Servers."`
+	Rate    float64       `default:"300" help:"Calls a second."`
+	Every   time.Duration `default:"1s" help:"A server is replaced."`
+	Seed    uint64        `default:"1"`
+}
+
+// Run compares.
+func (c *rolloutCommand) Run() error {
+	plain := rollout.Settings{Servers: c.Servers, Rate: c.Rate, Every: c.Every, Hang: 4 * time.Second, Service: 30 * time.Millisecond, Seed: c.Seed,
+		Client: "http", Old: "http", New: "http"}
+	var sets []rollout.Settings
+	for _, v := range []struct {
+		name             string
+		client, old, new string
+		plain, stale     bool
+	}{{"untranslated, HTTP", "http", "http", "http", true, false}, {"HTTP to HTTP", "http", "http", "http", false, false},
+		{"HTTP to compact", "http", "http", "thrift-compact", false, false}, {"binary to HTTP", "thrift-binary", "thrift-binary", "http", false, false},
+		{"binary to compact", "thrift-binary", "thrift-binary", "thrift-compact", false, false},
+		{"HTTP, list stale on the way back", "http", "http", "http", false, true},
+		{"binary to compact, list stale", "thrift-binary", "thrift-binary", "thrift-compact", false, true}} {
+		s := plain
+		s.Name, s.Client, s.Old, s.New, s.Plain, s.Stale = v.name, v.client, v.old, v.new, v.plain, v.stale
+		sets = append(sets, s)
+	}
+	var results []rollout.Result
+	for _, s := range sets {
+		r, err := rollout.Run(s)
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.Name, err)
+		}
+		results = append(results, r)
+	}
+	return rollout.Table(os.Stdout, sets, results)
+}
+
 type outageCommand struct {
 	Seeds int     `default:"20" help:"Seeds for each variant."`
 	Rate  float64 `default:"100" help:"Calls a second."`
--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -37,6 +37,8 @@
 	State     stateCommand     `cmd:"" help:"Look at what an agent keeps of what it learned, or reset it."`
 	Members   membersCommand   `cmd:"" help:"Say which servers the sources of a file name, by whose word and which rule."`
 	Translate translateCommand `cmd:"" help:"Show what becomes of a message by a file of shapes, field by field."`
+	Record    recordCommand    `cmd:"" help:"Stand between clients and an agent, and record what passes, with some fields hidden."`
+	Replay    replayCommand    `cmd:"" help:"Play a recording of old clients to stand-in servers of the old and the new shape, and say what differs."`
 	Demo      demoCommand      `cmd:"" help:"Show the agent at work on loopback, with a hang and a rolling replacement."`
 	Help      helpCommand      `cmd:"" help:"Show this text, or that of a command."`
 }
--- /dev/null
+++ b/internal/lab/replay/redact.go
@@ -0,0 +1,197 @@
+package replay
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/go-json-experiment/json/jsontext"
+
+	"ternbeam/internal/thrift/thriftwire"
+)
+
+// Redactor hides values by the names of their fields. A value becomes a text of its length that follows from it and from a
+// secret that is made anew with each Redactor: equal values stay equal within a recording, and nobody can find them again.
+type Redactor struct {
+	names  []string
+	plan   *thriftwire.Plan // of the names that are paths of numbers
+	paths  int
+	secret [32]byte
+}
+
+// mostDepth is how deep values may nest in what is redacted.
+const mostDepth = 64
+
+// NewRedactor returns a Redactor for names of headers, of fields of queries and forms and of members of JSON, for "path", the
+// last part of a path, and for paths of numbers, fields of Thrift.
+func NewRedactor(names []string) (*Redactor, error) {
+	r := &Redactor{}
+	var paths []string
+	for _, name := range names {
+		switch {
+		case name == "":
+			return nil, errors.New("redact: an empty name")
+		case strings.Trim(name, "0123456789.") == "":
+			paths = append(paths, name)
+		default:
+			r.names = append(r.names, name)
+		}
+	}
+	var err error
+	if r.plan, err = thriftwire.NewPlan(mostDepth, paths...); err != nil {
+		return nil, fmt.Errorf("redact: %w", err)
+	}
+	r.paths = len(paths)
+	_, err = rand.Read(r.secret[:])
+	return r, err
+}
+
+// Exchange hides what is to be hidden. One that can't be read whole, so that nobody knows what is in it, is an error: it
+// must not be kept.
+func (r *Redactor) Exchange(e *Exchange) error {
+	for _, m := range []*Message{&e.Request, &e.Answer} {
+		if err := r.message(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Redactor) message(m *Message) (err error) {
+	if m.Thrift != nil {
+		m.Thrift, err = r.thrift(m.Thrift)
+		return err
+	}
+	if path, query, has := strings.Cut(m.Target, "?"); m.Target != "" {
+		if at := strings.LastIndexByte(path, '/'); r.hides("path") && at >= 0 {
+			last, err := url.PathUnescape(path[at+1:])
+			if err != nil {
+				return err
+			}
+			path = path[:at+1] + r.hide(last)
+		}
+		if m.Target = path; has {
+			if query, err = r.pairs(query); err != nil {
+				return err
+			}
+			m.Target += "?" + query
+		}
+	}
+	kind := ""
+	for i, h := range m.Headers {
+		if strings.EqualFold(h[0], "Content-Type") {
+			kind, _, _ = strings.Cut(h[1], ";")
+		}
+		if r.hides(h[0]) {
+			m.Headers[i][1] = r.hide(h[1])
+		}
+	}
+	switch trimmed := bytes.TrimSpace(m.Body); {
+	case len(trimmed) == 0:
+	case strings.TrimSpace(kind) == "application/json" || trimmed[0] == '{' || trimmed[0] == '[':
+		m.Body, err = r.json(m.Body)
+	case strings.TrimSpace(kind) == "application/x-www-form-urlencoded":
+		var text string
+		text, err = r.pairs(string(m.Body))
+		m.Body = []byte(text)
+	case len(r.names) > 0:
+		return fmt.Errorf("a body of type %q can't be redacted", kind)
+	}
+	return err
+}
+
+func (r *Redactor) hides(name string) bool {
+	return slices.ContainsFunc(r.names, func(n string) bool { return strings.EqualFold(n, name) })
+}
+
+// hide returns a text of the same length.
+func (r *Redactor) hide(text string) string {
+	mac := hmac.New(sha256.New, r.secret[:])
+	mac.Write([]byte(text))
+	sum := hex.EncodeToString(mac.Sum(nil))
+	return strings.Repeat(sum, len(text)/len(sum)+1)[:len(text)]
+}
+
+// pairs redacts a query or a form.
+func (r *Redactor) pairs(text string) (string, error) {
+	parts := strings.Split(text, "&")
+	for i, part := range parts {
+		raw, value, has := strings.Cut(part, "=")
+		name, err := url.QueryUnescape(raw)
+		if err != nil {
+			return "", err
+		}
+		if !has || !r.hides(name) {
+			continue
+		}
+		if value, err = url.QueryUnescape(value); err != nil {
+			return "", err
+		}
+		parts[i] = raw + "=" + r.hide(value)
+	}
+	return strings.Join(parts, "&"), nil
+}
+
+// json redacts members at any depth: texts become texts, all else null.
+func (r *Redactor) json(body []byte) ([]byte, error) {
+	var out bytes.Buffer
+	in, to := jsontext.NewDecoder(bytes.NewReader(body)), jsontext.NewEncoder(&out, jsontext.Multiline(false))
+	for {
+		token, err := in.ReadToken()
+		if errors.Is(err, io.EOF) {
+			return bytes.TrimRight(out.Bytes(), "\n"), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		name := ""
+		if kind, n := in.StackIndex(in.StackDepth()); kind == '{' && n%2 == 1 && token.Kind() == '"' {
+			name = token.String()
+		}
+		if err := to.WriteToken(token); err != nil {
+			return nil, err
+		}
+		if name == "" || !r.hides(name) {
+			continue
+		}
+		hidden := jsontext.Null
+		if in.PeekKind() == '"' {
+			if token, err = in.ReadToken(); err != nil {
+				return nil, err
+			}
+			hidden = jsontext.String(r.hide(token.String()))
+		} else if err := in.SkipValue(); err != nil {
+			return nil, err
+		}
+		if err := to.WriteToken(hidden); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// thrift redacts strings in a message. Their lengths stay, so that nothing else of it changes.
+func (r *Redactor) thrift(m []byte) ([]byte, error) {
+	h, err := thriftwire.ReadHead(m)
+	if err != nil {
+		return nil, err
+	}
+	found := make([]thriftwire.Field, r.paths)
+	if err := r.plan.Scan(h, m, found); err != nil {
+		return nil, err
+	}
+	m = bytes.Clone(m)
+	for _, f := range found {
+		if f.Type == thriftwire.String {
+			copy(m[f.Start:f.End], r.hide(string(f.Bytes(m))))
+		}
+	}
+	return m, nil
+}
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -184,6 +184,7 @@
 	done     int
 	drained  time.Time
 	late     int
+	full     int
 }
 
 // DrainGrace is how long after it was told of a drain something new may still come.
@@ -245,6 +246,13 @@
 	return s.late
 }
 
+// TurnedAway returns how many calls came while it held as many as it takes.
+func (s *Server) TurnedAway() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.full
+}
+
 // Accepted returns how many connections have come.
 func (s *Server) Accepted() int {
 	s.mu.Lock()
@@ -369,6 +377,7 @@
 	s.mu.Lock()
 	if s.opts.Most > 0 && s.inFlight >= s.opts.Most {
 		answer.fault = Reject
+		s.full++
 	}
 	s.inFlight++
 	answer.load = s.loadLocked()
