--- a/internal/bridge/bridge.go
+++ b/internal/bridge/bridge.go
@@ -9,8 +9,6 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"net/textproto"
-	"net/url"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -35,15 +33,9 @@
 
 // edition is a file of shapes as it was read at one time.
 type edition struct {
-	set    *translate.Set
-	table  *routes.Table
-	styles map[*translate.Shape]style
-}
-
-// style is what a transport must know of a shape.
-type style struct {
-	at           int // in the table
-	pass, wanted []string
+	set   *translate.Set
+	table *routes.Table
+	at    map[*translate.Shape]int // in the table
 }
 
 // New returns a Bridge over a set of shapes. Without a Thrift service those in Thrift are left out.
@@ -111,10 +103,10 @@
 		return nil, errors.Join(faults...)
 	}
 	table := routes.NewTable(shapes)
-	e := &edition{set, table, map[*translate.Shape]style{}}
+	e := &edition{set, table, map[*translate.Shape]int{}}
 	for name, s := range set.Shapes {
 		if usable[name] {
-			e.styles[s] = style{table.Index(name), canonical(s.RequestHeaders()), canonical(s.ReplyHeaders())}
+			e.at[s] = table.Index(name)
 		}
 	}
 	// A call stays in its client's protocol where it can, and loses nothing where it need not: else in the file's order.
@@ -147,20 +139,13 @@
 		}
 		return tag, true, err
 	}
-	e.dress(r, s)
-	return routes.Tag{Table: e.table, Shape: e.styles[s].at, Spoken: protocol.HTTP}, s.KeyLast(), nil
+	dress(r, s)
+	return routes.Tag{Table: e.table, Shape: e.at[s], Spoken: protocol.HTTP}, s.KeyLast(), nil
 }
 
 // dress adds to a request what its shape asks of a transport.
-func (e *edition) dress(r *httpmsg.Request, s *translate.Shape) {
-	r.Unknown, r.Pass, r.Wanted = s.Unknown, e.styles[s].pass, e.styles[s].wanted
-}
-
-func canonical(names []string) []string {
-	for i, name := range names {
-		names[i] = textproto.CanonicalMIMEHeaderKey(name)
-	}
-	return names
+func dress(r *httpmsg.Request, s *translate.Shape) {
+	r.Unknown, r.Pass, r.Wanted = s.Unknown, s.RequestHeaders(), s.ReplyHeaders()
 }
 
 // Thrift finds the shape of a call, and adds to it what a transport must know of that.
@@ -174,7 +159,7 @@
 		return routes.Tag{}, nil
 	}
 	c.Unknown = int32(s.Unknown)
-	return routes.Tag{Table: e.table, Shape: e.styles[s].at, Spoken: spoken}, nil
+	return routes.Tag{Table: e.table, Shape: e.at[s], Spoken: spoken}, nil
 }
 
 // Over returns a transport that translates, where an attempt's way says so, over one that speaks with servers.
@@ -247,22 +232,16 @@
 	if len(m.Body) > httpmsg.MaxBody {
 		return nil, fmt.Errorf("a body of %d bytes, %d at most", len(m.Body), httpmsg.MaxBody)
 	}
-	target, err := url.ParseRequestURI(m.Target)
-	if err != nil {
-		return nil, fmt.Errorf("the target: %w", err)
-	}
-	r := &httpmsg.Request{Method: m.Method, URL: target, Header: http.Header{}, Body: m.Body}
+	r := &httpmsg.Request{Method: m.Method, Target: m.Target, Fields: make([][2]string, 0, len(m.Header)+2), Body: m.Body}
 	for _, h := range m.Header {
-		name := textproto.CanonicalMIMEHeaderKey(h.Name)
-		r.Header[name] = append(r.Header[name], h.Value)
+		r.Fields = append(r.Fields, [2]string{h.Name, h.Value})
 	}
-	for _, name := range []string{"X-Weight-Hint", "X-Facts"} { // the client's own word on its call, in any shape
-		if v := head[name]; v != nil {
-			r.Header[name] = v
+	for _, name := range [...]string{"X-Weight-Hint", "X-Facts"} { // the client's own word on its call, in any shape
+		for _, v := range head[name] {
+			r.Fields = append(r.Fields, [2]string{name, v})
 		}
 	}
-	r.Unknown, r.Wanted = plan.To.Unknown, canonical(plan.To.ReplyHeaders())
-	r.Pass = canonical(plan.To.RequestHeaders())
+	dress(r, plan.To)
 	return r, nil
 }
 
@@ -319,7 +298,7 @@
 			reply.ContentType = h.Value
 			continue
 		}
-		reply.Header = append(reply.Header, [2]string{textproto.CanonicalMIMEHeaderKey(h.Name), h.Value})
+		reply.Header = append(reply.Header, [2]string{h.Name, h.Value})
 	}
 	return reply, nil
 }
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-	"net/textproto"
 	"net/url"
 	"slices"
 	"strconv"
@@ -52,7 +51,10 @@
 // Message words the request for a server. What it is made of was read by net/http, which lets no line end into it.
 func (t talk) Message(end time.Time) []byte {
 	r := t.request
-	target := (&url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}).RequestURI()
+	target := r.Target
+	if target == "" {
+		target = (&url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}).RequestURI()
+	}
 	m := make([]byte, 0, 512+len(r.Body))
 	m = append(append(append(append(m, r.Method...), ' '), target...), " HTTP/1.1\r\nHost: "...)
 	m = append(append(m, t.host...), "\r\n"...)
@@ -63,6 +65,9 @@
 			}
 		}
 	}
+	for _, h := range r.Fields {
+		m = append(append(append(append(m, h[0]...), ": "...), h[1]...), "\r\n"...)
+	}
 	if !end.IsZero() {
 		m = append(m, "X-Time-Left: "...)
 		m = strconv.AppendFloat(m, max(time.Until(end), 0).Seconds(), 'f', 3, 64)
@@ -141,14 +146,17 @@
 
 // wantedOf finds some headers in a head, each value of theirs.
 func wantedOf(text []byte, names []string) (found [][2]string, err error) {
-	_, fields, _ := bytes.Cut(text, []byte("\n"))
-	all, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", exchange.ErrSpoilt, err)
-	}
-	for _, name := range names {
-		for _, value := range all.Values(name) {
-			found = append(found, [2]string{name, value})
+	for rest := text; len(rest) > 0; {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\n"))
+		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') { // RFC 9112, section 5.2
+			return nil, fmt.Errorf("%w: a header over several lines", exchange.ErrSpoilt)
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		for _, wanted := range names {
+			if len(name) == len(wanted) && strings.EqualFold(string(name), wanted) {
+				found = append(found, [2]string{wanted, string(bytes.Trim(value, " \t\r"))})
+			}
 		}
 	}
 	return found, nil
--- a/internal/http/httpmsg/httpmsg.go
+++ b/internal/http/httpmsg/httpmsg.go
@@ -24,6 +24,10 @@
 	Pass    []string // further headers that go on to a server, in their canonical form
 	Wanted  []string // further headers of the answer that go back
 	Unknown int      // the status of a server that does not know the shape; 0 for none
+
+	// A request that was translated has these in place of URL and Header.
+	Target string
+	Fields [][2]string
 }
 
 // Reply is what a server answered a call that it served.
--- a/internal/translate/http.go
+++ b/internal/translate/http.go
@@ -104,6 +104,16 @@
 	return nil
 }
 
+// quotedMember finds a member by its name as it is usually written.
+func (n *node) quotedMember(name []byte) *node {
+	for _, m := range n.members {
+		if len(m.quoted) == len(name)+1 && bytes.Equal(m.quoted[:len(name)], name) {
+			return m
+		}
+	}
+	return nil
+}
+
 // reading is what is kept between messages: decoders and the values of fields.
 type reading struct {
 	in       bytes.Reader
@@ -111,17 +121,29 @@
 	src, dst []value
 	found    []thriftwire.Field
 	kept     []member
+	text     []byte // what the values of src refer to, as far as it is not in the message
+	scratch  []byte
+}
+
+// hold keeps a text for as long as the message is read.
+func (r *reading) hold(s string) []byte {
+	begin := len(r.text)
+	r.text = append(r.text, s...)
+	return r.text[begin:len(r.text):len(r.text)]
 }
 
 // member is one that no field names, as it stands in the body.
 type member struct{ name, text []byte }
 
+// mostKept is how many bytes of room a reading keeps for the next message.
+const mostKept = 64 << 10
+
 var readings = sync.Pool{New: func() any { return &reading{decoder: jsontext.NewDecoder(bytes.NewReader(nil))} }}
 
 func (c *conversion) open() *reading {
 	r := readings.Get().(*reading)
 	r.src, r.dst = room(r.src, len(c.src.fields)), room(r.dst, len(c.dst.fields))
-	r.kept = r.kept[:0]
+	r.kept, r.text = r.kept[:0], r.text[:0]
 	return r
 }
 
@@ -136,6 +158,9 @@
 	clear(r.src)
 	clear(r.dst)
 	clear(r.kept)
+	if cap(r.text) > mostKept {
+		r.text = nil
+	}
 	readings.Put(r)
 }
 
@@ -164,10 +189,10 @@
 		return &Refusal{Malformed, "", fmt.Sprintf("a %s, not a %s", m.Method, p.From.method)}
 	}
 	path, query, _ := strings.Cut(m.Target, "?")
-	if refusal := p.From.readPath(path, r.src); refusal != nil {
+	if refusal := p.From.readPath(path, r); refusal != nil {
 		return refusal
 	}
-	if refusal := p.request.src.readPairs(inQuery, query, r.src); refusal != nil {
+	if refusal := p.request.src.readPairs(inQuery, query, r); refusal != nil {
 		return refusal
 	}
 	return p.request.read(m, r)
@@ -193,7 +218,8 @@
 
 // headers are those of a call's envelope in HTTP. The time that is left is worded when the call is sent.
 func (e *Envelope) headers(class string) ([]Header, *Refusal) {
-	all := []Header{{"X-Correlation-Id", e.ID}, {"X-Service-Class", class}, {"X-Account", e.Tenant}}
+	all := make([]Header, 0, 8)
+	all = append(all, Header{"X-Correlation-Id", e.ID}, Header{"X-Service-Class", class}, Header{"X-Account", e.Tenant})
 	if e.Idempotency != "" {
 		all = append(all, Header{"Idempotency-Key", e.Idempotency})
 	}
@@ -252,7 +278,7 @@
 }
 
 // readPath reads the fields of a path.
-func (s *Shape) readPath(path string, to []value) *Refusal {
+func (s *Shape) readPath(path string, r *reading) *Refusal {
 	rest, rooted := strings.CutPrefix(path, "/")
 	if !rooted {
 		return &Refusal{Malformed, "", "a path that begins with no slash"}
@@ -273,17 +299,17 @@
 		if err != nil {
 			return seg.field.refuse(Malformed, "%v", err)
 		}
-		v, refusal := seg.field.parse([]byte(text))
+		v, refusal := seg.field.parse(r.hold(text))
 		if refusal != nil {
 			return refusal
 		}
-		to[seg.at] = v
+		r.src[seg.at] = v
 	}
 	return nil
 }
 
 // readPairs reads the fields of a query or a form (WHATWG URL, section 5.1: names and values joined by = and &).
-func (m *message) readPairs(p place, text string, to []value) *Refusal {
+func (m *message) readPairs(p place, text string, r *reading) *Refusal {
 	for text != "" {
 		var pair string
 		pair, text, _ = strings.Cut(text, "&")
@@ -306,7 +332,7 @@
 		if err != nil {
 			return m.fields[i].refuse(Malformed, "%v", err)
 		}
-		if refusal := m.set(i, []byte(value), to); refusal != nil {
+		if refusal := m.set(i, r.hold(value), r.src); refusal != nil {
 			return refusal
 		}
 	}
@@ -331,14 +357,14 @@
 	for _, h := range m.Header {
 		i := slices.IndexFunc(c.src.fields, func(f *field) bool { return f.place == inHeader && strings.EqualFold(f.at, h.Name) })
 		if i >= 0 {
-			if refusal := c.src.set(i, []byte(h.Value), r.src); refusal != nil {
+			if refusal := c.src.set(i, r.hold(h.Value), r.src); refusal != nil {
 				return refusal
 			}
 		}
 	}
 	switch {
 	case c.src.has(inForm):
-		if refusal := c.src.readPairs(inForm, string(m.Body), r.src); refusal != nil {
+		if refusal := c.src.readPairs(inForm, string(m.Body), r); refusal != nil {
 			return refusal
 		}
 	case c.src.has(inJSON):
@@ -386,14 +412,25 @@
 		return broken(err)
 	}
 	for r.decoder.PeekKind() != '}' {
-		name, err := r.decoder.ReadToken()
+		name, err := r.decoder.ReadValue()
 		if err != nil {
 			return broken(err)
 		}
-		m := n.member(name.String())
+		m := n.quotedMember(name)
+		if m == nil && bytes.IndexByte(name, '\\') >= 0 { // it may be one in other words
+			plain, err := jsontext.AppendUnquote(nil, name)
+			if err != nil {
+				return broken(err)
+			}
+			m = n.member(string(plain))
+		}
 		switch {
 		case m == nil:
-			if refusal := c.readUnknown(n, name.String(), r, depth); refusal != nil {
+			plain, err := jsontext.AppendUnquote(nil, name)
+			if err != nil {
+				return broken(err)
+			}
+			if refusal := c.readUnknown(n, string(plain), r, depth); refusal != nil {
 				return refusal
 			}
 		case m.field < 0:
@@ -459,7 +496,7 @@
 	if kind == '{' || kind == '[' {
 		return f.refuse(Malformed, "neither a text, a number nor a bool")
 	}
-	token, err := r.decoder.ReadToken()
+	raw, err := r.decoder.ReadValue() // holds until the next
 	if err != nil {
 		return broken(err)
 	}
@@ -477,7 +514,15 @@
 	if kind != wanted {
 		return f.refuse(Malformed, "a %v in place of %s", kind, f.wants())
 	}
-	return c.src.set(i, []byte(token.String()), r.src)
+	begin := len(r.text)
+	if kind == '"' {
+		if r.text, err = jsontext.AppendUnquote(r.text, raw); err != nil {
+			return broken(err)
+		}
+	} else {
+		r.text = append(r.text, raw...)
+	}
+	return c.src.set(i, r.text[begin:len(r.text):len(r.text)], r.src)
 }
 
 // number reports whether JSON has the field as a number.
@@ -520,39 +565,46 @@
 		}
 		to = append(to, url.PathEscape(string(text))...)
 	}
-	return s.request.appendPairs(to, inQuery, '?', from)
+	return s.request.appendPairs(to, inQuery, '?', from, nil)
 }
 
 // appendPairs writes the fields of a query or a form.
-func (m *message) appendPairs(to []byte, p place, before byte, from []value) ([]byte, *Refusal) {
+func (m *message) appendPairs(to []byte, p place, before byte, from []value, scratch *[]byte) ([]byte, *Refusal) {
+	var own []byte
+	if scratch == nil {
+		scratch = &own
+	}
 	for i, f := range m.fields {
 		if f.place != p || !from[i].set {
 			continue
 		}
-		text, refusal := f.append(nil, from[i])
+		text, refusal := f.append((*scratch)[:0], from[i])
 		if refusal != nil {
 			return to, refusal
 		}
+		*scratch = text
 		if before != 0 {
 			to = append(to, before)
 		}
 		before = '&'
-		to = append(append(append(to, url.QueryEscape(f.at)...), '='), url.QueryEscape(string(text))...)
+		to = appendEscaped(append(append(to, f.escaped...), '='), text)
 	}
 	return to, nil
 }
 
 // write writes the head's fields and the body.
 func (c *conversion) write(out *Message, r *reading) (refusal *Refusal) {
+	m := c.dst
 	for i, f := range c.dst.fields {
 		switch {
 		case !r.dst[i].set && !f.optional:
 			return f.refuse(Missing, "it is needed")
 		case f.place == inHeader && r.dst[i].set:
-			text, refusal := f.append(nil, r.dst[i])
+			text, refusal := f.append(r.scratch[:0], r.dst[i])
 			if refusal != nil {
 				return refusal
 			}
+			r.scratch = text
 			if why := unfit(string(text)); why != "" {
 				return f.refuse(OutOfRange, "%s", why)
 			}
@@ -561,10 +613,10 @@
 	}
 	switch {
 	case c.dst.has(inForm):
-		out.Body, refusal = c.dst.appendPairs(nil, inForm, 0, r.dst)
+		out.Body, refusal = c.dst.appendPairs(make([]byte, 0, roomFor(m, r)), inForm, 0, r.dst, &r.scratch)
 		out.Header = append(out.Header, Header{"Content-Type", "application/x-www-form-urlencoded"})
 	case c.dst.has(inJSON):
-		out.Body, refusal = c.appendObject(nil, c.dst.json, r)
+		out.Body, refusal = c.appendObject(make([]byte, 0, roomFor(m, r)), c.dst.json, r)
 		out.Header = append(out.Header, Header{"Content-Type", "application/json"})
 	}
 	if refusal == nil && len(out.Body) > c.dst.most {
@@ -573,6 +625,26 @@
 	return refusal
 }
 
+// roomFor is about how much a body takes.
+func roomFor(m *message, r *reading) int { return 2*len(r.text) + 32*len(m.fields) }
+
+const upperHex = "0123456789ABCDEF"
+
+// appendEscaped writes a text as a query or a form has it, as url.QueryEscape does but without a copy.
+func appendEscaped(to, text []byte) []byte {
+	for _, b := range text {
+		switch {
+		case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9', b == '-', b == '_', b == '.', b == '~':
+			to = append(to, b)
+		case b == ' ':
+			to = append(to, '+')
+		default:
+			to = append(to, '%', upperHex[b>>4], upperHex[b&15])
+		}
+	}
+	return to
+}
+
 // any reports whether something of an object is there.
 func (n *node) any(from []value) bool {
 	if n.field >= 0 {
@@ -599,7 +671,7 @@
 		if m.field < 0 {
 			to, refusal = c.appendObject(to, m, r)
 		} else {
-			to, refusal = c.appendMember(to, c.dst.fields[m.field], r.dst[m.field])
+			to, refusal = c.dst.fields[m.field].appendMember(to, r.dst[m.field], r)
 		}
 		if refusal != nil {
 			return to, refusal
@@ -621,14 +693,15 @@
 	return append(to, '}'), nil
 }
 
-func (c *conversion) appendMember(to []byte, f *field, v value) ([]byte, *Refusal) {
+func (f *field) appendMember(to []byte, v value, r *reading) ([]byte, *Refusal) {
 	if f.Type == Bool || f.number() {
 		return f.append(to, v)
 	}
-	text, refusal := f.append(nil, v)
+	text, refusal := f.append(r.scratch[:0], v)
 	if refusal != nil {
 		return to, refusal
 	}
+	r.scratch = text
 	to, err := jsontext.AppendQuote(to, text)
 	if err != nil {
 		return to, f.refuse(OutOfRange, "%v", err)
--- a/internal/translate/mapping.go
+++ b/internal/translate/mapping.go
@@ -612,17 +612,8 @@
 // KeyLast reports whether a path of the shape ends in what the call is about.
 func (s *Shape) KeyLast() bool { return len(s.path) > 0 && s.path[len(s.path)-1].field != nil }
 
-// RequestHeaders are the headers of a request in HTTP that the shape speaks of.
-func (s *Shape) RequestHeaders() []string { return s.request.headers() }
+// RequestHeaders are the headers of a request in HTTP that the shape speaks of, in canonical form. They are only read.
+func (s *Shape) RequestHeaders() []string { return s.request.names }
 
-// ReplyHeaders are the headers of a reply in HTTP that the shape speaks of.
-func (s *Shape) ReplyHeaders() []string { return s.reply.headers() }
-
-func (m *message) headers() (names []string) {
-	for _, f := range m.fields {
-		if f.place == inHeader {
-			names = append(names, f.at)
-		}
-	}
-	return names
-}
+// ReplyHeaders are those of a reply.
+func (s *Shape) ReplyHeaders() []string { return s.reply.names }
--- a/internal/translate/shape.go
+++ b/internal/translate/shape.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"fmt"
 	"math"
+	"net/textproto"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -72,6 +74,7 @@
 	form     string
 	layout   string
 	zone     *time.Location
+	escaped  string          // its name in a query or a form
 	wire     thriftwire.Type // in Thrift
 	numbers  []int64         // of an enum's values, in Thrift
 	envelope envelope
@@ -80,6 +83,7 @@
 // message is what a shape says of a request or a reply.
 type message struct {
 	fields  []*field // by name
+	names   []string // of its headers, in canonical form
 	byName  map[string]*field
 	json    *node // its JSON fields as they nest
 	thrift  *node // and its Thrift fields
@@ -329,6 +333,11 @@
 // tree arranges the fields as they nest.
 func (m *message) tree(c *compiler, key, protocol string) {
 	m.json = m.nest(inJSON)
+	for _, f := range m.fields {
+		if f.place == inHeader {
+			m.names = append(m.names, f.at)
+		}
+	}
 	if protocol != "thrift" {
 		return
 	}
@@ -364,7 +373,10 @@
 	if f.place, known = placeNames[where]; !known || at == "" {
 		c.file.Problem(key+".at", "%q, one of path:, query:, header:, json:, form: and thrift: with a name is needed", t.At)
 	}
-	f.at, f.path = at, strings.Split(at, ".")
+	if f.place == inHeader {
+		at = textproto.CanonicalMIMEHeaderKey(at)
+	}
+	f.at, f.path, f.escaped = at, strings.Split(at, "."), url.QueryEscape(at)
 	if f.place == inJSON && slices.Contains(f.path, "") {
 		c.file.Problem(key+".at", "%q: a name of a JSON member is empty", t.At)
 	}
--- a/internal/translate/thrift.go
+++ b/internal/translate/thrift.go
@@ -195,7 +195,7 @@
 		}
 	case Date:
 		if n < leastDay || n > mostDay {
-			return v, f.refuse(OutOfRange, "%d: beyond the years 1 to 9999", n)
+			return v, f.refuse(OutOfRange, "%d: %v", n, errYears)
 		}
 	case Instant:
 		if f.form == "unix-s" {
@@ -205,7 +205,7 @@
 			}
 		}
 		if v.num < leastDay*dayInMS || v.num >= (mostDay+1)*dayInMS {
-			return v, f.refuse(OutOfRange, "%d: beyond the years 1 to 9999", n)
+			return v, f.refuse(OutOfRange, "%d: %v", n, errYears)
 		}
 	}
 	return v, f.check(v)
--- a/internal/translate/translate_test.go
+++ b/internal/translate/translate_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"net/url"
 	"reflect"
 	"slices"
 	"strings"
@@ -447,3 +448,35 @@
 		}
 	})
 }
+
+// The library reads the year 0, which no form of ours can write.
+func TestYears(t *testing.T) {
+	date, rfc3339, zoned := &field{Type: Date, layout: "02/01/2006"}, &field{Type: Instant}, &field{Type: Instant, form: "local", zone: time.UTC}
+	for _, c := range []struct {
+		f    *field
+		text string
+		ok   bool
+	}{
+		{date, "31/12/0000", false}, {date, "01/01/0001", true}, {date, "31/12/9999", true},
+		{rfc3339, "0000-12-31T23:59:59Z", false}, {rfc3339, "0001-01-01T00:00:00Z", true}, {rfc3339, "9999-12-31T23:59:59-01:00", false},
+		{zoned, "0000-12-31T23:59:59", false}, {zoned, "0001-01-01T00:00:00", true},
+	} {
+		if _, refusal := c.f.parse([]byte(c.text)); (refusal == nil) != c.ok || refusal != nil && refusal.Kind != OutOfRange {
+			t.Errorf("%v %s: %v", c.f.Type, c.text, refusal)
+		}
+	}
+}
+
+// Escaping is the library's.
+func TestEscaping(t *testing.T) {
+	r := rand.New(rand.NewPCG(4, 0))
+	for range 2000 {
+		text := make([]byte, r.IntN(20))
+		for i := range text {
+			text[i] = byte(r.IntN(256))
+		}
+		if got, want := string(appendEscaped(nil, text)), url.QueryEscape(string(text)); got != want {
+			t.Fatalf("%q is %s, by net/url %s", text, got, want)
+		}
+	}
+}
--- a/internal/translate/value.go
+++ b/internal/translate/value.go
@@ -1,6 +1,7 @@
 package translate
 
 import (
+	"bytes"
 	"encoding/base64"
 	"errors"
 	"fmt"
@@ -201,14 +202,18 @@
 	if layout == "" {
 		days, err := parseDecimal(b, 0)
 		if err == nil && (days < leastDay || days > mostDay) {
-			err = errors.New("beyond the years 1 to 9999")
+			err = errYears
 		}
 		return days, err
 	}
 	t, err := time.Parse(layout, string(b))
-	if err != nil || t.Format(layout) != string(b) { // the library takes some other forms too
+	var room [32]byte
+	if err != nil || !bytes.Equal(t.AppendFormat(room[:0], layout), b) { // the library takes some other forms too
 		return 0, fmt.Errorf("not a date like %s", layout)
 	}
+	if t.Year() < 1 { // the library knows a year 0
+		return 0, errYears
+	}
 	return t.Unix() / (24 * 60 * 60), nil
 }
 
@@ -219,6 +224,9 @@
 	return time.Unix(days*24*60*60, 0).UTC().AppendFormat(to, layout)
 }
 
+// errYears says that a date or an instant is not in what all forms hold.
+var errYears = errors.New("beyond the years 1 to 9999")
+
 // errClocks says that the clocks were changed: a time came twice, or never.
 var errClocks = errors.New("came twice or never, as the clocks were changed")
 
@@ -232,7 +240,7 @@
 		}
 		n, err := parseDecimal(b, scale)
 		if err == nil && (n < leastDay*dayInMS || n >= (mostDay+1)*dayInMS) {
-			err = errors.New("beyond the years 1 to 9999")
+			err = errYears
 		}
 		return n, err
 	case "local":
@@ -240,12 +248,18 @@
 		if err != nil || t.Format(local) != string(b) {
 			return 0, fmt.Errorf("not a time like %s", local)
 		}
+		if t.Year() < 1 {
+			return 0, errYears
+		}
 		return instantOf(t, f.zone)
 	}
 	t, err := time.Parse(time.RFC3339, string(b))
 	if err != nil || len(b) < 20 || b[10] != 'T' {
 		return 0, errors.New("not a time as RFC 3339 has it")
 	}
+	if ms := t.UnixMilli(); ms < leastDay*dayInMS || ms >= (mostDay+1)*dayInMS {
+		return 0, errYears
+	}
 	if t.Nanosecond()%1e6 != 0 {
 		return 0, errors.New("finer than a millisecond")
 	}
@@ -343,7 +357,7 @@
 		v.num, err = parseInstant(b, f)
 	}
 	switch {
-	case errors.Is(err, errRange) || errors.Is(err, errDecimals) || errors.Is(err, errClocks):
+	case errors.Is(err, errRange) || errors.Is(err, errDecimals) || errors.Is(err, errClocks) || errors.Is(err, errYears):
 		return v, f.refuse(OutOfRange, "%q is %v", clip(b), err)
 	case err != nil:
 		return v, f.refuse(Malformed, "%q: %v", clip(b), err)
