--- a/cmd/ternbeam-lab/main.go
+++ b/cmd/ternbeam-lab/main.go
@@ -30,7 +30,7 @@
 
 type rolloutCommand struct {
 	Servers int           `default:"8" help:"Servers."`
-	Rate    float64       `default:"300" help:"Calls a second."`
+	Rate    float64       `default:"600" help:"Calls a second."`
 	Every   time.Duration `default:"1s" help:"A server is replaced."`
 	Seed    uint64        `default:"1"`
 }
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -76,13 +76,13 @@
 	Started time.Duration
 	Speaks  choice.Protocols
 	Multi   bool
+	Shapes  []string // class/version of those that it takes
 }
 
 // same reports whether two claims say the same.
 func (c *Claim) same(o *Claim) bool {
-	a, b := *c, *o
-	a.Addrs, b.Addrs = nil, nil
-	return slices.Equal(c.Addrs, o.Addrs) && a.Key == b.Key && a.ID == b.ID && a.State == b.State && a.Tiered == b.Tiered && a.Tier == b.Tier &&
+	a, b := c, o
+	return slices.Equal(c.Addrs, o.Addrs) && slices.Equal(c.Shapes, o.Shapes) && a.Key == b.Key && a.ID == b.ID && a.State == b.State && a.Tiered == b.Tiered && a.Tier == b.Tier &&
 		a.Weight == b.Weight && a.Details == b.Details && a.Zone == b.Zone && a.Cell == b.Cell && a.Started == b.Started &&
 		a.Speaks == b.Speaks && a.Multi == b.Multi
 }
@@ -572,7 +572,7 @@
 	}
 	for _, c := range m.claims {
 		if c.Details && !c.gone {
-			e.Zone, e.Cell, e.Started, e.Speaks, e.Multiplexed = c.Zone, c.Cell, c.Started, c.Speaks, c.Multi
+			e.Zone, e.Cell, e.Started, e.Speaks, e.Multiplexed, e.Shapes = c.Zone, c.Cell, c.Started, c.Speaks, c.Multi, c.Shapes
 			return e
 		}
 	}
@@ -605,7 +605,7 @@
 }
 
 func sameEntry(a, b ledger.Entry) bool {
-	return a.Server == b.Server && a.Addr == b.Addr && a.Multiplexed == b.Multiplexed && slices.Equal(a.Addrs, b.Addrs)
+	return a.Server == b.Server && a.Addr == b.Addr && a.Multiplexed == b.Multiplexed && slices.Equal(a.Addrs, b.Addrs) && slices.Equal(a.Shapes, b.Shapes)
 }
 
 // timer is something that time brings.
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -210,11 +210,15 @@
 	if len(b.said) != 3 || b.state("srv/alias") != "" {
 		t.Errorf("an alias is a server of its own: %v", b.said)
 	}
-	b.tell(list, true, 1, listed(0, func(c *Claim) { c.Weight, c.Zone, c.Started = 2, 7, time.Second }), listed(5))
+	b.tell(list, true, 1, listed(0, func(c *Claim) { c.Weight, c.Zone, c.Started, c.Shapes = 2, 7, time.Second, []string{"a/1"} }), listed(5))
 	id := "srv/" + named(0).Key
-	if e := b.said[id]; e.Weight != 2 || e.Zone != 7 || e.Started != time.Second || e.Addr != addr(0) {
+	if e := b.said[id]; e.Weight != 2 || e.Zone != 7 || e.Started != time.Second || e.Addr != addr(0) || !slices.Equal(e.Shapes, []string{"a/1"}) {
 		t.Errorf("a server that SRV named first: %+v", e)
 	}
+	b.tell(list, false, 2, listed(0, func(c *Claim) { c.Weight, c.Zone, c.Started, c.Shapes = 2, 7, time.Second, []string{"a/2"} }))
+	if e := b.said[id]; !slices.Equal(e.Shapes, []string{"a/2"}) {
+		t.Errorf("its shapes changed: %+v", e)
+	}
 	if b.state("s5") != "ready" || b.Members()[len(b.Members())-1].Tier != 10 {
 		t.Errorf("a server of which nobody names a tier is not in the best one: %+v", b.Members()[len(b.Members())-1])
 	}
@@ -238,7 +242,7 @@
 		t.Errorf("one that was there from the first started %v", e.Started)
 	}
 	// Two ids of the list at one address are two servers.
-	b.tell(list, false, 2, listed(20), listed(21, func(c *Claim) { c.Addrs = []string{addr(20)} }))
+	b.tell(list, false, 3, listed(20), listed(21, func(c *Claim) { c.Addrs = []string{addr(20)} }))
 	if b.state("s20") != "ready" || b.state("s21") != "ready" {
 		t.Error("two ids at one address are not two servers")
 	}
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -222,6 +222,9 @@
 	s := c.ledger.Stats()
 	open, held := c.ledger.Count()
 	connections, _, waiting := c.set.Pool.Count()
+	if c.set.Routes != nil {
+		c.log.Info("shapes", "translated", s.Translated, "unfit", s.Unfit, "unknown", s.Unknown, "untold", s.Untold)
+	}
 	c.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
 		"gone", s.Gone, "malformed", c.malformed.Load(), "attempts", s.Attempts, "reports", s.Reports,
 		"results", s.Results, "open", open, "held", held, "timers", len(c.timers),
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -151,7 +151,7 @@
 			addrs = []string{e.Addr}
 		}
 		r.Claims = append(r.Claims, membership.Claim{Key: s.ID, ID: s.ID, Addrs: addrs, State: s.State, Weight: s.Weight, Details: true,
-			Zone: s.Zone, Cell: s.Cell, Started: s.Started, Speaks: s.Speaks, Multi: e.Multiplexed})
+			Zone: s.Zone, Cell: s.Cell, Started: s.Started, Speaks: s.Speaks, Multi: e.Multiplexed, Shapes: e.Shapes})
 	}
 	return r
 }
--- a/internal/http/httpback/httpback_test.go
+++ b/internal/http/httpback/httpback_test.go
@@ -84,6 +84,39 @@
 	}
 }
 
+// Only the status that the call's shape declares, with the server's explicit word that it has not begun, says that the
+// shape is not known and nothing has run. Headers that the shape speaks of come with an answer.
+func TestShapes(t *testing.T) {
+	b := server(t, func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Set("x-receipt", "r-9")
+		h.Set("Other", "x")
+		if id := r.Header.Get("X-Correlation-Id"); strings.Contains(id, "unprocessed") {
+			h.Set("X-Unprocessed", "1")
+		}
+		status := 200
+		fmt.Sscan(r.Header.Get("X-Correlation-Id"), &status)
+		w.WriteHeader(status)
+	})
+	u := newTransport(pool.Settings{})
+	for id, c := range map[string]struct {
+		want    choice.Result
+		unknown bool
+	}{"415 unprocessed": {choice.Rejected, true}, "415": {choice.Failed, false}, "400 unprocessed": {choice.Failed, false},
+		"503 unprocessed": {choice.Rejected, false}, "200": {choice.OK, false}} {
+		a := attempt(id, b)
+		p := a.Payload.(*httpmsg.Request)
+		p.Unknown, p.Wanted, p.Pass = 415, []string{"X-Receipt"}, []string{"X-Kiosk"}
+		e := u.Attempt(context.Background(), a)
+		if e.Result != c.want || e.ShapeUnknown != c.unknown {
+			t.Errorf("%s: result %d, shape unknown: %t", id, e.Result, e.ShapeUnknown)
+		}
+		if reply, ok := e.Reply.(*httpmsg.Reply); ok && (len(reply.Header) != 1 || reply.Header[0] != [2]string{"X-Receipt", "r-9"}) {
+			t.Errorf("%s: headers %q", id, reply.Header)
+		}
+	}
+}
+
 // What the backend may have read in whole may have run; only a write that fell short or never began proves that
 // it did not.
 func TestBreaks(t *testing.T) {
--- a/internal/lab/replay/replay_test.go
+++ b/internal/lab/replay/replay_test.go
@@ -41,11 +41,12 @@
 func TestCorpusThroughAllPairs(t *testing.T) {
 	all := load(t)
 	for _, client := range speeches {
-		for _, server := range speeches {
+		for _, server := range append([]string{"thrift-binary multiplexed"}, speeches...) {
 			t.Run(client+" to "+server, func(t *testing.T) {
 				t.Parallel()
 				old := newWorld(t, standin.Platform{}, standin.Options{ID: "old", Protocol: client, Shapes: []string{"1"}, NoLoad: true})
-				new := newWorld(t, standin.Platform{}, standin.Options{ID: "new", Protocol: server, Shapes: []string{"2"}})
+				protocol, _, multiplexed := strings.Cut(server, " ")
+				new := newWorld(t, standin.Platform{}, standin.Options{ID: "new", Protocol: protocol, Multiplexed: multiplexed, Shapes: []string{"2"}})
 				var served, unfit []Exchange
 				for i, o := range all {
 					id := fmt.Sprint("c-", i)
--- a/internal/lab/rollout/rollout.go
+++ b/internal/lab/rollout/rollout.go
@@ -42,7 +42,7 @@
 	Deliveries                                  int
 	Full                                        int           // calls that a server turned away as it held too many
 	Unknown                                     int           // calls that met a server that does not know their shape
-	Follow                                      time.Duration // from a rolled-back server's first such call to its last, the longest
+	Follow                                      time.Duration // from a server's first such call to the first that it takes, the longest
 	Misread                                     int           // deliveries that said something else than the client
 	Keys                                        int           // deliveries whose key is not the client's, byte for byte
 	Doubles                                     int           // effects that came twice
@@ -57,7 +57,7 @@
 const linger = 700 * time.Millisecond
 
 // most is how many calls a server holds.
-const most = 16
+const most = 6
 
 // Run plays it.
 func Run(set Settings) (Result, error) {
@@ -69,7 +69,7 @@
 	if set.Plain {
 		shapes = nil
 	}
-	p := &play{set: set, pod: standin.NewPod(), wanted: map[string]wanted{}, met: map[string][2]time.Time{}}
+	p := &play{set: set, pod: standin.NewPod(), wanted: map[string]wanted{}, met: map[string]time.Time{}}
 	var first []standin.Options
 	for i := range set.Servers {
 		first = append(first, p.server(i, "old", false))
@@ -105,7 +105,7 @@
 	mu     sync.Mutex
 	wanted map[string]wanted
 	result Result
-	met    map[string][2]time.Time // by server: the first and last call of a shape that it does not know
+	met    map[string]time.Time // by server: the first call of a shape that it does not know; zero once it has got another
 	// seconds holds the calls, and those served in time, by the second in which they began.
 	seconds [][2]int
 }
@@ -139,14 +139,17 @@
 		want := p.wanted[c.ID]
 		if c.Version != takes {
 			p.result.Unknown++
-			met := p.met[o.ID]
-			if met[0].IsZero() {
-				met[0] = now
+			if _, any := p.met[o.ID]; !any {
+				p.met[o.ID] = now
+			}
+		} else {
+			if first := p.met[o.ID]; !first.IsZero() {
+				p.result.Follow = max(p.result.Follow, now.Sub(first))
+				p.met[o.ID] = time.Time{}
+			}
+			if c.Broken != "" || c.Refund != want.refund {
+				p.result.Misread++
 			}
-			met[1] = now
-			p.met[o.ID] = met
-		} else if c.Broken != "" || c.Refund != want.refund {
-			p.result.Misread++
 		}
 		if c.Idempotency != want.key {
 			p.result.Keys++
@@ -300,9 +303,6 @@
 			r.Worst = min(r.Worst, float64(s[1])/float64(s[0]))
 		}
 	}
-	for _, met := range p.met {
-		r.Follow = max(r.Follow, met[1].Sub(met[0]))
-	}
 	for _, s := range p.world.Servers {
 		r.Full += s.TurnedAway()
 	}
--- a/internal/thrift/thriftmap/call_test.go
+++ b/internal/thrift/thriftmap/call_test.go
@@ -131,7 +131,8 @@
 		resetCall := thriftwire.Writer{Encoding: e}
 		resetCall.Head(thriftwire.Call, []byte("Reset"), thriftwire.AppendSeq(nil, e, 1))
 		resetCall.Stop()
-		calls := map[string]*Call{"Submit": read(t, m, submit(e)), "Reset": read(t, m, resetCall.Buf)}
+		calls := map[string]*Call{"Submit": read(t, m, submit(e)), "Reset": read(t, m, resetCall.Buf), "Shaped": read(t, m, submit(e))}
+		calls["Shaped"].Unknown = 1
 		for name, c := range map[string]struct {
 			method string
 			reply  []byte
@@ -146,6 +147,10 @@
 			"unknown exception":        {"Submit", result(e, "Submit", thriftwire.Reply, 5, open(6)), choice.Failed, false},
 			"nothing at all":           {"Submit", result(e, "Submit", thriftwire.Reply, 5, nothing), choice.Failed, false},
 			"application exception":    {"Submit", result(e, "Submit", thriftwire.Exception, 5, nothing), choice.Failed, false},
+			"shape not known":          {"Shaped", result(e, "Submit", thriftwire.Exception, 5, func(w *thriftwire.Writer) { w.Int(2, thriftwire.I32, 1) }), choice.Rejected, false},
+			"another exception":        {"Shaped", result(e, "Submit", thriftwire.Exception, 5, func(w *thriftwire.Writer) { w.Int(2, thriftwire.I32, 6) }), choice.Failed, false},
+			"of another type":          {"Shaped", result(e, "Submit", thriftwire.Exception, 5, func(w *thriftwire.Writer) { w.Int(2, thriftwire.I16, 1) }), choice.Failed, false},
+			"no shape to be unknown":   {"Submit", result(e, "Submit", thriftwire.Exception, 5, func(w *thriftwire.Writer) { w.Int(2, thriftwire.I32, 1) }), choice.Failed, false},
 			"void":                     {"Reset", result(e, "Reset", thriftwire.Reply, 5, nothing), choice.OK, false},
 			"void's unknown exception": {"Reset", result(e, "Reset", thriftwire.Reply, 5, open(2)), choice.Failed, false},
 			"other sequence id":        {"Submit", result(e, "Submit", thriftwire.Reply, 6, open(0)), 0, true},
@@ -163,7 +168,7 @@
 				t.Fatal(err)
 			}
 			out, err := calls[c.method].ReadReply(h, c.reply, 5)
-			if (err != nil) != c.spoilt || err == nil && out.Result != c.want {
+			if (err != nil) != c.spoilt || err == nil && (out.Result != c.want || out.ShapeUnknown != (name == "shape not known")) {
 				t.Errorf("%v, %s: %+v, %v", e, name, out, err)
 			}
 		}
