A jam ends by time where nothing comes back: one class of calls no longer stays refused

Where all calls are of one class and all were turned away for a while, the module went on refusing every call for good: the slack used is only learned from outcomes, and none came any more. With a horizon without an outcome it now decays. Also: a call that only a busy old server can take is refused with a time to return, not called unfit.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,6 +50,9 @@
 	b.timer(tickToken, b.horizon/ticks)
 	b.served *= math.Exp(-1.0 / ticks / shareTime)
 	b.jamWeight = min(jamWeight, 1/(1+b.served*jamTime*b.horizon.Seconds()))
+	if b.now-b.judged > b.horizon { // where all is refused nothing could show that the jam is over
+		b.jam *= math.Exp(-1.0 / ticks / jamTime)
+	}
 	b.checkHealth()
 	b.narrow()
 }
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -352,7 +352,7 @@
 			}
 		case choice.Refuse:
 			answer := Answer{Kind: Refused, After: act.After}
-			if call := l.calls[act.Request]; call != nil && call.unfit != nil {
+			if call := l.calls[act.Request]; call != nil && call.unfit != nil && !l.set.Routes.AsItCame(call.Tag) {
 				answer = Answer{Kind: Unfit, Cause: call.unfit}
 			}
 			if l.finish(act.Request, answer) {
--- a/internal/decide/routes/routes.go
+++ b/internal/decide/routes/routes.go
@@ -282,6 +282,17 @@
 	return Way{}, false
 }
 
+// AsItCame reports whether any server takes a call as it came.
+func (r *Routes) AsItCame(t Tag) bool {
+	needs := r.Needs(t, true)
+	for _, s := range r.servers {
+		if s.listed.State == choice.Ready && needs&^r.told(s).Speaks == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Unknown takes a server's word that it does not know a shape, as one that started then. It returns what the module must
 // be told.
 func (r *Routes) Unknown(now time.Duration, id string, started time.Duration, version string) []choice.Server {
--- a/internal/lab/replay/hard_test.go
+++ b/internal/lab/replay/hard_test.go
@@ -124,6 +124,27 @@
 	}
 }
 
+// What only an old server can take, and that one turns away for now, may be tried again later: a plain refusal.
+func TestUnfitForSomeIsNotUnfit(t *testing.T) {
+	full := func(standin.Call) standin.Step { return standin.Step{Fault: standin.Reject} }
+	w := newWorld(t, standin.Platform{MaxRetryAfter: time.Second}, standin.Options{ID: "new", Protocol: "http", Shapes: []string{"2"}},
+		standin.Options{ID: "old", Protocol: "http", Shapes: []string{"1"}, Script: full})
+	odd := refund(t, "k")
+	odd.First = "a|b"
+	for i := range 8 {
+		if m := w.ask(t, odd.HTTP(fmt.Sprint("u-", i))); m.Status != 503 {
+			t.Errorf("told %v %s", m, m.Body)
+		}
+	}
+	old := w.Servers[1]
+	old.Drain()
+	w.List.Tell(old.Entry())
+	testkit.Eventually(t, "it is told that nobody can", func() bool {
+		m := w.ask(t, odd.HTTP(fmt.Sprint("v-", time.Now().UnixNano())))
+		return m.Status == 422 && strings.Contains(string(m.Body), "first")
+	})
+}
+
 // A call that no server can take is refused at once, with a time to return; so is one in a shape of which nobody knows.
 func TestNobodyTakesIt(t *testing.T) {
 	w := newWorld(t, standin.Platform{MaxRetryAfter: time.Second}, standin.Options{ID: "a", Protocol: "http", Shapes: []string{"3"}})
