--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -32,11 +32,6 @@
 	saw map[string][]standin.Call
 }
 
-// ThriftService adds to the sample of a Thrift service the methods of the shapes.
-func ThriftService(text string) string {
-	return text + "\n[methods.refund]\nclass = \"refund-record\"\n\n[methods.recordRefund]\nclass = \"refund-record\"\n"
-}
-
 // NewWorld starts a World with servers as the options say, whose Saw it uses itself. The shapes are read again with each
 // Reload.
 func NewWorld(p standin.Platform, shapes func() (*translate.Set, error), log *slog.Logger, servers ...standin.Options) (w *World, err error) {
@@ -56,7 +51,7 @@
 	}
 	p.Listen, p.Discovery, p.Known = "127.0.0.1:0", w.List.Addr(), w.List.Full()
 	p.Known.Version = 0 // so that the watch has something to say, and the agent is ready at once
-	cfg, service, err := p.Load(ThriftService)
+	cfg, service, err := p.Load()
 	if err != nil {
 		return w, err
 	}
--- a/internal/translate/translate_test.go
+++ b/internal/translate/translate_test.go
@@ -480,3 +480,64 @@
 		}
 	}
 }
+
+// small is a mapping of one class with the fields that a test is about.
+func small(t *testing.T, old, new, rules string) *Plan {
+	t.Helper()
+	set, err := Compile([]byte("[shapes.a]\nclass = \"c\"\nversion = \"1\"\nprotocol = \"http\"\nmethod = \"POST\"\npath = \"/a\"\n[shapes.a.request]\n" + old +
+		"\n[shapes.b]\nclass = \"c\"\nversion = \"2\"\nprotocol = \"http\"\nmethod = \"POST\"\npath = \"/b\"\n[shapes.b.request]\n" + new +
+		"\n[mappings.m]\nfrom = [\"a\"]\nto = [\"b\"]\n" + rules))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set.Plan("a", "b")
+}
+
+// What a value becomes where the sides differ: exactly that, or a refusal.
+func TestConversions(t *testing.T) {
+	for name, c := range map[string]struct {
+		old, new, rules string
+		body, want      string // a refusal's kind where it begins with !
+		loses           string
+	}{
+		"pounds to whole pounds": {`x = { at = "form:x", type = "decimal", scale = 2 }`, `x = { at = "json:x", type = "int" }`,
+			"[mappings.m.request]\nx = { from = \"x\" }", "x=12.00", `{"x":12}`, ""},
+		"and not rounded": {`x = { at = "form:x", type = "decimal", scale = 2 }`, `x = { at = "json:x", type = "int" }`,
+			"[mappings.m.request]\nx = { from = \"x\" }", "x=12.50", "!out of range", ""},
+		"beyond 64 bits by its unit": {`x = { at = "form:x", type = "int" }`, `x = { at = "json:x", type = "int" }`,
+			"[mappings.m.request]\nx = { from = \"x\", times = \"1000\" }", "x=9223372036854775807", "!out of range", ""},
+		"grams to kilograms": {`x = { at = "form:x", type = "int" }`, `x = { at = "json:x", type = "decimal", scale = 3 }`,
+			"[mappings.m.request]\nx = { from = \"x\", times = \"0.001\" }", "x=1", `{"x":0.001}`, ""},
+		"beyond 2^53, as a text": {`x = { at = "form:x", type = "int" }`, `x = { at = "json:x", type = "int", quoted = true }`,
+			"[mappings.m.request]\nx = { from = \"x\" }", "x=9007199254740993", `{"x":"9007199254740993"}`, ""},
+		"optional to needed, by a default": {`x = { at = "form:x", type = "text", optional = true }`, `x = { at = "json:x", type = "text" }`,
+			"[mappings.m.request]\nx = { from = \"x\", default = \"d\" }", "", `{"x":"d"}`, "request x: whether it was absent"},
+		"and given": {`x = { at = "form:x", type = "text", optional = true }`, `x = { at = "json:x", type = "text" }`,
+			"[mappings.m.request]\nx = { from = \"x\", default = \"d\" }", "x=", `{"x":""}`, "request x: whether it was absent"},
+		"only on the old side": {`x = { at = "form:x", type = "text" }`, "", "drop = { request = [\"x\"] }", "x=1", "", "request x: dropped"},
+		"only on the new side": {"", `x = { at = "json:x", type = "bool" }`, "[mappings.m.request]\nx = { value = \"true\" }", "", `{"x":true}`, ""},
+		"an instant as the clocks went back": {`x = { at = "form:x", type = "instant", form = "local", zone = "Europe/London" }`, `x = { at = "json:x", type = "instant", form = "unix-s" }`,
+			"[mappings.m.request]\nx = { from = \"x\" }", "x=2026-10-25T01:30:00", "!out of range", ""},
+		"an instant between zones": {`x = { at = "form:x", type = "instant", form = "local", zone = "Europe/London" }`, `x = { at = "json:x", type = "instant", form = "local", zone = "America/New_York" }`,
+			"[mappings.m.request]\nx = { from = \"x\" }", "x=2026-07-01T12:00:00", `{"x":"2026-07-01T07:00:00"}`, ""},
+		"bytes":                  {`x = { at = "form:x", type = "bytes" }`, `x = { at = "json:x", type = "text" }`, "[mappings.m.request]\nx = { from = \"x\" }", "x=w6k%3D", `{"x":"é"}`, ""},
+		"bytes that are no text": {`x = { at = "form:x", type = "bytes" }`, `x = { at = "json:x", type = "text" }`, "[mappings.m.request]\nx = { from = \"x\" }", "x=%2Fw%3D%3D", "!out of range", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := small(t, c.old, c.new, c.rules)
+			if got := strings.Join(p.Loses(), "; "); got != c.loses {
+				t.Errorf("it loses %q, not %q", got, c.loses)
+			}
+			out, err := p.Request(&Message{Method: "POST", Target: "/a", Body: []byte(c.body)}, words)
+			var r *Refusal
+			switch {
+			case strings.HasPrefix(c.want, "!"):
+				if !errors.As(err, &r) || r.Kind.String() != c.want[1:] || r.Field != "x" {
+					t.Errorf("%+v, %v", out, err)
+				}
+			case err != nil || string(out.Body) != c.want:
+				t.Errorf("%+v, %v", out, err)
+			}
+		})
+	}
+}
