Timers of what is learned of shapes do not grow; one reader of requests in the stand-ins

A timer for what is forgotten earlier made the one set before needless, which still set others when it fired, so that under lasting drift they added up: it is passed over now. The test for it fails without the mend. The stand-ins' two readings of HTTP heads are one; the translate command reads messages as recordings have them.

--- a/cmd/ternbeam/translate.go
+++ b/cmd/ternbeam/translate.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"ternbeam/internal/lab/replay"
 	"ternbeam/internal/thrift/thriftwire"
 	"ternbeam/internal/translate"
 )
@@ -37,14 +38,10 @@
 	Message  string `default:"-" help:"A file with the message; - for standard input. In HTTP: JSON with method, target, headers and body (a text) or body64. In Thrift: JSON with thrift64, the message without its frame."`
 }
 
-// messageText is a message as the command and recordings have it.
+// messageText is a message as a recording has it, or with its body as a text.
 type messageText struct {
-	Method  string      `json:"method,omitempty"`
-	Target  string      `json:"target,omitempty"`
-	Headers [][2]string `json:"headers,omitempty"`
-	Body    string      `json:"body,omitempty"`
-	Body64  []byte      `json:"body64,omitempty"`
-	Thrift  []byte      `json:"thrift64,omitempty"`
+	replay.Message
+	Text string `json:"body,omitempty"`
 }
 
 // Run shows it.
@@ -93,7 +90,7 @@
 
 // showFates translates a message and says what became of each of its fields.
 func showFates(out io.Writer, plan *translate.Plan, reply bool, text messageText, encoding string) error {
-	m := &translate.Message{Method: text.Method, Target: text.Target, Body: append([]byte(text.Body), text.Body64...), Thrift: text.Thrift}
+	m := &translate.Message{Method: text.Method, Target: text.Target, Body: append([]byte(text.Text), text.Body...), Thrift: text.Thrift}
 	words := translate.Words{Encoding: thriftwire.Binary, Envelope: translate.Envelope{Left: time.Second}}
 	if encoding == "compact" {
 		words.Encoding = thriftwire.Compact
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -193,6 +193,9 @@
 func (l *Ledger) Fired(now time.Duration, token uint64) []Order {
 	l.begin(now)
 	if token == routesToken {
+		if l.due == 0 || now < l.due { // one that an earlier one has made needless
+			return l.orders
+		}
 		l.due = 0
 		l.tell(l.set.Routes.Expire(now))
 		return l.orders
--- /dev/null
+++ b/internal/decide/ledger/routed_test.go
@@ -0,0 +1,73 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"ternbeam/choice"
+	"ternbeam/internal/decide/routes"
+)
+
+// sender is a module that sends every call to the server that its key names.
+type sender struct{ Module }
+
+func (sender) Handle(_ time.Duration, ev choice.Event) []choice.Action {
+	if r, ok := ev.(choice.Request); ok {
+		return []choice.Action{{Kind: choice.Send, Request: r.ID, Server: r.Key}}
+	}
+	return nil
+}
+
+// However servers deny what they are sent, each time at which something is forgotten has one timer that counts: one that an
+// earlier one has made needless sets no further ones.
+func TestTimersOfRoutesDoNotGrow(t *testing.T) {
+	tab := routes.NewTable([]routes.Shape{{Name: "one", Version: "a/1", Speaks: 1}})
+	r, err := routes.New(routes.Settings{Forget: time.Second, MostForget: time.Minute}, tab)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(Settings{MaxAttempts: 1, Carries: func(choice.Protocols) bool { return true }, Routes: r}, sender{})
+	var entries []Entry
+	for _, id := range []string{"a", "b", "c"} {
+		entries = append(entries, Entry{Server: choice.Server{ID: id, Speaks: 1}, Addr: id, Shapes: []string{"a/1"}})
+	}
+	l.List(0, true, entries)
+	timers := func(orders []Order) (at []time.Duration) {
+		for _, o := range orders {
+			if o.Kind == SetTimer && o.Token == routesToken {
+				at = append(at, o.At)
+			}
+		}
+		return at
+	}
+	deny := func(now time.Duration, server string) []time.Duration {
+		call := &Call{Request: choice.Request{ID: server + now.String(), Key: server, Deadline: now + time.Minute}, Tag: routes.Tag{Table: tab, Spoken: 1}}
+		for _, o := range l.Arrived(now, call) {
+			if o.Kind == Begin {
+				return timers(l.Ended(now, o.Attempt, Ending{Result: choice.Rejected, Report: choice.NoReport, ShapeUnknown: true}))
+			}
+		}
+		t.Fatalf("at %v nothing was sent to %s", now, server)
+		return nil
+	}
+	fire := func(now time.Duration) []time.Duration { return timers(l.Fired(now, routesToken)) }
+	const ms = time.Millisecond
+	for i, c := range []struct {
+		got  func() []time.Duration
+		want time.Duration // of the one timer that is set; 0 for none
+	}{
+		{func() []time.Duration { return deny(0, "a") }, 1000 * ms},
+		{func() []time.Duration { return fire(1000 * ms) }, 0},
+		{func() []time.Duration { return deny(1000*ms, "a") }, 3000 * ms}, // it doubles
+		{func() []time.Duration { return deny(1500*ms, "b") }, 2500 * ms}, // earlier
+		{func() []time.Duration { return fire(2500 * ms) }, 3000 * ms},    // the second for that time
+		{func() []time.Duration { return deny(2900*ms, "c") }, 0},         // 3900, after the one that waits
+		{func() []time.Duration { return fire(3000 * ms) }, 3900 * ms},
+		{func() []time.Duration { return fire(3000 * ms) }, 0}, // the needless one
+		{func() []time.Duration { return fire(3900 * ms) }, 0},
+	} {
+		if got := c.got(); (c.want == 0) != (len(got) == 0) || len(got) > 1 || len(got) == 1 && got[0] != c.want {
+			t.Errorf("step %d: timers at %v, not at %v", i, got, c.want)
+		}
+	}
+}
--- a/internal/lab/standin/http.go
+++ b/internal/lab/standin/http.go
@@ -15,23 +15,33 @@
 type httpFace struct{}
 
 func readHTTP(in *bufio.Reader) (Call, face, error) {
-	r, err := http.ReadRequest(in)
+	r, call, err := readRequest(in)
 	if err != nil {
 		return Call{}, nil, err
 	}
+	parts := strings.Split(r.URL.Path, "/")
+	call.Key = parts[len(parts)-1]
+	return call, httpFace{}, nil
+}
+
+// readRequest reads a request and what its headers say of a call; the body is the call's text.
+func readRequest(in *bufio.Reader) (*http.Request, Call, error) {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return nil, Call{}, err
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return Call{}, nil, err
+		return nil, Call{}, err
 	}
-	parts := strings.Split(r.URL.Path, "/")
-	left, _ := strconv.ParseFloat(r.Header.Get("X-Time-Left"), 64)
 	method := slices.Index(Classes[:], r.Header.Get("X-Service-Class"))
 	if method < 0 {
-		return Call{}, nil, fmt.Errorf("class %q", r.Header.Get("X-Service-Class"))
+		return nil, Call{}, fmt.Errorf("class %q", r.Header.Get("X-Service-Class"))
 	}
-	return Call{Method: Method(method), ID: r.Header.Get("X-Correlation-Id"), Key: parts[len(parts)-1],
+	left, _ := strconv.ParseFloat(r.Header.Get("X-Time-Left"), 64)
+	return r, Call{Method: Method(method), ID: r.Header.Get("X-Correlation-Id"), Tenant: r.Header.Get("X-Account"),
 		Idempotency: r.Header.Get("Idempotency-Key"), Left: time.Duration(left * float64(time.Second)),
-		Text: string(body)}, httpFace{}, nil
+		Again: r.Header.Get("X-Repeat") == "1", Text: string(body)}, nil
 }
 
 func (httpFace) reply(r reply) []byte {
--- a/internal/lab/standin/shapes.go
+++ b/internal/lab/standin/shapes.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
@@ -97,22 +96,15 @@
 
 // readShapedHTTP reads a refund in HTTP.
 func readShapedHTTP(in *bufio.Reader) (Call, face, error) {
-	r, err := http.ReadRequest(in)
+	r, call, err := readRequest(in)
 	if err != nil {
 		return Call{}, nil, err
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return Call{}, nil, err
-	}
-	left, _ := strconv.ParseFloat(r.Header.Get("X-Time-Left"), 64)
-	call := Call{Method: Method(slices.Index(Classes[:], r.Header.Get("X-Service-Class"))), ID: r.Header.Get("X-Correlation-Id"),
-		Tenant: r.Header.Get("X-Account"), Idempotency: r.Header.Get("Idempotency-Key"),
-		Left: time.Duration(left * float64(time.Second)), Again: r.Header.Get("X-Repeat") == "1"}
+	body := []byte(call.Text)
 	var s shaped
 	switch form, isOld := strings.CutPrefix(r.URL.EscapedPath(), "/refund-record/"); {
 	case call.Method != Record:
-		return call, nil, fmt.Errorf("class %q", r.Header.Get("X-Service-Class"))
+		return call, nil, fmt.Errorf("class %q, which has no shape here", call.Method)
 	case isOld:
 		s.version = "1"
 		s.refund, s.err = oldForm(form, body)
