--- a/internal/bridge/bridge.go
+++ b/internal/bridge/bridge.go
@@ -72,9 +72,8 @@
 func (b *Bridge) edition(set *translate.Set) (*edition, error) {
 	var shapes []routes.Shape
 	var faults []error
-	usable := map[string]bool{}
-	names := slices.Sorted(maps.Keys(set.Shapes))
-	for _, name := range names {
+	at := map[*translate.Shape]int{}
+	for _, name := range slices.Sorted(maps.Keys(set.Shapes)) {
 		s := set.Shapes[name]
 		class := b.cfg.Class(s.Class)
 		if class < 0 {
@@ -96,19 +95,13 @@
 				faults = append(faults, fmt.Errorf("shape %s: %q is oneway, which has no shape", name, s.Method()))
 			}
 		}
-		usable[name] = true
+		at[s] = len(shapes)
 		shapes = append(shapes, routes.Shape{Name: name, Version: s.Class + "/" + s.Version, Speaks: speaks})
 	}
 	if len(faults) > 0 {
 		return nil, errors.Join(faults...)
 	}
 	table := routes.NewTable(shapes)
-	e := &edition{set, table, map[*translate.Shape]int{}}
-	for name, s := range set.Shapes {
-		if usable[name] {
-			e.at[s] = table.Index(name)
-		}
-	}
 	// A call stays in its client's protocol where it can, and loses nothing where it need not: else in the file's order.
 	for _, pass := range []func(*translate.Plan) bool{
 		func(p *translate.Plan) bool { return p.From.Protocol == p.To.Protocol && len(p.Loses()) == 0 },
@@ -116,14 +109,16 @@
 		func(p *translate.Plan) bool { return len(p.Loses()) > 0 },
 	} {
 		for _, p := range set.Plans {
-			if pass(p) && usable[p.From.Name] && usable[p.To.Name] {
+			_, from := at[p.From]
+			_, to := at[p.To]
+			if pass(p) && from && to {
 				if err := table.Link(p.From.Name, p.To.Name, p); err != nil {
 					return nil, err
 				}
 			}
 		}
 	}
-	return e, nil
+	return &edition{set, table, at}, nil
 }
 
 // ErrShape says that a call is in none of the shapes of its class.
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -393,6 +393,9 @@
 		if act.Within != 0 {
 			at.SendBy = l.now + act.Within
 		}
+		if way.Plan != nil {
+			l.stats.Translated++
+		}
 		call.attempts[n] = at
 		call.out++
 		l.order(Order{Kind: Begin, Attempt: at})
--- a/internal/decide/ledger/routed.go
+++ b/internal/decide/ledger/routed.go
@@ -33,13 +33,8 @@
 		return routes.Way{Protocol: call.Needs}, true
 	}
 	way, ok := l.set.Routes.Way(call.Tag, server)
-	if ok && way.Plan != nil {
-		if call.unfit != nil {
-			return way, false // it waited for a server that takes it as it came, which this one was
-		}
-		l.stats.Translated++
-	}
-	return way, ok
+	// One that can't be translated waited for a server that takes it as it came, which this one was.
+	return way, ok && (way.Plan == nil || call.unfit == nil)
 }
 
 // routed learns from the end of an attempt what its server takes.
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -81,10 +81,9 @@
 
 // same reports whether two claims say the same.
 func (c *Claim) same(o *Claim) bool {
-	a, b := c, o
-	return slices.Equal(c.Addrs, o.Addrs) && slices.Equal(c.Shapes, o.Shapes) && a.Key == b.Key && a.ID == b.ID && a.State == b.State && a.Tiered == b.Tiered && a.Tier == b.Tier &&
-		a.Weight == b.Weight && a.Details == b.Details && a.Zone == b.Zone && a.Cell == b.Cell && a.Started == b.Started &&
-		a.Speaks == b.Speaks && a.Multi == b.Multi
+	return slices.Equal(c.Addrs, o.Addrs) && slices.Equal(c.Shapes, o.Shapes) && c.Key == o.Key && c.ID == o.ID &&
+		c.State == o.State && c.Tiered == o.Tiered && c.Tier == o.Tier && c.Weight == o.Weight && c.Details == o.Details &&
+		c.Zone == o.Zone && c.Cell == o.Cell && c.Started == o.Started && c.Speaks == o.Speaks && c.Multi == o.Multi
 }
 
 // Report is what a source says at some time.
--- a/internal/decide/routes/routes.go
+++ b/internal/decide/routes/routes.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"ternbeam/choice"
@@ -61,9 +62,6 @@
 	return slices.IndexFunc(t.shapes, func(s Shape) bool { return s.Name == name })
 }
 
-// Shape returns the shape at a place.
-func (t *Table) Shape(i int) *Shape { return &t.shapes[i] }
-
 // Tag says in which shape a call came. The zero Tag is that of a call without one.
 type Tag struct {
 	Table *Table
@@ -251,12 +249,8 @@
 
 // class is that of a version.
 func class(version string) string {
-	for i := range len(version) {
-		if version[i] == '/' {
-			return version[:i]
-		}
-	}
-	return version
+	name, _, _ := strings.Cut(version, "/")
+	return name
 }
 
 // Way is how a call reaches a server at present. Calls of an older table keep to that one's ways.
@@ -382,9 +376,4 @@
 	return changed
 }
 
-func byID(a, b choice.Server) int {
-	if a.ID < b.ID {
-		return -1
-	}
-	return 1
-}
+func byID(a, b choice.Server) int { return strings.Compare(a.ID, b.ID) }
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -121,13 +121,13 @@
 
 // Player plays exchanges to a World, one after the other.
 func (w *World) Player(patience time.Duration) *Player {
-	return &Player{w, player{http: w.HTTP, thrift: w.Thrift, patience: patience, conns: map[string]netConn{}, in: map[string]*reader{}}}
+	return &Player{w, newPlayer(w.HTTP, w.Thrift, patience)}
 }
 
 // Player plays exchanges to a World. It is for one goroutine.
 type Player struct {
 	world *World
-	player
+	*player
 }
 
 // Close ends its connections.
@@ -204,5 +204,9 @@
 	if m.Thrift == nil {
 		return string(m.Body)
 	}
-	return exceptionText(m.Thrift)
+	exception, err := standin.ReadThrift(m.Thrift)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("%v: %v", exception[2], exception[1])
 }
--- a/internal/thrift/thriftmap/call.go
+++ b/internal/thrift/thriftmap/call.go
@@ -146,39 +146,42 @@
 
 // text reads a field that is a string or an integer.
 func text(message []byte, f thriftwire.Field, what string, needed bool) (string, error) {
-	switch {
-	case !f.Found() && needed:
+	if !f.Found() && needed {
 		return "", refusal(thriftwire.ProtocolError, "no %s", what)
-	case !f.Found():
-		return "", nil
-	case f.Type.Integer():
-		return strconv.FormatInt(f.Int(), 10), nil
-	case f.Type != thriftwire.String:
-		return "", refusal(thriftwire.ProtocolError, "the %s is of type %d", what, f.Type)
 	}
-	b := f.Bytes(message)
+	s, err := raw(message, f, what)
 	switch {
-	case len(b) > MaxText:
-		return "", refusal(thriftwire.ProtocolError, "a %s of %d bytes, %d at most", what, len(b), MaxText)
-	case !utf8.Valid(b):
+	case err != nil:
+		return "", err
+	case len(s) > MaxText:
+		return "", refusal(thriftwire.ProtocolError, "a %s of %d bytes, %d at most", what, len(s), MaxText)
+	case !utf8.ValidString(s):
 		return "", refusal(thriftwire.ProtocolError, "the %s is not UTF-8", what)
-	case len(b) == 0 && needed:
+	case s == "" && needed:
 		return "", refusal(thriftwire.ProtocolError, "the %s is empty", what)
 	}
-	return string(b), nil
+	return s, nil
 }
 
 // idempotency reads the key of a call's repeats. Its bytes are the client's matter.
 func idempotency(message []byte, f thriftwire.Field) (string, error) {
+	s, err := raw(message, f, "idempotency key")
+	if err == nil && len(s) > MaxKey {
+		return "", refusal(thriftwire.ProtocolError, "an idempotency key of %d bytes, %d at most", len(s), MaxKey)
+	}
+	return s, err
+}
+
+// raw is a field that is a string or an integer, as it is; empty where there is none. A field lies within a frame, whose
+// length is bounded.
+func raw(message []byte, f thriftwire.Field, what string) (string, error) {
 	switch {
 	case !f.Found():
 		return "", nil
 	case f.Type.Integer():
 		return strconv.FormatInt(f.Int(), 10), nil
 	case f.Type != thriftwire.String:
-		return "", refusal(thriftwire.ProtocolError, "the idempotency key is of type %d", f.Type)
-	case f.End-f.Start > MaxKey:
-		return "", refusal(thriftwire.ProtocolError, "an idempotency key of %d bytes, %d at most", f.End-f.Start, MaxKey)
+		return "", refusal(thriftwire.ProtocolError, "the %s is of type %d", what, f.Type)
 	}
 	return string(f.Bytes(message)), nil
 }
--- a/internal/translate/http.go
+++ b/internal/translate/http.go
@@ -205,7 +205,7 @@
 		return refusal
 	}
 	out.Method = p.To.method
-	target, refusal := p.To.appendTarget(nil, r.dst)
+	target, refusal := p.To.appendTarget(nil, r)
 	if refusal != nil {
 		return refusal
 	}
@@ -416,20 +416,15 @@
 		if err != nil {
 			return broken(err)
 		}
-		m := n.quotedMember(name)
-		if m == nil && bytes.IndexByte(name, '\\') >= 0 { // it may be one in other words
-			plain, err := jsontext.AppendUnquote(nil, name)
-			if err != nil {
+		m, plain := n.quotedMember(name), []byte(nil)
+		if m == nil { // none that is known, or one with escapes
+			if plain, err = jsontext.AppendUnquote(nil, name); err != nil {
 				return broken(err)
 			}
 			m = n.member(string(plain))
 		}
 		switch {
 		case m == nil:
-			plain, err := jsontext.AppendUnquote(nil, name)
-			if err != nil {
-				return broken(err)
-			}
 			if refusal := c.readUnknown(n, string(plain), r, depth); refusal != nil {
 				return refusal
 			}
@@ -549,14 +544,14 @@
 }
 
 // appendTarget writes the path and the query of a request.
-func (s *Shape) appendTarget(to []byte, from []value) ([]byte, *Refusal) {
+func (s *Shape) appendTarget(to []byte, r *reading) ([]byte, *Refusal) {
 	for _, seg := range s.path {
 		to = append(to, '/')
 		if seg.field == nil {
 			to = append(to, seg.text...)
 			continue
 		}
-		text, refusal := seg.field.append(nil, from[seg.at])
+		text, refusal := seg.field.append(nil, r.dst[seg.at])
 		if refusal != nil {
 			return to, refusal
 		}
@@ -565,24 +560,20 @@
 		}
 		to = append(to, url.PathEscape(string(text))...)
 	}
-	return s.request.appendPairs(to, inQuery, '?', from, nil)
+	return s.request.appendPairs(to, inQuery, '?', r)
 }
 
 // appendPairs writes the fields of a query or a form.
-func (m *message) appendPairs(to []byte, p place, before byte, from []value, scratch *[]byte) ([]byte, *Refusal) {
-	var own []byte
-	if scratch == nil {
-		scratch = &own
-	}
+func (m *message) appendPairs(to []byte, p place, before byte, r *reading) ([]byte, *Refusal) {
 	for i, f := range m.fields {
-		if f.place != p || !from[i].set {
+		if f.place != p || !r.dst[i].set {
 			continue
 		}
-		text, refusal := f.append((*scratch)[:0], from[i])
+		text, refusal := f.append(r.scratch[:0], r.dst[i])
 		if refusal != nil {
 			return to, refusal
 		}
-		*scratch = text
+		r.scratch = text
 		if before != 0 {
 			to = append(to, before)
 		}
@@ -613,7 +604,7 @@
 	}
 	switch {
 	case c.dst.has(inForm):
-		out.Body, refusal = c.dst.appendPairs(make([]byte, 0, roomFor(m, r)), inForm, 0, r.dst, &r.scratch)
+		out.Body, refusal = c.dst.appendPairs(make([]byte, 0, roomFor(m, r)), inForm, 0, r)
 		out.Header = append(out.Header, Header{"Content-Type", "application/x-www-form-urlencoded"})
 	case c.dst.has(inJSON):
 		out.Body, refusal = c.appendObject(make([]byte, 0, roomFor(m, r)), c.dst.json, r)
--- a/internal/translate/shape.go
+++ b/internal/translate/shape.go
@@ -320,7 +320,7 @@
 			if f.place == other.place && (f.at == other.at || f.place == inHeader && strings.EqualFold(f.at, other.at)) {
 				c.file.Problem(key+"."+name+".at", "%s is there too", other.name)
 			}
-			if f.place == other.place && (f.place == inJSON || f.place == inThrift) && (strings.HasPrefix(f.at, other.at+".") || strings.HasPrefix(other.at, f.at+".")) {
+			if f.place == other.place && (f.place == inJSON || f.place == inThrift) && f.around(other) {
 				c.file.Problem(key+"."+name+".at", "it can't be in %s, or that in it", other.name)
 			}
 		}
@@ -355,6 +355,11 @@
 	}
 }
 
+// around reports whether one field is a member of the other.
+func (f *field) around(other *field) bool {
+	return strings.HasPrefix(f.at, other.at+".") || strings.HasPrefix(other.at, f.at+".")
+}
+
 // sortedKeys are the keys of a table, so that what is said of it has an order.
 func sortedKeys[T any](table map[string]T) []string {
 	keys := make([]string, 0, len(table))
--- a/internal/translate/thrift.go
+++ b/internal/translate/thrift.go
@@ -64,7 +64,7 @@
 	}
 	c.numbered(key, f)
 	for _, other := range m.fields {
-		if f.at == other.at || strings.HasPrefix(f.at, other.at+".") || strings.HasPrefix(other.at, f.at+".") {
+		if f.at == other.at || f.around(other) {
 			c.file.Problem(key, "%q: %s is there, in it or around it", path, other.name)
 		}
 	}
