Clients that wait for less than an answer takes are no jam, and say less of a server

Ruled out: silent or lossy servers, connections (1 failed a second), popular keys. At fault: judge() counted such a time-out as a late answer, slack used up (jam), attempts lost (copies), and a failure like any other; agents of one call a second at a server never see it answer a later one, so passedOver did not help.

An attempt whose client gave less time than passes before an answer counts as late is no jam and nothing lost, and counts against its server by the part of that time which it waited.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -333,7 +333,11 @@
 
 // judge learns from an outcome how the server does. Errors come fast and look idle: they lower its weight.
 func (b *Balancer) judge(a *attempt, o Outcome) {
-	s, c, bad := a.srv, a.req.Class, 1.0
+	s, c, bad, weight := a.srv, a.req.Class, 1.0, failWeight
+	late := o.Result == Rejected || o.Result == TimedOut && !a.passedOver(b.usual[c])
+	if part := a.patience(b); o.Result == TimedOut && part < 1 {
+		late, weight = false, failWeight*part // nor is an impatient client a jam
+	}
 	switch {
 	case o.Result == Cancelled || o.Result == NotSent:
 		s.trial = false
@@ -345,14 +349,15 @@
 		b.served += 1 / (shareTime * b.horizon.Seconds())
 	case o.Result == TimedOut && s.heard > a.sent && s.until == 0:
 		bad = 0 // it answers others: the request is costly, or this server loses some
-		b.lost += learn
+		if weight == failWeight {
+			b.lost += learn
+		}
 	}
 	b.lost -= learn * b.lost
-	late := o.Result == Rejected || o.Result == TimedOut && !a.passedOver(b.usual[c])
 	if late || o.Result == OK { // a dead server is no jam, nor is one that loses some
 		b.jam += b.jamWeight * (b.slackUsed(a, late) - b.jam)
 	}
-	s.failing += failWeight * (bad - s.failing)
+	s.failing += weight * (bad - s.failing)
 	s.judged, b.judged, b.news = b.now, b.now, b.news+1
 	if s.coldShare(b) < 1 {
 		b.coldSeen = min(b.coldSeen+1, 1/learn)
--- a/choice/memory_test.go
+++ b/choice/memory_test.go
@@ -58,6 +58,7 @@
 		id, to := h.ask(0)
 		if to == "s3" {
 			tried++
+			h.at += h.horizon
 			h.end(id, to, 0, TimedOut, NoReport)
 			continue
 		}
