A fleet that loses the list together asks for it again over 8 horizons, not 1

At fault: resubscribe() drew the first wait from 0.15 to 0.45 s, whatever the fleet; what discovery can do in 2 to 8 s for all was asked of it every 2.5 s, and work for callers that had given up is done too.

The wait is drawn from a span of 8 horizons (4.8 s here), twice that after a further failure, evenly from nothing on.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	reportTime  = 4    // horizons over which reports are averaged
 	shareTime   = 8    // horizons over which the rate of answers is averaged
 	subsetLeast = 16   // servers that even a quiet balancer draws from
+	askSpan     = 8    // horizons over which those that lost the list together ask for it again
 	subsetTime  = 2    // horizons in which a balancer's traffic would meet all that it draws from
 )
 
@@ -106,11 +107,12 @@
 	}
 }
 
-// resubscribe asks again, later each time and at random: those that lost the list together must not swamp it.
+// resubscribe asks again, at a time drawn from a span that doubles with each failure: those that lost the list
+// together must not swamp it, and one that answers nobody in time has done the work all the same.
 func (b *Balancer) resubscribe() {
-	wait := float64(b.horizon) * math.Exp2(float64(min(b.tries, 4))) * (0.5 + b.rng.Float64()) / 2
+	span := askSpan * float64(b.horizon) * math.Exp2(float64(min(b.tries, 1)))
 	b.tries++
-	b.timer(subscribeToken, time.Duration(wait))
+	b.timer(subscribeToken, time.Duration(span*b.rng.Float64()))
 }
 
 // Capacity estimate.
