Cold servers' part is counted by what a balancer draws from, and begins at random

At fault: fillSpare() added to what a cold server may get by its part of the whole fleet, though an agent draws from 16 to 20 of 60, so that all together gave it a third of what coldTimes allows; and it began at nothing, so that an agent of 20 calls a second sent its first after some 6 s, all agents alike.

Now by its part of the subset, and from a random part of one send: the sum over a fleet of any size is that of the bound from the first moment on, 1.25 times the cold server's part of all sends. A test with 80 balancers and 18 new servers fails on the old code: 0.13 of the cold servers' part in their first 3 s, now 0.35, and never over the bound.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,7 +78,11 @@
 			// A restarted process is cold and well: what an earlier life showed says nothing of it.
 			*s = server{inFlight: s.inFlight, heard: b.now, hash: s.hash, rank: s.rank}
 		}
+		begins := e.Started != s.Started
 		s.Server = e
+		if begins && s.coldShare(b) < 1 { // from nothing each would wait for long, and all together
+			s.spare = b.rng.Float64()
+		}
 		if !b.set.ListWeights || e.Weight <= 0 {
 			s.Weight = 1
 		}
@@ -148,7 +152,7 @@
 	if size > 0 {
 		mean, b.use = rate/size, use/b.known
 	}
-	b.total, b.well = 0, 0
+	b.total, b.well, b.near = 0, 0, 0
 	for _, s := range b.servers {
 		usual, warm := mean*s.Weight, s.coldShare(b)
 		s.capacity = usual + (s.rate-usual)*s.trust
@@ -160,6 +164,9 @@
 		if s.until == 0 {
 			b.well += s.weight
 		}
+		if !s.far {
+			b.near += s.weight
+		}
 		if s.Zone == b.set.Zone && warm == 1 {
 			s.weight *= 1 + nearTimes*b.set.CrossZonePrice*max(0, 1-s.util)
 		}
@@ -444,8 +451,8 @@
 // draw everything, from all balancers at once.
 func (b *Balancer) fillSpare() {
 	for _, s := range b.servers {
-		if s.coldShare(b) < 1 {
-			s.spare = min(s.spare+coldTimes*(1-coldHeed*b.coldBad)*s.weight/b.total, 2)
+		if s.coldShare(b) < 1 && !s.far { // what it is to others that they draw from, this one is to these few
+			s.spare = min(s.spare+coldTimes*(1-coldHeed*b.coldBad)*s.weight/b.near, 2)
 		}
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1083,3 +1083,65 @@
 		t.Errorf("ejected until %v after %d that it did not answer", h.byID["s0"].until, n)
 	}
 }
+
+// Guards against a fleet of quiet balancers that leaves new servers idle for the first seconds, as each by itself had to
+// send for long before one was due, and counted by a fleet of which it draws from a few; and against more than the part of
+// what a cold server can do that coldTimes allows.
+func TestQuietFleetWarmsNewServers(t *testing.T) {
+	const agents, warm, cold, rate, took, span = 80, 42, 18, 50, 300 * time.Millisecond, 3 * time.Second
+	set := testSettings()
+	set.Balancers, set.WarmKeys = agents, true
+	sent, all := 0, 0
+	for i := range agents {
+		b, err := New(set, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, ids := time.Hour, 0
+		b.Start(now)
+		l := ServerList{Full: true}
+		for s := range warm {
+			l.Servers = append(l.Servers, Server{ID: fmt.Sprint("s", s)})
+		}
+		b.Handle(now, l)
+		type sending struct {
+			due time.Duration
+			Outcome
+		}
+		var out []sending
+		run := func(end time.Duration, count bool) {
+			for ; now < end; now += time.Second / rate {
+				for len(out) > 0 && out[0].due <= now {
+					b.Handle(now, out[0].Outcome)
+					out = out[1:]
+				}
+				b.Handle(now, TimerFired{tickToken})
+				ids++
+				for _, a := range b.Handle(now, Request{ID: fmt.Sprint(ids), Key: fmt.Sprint(i, ids), Deadline: now + 2*time.Second}) {
+					if a.Kind == Send {
+						out = append(out, sending{now + took, Outcome{Request: a.Request, Server: a.Server, Took: took, Closed: true, Report: NoReport}})
+						if count {
+							all++
+							if a.Server[0] == 'n' {
+								sent++
+							}
+						}
+					}
+				}
+			}
+		}
+		run(now+5*time.Second, false)
+		l = ServerList{}
+		for s := range cold {
+			l.Servers = append(l.Servers, Server{ID: fmt.Sprint("new", s), Started: now})
+		}
+		b.Handle(now, l)
+		run(now+span, true)
+	}
+	per := set.ColdFrom + (1-set.ColdFrom)*float64(span)/2/float64(set.ColdFor) // of a warm one's, on average
+	part := float64(sent) / float64(all) / (cold * per / (warm + cold*per))
+	t.Logf("cold servers get %.2f of their part", part)
+	if part < 0.25 || part > coldTimes*1.1 {
+		t.Errorf("cold servers get %.2f of their part of %d sends", part, all)
+	}
+}
--- a/choice/memory_test.go
+++ b/choice/memory_test.go
@@ -118,6 +118,7 @@
 		h := newBench(t, testSettings(), 1, 1)
 		h.Recall(h.at, m)
 		h.Handle(h.at, ServerList{Servers: []Server{{ID: "s1", Weight: 1, Started: h.at}}})
+		h.byID["s1"].spare = 0 // it begins at random
 		h.serve(1, "")
 		return h.byID["s1"].spare
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -30,6 +30,7 @@
 	known     float64       // servers whose reports hold, by trust
 	jamWeight float64       // of a new sample in it
 	total     float64       // capacity of all at present
+	near      float64       // and of those in the subset
 	well      float64       // and of those that are not ejected
 	lost      float64       // share of attempts lost at servers that answer others
 	served    float64       // own answers a second, averaged
