Lists that are empty, older or too long are held; twice named servers count once

Need: discovery that is overbooked breaks lists off, sends some that can't be read, and may begin anew. Broken and unreadable ones ended the watch already; but a whole list without a server ended the sending to all, an older one undid a drain that had been told, the last of two entries for a server won whatever they said, and a list had no bound.

internal/decide/listing judges lists, without I/O: empty where servers were known, older up to three times in a row, or over 50,000 servers are held, and the watch begins anew from the last good one; a drain that was told binds in an older list that is believed at last, unless the server restarted; of two entries the later start counts, then the one that sends less. A list of over 8 MiB ends the watch. Each reason is logged once for as long as it stays the same; in push mode the next question comes at random too. Tests on sockets for each fault, tables, and a property test that keeps its own account; with the check of empty lists or that of drains taken out they fail.

--- /dev/null
+++ b/internal/decide/listing/listing_test.go
@@ -0,0 +1,119 @@
+package listing
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ternbeam/choice"
+)
+
+func ready(ids ...string) (es []Entry) {
+	for _, id := range ids {
+		es = append(es, Entry{ID: id})
+	}
+	return es
+}
+
+func TestJudge(t *testing.T) {
+	draining := Entry{ID: "a", State: choice.Draining, Started: 5}
+	for name, c := range map[string]struct {
+		before []List
+		l      List
+		want   Verdict
+	}{
+		"the first, empty":           {nil, List{Version: 1, Full: true}, Verdict{}},
+		"empty after servers":        {[]List{{1, true, ready("a", "b")}}, List{Version: 2, Full: true}, Verdict{Hold: true, Reason: "a whole list without a server, where 2 were known"}},
+		"empty after all were ended": {[]List{{1, true, ready("a")}, {2, false, []Entry{{ID: "a", State: choice.Gone}}}}, List{Version: 3, Full: true}, Verdict{}},
+		"an empty change":            {[]List{{1, true, ready("a")}}, List{Version: 1}, Verdict{}},
+		"back":                       {[]List{{7, true, ready("a")}}, List{3, true, ready("a")}, Verdict{Hold: true, Reason: "version 3 after version 7"}},
+		"a change back":              {[]List{{7, true, ready("a")}}, List{3, false, ready("b")}, Verdict{Hold: true, Reason: "a change to version 3 after version 7"}},
+		"back for the fourth time": {[]List{{7, true, append(ready("b"), draining)}, {3, true, ready("a")}, {3, true, ready("a")}, {3, true, ready("a")}},
+			List{3, true, []Entry{{ID: "a", Started: 5}, {ID: "b"}}},
+			Verdict{Reason: "version 3 after version 7, believed as it comes for the 4th time", Draining: []int{0}}},
+		"back for the fourth time, restarted since": {[]List{{7, true, []Entry{draining}}, {3, true, ready("a")}, {3, true, ready("a")}, {3, true, ready("a")}},
+			List{3, true, []Entry{{ID: "a", Started: 6}}},
+			Verdict{Reason: "version 3 after version 7, believed as it comes for the 4th time"}},
+		"no drain any more, by a newer list": {[]List{{7, true, []Entry{draining}}}, List{8, true, []Entry{{ID: "a", Started: 5}}}, Verdict{}},
+		"twice": {nil, List{1, true, []Entry{{ID: "a"}, {ID: "a", State: choice.Draining}, {ID: "a"}}},
+			Verdict{Reason: `server "a" is named twice`, Skip: []int{0, 2}}},
+		"twice, one restarted": {nil, List{1, true, []Entry{{ID: "a", Started: 2}, {ID: "a", State: choice.Draining, Started: 1}}},
+			Verdict{Reason: `server "a" is named twice`, Skip: []int{1}}},
+		"too many": {nil, List{1, true, make([]Entry, Most+1)}, Verdict{Hold: true, Reason: "50001 servers, 50000 at most are taken"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := New(Unknown)
+			for _, l := range c.before {
+				k.Judge(l)
+			}
+			if got := k.Judge(c.l); fmt.Sprintf("%+v", got) != fmt.Sprintf("%+v", c.want) {
+				t.Errorf("%+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// Whatever comes: a list that is held changes nothing, one entry of each server is applied, and a drain ends only by a
+// newer list, an end or a restart. What is applied is kept here by other means than the Keeper's.
+func TestAnyLists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := New(Unknown)
+		applied := map[string]Entry{}
+		at := int64(Unknown)
+		for range rapid.IntRange(1, 30).Draw(t, "lists") {
+			l := List{Version: rapid.Int64Range(0, 6).Draw(t, "version"), Full: rapid.Bool().Draw(t, "full")}
+			for range rapid.IntRange(0, 5).Draw(t, "entries") {
+				l.Entries = append(l.Entries, Entry{ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"),
+					State:   rapid.SampledFrom([]choice.State{choice.Ready, choice.Draining, choice.Gone}).Draw(t, "state"),
+					Started: rapid.Int64Range(0, 2).Draw(t, "started")})
+			}
+			v := k.Judge(l)
+			if v.Hold {
+				if v.Reason == "" || k.Version() != at {
+					t.Fatalf("held for %q, version %d, was %d", v.Reason, k.Version(), at)
+				}
+				continue
+			}
+			older := at != Unknown && l.Version < at
+			at = l.Version
+			next := map[string]Entry{}
+			if !l.Full {
+				for id, e := range applied {
+					next[id] = e
+				}
+			}
+			named := map[string]int{}
+			for i, e := range l.Entries {
+				if slices.Contains(v.Skip, i) {
+					continue
+				}
+				if named[e.ID]++; named[e.ID] > 1 {
+					t.Fatalf("%s is applied twice", e.ID)
+				}
+				if slices.Contains(v.Draining, i) {
+					e.State = choice.Draining
+				}
+				if b, ok := applied[e.ID]; older && ok && b.State == choice.Draining && e.State == choice.Ready && e.Started <= b.Started {
+					t.Fatalf("the drain of %s is forgotten", e.ID)
+				}
+				next[e.ID] = e
+			}
+			for _, e := range l.Entries {
+				if named[e.ID] != 1 {
+					t.Fatalf("%s is applied %d times", e.ID, named[e.ID])
+				}
+			}
+			for id, e := range next {
+				if e.State == choice.Gone {
+					delete(next, id)
+				}
+			}
+			if l.Full && len(l.Entries) == 0 && len(applied) > 0 {
+				t.Fatal("an empty list ends all servers")
+			}
+			applied = next
+		}
+	})
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -16,6 +17,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/addresses"
+	"ternbeam/internal/decide/listing"
 	"ternbeam/internal/protocol"
 )
 
@@ -88,80 +90,121 @@
 	watchSilence = 4500 * time.Millisecond
 	leastBackoff = 50 * time.Millisecond
 	mostBackoff  = 500 * time.Millisecond
+	mostBytes    = 8 << 20 // of one list: some 50,000 entries
 )
 
 // Client watches the list of one discovery.
 type Client struct {
 	addr    string
-	version int64         // of the latest list; nothing is known of this discovery's versions where it is unknown
-	silence time.Duration // after which a watch is dead
+	lists   *listing.Keeper // which of them are believed
+	silence time.Duration   // after which a watch is dead
+	said    string          // how the latest watch ended, if none has delivered since
 	client  *http.Client
 	log     *slog.Logger
 }
 
 // Unknown stands for the version of a list where none has come from that discovery yet: another one may count
 // otherwise.
-const Unknown = -1
+const Unknown = listing.Unknown
 
-// New returns a Client that has the list of a version, or Unknown.
-func New(addr string, version int64, log *slog.Logger) *Client {
-	return &Client{addr: addr, version: version, silence: watchSilence, log: log, client: &http.Client{
+// New returns a Client that has a list already, or one of the version Unknown.
+func New(addr string, known List, log *slog.Logger) *Client {
+	lists := listing.New(known.Version)
+	if known.Version != Unknown {
+		lists.Judge(known.judged())
+	}
+	return &Client{addr: addr, lists: lists, silence: watchSilence, log: log, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
-// KeepWatching watches until ctx ends, again and again from the last version. An agent goes on with the list that it has
-// while there is no watch; lost, if it is not nil, is called at each that ends.
+// judged is the list as far as it matters for whether it is believed.
+func (l List) judged() listing.List {
+	out := listing.List{Version: l.Version, Full: l.Full, Entries: make([]listing.Entry, 0, len(l.Servers))}
+	for _, e := range l.Servers {
+		out.Entries = append(out.Entries, listing.Entry{ID: e.ID, State: states[e.State], Started: e.StartedMS})
+	}
+	return out
+}
+
+// KeepWatching watches until ctx ends, again and again from the last version, later each time and at random: those that
+// lost a watch together must not come back together. An agent goes on with the list that it has while there is no watch;
+// lost, if it is not nil, is called at each that ends.
 func (d *Client) KeepWatching(ctx context.Context, deliver func(List), lost func()) {
 	wait := leastBackoff
 	for ctx.Err() == nil {
-		before := d.version
-		err := d.Watch(ctx, deliver)
-		if d.version != before {
+		before := d.lists.Version()
+		d.Watch(ctx, deliver)
+		if d.lists.Version() != before {
 			wait = leastBackoff
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		d.log.Warn("the watch ended", "error", err, "version", d.version, "again_in", wait)
 		if lost != nil {
 			lost()
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-time.After(wait/2 + rand.N(wait)):
 		}
 		wait = min(2*wait, mostBackoff)
 	}
 }
 
-// Watch delivers lists in order until the watch ends; it always ends with an error.
+// Watch delivers lists in order until the watch ends; it always ends with an error, which is logged unless the one before
+// ended in the same way.
 func (d *Client) Watch(ctx context.Context, deliver func(List)) error {
+	err := d.watch(ctx, deliver)
+	if ctx.Err() == nil && err.Error() != d.said {
+		d.said = err.Error()
+		d.log.Warn("the watch ended", "error", err, "version", d.lists.Version())
+	}
+	return err
+}
+
+func (d *Client) watch(ctx context.Context, deliver func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("silent for %v", d.silence)) })
 	defer silence.Stop()
 
 	alive := func() { silence.Reset(d.silence) }
-	if d.version == Unknown {
-		if err := d.read(ctx, "", alive, func(l List) {
+	if d.lists.Version() == Unknown {
+		if err := d.read(ctx, "", alive, func(l List) error {
 			l.Full = true
-			d.version = l.Version
-			deliver(l)
+			return d.take(l, deliver)
 		}); !errors.Is(err, io.EOF) {
 			return err
 		}
 	}
-	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.version), alive, func(l List) {
-		d.version = l.Version
-		deliver(l)
-	})
+	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.lists.Version()), alive, func(l List) error { return d.take(l, deliver) })
+}
+
+// take delivers what is believed of a list. One that is not ends the watch: the next begins from the last good one.
+func (d *Client) take(l List, deliver func(List)) error {
+	v := d.lists.Judge(l.judged())
+	if v.Hold {
+		return fmt.Errorf("a list that is not believed: %s", v.Reason)
+	}
+	if v.Reason != "" {
+		d.log.Warn("an odd list", "reason", v.Reason)
+	}
+	for _, i := range v.Draining {
+		l.Servers[i].State = "terminating"
+	}
+	for n, i := range slices.Sorted(slices.Values(v.Skip)) {
+		l.Servers = slices.Delete(l.Servers, i-n, i-n+1)
+	}
+	d.said = ""
+	deliver(l)
+	return nil
 }
 
 // read takes the lists of one answer until it ends; it always ends with an error.
-func (d *Client) read(ctx context.Context, query string, alive func(), take func(List)) error {
+func (d *Client) read(ctx context.Context, query string, alive func(), take func(List) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return err
@@ -175,17 +218,25 @@
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
 	// Empty lines mean nothing to the decoder, but every read shows that the watch is alive.
+	var got, done int64 // bytes that came, and those of whole lists
 	lines := json.NewDecoder(readerFunc(func(p []byte) (int, error) {
+		if got-done > mostBytes {
+			return 0, fmt.Errorf("a list of over %d bytes", mostBytes)
+		}
 		n, err := resp.Body.Read(p)
+		got += int64(n)
 		alive()
 		return n, err
 	}))
 	for {
 		var list List
 		if err := lines.Decode(&list); err != nil {
-			return cmp.Or(context.Cause(ctx), fmt.Errorf("reading the list: %w", err))
+			return cmp.Or(context.Cause(ctx), fmt.Errorf("reading the list, byte %d: %w", lines.InputOffset(), err))
+		}
+		done = lines.InputOffset()
+		if err := take(list); err != nil {
+			return err
 		}
-		take(list)
 	}
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,12 +1,15 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,7 +38,7 @@
 	defer s.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := New(s.Listener.Addr().String(), 7, slog.New(slog.DiscardHandler))
+	d := New(s.Listener.Addr().String(), List{Version: 7}, slog.New(slog.DiscardHandler))
 	d.silence = 300 * time.Millisecond
 	var got []string
 	delivered := make(chan struct{}, 8)
@@ -78,7 +81,7 @@
 	defer s.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := New(s.Listener.Addr().String(), 7, slog.New(slog.DiscardHandler))
+	d := New(s.Listener.Addr().String(), List{Version: 7}, slog.New(slog.DiscardHandler))
 	d.silence = 2 * time.Second // the list comes after 3 s
 	delivered := make(chan struct{}, 8)
 	go d.KeepWatching(ctx, func(List) { delivered <- struct{}{} }, nil)
@@ -114,3 +117,82 @@
 		}
 	}
 }
+
+// What can't be believed is not delivered: the last good list holds, the next question begins from it, and what is wrong is
+// logged once for as long as it stays the same.
+func TestSpoiltListsAreNotDelivered(t *testing.T) {
+	const good = `{"version":8,"full":true,"servers":[{"id":"a","state":"terminating"}]}` + "\n"
+	for name, c := range map[string]struct{ text, says string }{
+		"broken off": {`{"version":9,"servers":[{"id":"b`, "unexpected EOF"},
+		"unreadable": {`{"version":9,"servers":[{"id":7}]}`, "byte 34"},
+		"empty":      {`{"version":9,"full":true,"servers":[]}`, "without a server"},
+		"back":       {`{"version":3,"full":true,"servers":[{"id":"a","state":"in_service"}]}`, "version 3 after version 8"},
+		"too long":   {`{"version":9,"servers":[{"id":"` + strings.Repeat("b", 2*mostBytes) + `"}]}`, "a list of over"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			asked := []string{}
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				asked = append(asked, r.URL.Query().Get("index"))
+				n := len(asked)
+				mu.Unlock()
+				if n == 1 {
+					fmt.Fprint(w, good)
+				}
+				if n < 4 {
+					fmt.Fprint(w, c.text)
+					return
+				}
+				fmt.Fprint(w, `{"version":10,"servers":[{"id":"c","state":"in_service"}]}`+"\n")
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			}))
+			defer s.Close()
+			defer s.CloseClientConnections()
+			var log bytes.Buffer
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var got []int64
+			last := make(chan struct{})
+			d := New(s.Listener.Addr().String(), List{Version: 7}, slog.New(slog.NewTextHandler(&log, nil)))
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				d.KeepWatching(ctx, func(l List) {
+					if got = append(got, l.Version); l.Version == 10 {
+						close(last)
+					}
+				}, nil)
+			}()
+			wait(t, last)
+			cancel()
+			<-ended
+			if !slices.Equal(got, []int64{8, 10}) {
+				t.Errorf("delivered %v", got)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if !slices.Equal(asked, []string{"7", "8", "8", "8"}) {
+				t.Errorf("asked from %q", asked)
+			}
+			if n := strings.Count(log.String(), c.says); n < 1 || n > 2 { // the offset of the first differs
+				t.Errorf("said %d times what is wrong: %s", n, log.String()[:min(2000, log.Len())])
+			}
+		})
+	}
+}
+
+// A server that is named twice counts as the entry says that sends less there.
+func TestServerNamedTwice(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, `{"version":8,"full":true,"servers":[{"id":"a","state":"in_service"},{"id":"b","state":"in_service"},{"id":"a","state":"terminating"}]}`)
+	}))
+	defer s.Close()
+	var got []Entry
+	d := New(s.Listener.Addr().String(), List{Version: Unknown}, slog.New(slog.DiscardHandler))
+	d.Watch(context.Background(), func(l List) { got = l.Servers })
+	if len(got) != 2 || got[0].ID != "b" || got[1].ID != "a" || got[1].State != "terminating" {
+		t.Errorf("delivered %+v", got)
+	}
+}
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -146,7 +146,7 @@
 		c.do(c.ledger.Start(c.Now()))
 		c.feed(ctx)
 	} else {
-		c.follow(ctx, c.set.Discovery, c.set.Known.Version)
+		c.follow(ctx, c.set.Discovery, c.set.Known)
 		c.do(c.ledger.Start(c.Now()))
 		c.list(c.set.Known)
 		if !c.set.Module.Subscribe {
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -31,7 +31,7 @@
 		}
 		c.log.Info("new configuration", "discovery", addr, "before", c.discovery)
 		if addr != c.discovery {
-			c.follow(ctx, addr, discovery.Unknown)
+			c.follow(ctx, addr, discovery.List{Version: discovery.Unknown})
 			if c.haveWatch {
 				c.beginWatch()
 			}
@@ -41,13 +41,13 @@
 
 // follow sets the discovery that is watched from now on; the watch on another ends. Lists of that one may still be
 // queued: they count by other versions and must not be applied after the first list of the new one.
-func (c *Core) follow(ctx context.Context, addr string, version int64) {
+func (c *Core) follow(ctx context.Context, addr string, known discovery.List) {
 	if c.unwatch != nil {
 		c.unwatch()
 	}
 	ctx, c.unwatch = context.WithCancel(ctx)
 	c.discovery = addr
-	d := discovery.New(addr, version, c.log)
+	d := discovery.New(addr, known, c.log)
 	current := func(event func()) {
 		c.post(func() {
 			if ctx.Err() == nil {
@@ -59,9 +59,8 @@
 	c.watch = func() { d.KeepWatching(ctx, deliver, nil) }
 	if c.set.Module.Subscribe {
 		c.watch = func() { // each time that the module asks for it
-			err := d.Watch(ctx, deliver)
+			d.Watch(ctx, deliver)
 			current(func() {
-				c.log.Warn("the watch ended", "error", err)
 				c.haveWatch = false
 				c.do(c.ledger.ListUnavailable(c.Now()))
 			})
--- a/internal/host/core/list_test.go
+++ b/internal/host/core/list_test.go
@@ -51,7 +51,7 @@
 	c.post(func() {
 		close(waits)
 		<-gate
-		c.follow(context.Background(), "127.0.0.1:1", discovery.Unknown)
+		c.follow(context.Background(), "127.0.0.1:1", discovery.List{Version: discovery.Unknown})
 	})
 	<-waits
 	close(push)
