--- a/choice/state.go
+++ b/choice/state.go
@@ -134,8 +134,8 @@
 // for an answer: that is no queue, this one is lost or costly.
 func (a *attempt) passedOver(usual float64) bool { return float64(a.srv.passed-a.sent) > usual }
 
-// patience is the time that the client gave, as a part of that from which an answer is late, 1 at most. The less it
-// is, the less it says of a server that no answer came in it.
+// patience is the time that the client gave, as a part of that from which an answer is late, 1 at most. The
+// less it is, the less it says of a server that no answer came in it.
 func (a *attempt) patience(b *Balancer) float64 {
 	late := min(copyTimes*b.usual[a.req.Class], float64(a.req.class.Aim))
 	return min(1, float64(a.req.Deadline-a.req.attempts[0].sent)/late)
