--- a/choice/choice.go
+++ b/choice/choice.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// resubscribe asks again, at a time drawn from a span that doubles with a further failure: those that lost the
-// list together must not swamp it, and one that answers nobody in time has done the work all the same.
+// resubscribe asks again, at a time drawn from a span that doubles with a further failure: those that lost it
+// together must not swamp it, and one that answers nobody in time has done the work all the same.
 func (b *Balancer) resubscribe() {
 	span := askSpan * float64(b.horizon) * math.Exp2(float64(min(b.tries, 1)))
 	b.tries++
