Asking for the list again keeps within the time in which it must be asked for

Need: what discovery has to tell counts as told once an agent has neither watched nor asked for as long as the settings say (10 s here).

The settings' figure reaches the module, and the span is three quarters of it at most.

--- a/choice/api.go
+++ b/choice/api.go
@@ -50,6 +50,7 @@
 	CrossZonePrice float64       // what an attempt in another zone costs, as a share of a request; 0 for nothing
 	ListWeights    bool          // the list's weights say something of the servers' capacities
 	Subscribe      bool          // the list of servers must be subscribed to
+	MustAsk        time.Duration // what the list says counts as told if it is not asked for so long; 0 for any
 	WarmKeys       bool          // a server that met a request's key lately does less work for it
 	Probes         bool          // servers may be probed
 	ProbePrice     float64       // what a probe costs, as a share of a request
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 	shareTime   = 8    // horizons over which the rate of answers is averaged
 	subsetLeast = 16   // servers that even a quiet balancer draws from
 	askSpan     = 8    // horizons over which those that lost the list together ask for it again
+	askMostPart = 0.75 // of the time within which it must be asked for, the rest being for the call
 	subsetTime  = 2    // horizons in which a balancer's traffic would meet all that it draws from
 )
 
@@ -115,6 +116,9 @@
 // together must not swamp it, and one that answers nobody in time has done the work all the same.
 func (b *Balancer) resubscribe() {
 	span := askSpan * float64(b.horizon) * math.Exp2(float64(min(b.tries, 1)))
+	if b.set.MustAsk > 0 {
+		span = min(span, askMostPart*float64(b.set.MustAsk))
+	}
 	b.tries++
 	b.timer(subscribeToken, time.Duration(span*b.rng.Float64()))
 }
--- a/internal/settings/wire/settings.go
+++ b/internal/settings/wire/settings.go
@@ -27,8 +27,8 @@
 	Prices    struct{ CrossZone, Probe float64 }
 	Report    struct{ Fields []string }
 	Rules     struct {
-		ColdFrom float64
-		ColdNs   int64
+		ColdFrom            float64
+		ColdNs, MustAskInNs int64
 	}
 	TickNs     int64
 	WeightKind string
--- a/internal/settings/wire/wire_test.go
+++ b/internal/settings/wire/wire_test.go
@@ -16,7 +16,7 @@
 	`"WindowNs":15,"Name":"b","Worth":10}],"Discovery":"subscribe","Domain":{"WarmKeys":true},` +
 	`"Ceilings":{"MayCancel":true,"MostTries":3,"ParallelTries":true,"RetryAfter":true,"MaxRetryAfterNs":9},` +
 	`"Prices":{"CrossZone":0.1},"Report":{"Fields":["util","qps","future"],"Via":"piggyback"},` +
-	`"Rules":{"ColdFrom":0.3,"ColdNs":5},"Tenants":[{"Name":"t","QuotaPerS":191.0}],"TickNs":4000000,` +
+	`"Rules":{"ColdFrom":0.3,"ColdNs":5,"MustAskInNs":7},"Tenants":[{"Name":"t","QuotaPerS":191.0}],"TickNs":4000000,` +
 	`"WeightKind":"nominal","Zone":2,"Later":{"unknown":[1]}}`
 
 const launch = `{"type":"Launch","I":"agent_1","Seed":9223372036854775807,"BootInfo":` + boot + `}`
@@ -56,7 +56,7 @@
 	}
 	if m := got[0]; m.Kind != Launch || m.Seed != 1<<63-1 || !m.Settings.WarmKeys || m.Settings.Zone != 2 ||
 		m.Settings.Classes[1].Group != choice.GroupCell || m.Settings.MaxRetryAfter != 9 || !m.Settings.Subscribe ||
-		m.Settings.Tick != 4*time.Millisecond || !m.Settings.ListWeights {
+		m.Settings.Tick != 4*time.Millisecond || m.Settings.MustAsk != 7 || !m.Settings.ListWeights {
 		t.Errorf("launch: %+v", m)
 	}
 	half := choice.NoReport
