--- a/internal/settings/wire/settings.go
+++ b/internal/settings/wire/settings.go
@@ -92,6 +92,7 @@
 		CrossZonePrice: b.Prices.CrossZone,
 		ListWeights:    b.WeightKind == "nominal" || b.WeightKind == "rough",
 		Subscribe:      b.Discovery == "subscribe",
+		MustAsk:        time.Duration(b.Rules.MustAskInNs),
 		WarmKeys:       b.Domain.WarmKeys,
 		Probes:         b.Ceilings.Probes,
 		ProbePrice:     b.Prices.Probe,
