Entries that a list names again are dropped in one pass; Watch returns nothing

Judge() put them out of order in two places. Both callers of Watch passed its error over, since it logs by itself.

Watch returns nothing.

--- a/internal/decide/listing/listing.go
+++ b/internal/decide/listing/listing.go
@@ -38,7 +38,7 @@
 type Verdict struct {
 	Hold     bool   // nothing of it is applied: the last good list holds
 	Reason   string // what is wrong with it, empty for nothing
-	Skip     []int  // entries that are not applied, of servers that it names again
+	Skip     []int  // entries that are not applied, of servers that it names again, in their order
 	Draining []int  // entries that count as draining, whatever they say
 }
 
@@ -75,13 +75,8 @@
 	last := make(map[string]int, len(l.Entries)) // the entry of a server that counts
 	for i, e := range l.Entries {
 		other, twice := last[e.ID]
-		switch {
-		case !twice:
+		if !twice || beats(e, l.Entries[other]) {
 			last[e.ID] = i
-		case beats(e, l.Entries[other]):
-			v.Skip, last[e.ID] = append(v.Skip, other), i
-		default:
-			v.Skip = append(v.Skip, i)
 		}
 		if twice && v.Reason == "" {
 			v.Reason = fmt.Sprintf("server %q is named twice", e.ID)
@@ -93,6 +88,7 @@
 	}
 	for i, e := range l.Entries {
 		if last[e.ID] != i {
+			v.Skip = append(v.Skip, i)
 			continue
 		}
 		// An older list has not heard of the drain, and one that began anew has forgotten it.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -154,17 +154,16 @@
 	}
 }
 
-// Watch delivers lists in order until the watch ends; it always ends with an error, which is logged unless the one before
-// ended in the same way.
-func (d *Client) Watch(ctx context.Context, deliver func(List)) error {
+// Watch delivers lists in order until the watch ends. How it ended is logged, unless the one before ended in the same way.
+func (d *Client) Watch(ctx context.Context, deliver func(List)) {
 	err := d.watch(ctx, deliver)
 	if ctx.Err() == nil && err.Error() != d.said {
 		d.said = err.Error()
 		d.log.Warn("the watch ended", "error", err, "version", d.lists.Version())
 	}
-	return err
 }
 
+// watch is Watch; it always ends with an error.
 func (d *Client) watch(ctx context.Context, deliver func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -195,9 +194,15 @@
 	for _, i := range v.Draining {
 		l.Servers[i].State = "terminating"
 	}
-	for n, i := range slices.Sorted(slices.Values(v.Skip)) {
-		l.Servers = slices.Delete(l.Servers, i-n, i-n+1)
+	kept, skip := l.Servers[:0], v.Skip
+	for i, e := range l.Servers {
+		if len(skip) > 0 && skip[0] == i {
+			skip = skip[1:]
+			continue
+		}
+		kept = append(kept, e)
 	}
+	l.Servers = kept
 	d.said = ""
 	deliver(l)
 	return nil
