One factor of patience in judge(), a plain doubling in resubscribe(), one ask in tests

Two constants stood between two others that belong together.

The patience is worked out for time-outs alone and multiplied in. Tests keep what they assert.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,9 +43,9 @@
 	reportTime  = 4    // horizons over which reports are averaged
 	shareTime   = 8    // horizons over which the rate of answers is averaged
 	subsetLeast = 16   // servers that even a quiet balancer draws from
+	subsetTime  = 2    // horizons in which a balancer's traffic would meet all that it draws from
 	askSpan     = 8    // horizons over which those that lost the list together ask for it again
 	askMostPart = 0.3  // of the time within which it must be heard, the rest for silence before and the call
-	subsetTime  = 2    // horizons in which a balancer's traffic would meet all that it draws from
 )
 
 func (b *Balancer) tick() {
@@ -115,7 +115,7 @@
 // resubscribe asks again, at a time drawn from a span that doubles with a further failure: those that lost it
 // together must not swamp it, and one that answers nobody in time has done the work all the same.
 func (b *Balancer) resubscribe() {
-	span := askSpan * float64(b.horizon) * math.Exp2(float64(min(b.tries, 1)))
+	span := askSpan * float64(b.horizon) * float64(min(b.tries, 1)+1)
 	if b.set.MustAsk > 0 {
 		span = min(span, askMostPart*float64(b.set.MustAsk))
 	}
@@ -346,11 +346,11 @@
 
 // judge learns from an outcome how the server does. Errors come fast and look idle: they lower its weight.
 func (b *Balancer) judge(a *attempt, o Outcome) {
-	s, c, bad, weight := a.srv, a.req.Class, 1.0, failWeight
-	late := o.Result == Rejected || o.Result == TimedOut && !a.passedOver(b.usual[c])
-	if part := a.patience(b); o.Result == TimedOut && part < 1 {
-		late, weight = false, failWeight*part // nor is an impatient client a jam
+	s, c, bad, part := a.srv, a.req.Class, 1.0, 1.0
+	if o.Result == TimedOut {
+		part = a.patience(b)
 	}
+	late := o.Result == Rejected || o.Result == TimedOut && part == 1 && !a.passedOver(b.usual[c])
 	switch {
 	case o.Result == Cancelled || o.Result == NotSent:
 		s.trial = false
@@ -362,15 +362,15 @@
 		b.served += 1 / (shareTime * b.horizon.Seconds())
 	case o.Result == TimedOut && s.heard > a.sent && s.until == 0:
 		bad = 0 // it answers others: the request is costly, or this server loses some
-		if weight == failWeight {
+		if part == 1 {
 			b.lost += learn
 		}
 	}
 	b.lost -= learn * b.lost
-	if late || o.Result == OK { // a dead server is no jam, nor is one that loses some
+	if late || o.Result == OK { // a dead server is no jam, nor one that loses some, nor an impatient client
 		b.jam += b.jamWeight * (b.slackUsed(a, late) - b.jam)
 	}
-	s.failing += weight * (bad - s.failing)
+	s.failing += failWeight * part * (bad - s.failing)
 	s.judged, b.judged, b.news = b.now, b.now, b.news+1
 	if s.coldShare(b) < 1 {
 		b.coldSeen = min(b.coldSeen+1, 1/learn)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -41,10 +41,13 @@
 }
 
 // ask brings a request and returns its id and the server it is sent to, "" if none.
-func (h *bench) ask(class int) (id, to string) {
+func (h *bench) ask(class int) (id, to string) { return h.askFor(class, 2*time.Second) }
+
+// askFor is ask for a client that waits so long.
+func (h *bench) askFor(class int, patience time.Duration) (id, to string) {
 	h.ids++
 	id = fmt.Sprint("r", h.ids)
-	for _, a := range h.Handle(h.at, Request{ID: id, Class: class, Deadline: h.at + 2*time.Second}) {
+	for _, a := range h.Handle(h.at, Request{ID: id, Class: class, Deadline: h.at + patience}) {
 		if a.Kind == Send {
 			to = a.Server
 		}
@@ -1041,21 +1044,15 @@
 }
 
 // hurry brings a request whose client gives it 150 ms and ends it so, or 120 ms later where it is answered.
-func (h *bench) hurry(answered bool) (to string) {
-	h.ids++
-	id, due := fmt.Sprint("r", h.ids), h.at+150*time.Millisecond
-	for _, a := range h.Handle(h.at, Request{ID: id, Deadline: due}) {
-		if a.Kind == Send {
-			to = a.Server
-		}
-	}
+func (h *bench) hurry(answered bool) string {
+	const patience = 150 * time.Millisecond
+	id, to := h.askFor(0, patience)
+	took, result := patience, TimedOut
 	if answered {
-		h.at += 120 * time.Millisecond
-		h.Handle(h.at, Outcome{Request: id, Server: to, Took: 120 * time.Millisecond, Closed: true, Report: NoReport})
-		return to
+		took, result = 120*time.Millisecond, OK
 	}
-	h.at = due
-	h.Handle(h.at, Outcome{Request: id, Server: to, Result: TimedOut, Took: 150 * time.Millisecond, Closed: true, Report: NoReport})
+	h.at += took
+	h.Handle(h.at, Outcome{Request: id, Server: to, Result: result, Took: took, Closed: true, Report: NoReport})
 	return to
 }
 
