A second address with figures, and the operators' word on servers

Calls count where the ledger gives the final answer, attempts when their last byte is written. Both processes of a replacement may listen.

Ruled out for stale figures: a ticker alone, which waits its turn among queued events under full load.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -344,6 +344,16 @@
 	return s.until > 0 && b.well >= healthyPart*b.total
 }
 
+// Ejected counts the ready servers that are kept out as ill.
+func (b *Balancer) Ejected() (n int) {
+	for _, s := range b.servers {
+		if s.State == Ready && b.ejected(s) {
+			n++
+		}
+	}
+	return n
+}
+
 // judge learns from an outcome how the server does. Errors come fast and look idle: they lower its weight.
 func (b *Balancer) judge(a *attempt, o Outcome) {
 	s, c, bad, part := a.srv, a.req.Class, 1.0, 1.0
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,8 +8,11 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"ternbeam/choice"
 	"ternbeam/internal/bridge"
 	"ternbeam/internal/decide/addresses"
@@ -21,6 +24,7 @@
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/http/httpback"
 	"ternbeam/internal/http/httpfront"
+	"ternbeam/internal/http/httpops"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/settings/config"
 	"ternbeam/internal/settings/sourceconf"
@@ -45,6 +49,7 @@
 	shapes func() (*translate.Set, error)
 
 	listeners []*net.TCPListener // the application's, then Thrift's if it is on
+	ops       net.Listener       // the second address; nil where there is none
 	illegal   atomic.Int64       // steps of attempts and connections that must not come
 }
 
@@ -103,7 +108,8 @@
 	var err error
 	a.core, err = core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
 		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Feed: feed, Pool: a.pool, Log: log,
-		Transports: transports, Illegal: a.noteIllegal, Routes: ways})
+		Transports: transports, Illegal: a.noteIllegal, Routes: ways,
+		Publish: cfg.Ops != ""})
 	return a, err
 }
 
@@ -133,19 +139,59 @@
 		if l.addr == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.addr)
+		listener, err := a.bind(l.addr)
 		if err != nil {
-			for _, open := range a.listeners {
-				open.Close()
-			}
+			a.unlisten()
 			return nil, fmt.Errorf("listening for %s: %w", l.what, err)
 		}
-		a.listeners = append(a.listeners, listener.(*net.TCPListener))
+		a.listeners = append(a.listeners, listener)
 		addrs = append(addrs, listener.Addr().String())
 	}
+	if a.cfg.Ops != "" {
+		if a.ops, err = net.Listen("tcp", a.cfg.Ops); err != nil {
+			a.unlisten()
+			return nil, fmt.Errorf("listening for those who run the agent: %w", err)
+		}
+	}
 	return addrs, nil
 }
 
+// unlisten closes what a Listen that failed has opened.
+func (a *Agent) unlisten() {
+	for _, open := range a.listeners {
+		open.Close()
+	}
+	a.listeners = nil
+}
+
+// bind listens at an address of clients. Where a process may be replaced while it serves, two may listen there.
+func (a *Agent) bind(addr string) (*net.TCPListener, error) {
+	var how net.ListenConfig
+	if a.cfg.Ops != "" {
+		how.Control = func(_, _ string, raw syscall.RawConn) (err error) {
+			if failed := raw.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			}); failed != nil {
+				return failed
+			}
+			return err
+		}
+	}
+	l, err := how.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
+// Ops returns the second address, empty where there is none.
+func (a *Agent) Ops() string {
+	if a.ops == nil {
+		return ""
+	}
+	return a.ops.Addr().String()
+}
+
 // Ready is closed when clients may begin.
 func (a *Agent) Ready() <-chan struct{} { return a.core.Ready() }
 
@@ -180,17 +226,22 @@
 		}
 	}
 	go a.core.Run(work)
-	failed := make(chan error, len(fronts))
+	failed := make(chan error, len(fronts)+1)
 	for _, f := range fronts {
 		go func() { failed <- f.Serve() }()
 	}
+	if a.ops != nil {
+		ops := httpops.New(a.core, a.cfg.Module.Classes, a.cfg.OpsSockets(), a.log)
+		defer ops.Close() // with the process: until then its figures are of interest
+		go func() { failed <- ops.Serve(a.ops) }()
+	}
 	a.log.Info("started", "name", a.cfg.Name, "listen", a.listeners[0].Addr().String(), "discovery", a.cfg.Discovery,
 		"backends", len(a.cfg.Known.Servers), "cores", a.cfg.Limits.Cores, "memory_mb", a.cfg.Limits.MemoryMB,
 		"sockets", a.cfg.Limits.Sockets)
 	for ctx.Err() == nil {
 		select {
 		case err := <-failed:
-			return fmt.Errorf("serving the application: %w", err)
+			return fmt.Errorf("serving: %w", err)
 		case <-reload:
 			a.reload(work)
 		case <-ctx.Done():
--- a/internal/decide/ledger/copy.go
+++ b/internal/decide/ledger/copy.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "ternbeam/internal/decide/life"
+import (
+	"maps"
+
+	"ternbeam/internal/decide/life"
+)
 
 // Twins are copies of what a Ledger speaks of.
 type Twins struct {
@@ -30,7 +34,8 @@
 // Copy returns an equal Ledger over an equal module. It must not be under way with anything.
 func (l *Ledger) Copy(set Settings, balancer Module, t *Twins) *Ledger {
 	twin := New(set, balancer)
-	twin.now, twin.open, twin.stats = l.now, l.open, l.stats
+	twin.now, twin.open, twin.stats = l.now, l.open, l.Stats()
+	twin.listed, twin.word = maps.Clone(l.listed), l.word.Copy()
 	for id, c := range l.calls {
 		twin.calls[id] = t.Calls.Of(c)
 	}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -13,6 +13,7 @@
 	"ternbeam/internal/decide/aging"
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/life"
+	"ternbeam/internal/decide/operators"
 	"ternbeam/internal/decide/routes"
 )
 
@@ -71,6 +72,7 @@
 
 	// Illegal takes a step that must not come: a fault of this program. None is taken where it is nil.
 	Illegal  func(error)
+	Forwards *atomic.Int64           // the host's: counts the attempts that are written whole, where not nil
 	Withdraw context.CancelCauseFunc // the host's: ends the attempt's context
 	WriteBy  time.Time               // the host's: SendBy on the system's clock
 }
@@ -82,6 +84,13 @@
 	}
 }
 
+// Forwarded says that the last byte of the message is written. Transports say it once.
+func (at *Attempt) Forwarded() {
+	if at.Forwards != nil {
+		at.Forwards.Add(1)
+	}
+}
+
 // Ending is how an attempt ended.
 type Ending struct {
 	Result choice.Result
@@ -135,8 +144,12 @@
 	Attempts, Reports                       int
 	Results                                 [choice.NotSent + 1]int
 	Translated, Unfit, Unknown, Untold      int // attempts; Unfit are calls
+	Classes                                 []ClassStats
 }
 
+// ClassStats are the final answers to the calls of one class. Each call that has one counts under one of them.
+type ClassStats struct{ Served, Refused, Failed int }
+
 // Module is the decision module, as a Ledger uses it: a choice.Balancer, or one that an explorer watches.
 type Module interface {
 	Start(now time.Duration) []choice.Action
@@ -144,10 +157,12 @@
 	Export(now time.Duration, into *choice.Memory)
 	Recall(now time.Duration, m choice.Memory)
 	News() uint64
+	Ejected() int
 }
 
 // Settings are what a Ledger is made of.
 type Settings struct {
+	Classes     int // of calls
 	MaxAttempts int
 	MostHeld    int                               // calls not answered yet; 0 for no bound
 	Carries     func(needs choice.Protocols) bool // whether there is a transport for them
@@ -165,6 +180,8 @@
 	orders   []Order
 	calls    map[string]*Call // not answered yet, or with attempts in flight
 	servers  map[string]*life.Server
+	listed   map[string]Entry // as the list has them, also those that drain
+	word     operators.Word
 	open     int // calls not answered yet
 	stats    Stats
 	past     *aging.Past    // what an earlier agent knew; nil for nothing
@@ -174,7 +191,8 @@
 
 // New returns a Ledger over a module.
 func New(set Settings, balancer Module) *Ledger {
-	return &Ledger{set: set, balancer: balancer, calls: map[string]*Call{}, servers: map[string]*life.Server{}}
+	return &Ledger{set: set, balancer: balancer, calls: map[string]*Call{}, servers: map[string]*life.Server{},
+		listed: map[string]Entry{}, stats: Stats{Classes: make([]ClassStats, set.Classes)}}
 }
 
 // begin opens the handling of something that has happened. The orders that it returns hold until the next.
@@ -217,9 +235,9 @@
 	l.stats.Requests++
 	switch {
 	case l.calls[call.ID] != nil: // an id is never repeated
-		l.order(Order{Kind: Reply, Call: call, Answer: Answer{Kind: Duplicate}})
+		l.reply(call, Answer{Kind: Duplicate})
 	case l.set.MostHeld > 0 && l.open >= l.set.MostHeld: // turned away before the module, as in the simulator
-		l.order(Order{Kind: Reply, Call: call, Answer: Answer{Kind: Refused}})
+		l.reply(call, Answer{Kind: Refused})
 	default:
 		l.calls[call.ID] = call
 		l.open++
@@ -254,11 +272,8 @@
 	l.routed(at, e)
 	switch {
 	case e.Result == choice.OK && e.Untold != nil: // it has run: no refusal, and nothing further is sent for it
-		if l.finish(call.ID, Answer{Kind: Failed}) {
-			l.stats.Failed++
-		}
+		l.finish(call.ID, Answer{Kind: Failed})
 	case e.Result == choice.OK && l.finish(call.ID, Answer{Kind: Served, Reply: e.Reply}):
-		l.stats.Served++
 	case e.Unfit != nil && l.askAnew(at, e.Unfit):
 		return l.orders
 	}
@@ -271,11 +286,34 @@
 // List applies the list of servers or a change of it, here and in the module.
 func (l *Ledger) List(now time.Duration, full bool, entries []Entry) []Order {
 	l.begin(now)
-	ev := choice.ServerList{Full: full}
 	named := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		ev.Servers = append(ev.Servers, l.listedAs(e))
 		named[e.ID] = true
+		if e.State == choice.Gone {
+			delete(l.listed, e.ID)
+			l.word.Gone(e.ID)
+		} else {
+			l.listed[e.ID] = e
+		}
+	}
+	if full {
+		for id := range l.listed {
+			if !named[id] {
+				delete(l.listed, id)
+				l.word.Gone(id)
+			}
+		}
+	}
+	l.apply(full, named, entries)
+	return l.orders
+}
+
+// apply applies entries, as they count by the operators' word.
+func (l *Ledger) apply(full bool, named map[string]bool, entries []Entry) {
+	ev := choice.ServerList{Full: full}
+	for _, e := range entries {
+		e.Server = l.word.Counts(e.Server)
+		ev.Servers = append(ev.Servers, l.listedAs(e))
 		l.entry(e)
 	}
 	for id := range l.servers {
@@ -287,7 +325,6 @@
 		}
 	}
 	l.handle(ev)
-	return l.orders
 }
 
 // entry applies one entry of a list. A server that restarted, moved or speaks otherwise gets new connections.
@@ -358,13 +395,9 @@
 			if call := l.calls[act.Request]; call != nil && call.unfit != nil && !l.set.Routes.AsItCame(call.Tag) {
 				answer = Answer{Kind: Unfit, Cause: call.unfit}
 			}
-			if l.finish(act.Request, answer) {
-				l.stats.Refused++
-			}
+			l.finish(act.Request, answer)
 		case choice.Fail:
-			if l.finish(act.Request, Answer{Kind: Failed}) {
-				l.stats.Failed++
-			}
+			l.finish(act.Request, Answer{Kind: Failed})
 		}
 	}
 }
@@ -412,11 +445,32 @@
 		return false
 	}
 	l.end(call)
-	l.order(Order{Kind: Reply, Call: call, Answer: ans})
+	l.reply(call, ans)
 	l.forget(call)
 	return true
 }
 
+// reply orders the final answer and counts it.
+func (l *Ledger) reply(call *Call, ans Answer) {
+	l.order(Order{Kind: Reply, Call: call, Answer: ans})
+	var class ClassStats
+	switch ans.Kind {
+	case Served:
+		class.Served++
+	case Refused, Unfit:
+		class.Refused++
+	case Failed, Duplicate:
+		class.Failed++
+	}
+	l.stats.Served += class.Served
+	l.stats.Refused += class.Refused
+	l.stats.Failed += class.Failed
+	if call.Class >= 0 && call.Class < len(l.stats.Classes) {
+		of := &l.stats.Classes[call.Class]
+		of.Served, of.Refused, of.Failed = of.Served+class.Served, of.Refused+class.Refused, of.Failed+class.Failed
+	}
+}
+
 func (l *Ledger) end(call *Call) {
 	call.over.Store(true)
 	l.open--
@@ -433,7 +487,11 @@
 func (l *Ledger) Count() (open, held int) { return l.open, len(l.calls) }
 
 // Stats returns the counts since the start.
-func (l *Ledger) Stats() Stats { return l.stats }
+func (l *Ledger) Stats() Stats {
+	s := l.stats
+	s.Classes = slices.Clone(s.Classes)
+	return s
+}
 
 // ServerCount returns how many servers can be sent to.
 func (l *Ledger) ServerCount() int { return len(l.servers) }
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -65,6 +65,7 @@
 	Log        *slog.Logger
 	Illegal    func(error)    // takes steps that must not come; none where nil
 	Routes     *routes.Routes // by the shapes of calls; nil where they have none
+	Publish    bool           // figures are wanted
 }
 
 // Core is one client-side balancer: the host of a Ledger. One goroutine, the loop, owns the Ledger and the timers;
@@ -73,9 +74,12 @@
 	set       Settings
 	log       *slog.Logger
 	events    chan func()
+	urgent    chan func() // goes before events: the operators' word, which waits for no queue of calls
 	workers   workers
 	malformed atomic.Int64  // calls that no front could read, which the loop never sees
 	ready     chan struct{} // closed when clients may begin
+	figures   atomic.Pointer[Figures]
+	forwards  atomic.Int64 // attempts that were written whole
 	started   time.Time
 	origin    time.Duration // module time at the start: Unix time, so that starts of servers need no mapping
 
@@ -87,6 +91,7 @@
 	unwatch   func() // ends it; nothing that it has delivered is applied from then on
 	haveWatch bool
 	clock     func() learned.Clock // nil where nothing is remembered
+	published time.Duration        // when the figures were
 }
 
 // New returns a Core that is ready to Run.
@@ -96,10 +101,12 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	now := time.Now()
-	books := ledger.New(ledger.Settings{MaxAttempts: set.Module.MaxAttempts, MostHeld: set.MostHeld,
+	books := ledger.New(ledger.Settings{Classes: len(set.Module.Classes), MaxAttempts: set.Module.MaxAttempts, MostHeld: set.MostHeld,
 		Carries: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, Illegal: set.Illegal, Routes: set.Routes}, balancer)
-	return &Core{set: set, log: set.Log, events: make(chan func(), 1024), workers: newWorkers(), ready: make(chan struct{}),
-		started: now, origin: time.Duration(now.UnixNano()), ledger: books}, nil
+	c := &Core{set: set, log: set.Log, events: make(chan func(), 1024), urgent: make(chan func()), workers: newWorkers(), ready: make(chan struct{}),
+		started: now, origin: time.Duration(now.UnixNano()), ledger: books}
+	c.publish() // so that there are figures from the start
+	return c, nil
 }
 
 // Now is the module's clock: monotonic, in Unix time.
@@ -160,7 +167,16 @@
 	defer report.Stop()
 	due := time.NewTimer(0)
 	defer due.Stop()
+	var publish <-chan time.Time // never where nobody wants figures
+	if c.set.Publish {
+		ticks := time.NewTicker(publishEvery)
+		defer ticks.Stop()
+		publish = ticks.C
+	}
 	for {
+		if c.set.Publish && c.Now()-c.published >= publishEvery { // under full load the timer alone may wait its turn
+			c.publish()
+		}
 		for len(c.timers) > 0 && c.timers[0].at <= c.Now() {
 			t := heap.Pop(&c.timers).(timer)
 			c.do(c.ledger.Fired(c.Now(), t.token))
@@ -169,8 +185,17 @@
 			due.Reset(c.timers[0].at - c.Now())
 		}
 		select {
+		case event := <-c.urgent:
+			event()
+			continue
+		default:
+		}
+		select {
+		case event := <-c.urgent:
+			event()
 		case event := <-c.events:
 			event()
+		case <-publish:
 		case <-due.C:
 		case <-sweep.C:
 			c.set.Pool.Sweep()
@@ -256,7 +281,7 @@
 // begin makes an attempt on a goroutine of its own.
 func (c *Core) begin(at *Attempt) {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	at.Withdraw = cancel
+	at.Withdraw, at.Forwards = cancel, &c.forwards
 	if at.SendBy != 0 {
 		at.WriteBy = c.at(at.SendBy)
 	}
--- a/internal/host/core/learned.go
+++ b/internal/host/core/learned.go
@@ -57,9 +57,13 @@
 
 // ask has the loop answer a question; the loop never waits for who asked.
 func ask[T any](ctx context.Context, c *Core, question func() T) (answer T, err error) {
+	return askOn(ctx, c.events, question)
+}
+
+func askOn[T any](ctx context.Context, events chan<- func(), question func() T) (answer T, err error) {
 	answers := make(chan T, 1)
 	select {
-	case c.events <- func() { answers <- question() }:
+	case events <- func() { answers <- question() }:
 	case <-ctx.Done():
 		return answer, context.Cause(ctx)
 	}
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -105,7 +105,7 @@
 	undisturbed := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	in := inflows.Get().(*Inflow)
 	defer inflows.Put(in)
-	in.reset(ctx, c.Conn, end, t.Stall)
+	in.reset(ctx, at, c.Conn, end, t.Stall)
 	in.send(message)
 	e, reusable, err := talk.Answer(in)
 	reuse = undisturbed() && err == nil && reusable && in.Buffered() == 0
@@ -134,6 +134,7 @@
 type Inflow struct {
 	*bufio.Reader
 	conn    net.Conn
+	at      *core.Attempt
 	ctx     context.Context
 	end     time.Time     // of the waiting for an answer
 	stall   time.Duration // from an answer's first byte to its last
@@ -144,18 +145,20 @@
 	written chan int // brings them
 }
 
-func (f *Inflow) reset(ctx context.Context, c net.Conn, end time.Time, stall time.Duration) {
-	*f = Inflow{Reader: f.Reader, conn: c, ctx: ctx, end: end, stall: stall}
+func (f *Inflow) reset(ctx context.Context, at *core.Attempt, c net.Conn, end time.Time, stall time.Duration) {
+	*f = Inflow{Reader: f.Reader, conn: c, at: at, ctx: ctx, end: end, stall: stall}
 	f.Reader.Reset(source{f})
 }
 
 // send writes the message. A long one is written while the answer is awaited.
 func (f *Inflow) send(message []byte) {
-	conn := f.conn
+	conn, at := f.conn, f.at
 	write := func() int {
 		n, err := conn.Write(message)
 		if err != nil {
 			conn.Close() // it never ran; there is no answer to wait for
+		} else {
+			at.Forwarded()
 		}
 		return n
 	}
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -28,6 +28,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Ops       string // the second address, for those who run the agent; empty for none
 	Limits    Limits
 
 	Path   string // of the file that it was read from
@@ -69,7 +70,7 @@
 	}
 	cfg.Path = path
 	for name, field := range map[string]*string{"NODE_NAME": &cfg.Name, "NODE_LISTEN": &cfg.Listen,
-		"NODE_DISCOVERY": &cfg.Discovery} {
+		"NODE_DISCOVERY": &cfg.Discovery, "NODE_OPS": &cfg.Ops} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
@@ -103,10 +104,10 @@
 // Parse reads a configuration.
 func Parse(text []byte) (*Config, error) {
 	var file struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        Limits          `json:"limits"`
-		Known                         discovery.List  `json:"known"`
-		Settings                      json.RawMessage `json:"settings"`
+		Name, Listen, Discovery, Ops, Seed string
+		Limits                             Limits          `json:"limits"`
+		Known                              discovery.List  `json:"known"`
+		Settings                           json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, err
@@ -114,8 +115,8 @@
 	if len(file.Settings) == 0 {
 		return nil, fmt.Errorf("%w: there are none", errSettings)
 	}
-	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits,
-		Known: file.Known}
+	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops,
+		Limits: file.Limits, Known: file.Known}
 	cfg.Known.Full = true
 	var err error
 	if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
@@ -157,8 +158,19 @@
 
 // ClientSockets and BackendSockets share out the descriptors. Clients hold a third at most for requests; the rest
 // of theirs is for those that are idle or have said nothing yet.
-func (c *Config) ClientSockets() int  { return c.Limits.Sockets * 2 / 5 }
-func (c *Config) BackendSockets() int { return c.Limits.Sockets - spareSockets - c.ClientSockets() }
+func (c *Config) ClientSockets() int { return c.Limits.Sockets * 2 / 5 }
+func (c *Config) BackendSockets() int {
+	return c.Limits.Sockets - spareSockets - c.ClientSockets() - c.OpsSockets()
+}
+
+// OpsSockets are the descriptors for callers at the second address: enough for some that say nothing, beside those that
+// ask all day.
+func (c *Config) OpsSockets() int {
+	if c.Ops == "" {
+		return 0
+	}
+	return min(32, c.Limits.Sockets/8)
+}
 
 // ConnectTimeout bounds the dial of a backend.
 func (c *Config) ConnectTimeout() time.Duration {
--- a/internal/thrift/thriftback/multiplexed.go
+++ b/internal/thrift/thriftback/multiplexed.go
@@ -205,6 +205,9 @@
 			ended, problem := l.life.Wrote(t.slot, min(ends[i], max(begin, n))-begin, t.call.Method.Oneway)
 			begin = ends[i]
 			t.at.Heed(problem)
+			if n >= ends[i] {
+				t.at.Forwarded()
+			}
 			if ended {
 				t.done <- core.Ended(t.at.Life.Result())
 			}
