A process that replaces another takes its listening socket, list and words over

Ruled out: the ready answer (0.0 s) and the word of the list.

What crosses: internal/decide/succession (form, checks) and internal/host/successor (socket and link).

--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -105,7 +105,7 @@
 			return err
 		}
 	}
-	opts := agent.Options{Service: service, Sources: sources}
+	opts := agent.Options{Service: service, Sources: sources, Shared: os.Getenv("TMPDIR")}
 	if r.Translate != "" {
 		opts.Shapes = func() (*translate.Set, error) { return loadShapes(r.Translate) }
 	}
--- a/cmd/ternbeam/memory.go
+++ b/cmd/ternbeam/memory.go
@@ -18,7 +18,7 @@
 		runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
 	}
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(l.MemoryMB << 20 * 6 / 10)
+		debug.SetMemoryLimit(l.HeapLimit())
 		debug.SetGCPercent(400)
 	}
 }
--- /dev/null
+++ b/cmd/ternbeam/replace_test.go
@@ -0,0 +1,257 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// replaceSettings are those of replacements: deadlines as short as in service, and a class of what must never run twice.
+const replaceSettings = `{"Balancers":1,"Classes":[
+	{"Name":"form-check","Effect":"repeatable","Group":"all","AimNs":300000000,"DeadlineNs":1500000000,"Worth":2},
+	{"Name":"refund-pay","Effect":"once","AimNs":300000000,"DeadlineNs":1500000000,"Worth":2}],
+	"Ceilings":{"ConnIdleNs":15000000000,"ConnectTimeoutNs":500000000,"MostHeld":1000,"MostTries":3},
+	"Discovery":"automatic","Report":{"Fields":["util","qps","eps"]},"TickNs":5000000,"WeightKind":"silent",
+	"Tenants":[{"Name":"rosyth-port"}],"Zones":["z"]}`
+
+// process is one process of an agent that is replaced while it serves.
+type process struct {
+	cmd   *exec.Cmd
+	log   *bytes.Buffer
+	ops   string
+	ended chan error
+}
+
+// line is an agent that is replaced, and the world round it.
+type succession struct {
+	t               *testing.T
+	listen, shared  string
+	config, backend string
+	mu              sync.Mutex
+	runs            map[string]int // of each call, by its id
+	byServer        map[string]int
+}
+
+func newSuccession(t *testing.T, servers int) *succession {
+	t.Helper()
+	s := &succession{t: t, shared: t.TempDir(), runs: map[string]int{}, byServer: map[string]int{}}
+	var known []map[string]any
+	for i := range servers {
+		id := fmt.Sprint("s-", i)
+		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			s.mu.Lock()
+			s.runs[r.Header.Get("X-Correlation-Id")]++
+			s.byServer[id]++
+			s.mu.Unlock()
+			time.Sleep(5 * time.Millisecond) // so that some are always under way
+			io.WriteString(w, r.Header.Get("X-Correlation-Id"))
+		}))
+		t.Cleanup(backend.Close)
+		known = append(known, map[string]any{"id": id, "addr": backend.Listener.Addr().String(), "zone": "z", "state": "in_service", "weight": 1})
+	}
+	s.listen = free(t)
+	text, err := json.Marshal(map[string]any{"name": "n1", "listen": s.listen, "seed": "1f",
+		"discovery": free(t), // down all the time
+		"settings":  json.RawMessage(replaceSettings), "limits": map[string]any{"cores": 2.0, "memory_mb": 192, "sockets": 1024},
+		"known": map[string]any{"version": 1, "full": true, "servers": known}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.config = filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(s.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// free returns an address at which nobody listens.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// begin starts a process with a second address of its own.
+func (s *succession) begin() *process {
+	s.t.Helper()
+	p := &process{ops: free(s.t), ended: make(chan error, 1)}
+	p.cmd, p.log = program(s.t, "NODE_CONFIG="+s.config, "NODE_NAME=n1", "NODE_LISTEN="+s.listen, "NODE_OPS="+p.ops, "TMPDIR="+s.shared)
+	go func() { p.ended <- p.cmd.Wait() }()
+	s.t.Cleanup(func() { p.cmd.Process.Kill() })
+	return p
+}
+
+// operate calls a process's second address.
+func (p *process) operate(method, path string) int {
+	req, err := http.NewRequest(method, "http://"+p.ops+path, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// ready waits until a process says yes.
+func (s *succession) ready(p *process) {
+	s.t.Helper()
+	for end := time.Now().Add(time.Minute); p.operate(http.MethodGet, "/control/ready") != http.StatusOK; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("no yes\n%s", p.log)
+		}
+	}
+}
+
+// retire ends a process as the platform does, and fails where it would have been killed.
+func (s *succession) retire(p *process) {
+	s.t.Helper()
+	begin := time.Now()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-p.ended:
+		if took := time.Since(begin); err != nil || took > 2200*time.Millisecond {
+			s.t.Errorf("ended after %v with %v\n%s", took, err, p.log)
+		}
+	case <-time.After(time.Minute):
+		s.t.Fatalf("does not end\n%s", p.log)
+	}
+}
+
+// load calls the agent until it is stopped, half of the clients with connections that they keep.
+type load struct {
+	stop           chan struct{}
+	done           sync.WaitGroup
+	calls, lost    atomic.Int64
+	first          atomic.Pointer[string]
+	wrong, refused atomic.Int64
+}
+
+func (s *succession) load(clients int) *load {
+	l := &load{stop: make(chan struct{})}
+	for n := range clients {
+		l.done.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: n%2 == 0, MaxIdleConns: 1}}
+			defer client.CloseIdleConnections()
+			for i := 0; ; i++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				class, method := "form-check", http.MethodGet
+				if i%2 == 1 { // net/http sends a POST once only, whatever becomes of it
+					class, method = "refund-pay", http.MethodPost
+				}
+				id := fmt.Sprintf("%x-%x-%x", n, i, time.Now().UnixNano())
+				req, err := http.NewRequest(method, "http://"+s.listen+"/"+class+"/1", nil)
+				if err != nil {
+					panic(err)
+				}
+				for name, value := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": class, "X-Account": "rosyth-port",
+					"X-Time-Left": "1.5"} {
+					req.Header.Set(name, value)
+				}
+				l.calls.Add(1)
+				resp, err := client.Do(req)
+				if err != nil {
+					text := fmt.Sprintf("%s %s: %v", method, id, err)
+					l.first.CompareAndSwap(nil, &text)
+					l.lost.Add(1)
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				switch {
+				case resp.StatusCode == http.StatusServiceUnavailable:
+					l.refused.Add(1)
+				case err != nil || resp.StatusCode != http.StatusOK || string(body) != id:
+					l.wrong.Add(1)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.done.Wait()
+}
+
+// Twenty replacements under load, with discovery down: no call is lost at the door and none runs twice, each process ends
+// by itself, and a backend that was taken out before stays out until it is put back.
+func TestReplacementsUnderLoad(t *testing.T) {
+	s := newSuccession(t, 4)
+	now := s.begin()
+	s.ready(now)
+	l := s.load(12)
+	if got := now.operate(http.MethodPost, "/control/backends/s-0/offline"); got != http.StatusOK {
+		t.Errorf("offline: %d", got)
+	}
+	s.mu.Lock()
+	out := s.byServer["s-0"]
+	s.mu.Unlock()
+	for range 20 {
+		next := s.begin()
+		s.ready(next)
+		s.retire(now)
+		if !strings.Contains(now.log.String(), "replaced=true") {
+			t.Fatalf("nothing was handed over\n%s\n%s", now.log, next.log)
+		}
+		now = next
+	}
+	s.mu.Lock()
+	after := s.byServer["s-0"]
+	s.mu.Unlock()
+	if after > out+12 { // those that were under way
+		t.Errorf("%d calls came to a backend that was out", after-out)
+	}
+	if got := now.operate(http.MethodPost, "/control/backends/s-0/online"); got != http.StatusOK {
+		t.Errorf("online: %d", got)
+	}
+	for end := time.Now().Add(time.Minute); ; time.Sleep(10 * time.Millisecond) {
+		s.mu.Lock()
+		back := s.byServer["s-0"] > after
+		s.mu.Unlock()
+		if back {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("it gets nothing after it was put back")
+		}
+	}
+	l.end()
+	t.Logf("%d calls, %d refused", l.calls.Load(), l.refused.Load())
+	if l.lost.Load() > 0 || l.wrong.Load() > 0 {
+		t.Errorf("%d lost and %d wrong of %d, the first: %s", l.lost.Load(), l.wrong.Load(), l.calls.Load(), *l.first.Load())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, n := range s.runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,13 +50,14 @@
 
 	listeners []*net.TCPListener // the application's, then Thrift's if it is on
 	ops       net.Listener       // the second address; nil where there is none
-	illegal   atomic.Int64       // steps of attempts and connections that must not come
+	line      line
+	illegal   atomic.Int64 // steps of attempts and connections that must not come
 }
 
 // front takes the calls of one listener.
 type front interface {
 	Serve() error
-	Stop(lingering, atMost time.Duration)
+	Stop(accepting, idling, atMost time.Duration)
 }
 
 // New returns an Agent that is ready to Run. With a Thrift service, which may be nil, it takes calls in Thrift too.
@@ -69,12 +70,14 @@
 	Service *thriftmap.Map                 // takes Thrift too
 	Sources *sourceconf.Config             // where servers come from; the platform's list alone where nil
 	Shapes  func() (*translate.Set, error) // reads the shapes of calls, again with each reload; calls have none where nil
+	Shared  string                         // the folder that a process shares with the one that replaces it; empty for none
 }
 
 // NewWith is New with more options.
 func NewWith(cfg *config.Config, opts Options, log *slog.Logger) (*Agent, error) {
 	service, sources := opts.Service, opts.Sources
 	a := &Agent{cfg: cfg, thrift: service, log: log, door: door.New(cfg.ClientSockets()), shapes: opts.Shapes}
+	a.claim(opts.Shared)
 	pooled := pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleFor: cfg.IdleFor(), Most: cfg.BackendSockets(),
 		Illegal: a.noteIllegal, Addresses: addresses.Defaults}
 	var feed core.Feed
@@ -109,7 +112,7 @@
 	a.core, err = core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
 		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Feed: feed, Pool: a.pool, Log: log,
 		Transports: transports, Illegal: a.noteIllegal, Routes: ways,
-		Publish: cfg.Ops != ""})
+		Publish: cfg.Ops != "", Inherited: a.line.inheritance()})
 	return a, err
 }
 
@@ -126,7 +129,8 @@
 }
 
 const (
-	// lingering is how long an ending agent goes on accepting: clients hear of its end a little later.
+	// lingering is how long an ending agent goes on accepting: clients hear of its end a little later. Where another
+	// process takes over, those that are idle are left open for as long.
 	lingering = 500 * time.Millisecond
 	// closing is what an ending agent may take beyond the longest deadline.
 	closing = 600 * time.Millisecond
@@ -166,6 +170,9 @@
 
 // bind listens at an address of clients. Where a process may be replaced while it serves, two may listen there.
 func (a *Agent) bind(addr string) (*net.TCPListener, error) {
+	if l := a.line.inherited(addr); l != nil {
+		return l, nil
+	}
 	var how net.ListenConfig
 	if a.cfg.Ops != "" {
 		how.Control = func(_, _ string, raw syscall.RawConn) (err error) {
@@ -226,6 +233,8 @@
 		}
 	}
 	go a.core.Run(work)
+	endLine := a.succeed(work)
+	defer endLine()
 	failed := make(chan error, len(fronts)+1)
 	for _, f := range fronts {
 		go func() { failed <- f.Serve() }()
@@ -247,10 +256,17 @@
 		case <-ctx.Done():
 		}
 	}
-	a.log.Info("ending")
+	accepting, idling := lingering, time.Duration(0)
+	if a.cfg.Ops != "" {
+		idling = lingering
+		if a.replaced() { // who connects waits in a queue that is the other's, too
+			accepting = 0
+		}
+	}
+	a.log.Info("ending", "replaced", a.replaced())
 	stopped := make(chan struct{}, len(fronts))
 	for _, f := range fronts {
-		go func() { f.Stop(lingering, a.cfg.LongestDeadline()+closing); stopped <- struct{}{} }()
+		go func() { f.Stop(accepting, idling, a.cfg.LongestDeadline()+closing); stopped <- struct{}{} }()
 	}
 	if a.keeper != nil {
 		a.keeper.End() // at once: what kills an agent that ends too slowly gives no further notice
--- /dev/null
+++ b/internal/agent/succession.go
@@ -0,0 +1,184 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"path/filepath"
+	"runtime/debug"
+	"sync"
+
+	"ternbeam/internal/decide/succession"
+	"ternbeam/internal/discovery"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/successor"
+)
+
+const (
+	claimName = "ternbeam.sock"
+	// longestPath is what the name of a Unix socket may have, with the number of a process behind it.
+	longestPath = 90
+)
+
+// line is the part of an Agent that is about the processes before and after it.
+type line struct {
+	path string          // where claims are made; empty where this process is never replaced
+	heir *successor.Heir // what this process has from the one before; nil where it began from nothing
+
+	mu      sync.Mutex
+	beside  int // processes that serve beside this one
+	younger int // those of them that have taken over from this one
+	ends    map[*successor.Link]func()
+}
+
+// claim asks whoever serves under this agent's name for what it leaves. Where that is nobody, or not to be had, the agent
+// starts plainly.
+func (a *Agent) claim(shared string) {
+	if shared == "" || a.cfg.Ops == "" {
+		return
+	}
+	path := filepath.Join(shared, claimName)
+	if len(path) > longestPath {
+		a.log.Warn("the path of the shared folder is too long: a replacement begins from nothing", "path", path)
+		return
+	}
+	a.line.path = path
+	heir, err := successor.Claim(path, a.cfg.Name)
+	switch {
+	case errors.Is(err, successor.ErrNobody):
+		return
+	case err != nil:
+		a.log.Warn("starting from nothing, as what was left can't be had", "error", err)
+		return
+	}
+	a.line.heir = heir
+	var list discovery.List
+	if json.Unmarshal(heir.State.List, &list) == nil && len(list.Servers) > 0 {
+		if heir.State.Discovery != a.cfg.Discovery {
+			list.Version = discovery.Unknown // counted otherwise
+		}
+		list.Full = true
+		a.cfg.Known = list
+	}
+	a.log.Info("replacing another process", "servers", len(list.Servers), "out", len(heir.State.Said.Out), "listeners", len(heir.Listeners))
+}
+
+// inheritance is what the core begins with; nil where that is nothing.
+func (l *line) inheritance() *core.Inheritance {
+	if l.heir == nil {
+		return nil
+	}
+	return &core.Inheritance{Said: l.heir.State.Said, Learned: l.heir.State.Learned}
+}
+
+// inherited returns the listener that was left for an address, or nil.
+func (l *line) inherited(addr string) *net.TCPListener {
+	if l.heir == nil {
+		return nil
+	}
+	for i, left := range l.heir.Listeners {
+		if left != nil && left.Addr().String() == addr {
+			l.heir.Listeners[i] = nil
+			return left
+		}
+	}
+	return nil
+}
+
+// succeed tells and hears the process before this one, for as long as both live, and lets the next one claim once this
+// one takes clients. It returns what ends that.
+func (a *Agent) succeed(ctx context.Context) (end func()) {
+	if a.line.path == "" {
+		return func() {}
+	}
+	if heir := a.line.heir; heir != nil {
+		for _, l := range heir.Listeners { // for addresses at which this one does not listen
+			if l != nil {
+				l.Close()
+			}
+		}
+		leave := a.core.Join(heir.Link.Say)
+		a.share(1, 0)
+		go func() {
+			heir.Link.Run(func(n succession.News) { a.core.Hear(ctx, n) })
+			leave()
+			a.share(-1, 0)
+			a.log.Info("the process before is gone")
+		}()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-a.core.Ready():
+		case <-ctx.Done():
+			return
+		}
+		offer, err := successor.NewOffer(a.line.path, a.cfg.Name, a.log)
+		if err != nil {
+			a.log.Warn("a replacement will begin from nothing", "error", err)
+			return
+		}
+		stop := context.AfterFunc(ctx, func() { offer.Close() })
+		defer stop()
+		offer.Serve(a.leave, a.linked)
+	}()
+	return cancel
+}
+
+// leave is what the next process gets.
+func (a *Agent) leave(l *successor.Link) (succession.State, []*net.TCPListener, error) {
+	s, end, err := a.core.Leave(context.Background(), l.Say)
+	s.Name = a.cfg.Name
+	for _, listener := range a.listeners {
+		s.Listeners = append(s.Listeners, listener.Addr().String())
+	}
+	a.line.mu.Lock()
+	defer a.line.mu.Unlock()
+	if a.line.ends == nil {
+		a.line.ends = map[*successor.Link]func(){}
+	}
+	a.line.ends[l] = end
+	return s, a.listeners, err
+}
+
+// linked serves beside the next process, until one of the two ends.
+func (a *Agent) linked(l *successor.Link) {
+	a.line.mu.Lock()
+	end := a.line.ends[l]
+	delete(a.line.ends, l)
+	a.line.mu.Unlock()
+	if end == nil {
+		return // nothing was left
+	}
+	a.share(1, 1)
+	a.log.Info("a process that replaces this one has begun")
+	l.Run(func(n succession.News) { a.core.Hear(context.Background(), n) })
+	end()
+	a.share(-1, -1)
+	a.log.Info("the process that replaces this one is gone")
+}
+
+// share counts the processes beside this one: together they hold what one may. Clients' connections are no part of that:
+// they are those of the same clients, whichever process has them, and to close some would turn away who is about to ask.
+func (a *Agent) share(beside, younger int) {
+	a.line.mu.Lock()
+	defer a.line.mu.Unlock()
+	a.line.beside += beside
+	a.line.younger += younger
+	parts := 1
+	if a.line.beside > 0 {
+		parts = 2 // a third process comes only while the first ends
+	}
+	a.pool.Bound(max(1, a.cfg.BackendSockets()/parts))
+	if a.cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(a.cfg.Limits.HeapLimit() / int64(parts))
+	}
+}
+
+// replaced reports whether another process has what this one leaves, and listens where it does.
+func (a *Agent) replaced() bool {
+	a.line.mu.Lock()
+	defer a.line.mu.Unlock()
+	return a.line.younger > 0
+}
--- a/internal/decide/ledger/operators.go
+++ b/internal/decide/ledger/operators.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ternbeam/choice"
 	"ternbeam/internal/decide/operators"
 )
 
@@ -51,6 +52,15 @@
 	return l.orders
 }
 
+// Inherit tells the module what an earlier process of this agent has just learned.
+func (l *Ledger) Inherit(now time.Duration, m choice.Memory) { l.balancer.Recall(now, m) }
+
+// Listed returns what the list says of a server.
+func (l *Ledger) Listed(id string) (s choice.Server, listed bool) {
+	e, listed := l.listed[id]
+	return e.Server, listed
+}
+
 // Fleet is how many servers are listed, and how many of them are avoided: by hand, or by the module's choice.
 func (l *Ledger) Fleet() (listed, avoided int) {
 	avoided = l.balancer.Ejected()
--- a/internal/decide/life/conn.go
+++ b/internal/decide/life/conn.go
@@ -92,6 +92,24 @@
 	return b
 }
 
+// Bound sets another bound. Where more places are taken than it allows, idle connections are to be closed, those that have
+// been idle for longest first, and those in use when they are returned. Who waits gets the places that it adds.
+func (b *Book) Bound(most int) (closed, next []*Conn) {
+	b.most = most
+	for b.open > b.most && b.count > 0 {
+		c := b.ring.after
+		b.forget(c)
+		c.state = Closed
+		b.open--
+		closed = append(closed, c)
+	}
+	for b.open < b.most && len(b.queue) > 0 {
+		b.open++
+		next = append(next, b.free())
+	}
+	return closed, next
+}
+
 // Count returns how many places are taken, how many of them by idle connections, and how many wait for one.
 func (b *Book) Count() (open, idle, waiting int) { return b.open, b.count, len(b.queue) }
 
@@ -153,7 +171,7 @@
 
 // free gives up a place: the one that has waited for it for longest gets it, if there is one.
 func (b *Book) free() (next *Conn) {
-	if len(b.queue) == 0 {
+	if len(b.queue) == 0 || b.open > b.most {
 		b.open--
 		return nil
 	}
@@ -166,7 +184,7 @@
 // Return takes a connection back. It is kept if it may be used again, and nobody waits for its place; otherwise it is
 // to be closed, and the one that is returned has its place.
 func (b *Book) Return(c *Conn) (kept bool, next *Conn, err error) {
-	if c.State() == InUse && len(b.queue) == 0 {
+	if c.State() == InUse && len(b.queue) == 0 && b.open <= b.most {
 		c.state = Idle
 		b.idle[c.Server] = append(b.idle[c.Server], c)
 		c.before, c.after = b.ring.before, &b.ring
--- /dev/null
+++ b/internal/decide/succession/succession_test.go
@@ -0,0 +1,62 @@
+package succession
+
+import (
+	"encoding/binary"
+	"errors"
+	"strings"
+	"testing"
+
+	"ternbeam/choice"
+)
+
+func parse(frame []byte, into any) error {
+	n, sum, err := Head(frame[:min(len(frame), HeadSize)])
+	if err != nil {
+		return err
+	}
+	if len(frame) != HeadSize+n {
+		return ErrFrame
+	}
+	return Body(frame[HeadSize:], sum, into)
+}
+
+func TestFrame(t *testing.T) {
+	frame, err := Frame(News{Offline: "s-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var n News
+	if err := parse(frame, &n); err != nil || n.Offline != "s-1" {
+		t.Errorf("%+v, %v", n, err)
+	}
+	for i := range frame { // any byte that is another makes it one that is not read
+		bad := append([]byte(nil), frame...)
+		bad[i] ^= 0x20
+		if err := parse(bad, &n); !errors.Is(err, ErrFrame) {
+			t.Errorf("byte %d: %v", i, err)
+		}
+	}
+	binary.BigEndian.PutUint32(frame[len(mark):], MostBytes+1)
+	if _, _, err := Head(frame[:HeadSize]); err == nil || !strings.Contains(err.Error(), "byte 4: a length of") {
+		t.Errorf("a length beyond the bound: %v", err)
+	}
+}
+
+// A word of a drain counts for the process that it is of and no later one.
+func TestCounts(t *testing.T) {
+	for _, c := range []struct {
+		known, said choice.Server
+		want        bool
+	}{
+		{choice.Server{ID: "a", Started: 5}, choice.Server{ID: "a", Started: 5, State: choice.Draining}, true},
+		{choice.Server{ID: "a", Started: 5}, choice.Server{ID: "a", Started: 5, State: choice.Gone}, true},
+		{choice.Server{ID: "a", Started: 5}, choice.Server{ID: "a", Started: 6, State: choice.Draining}, true},
+		{choice.Server{ID: "a", Started: 6}, choice.Server{ID: "a", Started: 5, State: choice.Draining}, false},
+		{choice.Server{ID: "a", Started: 5}, choice.Server{ID: "a", Started: 5}, false},
+		{choice.Server{}, choice.Server{ID: "a", State: choice.Gone}, false},
+	} {
+		if got := Counts(c.known, c.said); got != c.want {
+			t.Errorf("known %+v, said %+v: %t", c.known, c.said, got)
+		}
+	}
+}
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -66,6 +66,7 @@
 	Illegal    func(error)    // takes steps that must not come; none where nil
 	Routes     *routes.Routes // by the shapes of calls; nil where they have none
 	Publish    bool           // figures are wanted
+	Inherited  *Inheritance   // what a process that this one replaces has left; nil where there is none
 }
 
 // Core is one client-side balancer: the host of a Ledger. One goroutine, the loop, owns the Ledger and the timers;
@@ -92,6 +93,8 @@
 	haveWatch bool
 	clock     func() learned.Clock // nil where nothing is remembered
 	published time.Duration        // when the figures were
+	list      discovery.List       // as it stands
+	others    map[*other]bool      // processes that this one tells what it is told
 }
 
 // New returns a Core that is ready to Run.
@@ -155,7 +158,9 @@
 	} else {
 		c.follow(ctx, c.set.Discovery, c.set.Known)
 		c.do(c.ledger.Start(c.Now()))
-		c.list(c.set.Known)
+		c.inherit()
+		c.apply(c.set.Known)
+		c.learn()
 		if !c.set.Module.Subscribe {
 			c.beginWatch()
 		}
--- a/internal/host/core/figures.go
+++ b/internal/host/core/figures.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"ternbeam/internal/decide/ledger"
-	"ternbeam/internal/decide/operators"
+	"ternbeam/internal/decide/succession"
 )
 
 // publishEvery is how old figures may get, but for what the machine itself stands still.
@@ -34,28 +34,27 @@
 // Offline takes a server out, until Online. From when it returns nothing new is begun there. It is false for one that
 // nobody knows.
 func (c *Core) Offline(ctx context.Context, id string) (known bool, err error) {
-	return c.steer(ctx, id, (*ledger.Ledger).Offline)
+	return c.steer(ctx, id, (*ledger.Ledger).Offline, succession.News{Offline: id})
 }
 
 // Online puts a server back.
 func (c *Core) Online(ctx context.Context, id string) (known bool, err error) {
-	return c.steer(ctx, id, (*ledger.Ledger).Online)
+	return c.steer(ctx, id, (*ledger.Ledger).Online, succession.News{Online: id})
 }
 
-func (c *Core) steer(ctx context.Context, id string, how func(*ledger.Ledger, time.Duration, string) ([]ledger.Order, bool)) (known bool, err error) {
+func (c *Core) steer(ctx context.Context, id string, how func(*ledger.Ledger, time.Duration, string) ([]ledger.Order, bool),
+	news succession.News) (known bool, err error) {
 	return demand(ctx, c, func() bool {
 		orders, known := how(c.ledger, c.Now(), id)
 		c.do(orders)
+		if known {
+			c.tell(news)
+		}
 		c.publish()
 		return known
 	})
 }
 
-// Saying is what the operators have said so far.
-func (c *Core) Saying(ctx context.Context) (operators.Saying, error) {
-	return demand(ctx, c, c.ledger.Saying)
-}
-
 // demand is ask for what waits for no queue of calls.
 func demand[T any](ctx context.Context, c *Core, question func() T) (T, error) {
 	return askOn(ctx, c.urgent, question)
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -46,7 +46,7 @@
 		c.unwatch()
 	}
 	ctx, c.unwatch = context.WithCancel(ctx)
-	c.discovery = addr
+	c.discovery, c.list.Version = addr, known.Version
 	d := discovery.New(addr, known, c.log)
 	current := func(event func()) {
 		c.post(func() {
@@ -55,7 +55,7 @@
 			}
 		})
 	}
-	deliver := func(l discovery.List) { current(func() { c.list(l); c.markReady() }) }
+	deliver := func(l discovery.List) { current(func() { c.apply(l); c.markReady() }) }
 	c.watch = func() { d.KeepWatching(ctx, deliver, nil) }
 	if c.set.Module.Subscribe {
 		c.watch = func() { // each time that the module asks for it
@@ -73,8 +73,14 @@
 	go c.watch()
 }
 
-// list applies the list of servers or a change of it.
-func (c *Core) list(l discovery.List) {
+// apply applies the list of servers or a change of it.
+func (c *Core) apply(l discovery.List) {
+	c.pass(l)
+	c.enter(l)
+}
+
+// enter is apply for what no other process needs to be told.
+func (c *Core) enter(l discovery.List) {
 	entries := make([]ledger.Entry, 0, len(l.Servers))
 	for _, e := range l.Servers {
 		s, err := e.Server(c.set.Zones)
--- a/internal/host/core/list_test.go
+++ b/internal/host/core/list_test.go
@@ -74,10 +74,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCore(t, "127.0.0.1:1")
-			c.list(discovery.List{Full: true, Servers: []discovery.Entry{e}})
+			c.apply(discovery.List{Full: true, Servers: []discovery.Entry{e}})
 			old, next := c.ledger.Server("b"), e
 			change(&next)
-			c.list(discovery.List{Servers: []discovery.Entry{next}})
+			c.apply(discovery.List{Servers: []discovery.Entry{next}})
 			now := c.ledger.Server("b")
 			if kept := now == old; kept != (name == "nothing") || old.Retired() == kept {
 				t.Errorf("the same: %t, retired: %t", kept, old.Retired())
@@ -92,7 +92,7 @@
 // An entry that cannot be read costs nothing but itself.
 func TestUnreadableEntries(t *testing.T) {
 	c := newCore(t, "127.0.0.1:1")
-	c.list(discovery.List{Full: true, Servers: []discovery.Entry{
+	c.apply(discovery.List{Full: true, Servers: []discovery.Entry{
 		{ID: "a", Addr: "127.0.0.1:1", State: "in_service", Protocol: "gopher"},
 		{ID: "b", Addr: "127.0.0.1:1", State: "in_service", Multiplexed: true},
 		{ID: "c", Addr: "nowhere", State: "in_service"},
--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -47,6 +47,7 @@
 	*net.TCPListener
 	door   *Door
 	ending atomic.Bool
+	left   atomic.Bool // to another process, which accepts what stands in the queue
 	closed chan struct{}
 }
 
@@ -65,7 +66,7 @@
 			return c, nil
 		case !l.ending.Load():
 			return nil, err
-		case !queued:
+		case !queued || l.left.Load():
 			l.Close()
 			close(l.closed)
 			return nil, net.ErrClosed
@@ -81,6 +82,13 @@
 	<-l.closed
 }
 
+// Leave ends the accepting at once, where another process holds the listening socket, too: its queue is never empty for
+// long, and what stands there is lost to nobody.
+func (l *Listener) Leave() {
+	l.left.Store(true)
+	l.CloseAfter(0)
+}
+
 // DropSilent closes the listener's connections that have said nothing yet.
 func (l *Listener) DropSilent() {
 	d := l.door
--- a/internal/host/pool/pool.go
+++ b/internal/host/pool/pool.go
@@ -291,6 +291,17 @@
 	p.grantLocked(next...)
 }
 
+// Bound sets another bound on the connections.
+func (p *Pool) Bound(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	closed, next := p.book.Bound(most)
+	for _, l := range closed {
+		l.Host.(*Conn).Close()
+	}
+	p.grantLocked(next...)
+}
+
 // Count returns how many places are taken, how many of them by idle connections, and how many attempts wait for one.
 func (p *Pool) Count() (open, idle, waiting int) {
 	p.mu.Lock()
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"ternbeam/choice"
@@ -42,6 +43,7 @@
 	http   *http.Server
 	door   *door.Door
 	listen *door.Listener
+	ending atomic.Bool // answers say that their connection ends
 }
 
 // Shapes finds the shapes of requests.
@@ -98,17 +100,27 @@
 // Serve takes calls until Stop; it always ends with an error.
 func (f *Front) Serve() error { return f.http.Serve(f.listen) }
 
-// Stop ends the front gently. Clients hear of it a little later, so new connections are accepted for a while;
-// those that wait for nothing are closed at once, while a client that just wrote to one can still come anew.
-// After that, what was taken is answered, for so long as it may take; who has said nothing by then is not waited
-// for.
-func (f *Front) Stop(lingering, atMost time.Duration) {
+// Stop ends the front gently. Clients hear of it a little later, so new connections are accepted for a while, unless
+// another process accepts at the same socket and accepting is 0. Those that
+// wait for nothing are left open for some time, in which whoever asks once more is answered and told that the connection
+// ends; then they are closed, while a client that just wrote to one can still come anew. After that, what was taken is
+// answered, for so long as it may take; who has said nothing by then is not waited for.
+func (f *Front) Stop(accepting, idling, atMost time.Duration) {
 	end := time.Now().Add(atMost)
-	f.http.SetKeepAlivesEnabled(false) // closes what is idle, and the others with their answers
-	f.listen.CloseAfter(lingering)
+	f.ending.Store(true)
+	closeIdle := time.AfterFunc(idling, func() { f.http.SetKeepAlivesEnabled(false) })
+	if accepting > 0 {
+		f.listen.CloseAfter(accepting)
+	} else {
+		f.listen.Leave()
+	}
+	if closeIdle.Stop() { // the listener was closed before
+		time.Sleep(time.Until(end.Add(idling - atMost)))
+		f.http.SetKeepAlivesEnabled(false)
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	silent := time.AfterFunc(door.LastWords, f.listen.DropSilent)
+	silent := time.AfterFunc(idling+door.LastWords, f.listen.DropSilent)
 	defer silent.Stop()
 	if err := f.http.Shutdown(ctx); err != nil {
 		f.log.Warn("connections were still open at the end", "error", err)
@@ -145,6 +157,9 @@
 	}
 	select {
 	case ans := <-answers:
+		if f.ending.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		answer(w, ans)
 	case <-in.Context().Done():
 		f.core.Left(call)
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -15,7 +15,7 @@
 	{"refused after a reset", "choice/choice.go", "} else if r.mayRefuse() {", "} else if true {", "unsafe"},
 	{"answered twice as the reply meets the deadline", "internal/decide/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil {", "unsafe"},
 	{"connection used again with bytes behind the answer", "internal/lab/explore/host.go", "if !c.Host.(*on).foreign {", "if true {", "one-place"},
-	{"connection kept whose server sent a second answer", "internal/decide/life/conn.go", "if c.State() == InUse && len(b.queue) == 0 {", "if c.State() != Closed && len(b.queue) == 0 {", "one-place"},
+	{"connection kept whose server sent a second answer", "internal/decide/life/conn.go", "if c.State() == InUse && len(b.queue) == 0 && b.open <= b.most {", "if c.State() != Closed && len(b.queue) == 0 {", "one-place"},
 	{"sent to a server after its drain", "internal/decide/life/attempt.go", "case now.Retired:", "case now.Retired && now.Late:", "unsafe"},
 	{"window not looked at when a repeat is written", "choice/choice.go", "first != nil && r.class.Effect == Keyed {", "first != nil && r.class.Effect == Unsafe {", "keyed"},
 	{"window counted from the repeat", "choice/choice.go", "send.Within = first.sent", "send.Within = b.now", "keyed"},
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -23,6 +23,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// HeapLimit is how many bytes the runtime may hold before it collects harder: the rest is for what it does not count.
+func (l Limits) HeapLimit() int64 { return l.MemoryMB << 20 * 6 / 10 }
+
 // Config is all that an agent is told at its start.
 type Config struct {
 	Name      string
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -72,17 +72,22 @@
 }
 
 // Stop ends the front gently, as for HTTP: connections are accepted for a while; those on which nothing is under way
-// are closed at once, the others when everything on them is answered; who has said nothing is not waited for.
-func (f *Front) Stop(lingering, atMost time.Duration) {
+// are closed after a while, the others when everything on them is answered; who has said nothing is not waited for.
+func (f *Front) Stop(lingering, idling, atMost time.Duration) {
 	end := time.NewTimer(atMost)
 	defer end.Stop()
+	time.Sleep(idling) // in Thrift there is no word for a goodbye: who calls meanwhile is answered
 	f.stopping.Store(true)
 	f.mu.Lock()
 	for c := range f.clients {
 		c.wake()
 	}
 	f.mu.Unlock()
-	f.listen.CloseAfter(lingering)
+	if lingering > 0 {
+		f.listen.CloseAfter(lingering)
+	} else {
+		f.listen.Leave()
+	}
 	silent := time.AfterFunc(door.LastWords, f.listen.DropSilent)
 	defer silent.Stop()
 	for f.count() > 0 {
