Long bodies go on while they come, both ways, in every form of HTTP/1.1

Ruled out: memory (22 of 64 MB) and the module (the servers were not ejected).

Answers beyond 64 KiB, or of unknown length and not whole after 100 ms, are begun to be passed on: a state of the ledger. Requests beyond 64 KiB are sent while they come; the module hears when they are whole.

--- a/choice/api.go
+++ b/choice/api.go
@@ -161,6 +161,12 @@
 		Deadline      time.Duration // when the client gives this try up, on the clock of the events
 		Again         bool          // the client's own repeat, where clients say so
 		Needs         Protocols     // all of these a server must speak to be sent it; 0 where any will do
+		Coming        bool          // its last bytes are still to come; Whole says when they have
+	}
+	// Whole says that a request that was coming is here to its last byte. Its time counts from now.
+	Whole struct {
+		Request  string
+		Deadline time.Duration
 	}
 	// Outcome ends one attempt. Every Send gets one. The first OK answers the client by itself.
 	Outcome struct {
@@ -198,6 +204,7 @@
 func (ServerList) event()      {}
 func (ListUnavailable) event() {}
 func (Request) event()         {}
+func (Whole) event()           {}
 func (Outcome) event()         {}
 func (Streaming) event()       {}
 func (ClientGone) event()      {}
@@ -274,6 +281,8 @@
 		}
 	case Request:
 		b.request(e)
+	case Whole:
+		b.whole(e)
 	case Outcome:
 		b.outcome(e)
 	case Streaming:
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -377,7 +377,8 @@
 		}
 	}
 	b.lost -= learn * b.lost
-	if late || o.Result == OK { // a dead server is no jam, nor one that loses some, nor an impatient client
+	// A dead server is no jam, nor one that loses some, an impatient client or a body that comes slowly.
+	if (late || o.Result == OK) && !a.req.Coming {
 		b.jam += b.jamWeight * (b.slackUsed(a, late) - b.jam)
 	}
 	s.failing += failWeight * part * (bad - s.failing)
@@ -412,7 +413,7 @@
 func (b *Balancer) copyLate(s *server) {
 	for _, a := range slices.Clone(s.inFlight) {
 		late := float64(b.now-a.sent) > copyTimes*b.usual[a.req.Class]
-		if late && b.lost > lostFrom && b.jam < shedFrom && a.req.out == 1 && b.elsewhere(a) {
+		if late && !a.req.Coming && b.lost > lostFrom && b.jam < shedFrom && a.req.out == 1 && b.elsewhere(a) {
 			b.budget--
 			b.try(a.req)
 		}
@@ -429,7 +430,9 @@
 // all that is in flight: one late answer is a costly request, many are a silent server.
 func (b *Balancer) missed(s *server) (n float64) {
 	for _, a := range s.inFlight {
-		n += float64(b.now-max(a.sent, s.heard)) / b.usual[a.req.Class]
+		if !a.req.Coming { // of others it owes nothing yet
+			n += float64(b.now-max(a.sent, s.heard)) / b.usual[a.req.Class]
+		}
 	}
 	return n
 }
@@ -584,6 +587,19 @@
 	b.try(r)
 }
 
+// whole begins the time of a request that has come to its last byte, and that of its servers.
+func (b *Balancer) whole(e Whole) {
+	if r := b.requests[e.Request]; r != nil && r.Coming && !r.closed {
+		delete(b.timers, r.due)
+		r.Coming, r.Deadline, r.due = false, e.Deadline, b.timerFor(r, e.Deadline-b.now)
+		for _, a := range r.attempts {
+			if a.out {
+				a.sent = b.now
+			}
+		}
+	}
+}
+
 // slackUsed is the time that an attempt took over the least usual, as part of the slack between that and the
 // aim, in the class with the least slack: a jam is the same for all. One slow server is none: it ends at 1.
 func (b *Balancer) slackUsed(a *attempt, late bool) float64 {
@@ -602,7 +618,7 @@
 	jam := b.jam
 	for _, s := range b.servers {
 		for _, a := range s.inFlight {
-			if !a.passedOver(b.usual[a.req.Class]) {
+			if !a.passedOver(b.usual[a.req.Class]) && !a.req.Coming {
 				jam += b.jamWeight * max(0, b.slackUsed(a, false)-jam)
 			}
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -87,7 +87,7 @@
 			Log: log}).Feed
 	}
 	a.pool = pool.New(pooled)
-	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(a.pool, cfg.Fields)}
+	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(a.pool, cfg.Fields, cfg.Long())}
 	if service != nil {
 		t := thriftback.New(a.pool, service)
 		transports[protocol.ThriftBinary], transports[protocol.ThriftCompact] = t, t
--- a/internal/decide/ledger/copy.go
+++ b/internal/decide/ledger/copy.go
@@ -27,6 +27,7 @@
 		for _, at := range c.attempts {
 			twin.attempts = append(twin.attempts, t.Attempts.Of(at))
 		}
+		twin.passing = t.Attempts.Of(c.passing)
 	}
 	return t
 }
@@ -34,7 +35,7 @@
 // Copy returns an equal Ledger over an equal module. It must not be under way with anything.
 func (l *Ledger) Copy(set Settings, balancer Module, t *Twins) *Ledger {
 	twin := New(set, balancer)
-	twin.now, twin.open, twin.stats = l.now, l.open, l.Stats()
+	twin.now, twin.open, twin.passing, twin.stats = l.now, l.open, l.passing, l.Stats()
 	twin.listed, twin.word = maps.Clone(l.listed), l.word.Copy()
 	for id, c := range l.calls {
 		twin.calls[id] = t.Calls.Of(c)
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -28,6 +28,7 @@
 	attempts []*Attempt  // by number; nil for one that has ended
 	out      int         // attempts in flight
 	unfit    error       // why it can't be put in another shape
+	passing  *Attempt    // whose answer has begun to be passed on, until its end
 }
 
 // Over reports whether the call has its final answer or its client is gone: nothing may be sent for it any more.
@@ -72,6 +73,7 @@
 
 	// Illegal takes a step that must not come: a fault of this program. None is taken where it is nil.
 	Illegal  func(error)
+	Begun    func(*Attempt, Ending)  // the host's: says that the answer begins to be passed on, which then ends apart
 	Forwards *atomic.Int64           // the host's: counts the attempts that are written whole, where not nil
 	Withdraw context.CancelCauseFunc // the host's: ends the attempt's context
 	WriteBy  time.Time               // the host's: SendBy on the system's clock
@@ -125,6 +127,8 @@
 	SetTimer                   // Fired with Token is owed at At
 	Subscribe                  // to the list
 	Retire                     // Server: its idle connections are closed
+	Bound                      // Attempt is given up at At, earlier than was said when it began
+	Discard                    // Reply: nobody takes it
 )
 
 // Order is something that the host is to do. Orders are carried out in their order.
@@ -133,6 +137,7 @@
 	Attempt *Attempt
 	Call    *Call
 	Answer  Answer
+	Reply   any
 	Token   uint64
 	At      time.Duration
 	Server  *life.Server
@@ -183,6 +188,7 @@
 	listed   map[string]Entry // as the list has them, also those that drain
 	word     operators.Word
 	open     int // calls not answered yet
+	passing  int // calls whose answer is being passed on
 	stats    Stats
 	past     *aging.Past    // what an earlier agent knew; nil for nothing
 	named    []aging.Listed // by the list, and not asked for in the past yet
@@ -266,6 +272,11 @@
 	call.attempts[at.Number] = nil
 	call.out--
 	l.stats.Results[e.Result]++
+	if call.passing == at { // the module has its outcome, and the client the beginning of its answer
+		l.passed(call, e.Result == choice.OK)
+		l.forget(call)
+		return l.orders
+	}
 	if e.Report != choice.NoReport {
 		l.stats.Reports++
 	}
@@ -453,6 +464,13 @@
 // reply orders the final answer and counts it.
 func (l *Ledger) reply(call *Call, ans Answer) {
 	l.order(Order{Kind: Reply, Call: call, Answer: ans})
+	if call.passing == nil { // or its end says what it was
+		l.count(call, ans)
+	}
+}
+
+// count counts a call under its end.
+func (l *Ledger) count(call *Call, ans Answer) {
 	var class ClassStats
 	switch ans.Kind {
 	case Served:
@@ -483,6 +501,9 @@
 	}
 }
 
+// Passing returns how many calls there are whose answer is being passed on.
+func (l *Ledger) Passing() int { return l.passing }
+
 // Count returns how many calls are not answered yet, and how many these and those with attempts in flight are.
 func (l *Ledger) Count() (open, held int) { return l.open, len(l.calls) }
 
--- a/internal/decide/life/attempt.go
+++ b/internal/decide/life/attempt.go
@@ -129,6 +129,15 @@
 	return nil
 }
 
+// Sized says how long the message is, where that was not known when it was begun.
+func (a *Attempt) Sized(n int) error {
+	if a.stage != Writing && a.stage != Reading || n < a.sent || n > a.size {
+		return a.illegal(fmt.Sprintf("sized as %d", n))
+	}
+	a.size = n
+	return nil
+}
+
 // Unsure says that the message is being written and nobody can tell how far that gets: it counts as written.
 func (a *Attempt) Unsure() error {
 	if a.stage != Writing {
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -77,8 +78,9 @@
 	events    chan func()
 	urgent    chan func() // goes before events: the operators' word, which waits for no queue of calls
 	workers   workers
-	malformed atomic.Int64  // calls that no front could read, which the loop never sees
-	ready     chan struct{} // closed when clients may begin
+	malformed atomic.Int64           // calls that no front could read, which the loop never sees
+	ready     chan struct{}          // closed when clients may begin
+	begun     func(*Attempt, Ending) // one for all attempts
 	figures   atomic.Pointer[Figures]
 	forwards  atomic.Int64 // attempts that were written whole
 	started   time.Time
@@ -108,6 +110,7 @@
 		Carries: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, Illegal: set.Illegal, Routes: set.Routes}, balancer)
 	c := &Core{set: set, log: set.Log, events: make(chan func(), 1024), urgent: make(chan func()), workers: newWorkers(), ready: make(chan struct{}),
 		started: now, origin: time.Duration(now.UnixNano()), ledger: books}
+	c.begun = func(at *Attempt, e Ending) { c.post(func() { c.do(c.ledger.Begun(c.Now(), at, e)) }) }
 	c.publish() // so that there are figures from the start
 	return c, nil
 }
@@ -137,6 +140,12 @@
 // Take takes a call from a front. It gets one final answer.
 func (c *Core) Take(call *Call) { c.post(func() { c.do(c.ledger.Arrived(c.Now(), call)) }) }
 
+// Whole takes the news that the last byte of a call that was Coming is here, and when its client gives up.
+func (c *Core) Whole(call *Call, left time.Duration) {
+	deadline := c.Now() + left
+	c.post(func() { c.do(c.ledger.Whole(c.Now(), call, deadline)) })
+}
+
 // Left takes the news that the client of a call has gone away: no answer is owed any more.
 func (c *Core) Left(call *Call) { c.post(func() { c.do(c.ledger.Left(c.Now(), call)) }) }
 
@@ -279,6 +288,13 @@
 			o.Call.Answer(o.Answer)
 		case ledger.Retire:
 			c.set.Pool.Retire(o.Server)
+		case ledger.Bound:
+			withdraw := o.Attempt.Withdraw
+			time.AfterFunc(o.At-c.Now(), func() { withdraw(context.DeadlineExceeded) })
+		case ledger.Discard:
+			if r, ok := o.Reply.(io.Closer); ok {
+				r.Close()
+			}
 		}
 	}
 }
@@ -286,7 +302,7 @@
 // begin makes an attempt on a goroutine of its own.
 func (c *Core) begin(at *Attempt) {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	at.Withdraw, at.Forwards = cancel, &c.forwards
+	at.Withdraw, at.Forwards, at.Begun = cancel, &c.forwards, c.begun
 	if at.SendBy != 0 {
 		at.WriteBy = c.at(at.SendBy)
 	}
--- a/internal/host/core/figures.go
+++ b/internal/host/core/figures.go
@@ -25,7 +25,7 @@
 // publish publishes the figures of now.
 func (c *Core) publish() {
 	open, _ := c.ledger.Count()
-	f := &Figures{Classes: c.ledger.Stats().Classes, Outstanding: open}
+	f := &Figures{Classes: c.ledger.Stats().Classes, Outstanding: open + c.ledger.Passing()}
 	f.Discovered, f.Ejected = c.ledger.Fleet()
 	c.published = c.Now()
 	c.figures.Store(f)
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -25,6 +26,9 @@
 
 	inlineSend = 8 << 10 // more than this is written while the answer is awaited: it may come before all is taken
 	stallGrace = 10 * time.Millisecond
+
+	// passStall is how long an answer may pause that is being passed on: nobody could be asked for it instead.
+	passStall = 10 * time.Second
 )
 
 // ErrSpoilt is why an answer counts as an error of the server's: nobody can tell what it is.
@@ -32,17 +36,29 @@
 
 // Talk is one attempt in the words of its protocol.
 type Talk interface {
-	// Message words the call for the server, which is to answer by end. It is sent before the next call.
+	// Message words the call for the server, which is to answer by end. It is sent before the next call; nil where it can't
+	// be sent any more.
 	Message(end time.Time) []byte
 	// Answer reads one answer whole. Where its connection can be used again, reusable is true. What it can't make
 	// sense of is an ErrSpoilt.
 	Answer(in *Inflow) (e core.Ending, reusable bool, err error)
 }
 
+// Following is a Talk whose message goes on behind what Message words. Follow writes the rest, while the answer is awaited,
+// and returns how many bytes of it were written; an error means that not all were. Stop ends a Follow that waits for more
+// to come.
+type Following interface {
+	Follows() bool
+	Follow(w net.Conn) (n int, err error)
+	Stop()
+}
+
 // Transport makes attempts over the connections of a Pool, one at a time on each.
 type Transport struct {
 	Pool  *pool.Pool
-	Stall time.Duration // an answer that has begun may pause for so long
+	Stall time.Duration // an answer that has begun must be whole after that, or may pause for so long where it comes in pieces
+
+	Pieces bool // answers may come in pieces, each later than the one before
 	Begin func(at *core.Attempt) Talk
 }
 
@@ -55,8 +71,19 @@
 	talk := t.Begin(at)
 	end, _ := ctx.Deadline()
 	message := talk.Message(end)
+	if message == nil { // it can't be said any more, which is as if it came too late
+		t.Pool.Release(c, true)
+		return Fail(at, life.Late)
+	}
+	size := len(message)
+	if f, ok := talk.(Following); ok && f.Follows() {
+		size = math.MaxInt // not known
+	}
 	// A dial takes time: what was right to send before may not be any more.
-	if !Begin(ctx, at, len(message)) {
+	if !Begin(ctx, at, size) {
+		if f, ok := talk.(Following); ok {
+			f.Stop()
+		}
 		t.Pool.Release(c, true)
 		return core.Ended(at.Life.Result())
 	}
@@ -106,13 +133,27 @@
 	in := inflows.Get().(*Inflow)
 	defer inflows.Put(in)
 	in.reset(ctx, at, c.Conn, end, t.Stall)
-	in.send(message)
+	in.pieces = t.Pieces
+	in.undisturbed = undisturbed
+	rest, _ := talk.(Following)
+	if rest != nil && !rest.Follows() {
+		rest = nil
+	}
+	in.send(message, rest)
 	e, reusable, err := talk.Answer(in)
-	reuse = undisturbed() && err == nil && reusable && in.Buffered() == 0
-	if reuse = reuse && in.sent(false) == len(message); !reuse {
+	reuse = (in.passing || undisturbed()) && err == nil && reusable && in.Buffered() == 0
+	if n := in.sent(false); !reuse || n < 0 || n < in.size {
+		reuse = false
+		if rest != nil {
+			rest.Stop()
+		}
 		c.Close() // ends a write that still goes on
 	}
-	at.Heed(at.Life.Wrote(max(0, in.sent(!reuse))))
+	n := max(0, in.sent(true))
+	if rest != nil && in.size >= 0 {
+		at.Heed(at.Life.Sized(in.size))
+	}
+	at.Heed(at.Life.Wrote(n))
 	switch {
 	case err == nil:
 		if in.began {
@@ -140,9 +181,14 @@
 	stall   time.Duration // from an answer's first byte to its last
 	begun   bool
 	began   bool     // something of the answer has come
-	size    int      // of the message
+	size    int      // of the message; -1 while it is not known
 	n       int      // bytes of it that were written, -1 while that goes on
-	written chan int // brings them
+	written chan int // brings them, and before them the size where that was not known
+
+	pieces      bool        // each may come so long after the one before
+	undisturbed func() bool // ends the attempt's deadline
+	passing     bool        // the answer is being passed on
+	patience    func() bool // what is done where the answer takes longer than it may before it is
 }
 
 func (f *Inflow) reset(ctx context.Context, at *core.Attempt, c net.Conn, end time.Time, stall time.Duration) {
@@ -150,22 +196,33 @@
 	f.Reader.Reset(source{f})
 }
 
-// send writes the message. A long one is written while the answer is awaited.
-func (f *Inflow) send(message []byte) {
+// send writes the message. A long one is written while the answer is awaited, and so is what follows it.
+func (f *Inflow) send(message []byte, rest Following) {
 	conn, at := f.conn, f.at
 	write := func() int {
 		n, err := conn.Write(message)
+		if err == nil && rest != nil {
+			var more int
+			more, err = rest.Follow(conn)
+			n += more
+		}
 		if err != nil {
 			conn.Close() // it never ran; there is no answer to wait for
+			if rest != nil {
+				n = -1 - n // not whole, however long it is
+			}
 		} else {
 			at.Forwarded()
 		}
 		return n
 	}
-	if f.size = len(message); f.size <= inlineSend {
+	if f.size = len(message); f.size <= inlineSend && rest == nil {
 		f.n = write()
 		return
 	}
+	if rest != nil {
+		f.size = -1
+	}
 	written := make(chan int, 1)
 	f.n, f.written = -1, written
 	go func() { written <- write() }()
@@ -175,16 +232,29 @@
 func (f *Inflow) sent(wait bool) int {
 	if f.n < 0 {
 		select {
-		case f.n = <-f.written:
+		case n := <-f.written:
+			f.take(n)
 		default:
 			if wait {
-				f.n = <-f.written
+				f.take(<-f.written)
 			}
 		}
 	}
 	return f.n
 }
 
+// take takes what became of the writing. Where something followed the message, its size is known now if it is whole.
+func (f *Inflow) take(n int) {
+	switch {
+	case f.size >= 0:
+	case n >= 0:
+		f.size = n
+	default:
+		n = -1 - n
+	}
+	f.n = n
+}
+
 // Sent waits until the message is written whole, for a Talk that no answer comes to.
 func (f *Inflow) Sent() error {
 	if n := f.sent(true); n < f.size {
@@ -193,6 +263,21 @@
 	return nil
 }
 
+// Pass hands an answer on that has begun and is still coming: the attempt's deadline does not end it any more. It is false
+// where that has passed. Pauses are ends from a longer time on.
+func (f *Inflow) Pass(e core.Ending) bool {
+	if !f.undisturbed() {
+		return false
+	}
+	f.passing = true
+	f.conn.SetReadDeadline(time.Now().Add(passStall))
+	f.at.Begun(f.at, e)
+	return true
+}
+
+// Passing reports whether the answer is being passed on.
+func (f *Inflow) Passing() bool { return f.passing }
+
 // Begin waits for the first byte of an answer, or of its next part, for as long as the attempt has. From then on the
 // answer must go on.
 func (f *Inflow) Begin() error {
@@ -210,28 +295,66 @@
 	if begun == f.begun {
 		return // the end is what the exchange has set
 	}
-	f.begun = begun
+	if f.begun = begun; begun {
+		f.pauseBy(f.stall)
+	} else {
+		f.until(f.end)
+	}
+}
+
+// pauseBy lets an answer that has begun pause for some time from now.
+func (f *Inflow) pauseBy(d time.Duration) {
 	by := f.end
-	if rest := time.Now().Add(f.stall); begun && (by.IsZero() || rest.Before(by)) {
+	if rest := time.Now().Add(d); by.IsZero() || rest.Before(by) {
 		by = rest
 	}
+	f.until(by)
+}
+
+func (f *Inflow) until(by time.Time) {
 	f.conn.SetReadDeadline(by)
 	if f.ctx.Err() != nil { // it has just ended, and what it set must not be undone
 		f.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
+// Within has a function called where an answer that has begun is not read whole in some time. If that returns true the
+// answer was passed on, and goes on.
+func (f *Inflow) Within(d time.Duration, late func() bool) {
+	f.patience = late
+	f.pauseBy(d)
+}
+
+// Again lets the answer pause as any other may. It returns true.
+func (f *Inflow) Again() bool {
+	f.pauseBy(f.stall)
+	return true
+}
+
+// Whole ends what Within began.
+func (f *Inflow) Whole() { f.patience = nil }
+
 // source reads from the connection for the Inflow's buffer.
 type source struct{ *Inflow }
 
 func (f source) Read(p []byte) (int, error) {
+	if f.passing {
+		f.conn.SetReadDeadline(time.Now().Add(passStall))
+		return f.conn.Read(p)
+	}
 	n, err := f.conn.Read(p)
 	if f.begun && errors.Is(err, os.ErrDeadlineExceeded) && f.ctx.Err() == nil {
+		if f.patience != nil && f.patience() { // it is passed on from here
+			return f.Read(p)
+		}
 		// The agent itself may have stood still, so that what is there was not read in time.
 		f.conn.SetReadDeadline(time.Now().Add(stallGrace))
 		if n, err = f.conn.Read(p); errors.Is(err, os.ErrDeadlineExceeded) {
 			err = fmt.Errorf("%w: it does not go on", ErrSpoilt)
 		}
 	}
+	if n > 0 && f.begun && f.pieces && f.patience == nil {
+		f.pauseBy(f.stall) // pieces may come slowly, if they come
+	}
 	return n, err
 }
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,10 +24,13 @@
 	"ternbeam/internal/settings/wire"
 )
 
-// New returns a transport; the fields are the figures of load reports.
-func New(p *pool.Pool, fields []string) *exchange.Transport {
-	return &exchange.Transport{Pool: p, Stall: exchange.Stall, Begin: func(at *core.Attempt) exchange.Talk {
-		return talk{request: at.Payload.(*httpmsg.Request), host: host(at.Server.Addr), fields: fields}
+// New returns a transport; the fields are the figures of load reports. Answers that are long are passed on while they come,
+// or else are spoilt.
+func New(p *pool.Pool, fields []string, long bool) *exchange.Transport {
+	return &exchange.Transport{Pool: p, Stall: exchange.Stall, Pieces: long, Begin: func(at *core.Attempt) exchange.Talk {
+		t := &talk{request: at.Payload.(*httpmsg.Request), host: host(at.Server.Addr), fields: fields}
+		t.whole = !long || at.Way.Plan != nil || len(t.request.Wanted) > 0 || t.request.Unknown != 0
+		return t
 	}}
 }
 
@@ -34,6 +38,8 @@
 	request *httpmsg.Request
 	host    string
 	fields  []string
+	whole   bool             // answers are not passed on while they come: their shape matters
+	body    *httpmsg.Outflow // of a request that is sent while it comes
 }
 
 // host is what the Host header says of an address. A Unix socket has no host (RFC 9110, section 7.2, asks for one).
@@ -49,8 +55,14 @@
 	"X-Weight-Hint", "X-Facts", "Content-Type"}
 
 // Message words the request for a server. What it is made of was read by net/http, which lets no line end into it.
-func (t talk) Message(end time.Time) []byte {
+func (t *talk) Message(end time.Time) []byte {
 	r := t.request
+	if r.Upload != nil {
+		var err error
+		if t.body, err = r.Upload.Open(); err != nil {
+			return nil
+		}
+	}
 	target := r.Target
 	if target == "" {
 		target = (&url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}).RequestURI()
@@ -68,11 +80,16 @@
 	for _, h := range r.Fields {
 		m = append(append(append(append(m, h[0]...), ": "...), h[1]...), "\r\n"...)
 	}
-	if !end.IsZero() {
+	if r.Upload != nil && !r.Upload.Whole() { // its time counts from its last byte
+		m = append(append(append(m, "X-Time-Left: "...), r.Header.Get("X-Time-Left")...), "\r\n"...)
+	} else if !end.IsZero() {
 		m = append(m, "X-Time-Left: "...)
 		m = strconv.AppendFloat(m, max(time.Until(end), 0).Seconds(), 'f', 3, 64)
 		m = append(m, "\r\n"...)
 	}
+	if r.Upload != nil {
+		return append(append(m, framing(r.Upload.Length())...), "\r\n"...)
+	}
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		m = append(m, "Content-Length: "...)
 		m = strconv.AppendInt(m, int64(len(r.Body)), 10)
@@ -83,8 +100,15 @@
 }
 
 // Answer reads one answer.
-func (t talk) Answer(in *exchange.Inflow) (core.Ending, bool, error) {
-	ans, err := readAnswer(in.Reader, in.Begin, t.request.Wanted)
+func (t *talk) Answer(in *exchange.Inflow) (core.Ending, bool, error) {
+	h, err := readHeads(in.Reader, in.Begin, t.request.Wanted)
+	if err != nil {
+		return core.Ending{}, false, err
+	}
+	if h.long() && !t.whole {
+		return t.pass(in, h)
+	}
+	ans, err := readBody(in.Reader, h)
 	if err != nil {
 		return core.Ending{}, false, err
 	}
@@ -103,30 +127,40 @@
 	reusable bool // its connection
 }
 
-// readAnswer reads one answer; begin waits for the first byte of a head. Some headers are wanted beside the usual ones.
+// readAnswer reads one answer whole.
 func readAnswer(r *bufio.Reader, begin func() error, wanted []string) (answer, error) {
+	h, err := readHeads(r, begin, wanted)
+	if err != nil {
+		return answer{}, err
+	}
+	return readBody(r, h)
+}
+
+// readHeads reads the head of one answer; begin waits for the first byte of a head. Some headers are wanted beside the
+// usual ones.
+func readHeads(r *bufio.Reader, begin func() error, wanted []string) (head, error) {
 	for room := httpmsg.MaxHead; ; { // for the heads of 1xx answers too
 		if err := begin(); err != nil {
-			return answer{}, err
+			return head{}, err
 		}
 		text, err := readHead(r, room)
 		if err != nil {
-			return answer{}, err
+			return head{}, err
 		}
 		room -= len(text)
 		h, ok := plainHead(text)
 		if !ok {
 			if h, err = anyHead(text); err != nil {
-				return answer{}, err
+				return head{}, err
 			}
 		}
 		if h.status >= 200 {
 			if len(wanted) > 0 {
 				if h.wanted, err = wantedOf(text, wanted); err != nil {
-					return answer{}, err
+					return head{}, err
 				}
 			}
-			return readBody(r, h)
+			return h, nil
 		}
 	}
 }
@@ -277,39 +311,60 @@
 	}
 	for {
 		line, err := r.ReadSlice('\n')
+		begins := len(head) == 0 || head[len(head)-1] == '\n' // a line may be longer than the buffer
 		head = append(head, line...)
 		switch {
-		case len(head) > room || err == bufio.ErrBufferFull:
+		case len(head) > room:
 			return nil, fmt.Errorf("%w: its head is too long", exchange.ErrSpoilt)
+		case err == bufio.ErrBufferFull:
 		case err != nil:
 			return nil, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
+		case begins && len(bytes.TrimRight(line, "\r\n")) == 0:
 			return head, nil
 		}
 	}
 }
 
-// readBody reads the body. Where the length is not said, nobody can tell whether it is whole; one that is too long is
-// not worth reading.
+// readBody reads a body whole. Where neither the length is said nor the close, nobody can tell whether it is; one that is
+// too long is not worth reading.
 func readBody(r *bufio.Reader, h head) (ans answer, err error) {
 	ans = answer{head: h}
 	switch {
 	case h.length > httpmsg.MaxBody:
 		return ans, fmt.Errorf("%w: its length", exchange.ErrSpoilt)
-	case h.chunked: // what follows the last chunk is left unread
+	case h.chunked:
 		ans.body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), httpmsg.MaxBody+1))
 		if len(ans.body) > httpmsg.MaxBody {
 			return ans, fmt.Errorf("%w: its length", exchange.ErrSpoilt)
 		}
+		ans.reusable = err == nil && !h.close && readTrailer(r) == nil
 	case h.length >= 0:
 		ans.body, ans.reusable = make([]byte, h.length), !h.close
 		_, err = io.ReadFull(r, ans.body)
+	case h.status == http.StatusOK && h.close:
+		ans.body, err = io.ReadAll(io.LimitReader(r, httpmsg.MaxBody+1))
+		if len(ans.body) > httpmsg.MaxBody {
+			return ans, fmt.Errorf("%w: its length", exchange.ErrSpoilt)
+		}
 	case h.status == http.StatusOK:
 		return ans, fmt.Errorf("%w: of unknown length", exchange.ErrSpoilt)
 	}
 	return ans, err
 }
 
+// readTrailer reads what follows the last chunk. Nothing of it is passed on (RFC 9110, section 6.5.1, lets it be dropped).
+func readTrailer(r *bufio.Reader) error {
+	for room := maxTrailer; ; {
+		line, err := r.ReadSlice('\n')
+		if room -= len(line); err != nil || room < 0 {
+			return cmp.Or(err, io.ErrShortBuffer)
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
 // ending says what an answer means. Only a complete 200 is served, and only an answer that says so proves that the
 // request never ran.
 func (ans answer) ending(fields []string) core.Ending {
--- a/internal/http/httpback/httpback_test.go
+++ b/internal/http/httpback/httpback_test.go
@@ -33,7 +33,7 @@
 		set.Most = 100
 	}
 	set.IdleFor = time.Minute
-	return New(pool.New(set), []string{"util", "qps", "eps"})
+	return New(pool.New(set), []string{"util", "qps", "eps"}, false)
 }
 
 func attempt(id string, s *life.Server) *core.Attempt {
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -38,12 +37,14 @@
 type Front struct {
 	cfg    *config.Config
 	shapes Shapes // nil where calls have none
+	long   bool   // bodies may be long, and come in every form of HTTP/1.1
 	core   *core.Core
 	log    *slog.Logger
 	http   *http.Server
 	door   *door.Door
 	listen *door.Listener
 	ending atomic.Bool // answers say that their connection ends
+	budget httpmsg.Budget
 }
 
 // Shapes finds the shapes of requests.
@@ -72,7 +73,12 @@
 			w.WriteHeader(http.StatusTooEarly)
 		}
 	}
-	f.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headTimeout, ReadTimeout: readTimeout,
+	head, read := headTimeout, readTimeout
+	if f.long = cfg.Long(); f.long {
+		head, read = longHeadTimeout, longHeadTimeout // bodies have a pace of their own
+	}
+	f.budget.Most = cfg.Limits.HeapLimit() / uploadsPart
+	f.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: head, ReadTimeout: read,
 		WriteTimeout: cfg.LongestDeadline() + lateWrite, IdleTimeout: idleTimeout, MaxHeaderBytes: httpmsg.MaxHead,
 		ConnState: f.note, ConnContext: countAsked, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	return f
@@ -80,6 +86,11 @@
 
 // note follows a connection through the server, as its ConnState.
 func (f *Front) note(c net.Conn, state http.ConnState) {
+	if t, ok := c.(*tape); ok {
+		if c = t.TCPConn; state == http.StateIdle {
+			t.next()
+		}
+	}
 	switch state {
 	case http.StateActive:
 		f.door.Busy(c)
@@ -92,13 +103,21 @@
 
 type askedKey struct{}
 
-// countAsked lets the requests on a connection be counted.
-func countAsked(ctx context.Context, _ net.Conn) context.Context {
+// countAsked lets the requests on a connection be counted, and its tape be found.
+func countAsked(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*tape); ok {
+		ctx = context.WithValue(ctx, tapeKey{}, t)
+	}
 	return context.WithValue(ctx, askedKey{}, new(int))
 }
 
 // Serve takes calls until Stop; it always ends with an error.
-func (f *Front) Serve() error { return f.http.Serve(f.listen) }
+func (f *Front) Serve() error {
+	if f.long {
+		return f.http.Serve(taped{f.listen})
+	}
+	return f.http.Serve(f.listen)
+}
 
 // Stop ends the front gently. Clients hear of it a little later, so new connections are accepted for a while, unless
 // another process accepts at the same socket and accepting is 0. Those that
@@ -130,8 +149,8 @@
 
 // request serves one request of the application.
 func (f *Front) request(w http.ResponseWriter, in *http.Request) {
-	arrival := f.core.Now() // before the body: the client's time runs from its send
-	call, err := f.parse(in, arrival)
+	control := http.NewResponseController(w)
+	call, body, err := f.parse(in, control)
 	if err != nil {
 		status := http.StatusBadRequest
 		switch tooLarge := (*http.MaxBytesError)(nil); {
@@ -145,10 +164,15 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
+	control.SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
 	answers := make(chan core.Answer, 1)
 	call.Answer = func(ans core.Answer) { answers <- ans }
 	f.core.Take(call)
+	var broken <-chan error
+	if call.Coming {
+		broken = body.pump(f.core, call)
+		defer body.stop() // before the answer is written, and however this ends
+	}
 	asked := in.Context().Value(askedKey{}).(*int)
 	// Some clients ask once and keep their connection for good. Where places get short it ends with the answer; a
 	// client that does come back opens another.
@@ -160,11 +184,20 @@
 		if f.ending.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		answer(w, ans)
+		if body.stop() {
+			w.Header().Set("Connection", "close") // what is left of the request is not read
+		}
+		f.answer(w, control, ans)
+	case err := <-broken:
+		f.core.Left(call)
+		f.core.Malformed()
+		body.stop()
+		w.Header().Set("Connection", "close")
+		http.Error(w, "reading the body: "+err.Error(), http.StatusBadRequest)
 	case <-in.Context().Done():
 		f.core.Left(call)
 		// Nobody should be there to read this; whoever is must not take the silence for an empty answer.
-		answer(w, core.Answer{Kind: core.Failed})
+		f.answer(w, control, core.Answer{Kind: core.Failed})
 	}
 }
 
@@ -172,7 +205,7 @@
 var statuses = [...]int{core.Served: http.StatusOK, core.Refused: http.StatusServiceUnavailable,
 	core.Failed: http.StatusBadGateway, core.Duplicate: http.StatusConflict, core.Unfit: http.StatusUnprocessableEntity}
 
-func answer(w http.ResponseWriter, ans core.Answer) {
+func (f *Front) answer(w http.ResponseWriter, control *http.ResponseController, ans core.Answer) {
 	h, body := w.Header(), []byte(nil)
 	h["Content-Type"] = nil // no guess from the body
 	if reply, ok := ans.Reply.(*httpmsg.Reply); ok {
@@ -182,6 +215,13 @@
 		for _, more := range reply.Header {
 			h[more[0]] = append(h[more[0]], more[1])
 		}
+		if reply.Stream != nil {
+			passOn(w, control, reply)
+			return
+		}
+	}
+	if f.long {
+		control.SetWriteDeadline(time.Now().Add(writePause)) // the request may have taken long to come
 	}
 	if ans.Cause != nil {
 		body = []byte(ans.Cause.Error())
@@ -204,73 +244,89 @@
 // on where the request ends and so hide another in its body. The application sends neither.
 var errFraming = errors.New("requests are taken without Transfer-Encoding and as HTTP 1.1 only")
 
+// errTwoLengths is why a request is turned away that has a length beside a Transfer-Encoding.
+var errTwoLengths = errors.New("a Content-Length beside a Transfer-Encoding")
+
 // once are the headers that a request may hold one of.
 var once = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key"}
 
-// parse reads a request whole. What it returns as an error is the client's fault.
-func (f *Front) parse(in *http.Request, arrival time.Duration) (*core.Call, error) {
-	if len(in.TransferEncoding) > 0 || !in.ProtoAtLeast(1, 1) {
-		return nil, errFraming
+// parse reads a request, whole or as far as it is read before the core takes it: then the rest is still to come. What it
+// returns as an error is the client's fault.
+func (f *Front) parse(in *http.Request, control *http.ResponseController) (*core.Call, *arriving, error) {
+	call, left, err := f.parseHead(in)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := f.readBody(in, control, call)
+	if err != nil {
+		return nil, nil, err
+	}
+	call.Deadline = f.core.Now() + left // counted from the last byte
+	if call.Coming {
+		body.left = left
+		call.Deadline += body.longest()
+	}
+	return call, body, nil
+}
+
+// parseHead reads what the head says, and how long the client waits.
+func (f *Front) parseHead(in *http.Request) (call *core.Call, wait time.Duration, err error) {
+	chunked := len(in.TransferEncoding) > 0
+	if !in.ProtoAtLeast(1, 1) || chunked && !f.long {
+		return nil, 0, errFraming
+	}
+	if chunked {
+		if t, ok := in.Context().Value(tapeKey{}).(*tape); !ok || t.twoLengths(in) {
+			return nil, 0, errTwoLengths
+		}
 	}
 	cfg, h := f.cfg, in.Header
 	payload := &httpmsg.Request{Method: in.Method, URL: in.URL, Header: h}
-	call := &core.Call{Payload: payload}
+	call = &core.Call{Payload: payload}
 	call.Needs = protocol.HTTP
 	for _, name := range once {
 		if len(h[name]) > 1 {
-			return nil, fmt.Errorf("%s given %d times", name, len(h[name]))
+			return nil, 0, fmt.Errorf("%s given %d times", name, len(h[name]))
 		}
 	}
 	if call.ID = h.Get("X-Correlation-Id"); call.ID == "" {
-		return nil, errors.New("no X-Correlation-Id")
+		return nil, 0, errors.New("no X-Correlation-Id")
 	}
 	parts := strings.Split(strings.Trim(in.URL.Path, "/"), "/")
 	name := h.Get("X-Service-Class")
 	call.Class = cfg.Class(name)
 	keyLast := true
 	if f.shapes != nil && call.Class >= 0 {
-		var err error
 		if call.Tag, keyLast, err = f.shapes.HTTP(name, payload); err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 	}
 	if call.Class < 0 || parts[0] != name && !call.Tag.Set() {
-		return nil, fmt.Errorf("class %q in X-Service-Class, %q in the path", name, parts[0])
+		return nil, 0, fmt.Errorf("class %q in X-Service-Class, %q in the path", name, parts[0])
 	}
 	effect := cfg.Module.Classes[call.Class].Effect
 	if !call.Tag.Set() { // or the shape says which method it has, and whether a body
 		if in.Method != methods[effect] {
-			return nil, fmt.Errorf("method %s for class %q", in.Method, name)
+			return nil, 0, fmt.Errorf("method %s for class %q", in.Method, name)
 		}
 		if effect == choice.Safe && in.ContentLength != 0 {
-			return nil, fmt.Errorf("a body for class %q", name)
+			return nil, 0, fmt.Errorf("a body for class %q", name)
 		}
 	}
 	if keyed := h.Get("Idempotency-Key") != ""; keyed != (effect == choice.Keyed) {
-		return nil, fmt.Errorf("Idempotency-Key given: %t, for class %q", keyed, name)
+		return nil, 0, fmt.Errorf("Idempotency-Key given: %t, for class %q", keyed, name)
 	}
 	if call.Tenant = cfg.Tenant(h.Get("X-Account")); call.Tenant < 0 {
-		return nil, fmt.Errorf("unknown X-Account %q", h.Get("X-Account"))
+		return nil, 0, fmt.Errorf("unknown X-Account %q", h.Get("X-Account"))
 	}
 	left, err := strconv.ParseFloat(h.Get("X-Time-Left"), 64)
 	if err != nil || math.IsNaN(left) || math.IsInf(left, 0) || left <= 0 {
-		return nil, fmt.Errorf("X-Time-Left %q is no time above 0", h.Get("X-Time-Left"))
+		return nil, 0, fmt.Errorf("X-Time-Left %q is no time above 0", h.Get("X-Time-Left"))
 	}
-	longest := cfg.Module.Classes[call.Class].Deadline
-	call.Deadline = arrival + time.Duration(min(left, longest.Seconds())*float64(time.Second))
 	if len(parts) > 1 && keyLast {
 		call.Key = parts[len(parts)-1]
 	}
 	call.Again = h.Get("X-Repeat") == "1"
-
-	if in.ContentLength > httpmsg.MaxBody {
-		return nil, &http.MaxBytesError{Limit: httpmsg.MaxBody} // without reading it
-	}
-	if in.ContentLength != 0 {
-		payload.Body = make([]byte, in.ContentLength)
-		if _, err = io.ReadFull(in.Body, payload.Body); err != nil {
-			return nil, fmt.Errorf("reading the body: %w", err)
-		}
-	}
-	return call, nil
+	longest := cfg.Module.Classes[call.Class].Deadline
+	return call, time.Duration(min(left, longest.Seconds()) * float64(time.Second)), nil
 }
--- /dev/null
+++ b/internal/http/httpfront/long.go
@@ -0,0 +1,293 @@
+package httpfront
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/door"
+	"ternbeam/internal/http/httpmsg"
+)
+
+const (
+	// longHeadTimeout is how long a head may take where clients may be slow, which they may for 2 s.
+	longHeadTimeout = 2400 * time.Millisecond
+
+	// A body may keep the agent waiting so long in all, and as long again as it takes at the least pace.
+	bodyGrace = 1500 * time.Millisecond
+	bodyPace  = 48_000 // bytes a second
+
+	writePause  = 10 * time.Second // how long a client may take nothing of an answer
+	uploadsPart = 4                // the part of the heap that is for bodies kept for another attempt, inverted
+	partSize    = 32 << 10
+)
+
+// paced reads a body for as long as it keeps its pace. What passes while nobody reads does not count.
+type paced struct {
+	body    io.Reader
+	control *http.ResponseController
+	came    int64
+	waited  time.Duration
+
+	mu      sync.Mutex
+	stopped bool
+}
+
+// errStopped is why a body is read no further.
+var errStopped = errors.New("the request is over")
+
+func (p *paced) Read(b []byte) (int, error) {
+	begin := time.Now()
+	left := bodyGrace + time.Duration(p.came)*time.Second/bodyPace - p.waited
+	p.mu.Lock()
+	stopped := p.stopped
+	if !stopped {
+		p.control.SetReadDeadline(begin.Add(max(left, 0)))
+	}
+	p.mu.Unlock()
+	if stopped {
+		return 0, errStopped
+	}
+	n, err := p.body.Read(b)
+	p.waited += time.Since(begin)
+	p.came += int64(n)
+	return n, err
+}
+
+// halt ends a Read that waits, and those to come.
+func (p *paced) halt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+	p.control.SetReadDeadline(time.Unix(1, 0))
+}
+
+// arriving is a body that is being read.
+type arriving struct {
+	paced
+	up   *httpmsg.Upload
+	left time.Duration // how long the client waits from the last byte on
+
+	once  sync.Once
+	quit  chan struct{}
+	done  chan struct{}
+	whole bool // once done
+}
+
+// readBody reads a body whole, if it is short. Of a long one it reads the beginning: the rest comes while it is sent on.
+func (f *Front) readBody(in *http.Request, control *http.ResponseController, call *core.Call) (*arriving, error) {
+	payload := call.Payload.(*httpmsg.Request)
+	long := f.long && !call.Tag.Set()
+	switch {
+	case in.ContentLength > httpmsg.MaxBody && !long:
+		return nil, &http.MaxBytesError{Limit: httpmsg.MaxBody} // without reading it
+	case in.ContentLength > httpmsg.MaxLong:
+		return nil, &http.MaxBytesError{Limit: httpmsg.MaxLong}
+	case in.ContentLength < 0 && !long:
+		return nil, errFraming
+	case in.ContentLength == 0:
+		return nil, nil
+	}
+	a := &arriving{paced: paced{body: in.Body, control: control}, quit: make(chan struct{}), done: make(chan struct{})}
+	if in.ContentLength > 0 && in.ContentLength <= httpmsg.MaxBody {
+		payload.Body = make([]byte, in.ContentLength)
+		if _, err := io.ReadFull(a, payload.Body); err != nil {
+			return nil, fmt.Errorf("%w: %w", errBody, err)
+		}
+		return a, nil
+	}
+	first, err := make([]byte, 0, httpmsg.MaxBody), error(nil)
+	for err == nil && len(first) < cap(first) {
+		var n int
+		n, err = a.Read(first[len(first):cap(first)])
+		first = first[:len(first)+n]
+	}
+	switch err {
+	case nil:
+	case io.EOF: // short, and chunked
+		payload.Body = first
+		return a, nil
+	default:
+		return nil, fmt.Errorf("%w: %w", errBody, err)
+	}
+	a.up = httpmsg.NewUpload(in.ContentLength, &f.budget)
+	a.up.Fill(first, a.quit)
+	payload.Upload, call.Coming = a.up, true
+	return a, nil
+}
+
+// errBody is why a request is turned away whose body did not come, or not as it should.
+var errBody = errors.New("reading the body")
+
+// longest is how much longer the body can take at its least pace.
+func (a *arriving) longest() time.Duration {
+	most := a.up.Length()
+	if most < 0 {
+		most = httpmsg.MaxLong
+	}
+	return bodyGrace + time.Duration(most)*time.Second/bodyPace
+}
+
+// pump reads the rest of the body, until it is whole, broken or stopped. What it returns brings why it broke.
+func (a *arriving) pump(c *core.Core, call *core.Call) <-chan error {
+	broken := make(chan error, 1)
+	go func() {
+		defer close(a.done)
+		total := int64(httpmsg.MaxBody)
+		for {
+			part := make([]byte, partSize)
+			n, err := a.Read(part)
+			if total += int64(n); total > httpmsg.MaxLong {
+				err = &http.MaxBytesError{Limit: httpmsg.MaxLong}
+			}
+			if err != nil && err != io.EOF {
+				a.up.End(err)
+				broken <- err
+				return
+			}
+			if n > 0 && !a.up.Fill(part[:n:n], a.quit) {
+				return
+			}
+			if err == io.EOF {
+				a.control.SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
+				a.whole = true
+				a.up.End(nil)
+				c.Whole(call, a.left)
+				return
+			}
+		}
+	}()
+	return broken
+}
+
+// stop ends the reading, and reports whether the body was not read whole.
+func (a *arriving) stop() (cut bool) {
+	if a == nil || a.up == nil {
+		return false
+	}
+	a.once.Do(func() {
+		close(a.quit)
+		select {
+		case <-a.done:
+		default:
+			a.halt()
+			<-a.done
+		}
+		a.up.Close()
+	})
+	return !a.whole
+}
+
+// passOn gives a client an answer while it comes. Where that breaks off the connection does, too, before the end that was
+// promised.
+func passOn(w http.ResponseWriter, control *http.ResponseController, reply *httpmsg.Reply) {
+	defer reply.Close()
+	if reply.Length >= 0 {
+		w.Header()["Content-Length"] = []string{strconv.FormatInt(reply.Length, 10)}
+	}
+	write := func(part []byte) bool {
+		control.SetWriteDeadline(time.Now().Add(writePause))
+		if _, err := w.Write(part); err != nil {
+			return false // the client has gone
+		}
+		return control.Flush() == nil
+	}
+	control.SetWriteDeadline(time.Now().Add(writePause))
+	w.WriteHeader(http.StatusOK)
+	if !write(reply.Body) {
+		panic(http.ErrAbortHandler)
+	}
+	part := make([]byte, partSize)
+	for {
+		n, err := reply.Stream.Read(part)
+		if n > 0 && !write(part[:n]) {
+			panic(http.ErrAbortHandler)
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			return
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// taped accepts connections that keep the bytes which were read last.
+type taped struct{ *door.Listener }
+
+func (l taped) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &tape{TCPConn: c.(*net.TCPConn)}, nil
+}
+
+type tapeKey struct{}
+
+const (
+	readAhead = 4 << 10                       // net/http reads so much at a time, and so far beyond a request
+	tapeMost  = httpmsg.MaxHead + 3*readAhead // a head that it takes, and what lies round it
+)
+
+// tape is a connection that keeps the bytes in which the head of the current request stands.
+type tape struct {
+	*net.TCPConn
+	bytes []byte
+	last  int // how many of them came last
+}
+
+func (t *tape) Read(p []byte) (int, error) {
+	n, err := t.TCPConn.Read(p)
+	if n > 0 {
+		got := p[:n]
+		if len(got) > readAhead { // read past net/http's buffer: of a body
+			got = got[n-readAhead:]
+		}
+		if over := len(t.bytes) + len(got) - tapeMost; over > 0 {
+			t.bytes = t.bytes[:copy(t.bytes, t.bytes[min(over, len(t.bytes)):])]
+		}
+		t.bytes = append(t.bytes, got...)
+		t.last = len(got)
+	}
+	return n, err
+}
+
+// next says that a request is over. The next one may have begun in what was read last.
+func (t *tape) next() {
+	t.bytes = t.bytes[:copy(t.bytes, t.bytes[len(t.bytes)-t.last:])]
+}
+
+// twoLengths reports whether a head that could be that of the request has a length beside the encoding, or none is there:
+// net/http has dropped the length by now.
+func (t *tape) twoLengths(in *http.Request) bool {
+	line := []byte(in.Method + " " + in.RequestURI + " HTTP/1.")
+	found := false
+	for rest := t.bytes; ; {
+		i := bytes.Index(rest, line)
+		if i < 0 {
+			return !found
+		}
+		rest = rest[i+len(line):]
+		found = true
+		for text := rest; len(text) > 0; {
+			var header []byte
+			header, text, _ = bytes.Cut(text, []byte("\n"))
+			if header = bytes.TrimRight(header, "\r"); len(header) == 0 {
+				break
+			}
+			name, _, _ := bytes.Cut(header, []byte(":"))
+			if bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")) {
+				return true
+			}
+		}
+	}
+}
--- a/internal/http/httpmsg/httpmsg.go
+++ b/internal/http/httpmsg/httpmsg.go
@@ -2,13 +2,16 @@
 package httpmsg
 
 import (
+	"io"
 	"net/http"
 	"net/url"
 )
 
 const (
-	// MaxBody is the most that a request's or an answer's body may hold.
+	// MaxBody is the most that a body may hold which is read whole. One that has a shape may hold no more.
 	MaxBody = 64 << 10
+	// MaxLong is the most that a body may hold which is passed on while it comes.
+	MaxLong = 32 << 20
 	// MaxHead is the most that a request's or an answer's head may hold.
 	MaxHead = 16 << 10
 )
@@ -19,6 +22,7 @@
 	URL    *url.URL
 	Header http.Header
 	Body   []byte
+	Upload *Upload // in place of Body, where that is sent on while it comes
 
 	// What follows is of calls that have a shape.
 	Pass    []string // further headers that go on to a server, in their canonical form
@@ -35,4 +39,16 @@
 	ContentType string
 	Header      [][2]string // further ones that were wanted
 	Body        []byte
+
+	// An answer that is passed on while it comes has these in place of Body.
+	Stream *io.PipeReader
+	Length int64 // -1 where it is not said
+}
+
+// Close says that nobody reads the rest.
+func (r *Reply) Close() error {
+	if r.Stream == nil {
+		return nil
+	}
+	return r.Stream.Close()
 }
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -175,6 +175,11 @@
 	return min(32, c.Limits.Sockets/8)
 }
 
+// Long reports whether bodies may be longer than 64 KiB and come in every form that HTTP/1.1 has. The platform's pages
+// bound and word them more narrowly where there is no second address; there, one that breaks that is spoilt, and another
+// server can be asked at once.
+func (c *Config) Long() bool { return c.Ops != "" }
+
 // ConnectTimeout bounds the dial of a backend.
 func (c *Config) ConnectTimeout() time.Duration {
 	if ns := c.Host.Ceilings.ConnectTimeoutNs; ns > 0 {
