--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -59,7 +59,7 @@
 	Stall time.Duration // an answer that has begun must be whole after that, or may pause for so long where it comes in pieces
 
 	Pieces bool // answers may come in pieces, each later than the one before
-	Begin func(at *core.Attempt) Talk
+	Begin  func(at *core.Attempt) Talk
 }
 
 // Attempt is core.Transport's.
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -325,8 +325,8 @@
 	}
 }
 
-// readBody reads a body whole. Where neither the length is said nor the close, nobody can tell whether it is; one that is
-// too long is not worth reading.
+// readBody reads a body whole. Where the length is not said, nobody can tell whether it is; one that is too long is not
+// worth reading.
 func readBody(r *bufio.Reader, h head) (ans answer, err error) {
 	ans = answer{head: h}
 	switch {
@@ -341,11 +341,6 @@
 	case h.length >= 0:
 		ans.body, ans.reusable = make([]byte, h.length), !h.close
 		_, err = io.ReadFull(r, ans.body)
-	case h.status == http.StatusOK && h.close:
-		ans.body, err = io.ReadAll(io.LimitReader(r, httpmsg.MaxBody+1))
-		if len(ans.body) > httpmsg.MaxBody {
-			return ans, fmt.Errorf("%w: its length", exchange.ErrSpoilt)
-		}
 	case h.status == http.StatusOK:
 		return ans, fmt.Errorf("%w: of unknown length", exchange.ErrSpoilt)
 	}
