--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -306,9 +306,9 @@
 	if at.SendBy != 0 {
 		at.WriteBy = c.at(at.SendBy)
 	}
-	transport := c.set.Transports[at.Speaks]
+	transport, end := c.set.Transports[at.Speaks], c.at(at.End)
 	c.workers.run(func() {
-		ctx, stop := context.WithDeadline(ctx, c.at(at.End))
+		ctx, stop := context.WithDeadline(ctx, end)
 		ending := transport.Attempt(ctx, at)
 		stop()
 		cancel(nil)
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -168,39 +168,50 @@
 	answers := make(chan core.Answer, 1)
 	call.Answer = func(ans core.Answer) { answers <- ans }
 	f.core.Take(call)
-	var broken <-chan error
-	if call.Coming {
-		broken = body.pump(f.core, call)
-		defer body.stop() // before the answer is written, and however this ends
-	}
 	asked := in.Context().Value(askedKey{}).(*int)
 	// Some clients ask once and keep their connection for good. Where places get short it ends with the answer; a
 	// client that does come back opens another.
 	if *asked++; *asked == 1 && f.door.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
-	select {
-	case ans := <-answers:
-		if f.ending.Load() {
-			w.Header().Set("Connection", "close")
+	gone := in.Context().Done()
+	if call.Coming {
+		defer body.stop() // however this ends
+		broken, err := body.pump(f.core, call), error(nil)
+		select {
+		case ans := <-answers:
+			if body.stop() {
+				w.Header().Set("Connection", "close") // what is left of the request is not read
+			}
+			f.final(w, control, ans)
+			return
+		case err = <-broken: // nil where it is whole
 		}
-		if body.stop() {
-			w.Header().Set("Connection", "close") // what is left of the request is not read
+		if err != nil {
+			f.core.Malformed()
+			w.Header().Set("Connection", "close")
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
 		}
-		f.answer(w, control, ans)
-	case err := <-broken:
-		f.core.Left(call)
-		f.core.Malformed()
-		body.stop()
-		w.Header().Set("Connection", "close")
-		http.Error(w, "reading the body: "+err.Error(), http.StatusBadRequest)
-	case <-in.Context().Done():
+	}
+	select {
+	case ans := <-answers:
+		f.final(w, control, ans)
+	case <-gone:
 		f.core.Left(call)
 		// Nobody should be there to read this; whoever is must not take the silence for an empty answer.
 		f.answer(w, control, core.Answer{Kind: core.Failed})
 	}
 }
 
+// final gives the final answer to a client that is there.
+func (f *Front) final(w http.ResponseWriter, control *http.ResponseController, ans core.Answer) {
+	if f.ending.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	f.answer(w, control, ans)
+}
+
 // statuses are those of the final answers.
 var statuses = [...]int{core.Served: http.StatusOK, core.Refused: http.StatusServiceUnavailable,
 	core.Failed: http.StatusBadGateway, core.Duplicate: http.StatusConflict, core.Unfit: http.StatusUnprocessableEntity}
--- a/internal/http/httpfront/long.go
+++ b/internal/http/httpfront/long.go
@@ -7,10 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/http/httpmsg"
@@ -36,6 +40,8 @@
 	came    int64
 	waited  time.Duration
 
+	tape *tape
+
 	mu      sync.Mutex
 	stopped bool
 }
@@ -55,6 +61,10 @@
 	if stopped {
 		return 0, errStopped
 	}
+	if p.tape != nil {
+		p.tape.pacing.Store(true)
+		defer p.tape.pacing.Store(false)
+	}
 	n, err := p.body.Read(b)
 	p.waited += time.Since(begin)
 	p.came += int64(n)
@@ -95,7 +105,8 @@
 	case in.ContentLength == 0:
 		return nil, nil
 	}
-	a := &arriving{paced: paced{body: in.Body, control: control}, quit: make(chan struct{}), done: make(chan struct{})}
+	t, _ := in.Context().Value(tapeKey{}).(*tape)
+	a := &arriving{paced: paced{body: in.Body, control: control, tape: t}, quit: make(chan struct{}), done: make(chan struct{})}
 	if in.ContentLength > 0 && in.ContentLength <= httpmsg.MaxBody {
 		payload.Body = make([]byte, in.ContentLength)
 		if _, err := io.ReadFull(a, payload.Body); err != nil {
@@ -135,24 +146,26 @@
 	return bodyGrace + time.Duration(most)*time.Second/bodyPace
 }
 
-// pump reads the rest of the body, until it is whole, broken or stopped. What it returns brings why it broke.
+// pump reads the rest of the body, until it is whole, broken or stopped. What it returns brings nil when it is whole, and
+// why it broke otherwise; nothing where it was stopped.
 func (a *arriving) pump(c *core.Core, call *core.Call) <-chan error {
-	broken := make(chan error, 1)
+	ended := make(chan error, 1)
 	go func() {
 		defer close(a.done)
 		total := int64(httpmsg.MaxBody)
+		part := make([]byte, partSize)
 		for {
-			part := make([]byte, partSize)
 			n, err := a.Read(part)
 			if total += int64(n); total > httpmsg.MaxLong {
 				err = &http.MaxBytesError{Limit: httpmsg.MaxLong}
 			}
 			if err != nil && err != io.EOF {
+				c.Left(call) // before an attempt ends of that, which would be made again
 				a.up.End(err)
-				broken <- err
+				ended <- fmt.Errorf("%w: %w", errBody, err)
 				return
 			}
-			if n > 0 && !a.up.Fill(part[:n:n], a.quit) {
+			if n > 0 && !a.up.Fill(part[:n], a.quit) {
 				return
 			}
 			if err == io.EOF {
@@ -160,11 +173,12 @@
 				a.whole = true
 				a.up.End(nil)
 				c.Whole(call, a.left)
+				ended <- nil
 				return
 			}
 		}
 	}()
-	return broken
+	return ended
 }
 
 // stop ends the reading, and reports whether the body was not read whole.
@@ -241,12 +255,34 @@
 // tape is a connection that keeps the bytes in which the head of the current request stands.
 type tape struct {
 	*net.TCPConn
-	bytes []byte
-	last  int // how many of them came last
+	bytes  []byte
+	last   int // how many of them came last
+	pacing atomic.Bool
+}
+
+// here reads what has come, without a wait. An agent that stood still finds the time over in which bytes came that it has
+// not read; to net/http a read that fails is the end of the client.
+func (t *tape) here(p []byte) (n int) {
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		n, _, err = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0
+	}
+	return n
 }
 
 func (t *tape) Read(p []byte) (int, error) {
 	n, err := t.TCPConn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && t.pacing.Load() {
+		if n = t.here(p); n > 0 {
+			err = nil
+		}
+	}
 	if n > 0 {
 		got := p[:n]
 		if len(got) > readAhead { // read past net/http's buffer: of a body
@@ -277,17 +313,24 @@
 			return !found
 		}
 		rest = rest[i+len(line):]
-		found = true
+		own, both := false, false // others may have come behind it
 		for text := rest; len(text) > 0; {
 			var header []byte
 			header, text, _ = bytes.Cut(text, []byte("\n"))
 			if header = bytes.TrimRight(header, "\r"); len(header) == 0 {
 				break
 			}
-			name, _, _ := bytes.Cut(header, []byte(":"))
-			if bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")) {
-				return true
+			name, value, _ := bytes.Cut(header, []byte(":"))
+			switch name = bytes.TrimSpace(name); {
+			case bytes.EqualFold(name, []byte("Content-Length")):
+				both = true
+			case bytes.EqualFold(name, []byte("X-Correlation-Id")):
+				own = string(bytes.TrimSpace(value)) == in.Header.Get("X-Correlation-Id")
 			}
 		}
+		if own && both {
+			return true
+		}
+		found = found || own
 	}
 }
--- a/internal/http/httpmsg/upload.go
+++ b/internal/http/httpmsg/upload.go
@@ -37,6 +37,7 @@
 	Window = 64 << 10
 	// keepMost is what an upload keeps for another attempt where the budget has room.
 	keepMost = 1 << 20
+	partSize = 32 << 10
 )
 
 // NewUpload returns an empty Upload.
@@ -65,13 +66,14 @@
 	u.changed = make(chan struct{})
 }
 
-// Fill adds bytes, which the Upload keeps. It waits until there is room, or returns false where nobody will make any.
+// Fill adds a copy of some bytes, partSize at the most. It waits until there is room, or returns false where nobody will
+// make any.
 func (u *Upload) Fill(part []byte, giveUp <-chan struct{}) bool {
 	for {
 		u.mu.Lock()
 		u.dropLocked(int64(len(part)))
 		if held := u.size - u.base; held == 0 || held+int64(len(part)) <= u.keep {
-			u.parts = append(u.parts, part)
+			u.addLocked(part)
 			u.size += int64(len(part))
 			u.changedLocked()
 			u.mu.Unlock()
@@ -87,6 +89,19 @@
 	}
 }
 
+// addLocked fills parts whole, however small the pieces are in which the bytes come: readers have looked at no byte beyond
+// what a part held.
+func (u *Upload) addLocked(more []byte) {
+	if last := len(u.parts) - 1; last >= 0 {
+		n := min(len(more), cap(u.parts[last])-len(u.parts[last]))
+		u.parts[last] = append(u.parts[last], more[:n]...)
+		more = more[n:]
+	}
+	if len(more) > 0 {
+		u.parts = append(u.parts, append(make([]byte, 0, max(partSize, len(more))), more...))
+	}
+}
+
 // dropLocked drops what all attempts under way have read, if there is one, as far as room is needed.
 func (u *Upload) dropLocked(need int64) {
 	read := int64(-1)
@@ -159,7 +174,7 @@
 		at := u.base
 		for _, p := range u.parts {
 			if end := at + int64(len(p)); r.off < end {
-				rest := p[r.off-at:]
+				rest := p[r.off-at : len(p) : len(p)]
 				r.off = end
 				u.changedLocked()
 				u.mu.Unlock()
