--- a/internal/decide/ledger/operators.go
+++ b/internal/decide/ledger/operators.go
@@ -11,7 +11,7 @@
 func (l *Ledger) Offline(now time.Duration, id string) ([]Order, bool) {
 	l.begin(now)
 	e, listed := l.listed[id]
-	if !listed && !l.word.Out(id) || !l.word.Offline(id) {
+	if !listed && !l.word.Out(id) || !l.word.Offline(now, id) {
 		return nil, false
 	}
 	if listed {
--- a/internal/decide/operators/operators.go
+++ b/internal/decide/operators/operators.go
@@ -4,7 +4,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"ternbeam/choice"
@@ -16,47 +15,57 @@
 
 // Word is what the operators have said. The zero value is that they have said nothing.
 type Word struct {
-	out  map[string]bool
-	back map[string]time.Duration // put back, and when; of servers that are listed
+	out  map[string]time.Duration // when
+	back map[string]absence       // put back; of servers that are listed
 }
 
+// absence is the time in which a server was out: within it, it was restarted.
+type absence struct{ from, to time.Duration }
+
 // Out reports whether a server is out by hand.
-func (w *Word) Out(id string) bool { return w.out[id] }
+func (w *Word) Out(id string) bool {
+	_, out := w.out[id]
+	return out
+}
 
-// Offline takes a server out. It is false where no more can be.
-func (w *Word) Offline(id string) bool {
+// Offline takes a server out. It is false where no more can be. One that is out already has been since the first time.
+func (w *Word) Offline(now time.Duration, id string) bool {
 	if w.out == nil {
-		w.out = map[string]bool{}
+		w.out = map[string]time.Duration{}
 	}
-	if !w.out[id] && len(w.out) >= Most {
-		return false
+	if !w.Out(id) {
+		if len(w.out) >= Most {
+			return false
+		}
+		w.out[id] = now.Truncate(time.Millisecond) // as exact as the list tells starts
 	}
-	w.out[id] = true
 	delete(w.back, id)
 	return true
 }
 
 // Online puts a server back, however often it was taken out. It is false for one that was not out.
 func (w *Word) Online(now time.Duration, id string) bool {
-	if !w.out[id] {
+	from, out := w.out[id]
+	if !out {
 		return false
 	}
 	delete(w.out, id)
 	if w.back == nil {
-		w.back = map[string]time.Duration{}
+		w.back = map[string]absence{}
 	}
-	w.back[id] = now.Truncate(time.Millisecond) // as exact as the list tells starts
+	w.back[id] = absence{from, now.Truncate(time.Millisecond)}
 	return true
 }
 
 // Counts is what an entry of the list counts as. One that is out drains, whatever the list says but that it is gone. One
-// that was put back was restarted meanwhile, and the list may not have heard of that yet, or never does.
+// that was put back was restarted meanwhile. The list's word on when is good if it is of no start before; it may not have
+// heard of the new one yet, or never does, and then it counts as started when it was put back, so that it is not pushed over.
 func (w *Word) Counts(s choice.Server) choice.Server {
-	if w.out[s.ID] && s.State == choice.Ready {
+	if w.Out(s.ID) && s.State == choice.Ready {
 		s.State = choice.Draining
 	}
-	if at, ok := w.back[s.ID]; ok {
-		s.Started = max(s.Started, at)
+	if was, ok := w.back[s.ID]; ok && s.Started < was.from {
+		s.Started = was.to
 	}
 	return s
 }
@@ -64,38 +73,39 @@
 // Gone says that the list names a server no more. One that is out stays out: it may be listed again.
 func (w *Word) Gone(id string) { delete(w.back, id) }
 
-// Saying is a Word in a form that outlives its process.
+// Saying is a Word in a form that outlives its process. Times are Unix milliseconds.
 type Saying struct {
-	Out  []string         `json:"out,omitempty"`
-	Back map[string]int64 `json:"back,omitempty"` // Unix milliseconds, by server
+	Out  map[string]int64    `json:"out,omitempty"`  // since when, by server
+	Back map[string][2]int64 `json:"back,omitempty"` // out from when to when
 }
 
 // Saying returns what was said.
 func (w *Word) Saying() Saying {
-	s := Saying{Out: slices.Sorted(maps.Keys(w.out))}
-	if len(w.back) > 0 {
-		s.Back = make(map[string]int64, len(w.back))
-		for id, at := range w.back {
-			s.Back[id] = at.Milliseconds()
-		}
+	s := Saying{Out: make(map[string]int64, len(w.out)), Back: make(map[string][2]int64, len(w.back))}
+	for id, from := range w.out {
+		s.Out[id] = from.Milliseconds()
+	}
+	for id, was := range w.back {
+		s.Back[id] = [2]int64{was.from.Milliseconds(), was.to.Milliseconds()}
 	}
 	return s
 }
 
-// Take takes over what was said to another process, up to the bound. A start in the future, by a clock that was off,
-// counts as now: else a server would stay cold for as long as that.
+// Take takes over what was said to another process, up to the bound. A time in the future, by a clock that was off, counts
+// as now: else a server would stay cold for as long as that.
 func (w *Word) Take(now time.Duration, s Saying) {
-	for _, id := range s.Out {
-		w.Offline(id)
+	past := func(ms int64) time.Duration { return min(now, time.Duration(ms)*time.Millisecond) }
+	for id, from := range s.Out {
+		w.Offline(past(from), id)
 	}
-	for id, ms := range s.Back {
-		if len(w.back) >= Most || w.out[id] {
+	for id, was := range s.Back {
+		if len(w.back) >= Most || w.Out(id) {
 			continue
 		}
 		if w.back == nil {
-			w.back = map[string]time.Duration{}
+			w.back = map[string]absence{}
 		}
-		w.back[id] = max(w.back[id], min(now.Truncate(time.Millisecond), time.Duration(ms)*time.Millisecond))
+		w.back[id] = absence{past(was[0]), past(was[1])}
 	}
 }
 
--- a/internal/decide/operators/operators_test.go
+++ b/internal/decide/operators/operators_test.go
@@ -23,18 +23,19 @@
 		start time.Duration
 	}{
 		"nothing said":        {func(w *Word) {}, choice.Server{Started: before}, choice.Ready, before},
-		"out":                 {func(w *Word) { w.Offline("a") }, choice.Server{Started: before}, choice.Draining, before},
-		"out and restarted":   {func(w *Word) { w.Offline("a") }, choice.Server{Started: out}, choice.Draining, out},
-		"out and terminating": {func(w *Word) { w.Offline("a") }, choice.Server{State: choice.Draining}, choice.Draining, 0},
-		"out and gone":        {func(w *Word) { w.Offline("a") }, choice.Server{State: choice.Gone}, choice.Gone, 0},
-		"out, gone, anew":     {func(w *Word) { w.Offline("a"); w.Gone("a") }, choice.Server{Started: back}, choice.Draining, back},
-		"out twice, back":     {func(w *Word) { w.Offline("a"); w.Offline("a"); w.Online(back, "a") }, choice.Server{}, choice.Ready, back},
-		"back, told later":    {func(w *Word) { w.Offline("a"); w.Online(back, "a") }, choice.Server{Started: 31 * time.Second}, choice.Ready, 31 * time.Second},
-		"back, terminating":   {func(w *Word) { w.Offline("a"); w.Online(back, "a") }, choice.Server{State: choice.Draining}, choice.Draining, back},
+		"out":                 {func(w *Word) { w.Offline(out, "a") }, choice.Server{Started: before}, choice.Draining, before},
+		"out and restarted":   {func(w *Word) { w.Offline(out, "a") }, choice.Server{Started: out}, choice.Draining, out},
+		"out and terminating": {func(w *Word) { w.Offline(out, "a") }, choice.Server{State: choice.Draining}, choice.Draining, 0},
+		"out and gone":        {func(w *Word) { w.Offline(out, "a") }, choice.Server{State: choice.Gone}, choice.Gone, 0},
+		"out, gone, anew":     {func(w *Word) { w.Offline(out, "a"); w.Gone("a") }, choice.Server{Started: back}, choice.Draining, back},
+		"out twice, back":     {func(w *Word) { w.Offline(out, "a"); w.Offline(out, "a"); w.Online(back, "a") }, choice.Server{}, choice.Ready, back},
+		"back, restart told":  {func(w *Word) { w.Offline(out, "a"); w.Online(back, "a") }, choice.Server{Started: 25 * time.Second}, choice.Ready, 25 * time.Second},
+		"back, told later":    {func(w *Word) { w.Offline(out, "a"); w.Online(back, "a") }, choice.Server{Started: 31 * time.Second}, choice.Ready, 31 * time.Second},
+		"back, terminating":   {func(w *Word) { w.Offline(out, "a"); w.Online(back, "a") }, choice.Server{State: choice.Draining}, choice.Draining, back},
 		"never out, put back": {func(w *Word) { w.Online(back, "a") }, choice.Server{Started: before}, choice.Ready, before},
-		"back, gone, anew":    {func(w *Word) { w.Offline("a"); w.Online(back, "a"); w.Gone("a") }, choice.Server{}, choice.Ready, 0},
-		"out, back, out":      {func(w *Word) { w.Offline("a"); w.Online(back, "a"); w.Offline("a") }, choice.Server{}, choice.Draining, 0},
-		"another is out":      {func(w *Word) { w.Offline("b") }, choice.Server{}, choice.Ready, 0},
+		"back, gone, anew":    {func(w *Word) { w.Offline(out, "a"); w.Online(back, "a"); w.Gone("a") }, choice.Server{}, choice.Ready, 0},
+		"out, back, out":      {func(w *Word) { w.Offline(out, "a"); w.Online(back, "a"); w.Offline(out, "a") }, choice.Server{}, choice.Draining, 0},
+		"another is out":      {func(w *Word) { w.Offline(out, "b") }, choice.Server{}, choice.Ready, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var w, next Word
@@ -53,11 +54,11 @@
 func TestBounds(t *testing.T) {
 	var w Word
 	for i := range Most {
-		if !w.Offline(fmt.Sprint(i)) {
+		if !w.Offline(out, fmt.Sprint(i)) {
 			t.Fatalf("number %d is turned away", i)
 		}
 	}
-	if w.Offline("more") || !w.Offline("0") || w.Count() != Most {
+	if w.Offline(out, "more") || !w.Offline(out, "0") || w.Count() != Most {
 		t.Errorf("%d are out", w.Count())
 	}
 }
@@ -65,7 +66,7 @@
 // A clock that was ahead must not keep a server cold.
 func TestTakenStartIsNotInTheFuture(t *testing.T) {
 	var w Word
-	w.Take(back, Saying{Back: map[string]int64{"a": time.Hour.Milliseconds()}})
+	w.Take(back, Saying{Back: map[string][2]int64{"a": {time.Hour.Milliseconds(), time.Hour.Milliseconds()}}})
 	if got := w.Counts(choice.Server{ID: "a"}).Started; got != back {
 		t.Errorf("started %v", got)
 	}
