--- a/internal/decide/ledger/long.go
+++ b/internal/decide/ledger/long.go
@@ -46,6 +46,9 @@
 	return l.orders
 }
 
+// Passes reports whether a call's answer is being passed on, by an attempt.
+func (l *Ledger) Passes(call *Call, at *Attempt) bool { return call.passing == at }
+
 // passed ends the passing on of an answer.
 func (l *Ledger) passed(call *Call, whole bool) {
 	kind := Served
--- a/internal/lab/explore/key.go
+++ b/internal/lab/explore/key.go
@@ -31,7 +31,7 @@
 			asks++
 		}
 	}
-	num(int(w.now-start), w.lists, w.leaves, asks)
+	num(int(w.now-start), w.lists, w.words, w.leaves, asks, w.ledger.Passing())
 	switch {
 	case exact:
 		to = w.module.Fingerprint(to)
@@ -47,7 +47,8 @@
 	slices.Sort(timers)
 	num(timers...)
 	for i, s := range w.servers {
-		num(int(s.State), int(s.Started), w.moves[i])
+		num(int(s.State), int(s.Started), w.moves[i], w.lives[i])
+		flag(w.out[i])
 	}
 	server := func(s *life.Server) {
 		to = append(append(to, s.ID...), 0)
@@ -93,7 +94,7 @@
 		}
 		num(t.call, t.Number, int(stage), int(t.SendBy))
 		server(t.Server)
-		flag(t.withdrawn && stage != life.Ended, t.taken && stage != life.Ended, t.ran, a.CanHaveRun(), t.hangs, t.rests, t.waits)
+		flag(t.withdrawn && stage != life.Ended, t.taken && stage != life.Ended, t.ran, a.CanHaveRun(), t.hangs, t.rests, t.waits, t.begins, t.passes, t.dropped)
 		if t.conn != nil && (exact || !w.wide()) {
 			num(int(t.conn.State()), slices.Index(w.book.Queue(), t.conn))
 		}
@@ -118,18 +119,18 @@
 	}
 	for _, c := range w.book.Idle() { // there is none in code that keeps its word
 		if p := c.Host.(*on).to; p != w.process(c.Server.ID) && !c.Server.Retired() {
-			num(p.server, int(p.started), p.moves)
+			num(p.server, int(p.started), p.moves, p.lives)
 		}
 	}
 	for _, t := range w.tries {
 		if c := t.conn; c != nil && c.Host != nil {
 			p := c.Host.(*on).to
-			num(int(p.started), p.moves)
+			num(int(p.started), p.moves, p.lives)
 		}
 	}
 	for _, l := range w.lines {
 		p := l.conn.Host.(*on).to
-		num(int(p.started), p.moves)
+		num(int(p.started), p.moves, p.lives)
 		num(int(l.conn.State()), len(l.out))
 		server(l.conn.Server)
 		number := func(s *life.Slot) int {
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -23,6 +23,8 @@
 	Attempts int             // the most that one call may have
 	Places   int             // for connections
 	Lists    int             // how many changes of the list may come
+	Words    int             `json:",omitempty"` // how many words of the operators may come
+	Streams  bool            `json:",omitempty"` // answers may begin to be passed on
 	More     bool            `json:",omitempty"` // servers may be missing from the whole list, or move
 	Leaves   int             // how many clients may leave
 	Cells    int             // over which the servers are spread
@@ -106,8 +108,11 @@
 	calls   []*call
 	servers []choice.Server // as the list has told of them: the world's own memory, which nobody else changes
 	moves   []int           // how often each has moved to another address, by the list
-	tries   []*try          // attempts that the loop has not taken the end of, by their calls: in what order they were begun is a matter of names
-	begun   int             // attempts
+	out     []bool          // which are out by hand, and how often each was restarted while it was: the world's own memory, too
+	lives   []int
+	words   int
+	tries   []*try // attempts that the loop has not taken the end of, by their calls: in what order they were begun is a matter of names
+	begun   int    // attempts
 	lists   int
 	leaves  int
 	fault   string // the first property that does not hold
@@ -152,6 +157,9 @@
 	unsent    bool            // it ended when it was to be sent
 	waits     bool            // for another's dial
 	hangs     bool            // nothing more comes by the network
+	begins    bool            // its answer has begun, and the loop does not know yet
+	passes    bool            // its answer has begun
+	dropped   bool            // nobody took that
 	rests     bool            // its host takes no step until something changes that it depends on
 }
 
@@ -167,12 +175,13 @@
 	server  int
 	started time.Duration
 	moves   int
+	lives   int // restarts while it was out by hand
 }
 
 // process is the one that a server is now, by all that the list has told.
 func (w *world) process(id string) process {
 	i := slices.IndexFunc(w.servers, func(s choice.Server) bool { return s.ID == id })
-	return process{i, w.servers[i].Started, w.moves[i]}
+	return process{i, w.servers[i].Started, w.moves[i], w.lives[i]}
 }
 
 // watched is the module as the ledger has it: what it withdraws is noted, whatever the ledger makes of that.
@@ -223,6 +232,7 @@
 	for i := range cfg.Servers {
 		s := choice.Server{ID: fmt.Sprint("server ", i), Cell: i % max(1, cfg.Cells)}
 		w.servers, w.moves = append(w.servers, s), append(w.moves, 0)
+		w.out, w.lives = append(w.out, false), append(w.lives, 0)
 		entries = append(entries, w.entry(i))
 	}
 	if cfg.Past != NoPast {
@@ -319,7 +329,8 @@
 func (w *world) copy() *world {
 	twins := ledger.NewTwins()
 	c := &world{cfg: w.cfg, set: w.set, now: w.now, chance: &chance{}, timers: slices.Clone(w.timers),
-		servers: slices.Clone(w.servers), moves: slices.Clone(w.moves), begun: w.begun, lists: w.lists, leaves: w.leaves, fault: w.fault}
+		servers: slices.Clone(w.servers), moves: slices.Clone(w.moves), out: slices.Clone(w.out), lives: slices.Clone(w.lives), words: w.words,
+		begun: w.begun, lists: w.lists, leaves: w.leaves, fault: w.fault}
 	c.module = w.module.Copy(c.chance)
 	c.ledger = w.ledger.Copy(c.books(), watched{c.module, c}, twins)
 	conns := life.Twins[life.Conn]{Fill: func(o, twin *life.Conn) {
@@ -377,6 +388,12 @@
 					w.wakeCall(i)
 				}
 			}
+		case ledger.Discard:
+			for _, t := range w.tries {
+				if t.Attempt == o.Reply {
+					t.dropped = true
+				}
+			}
 		case ledger.Retire:
 			closed, _ := w.book.Retire(o.Server)
 			for _, c := range closed {
