--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -149,8 +149,7 @@
 
 // request serves one request of the application.
 func (f *Front) request(w http.ResponseWriter, in *http.Request) {
-	control := http.NewResponseController(w)
-	call, body, err := f.parse(in, control)
+	call, body, err := f.parse(in, w)
 	if err != nil {
 		status := http.StatusBadRequest
 		switch tooLarge := (*http.MaxBytesError)(nil); {
@@ -164,7 +163,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
-	control.SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
+	http.NewResponseController(w).SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
 	answers := make(chan core.Answer, 1)
 	call.Answer = func(ans core.Answer) { answers <- ans }
 	f.core.Take(call)
@@ -183,7 +182,7 @@
 			if body.stop() {
 				w.Header().Set("Connection", "close") // what is left of the request is not read
 			}
-			f.final(w, control, ans)
+			f.final(w, ans)
 			return
 		case err = <-broken: // nil where it is whole
 		}
@@ -196,27 +195,27 @@
 	}
 	select {
 	case ans := <-answers:
-		f.final(w, control, ans)
+		f.final(w, ans)
 	case <-gone:
 		f.core.Left(call)
 		// Nobody should be there to read this; whoever is must not take the silence for an empty answer.
-		f.answer(w, control, core.Answer{Kind: core.Failed})
+		f.answer(w, core.Answer{Kind: core.Failed})
 	}
 }
 
 // final gives the final answer to a client that is there.
-func (f *Front) final(w http.ResponseWriter, control *http.ResponseController, ans core.Answer) {
+func (f *Front) final(w http.ResponseWriter, ans core.Answer) {
 	if f.ending.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	f.answer(w, control, ans)
+	f.answer(w, ans)
 }
 
 // statuses are those of the final answers.
 var statuses = [...]int{core.Served: http.StatusOK, core.Refused: http.StatusServiceUnavailable,
 	core.Failed: http.StatusBadGateway, core.Duplicate: http.StatusConflict, core.Unfit: http.StatusUnprocessableEntity}
 
-func (f *Front) answer(w http.ResponseWriter, control *http.ResponseController, ans core.Answer) {
+func (f *Front) answer(w http.ResponseWriter, ans core.Answer) {
 	h, body := w.Header(), []byte(nil)
 	h["Content-Type"] = nil // no guess from the body
 	if reply, ok := ans.Reply.(*httpmsg.Reply); ok {
@@ -227,12 +226,12 @@
 			h[more[0]] = append(h[more[0]], more[1])
 		}
 		if reply.Stream != nil {
-			passOn(w, control, reply)
+			passOn(w, http.NewResponseController(w), reply)
 			return
 		}
 	}
 	if f.long {
-		control.SetWriteDeadline(time.Now().Add(writePause)) // the request may have taken long to come
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writePause)) // the request may have taken long to come
 	}
 	if ans.Cause != nil {
 		body = []byte(ans.Cause.Error())
@@ -263,12 +262,12 @@
 
 // parse reads a request, whole or as far as it is read before the core takes it: then the rest is still to come. What it
 // returns as an error is the client's fault.
-func (f *Front) parse(in *http.Request, control *http.ResponseController) (*core.Call, *arriving, error) {
+func (f *Front) parse(in *http.Request, w http.ResponseWriter) (*core.Call, *arriving, error) {
 	call, left, err := f.parseHead(in)
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := f.readBody(in, control, call)
+	body, err := f.readBody(in, w, call)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/http/httpfront/long.go
+++ b/internal/http/httpfront/long.go
@@ -46,6 +46,11 @@
 	stopped bool
 }
 
+func pace(in *http.Request, w http.ResponseWriter) *paced {
+	t, _ := in.Context().Value(tapeKey{}).(*tape)
+	return &paced{body: in.Body, control: http.NewResponseController(w), tape: t}
+}
+
 // errStopped is why a body is read no further.
 var errStopped = errors.New("the request is over")
 
@@ -81,7 +86,7 @@
 
 // arriving is a body that is being read.
 type arriving struct {
-	paced
+	*paced
 	up   *httpmsg.Upload
 	left time.Duration // how long the client waits from the last byte on
 
@@ -92,7 +97,7 @@
 }
 
 // readBody reads a body whole, if it is short. Of a long one it reads the beginning: the rest comes while it is sent on.
-func (f *Front) readBody(in *http.Request, control *http.ResponseController, call *core.Call) (*arriving, error) {
+func (f *Front) readBody(in *http.Request, w http.ResponseWriter, call *core.Call) (*arriving, error) {
 	payload := call.Payload.(*httpmsg.Request)
 	long := f.long && !call.Tag.Set()
 	switch {
@@ -105,15 +110,18 @@
 	case in.ContentLength == 0:
 		return nil, nil
 	}
-	t, _ := in.Context().Value(tapeKey{}).(*tape)
-	a := &arriving{paced: paced{body: in.Body, control: control, tape: t}, quit: make(chan struct{}), done: make(chan struct{})}
 	if in.ContentLength > 0 && in.ContentLength <= httpmsg.MaxBody {
+		from := io.Reader(in.Body)
+		if f.long {
+			from = pace(in, w)
+		}
 		payload.Body = make([]byte, in.ContentLength)
-		if _, err := io.ReadFull(a, payload.Body); err != nil {
+		if _, err := io.ReadFull(from, payload.Body); err != nil {
 			return nil, fmt.Errorf("%w: %w", errBody, err)
 		}
-		return a, nil
+		return nil, nil
 	}
+	a := &arriving{paced: pace(in, w), quit: make(chan struct{}), done: make(chan struct{})}
 	first, err := make([]byte, 0, httpmsg.MaxBody), error(nil)
 	for err == nil && len(first) < cap(first) {
 		var n int
@@ -124,7 +132,7 @@
 	case nil:
 	case io.EOF: // short, and chunked
 		payload.Body = first
-		return a, nil
+		return nil, nil
 	default:
 		return nil, fmt.Errorf("%w: %w", errBody, err)
 	}
@@ -183,7 +191,7 @@
 
 // stop ends the reading, and reports whether the body was not read whole.
 func (a *arriving) stop() (cut bool) {
-	if a == nil || a.up == nil {
+	if a == nil {
 		return false
 	}
 	a.once.Do(func() {
