A process whose successor is gone can be claimed from again

Seen by a new test, which kills the new process at each stage of its start: one that had got ready had taken the path over, and the next began from nothing, beside an old process that served on. The old one offers itself again once no successor is left (agent/succession.go, linked).

--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"ternbeam/internal/lab/testkit"
 )
 
 const settings = `{"Balancers":1,"Classes":[{"Name":"form-check","Effect":"repeatable","Group":"all",
@@ -25,7 +26,7 @@
 	"Tenants":[{"Name":"rosyth-port"}],"Zones":["z"]}`
 
 // program starts the agent as the deploy file does, from what RUN_ROOT holds, or else one built here.
-func program(t *testing.T, env ...string) (*exec.Cmd, *bytes.Buffer) {
+func program(t *testing.T, env ...string) (*exec.Cmd, *testkit.Log) {
 	t.Helper()
 	command, root := "", os.Getenv("RUN_ROOT")
 	if root != "" {
@@ -47,7 +48,7 @@
 	}
 	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Dir, cmd.Env = root, append(os.Environ(), env...)
-	var log bytes.Buffer
+	var log testkit.Log
 	cmd.Stdout, cmd.Stderr = &log, &log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,7 +29,7 @@
 // process is one process of an agent that is replaced while it serves.
 type process struct {
 	cmd   *exec.Cmd
-	log   *bytes.Buffer
+	log   fmt.Stringer
 	ops   string
 	ended chan error
 }
@@ -255,3 +254,62 @@
 		}
 	}
 }
+
+// A new process that is killed at any stage of its start leaves the old one serving, and the next one takes over.
+func TestReplacementThatIsKilledLeavesTheOldServing(t *testing.T) {
+	s := newSuccession(t, 2)
+	old := s.begin()
+	s.ready(old)
+	until := func(p *process, line string) {
+		for end := time.Now().Add(time.Minute); !strings.Contains(p.log.String(), line); time.Sleep(100 * time.Microsecond) {
+			if time.Now().After(end) {
+				t.Fatalf("never says %q\n%s", line, p.log)
+			}
+		}
+	}
+	asked := 0
+	serves := func(after string) {
+		t.Helper()
+		for range 20 {
+			asked++
+			req, err := http.NewRequest(http.MethodGet, "http://"+s.listen+"/form-check/1", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for name, value := range map[string]string{"X-Correlation-Id": fmt.Sprint("k", asked), "X-Service-Class": "form-check",
+				"X-Account": "rosyth-port", "X-Time-Left": "5"} {
+				req.Header.Set(name, value)
+			}
+			resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+			if err != nil {
+				t.Fatalf("%s: %v", after, err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("%s: %d", after, resp.StatusCode)
+			}
+		}
+	}
+	for _, stage := range []string{"", "replacing another process", "msg=started", "yes"} {
+		next := s.begin()
+		switch stage {
+		case "":
+		case "yes":
+			s.ready(next)
+		default:
+			until(next, stage)
+		}
+		next.cmd.Process.Kill()
+		<-next.ended
+		serves("killed at " + stage)
+	}
+	until(old, "the process that replaces this one is gone")
+	next := s.begin()
+	s.ready(next)
+	s.retire(old)
+	until(next, "the process before is gone")
+	serves("replaced after all")
+	if !strings.Contains(next.log.String(), "replacing another process") {
+		t.Errorf("the last one began from nothing\n%s", next.log)
+	}
+}
--- a/internal/agent/succession.go
+++ b/internal/agent/succession.go
@@ -27,8 +27,9 @@
 	heir *successor.Heir // what this process has from the one before; nil where it began from nothing
 
 	mu      sync.Mutex
-	beside  int // processes that serve beside this one
-	younger int // those of them that have taken over from this one
+	beside  int           // processes that serve beside this one
+	younger int           // those of them that have taken over from this one
+	again   chan struct{} // says that none of them is left: claims are to come here again
 	ends    map[*successor.Link]func()
 }
 
@@ -108,20 +109,26 @@
 		}()
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	a.line.again = make(chan struct{}, 1)
 	go func() {
 		select {
 		case <-a.core.Ready():
 		case <-ctx.Done():
 			return
 		}
-		offer, err := successor.NewOffer(a.line.path, a.cfg.Name, a.log)
-		if err != nil {
-			a.log.Warn("a replacement will begin from nothing", "error", err)
-			return
+		for ctx.Err() == nil { // one that took the path over and is gone has left nobody there
+			offer, err := successor.NewOffer(a.line.path, a.cfg.Name, a.log)
+			if err != nil {
+				a.log.Warn("a replacement will begin from nothing", "error", err)
+				return
+			}
+			go offer.Serve(a.leave, a.linked)
+			select {
+			case <-ctx.Done():
+			case <-a.line.again:
+			}
+			offer.Close()
 		}
-		stop := context.AfterFunc(ctx, func() { offer.Close() })
-		defer stop()
-		offer.Serve(a.leave, a.linked)
 	}()
 	return cancel
 }
@@ -157,6 +164,12 @@
 	end()
 	a.share(-1, -1)
 	a.log.Info("the process that replaces this one is gone")
+	if !a.replaced() {
+		select {
+		case a.line.again <- struct{}{}:
+		default: // one that waits stands for any number
+		}
+	}
 }
 
 // share counts the processes beside this one: together they hold what one may. Clients' connections are no part of that:
