What one of three processes is told reaches all

A process knows the one before it and the one behind, so that a word said to the first did not reach the third: it is passed on to whom it does not come from. Seen by the new test of three processes, which fails without it; neither loses a call, whichever ends first.

--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -313,3 +313,47 @@
 		t.Errorf("the last one began from nothing\n%s", next.log)
 	}
 }
+
+// A third process that is started while two serve takes over from the one that got ready last, whichever of the others ends
+// first; a word said to one of them reaches all.
+func TestThirdProcess(t *testing.T) {
+	for name, first := range map[string]int{"the first ends first": 0, "the second ends first": 1} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccession(t, 3)
+			all := []*process{s.begin()}
+			s.ready(all[0])
+			l := s.load(6)
+			for range 2 {
+				next := s.begin()
+				s.ready(next)
+				for end := time.Now().Add(time.Minute); !strings.Contains(next.log.String(), "replacing another process"); time.Sleep(time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatalf("took nothing over\n%s", next.log)
+					}
+				}
+				// Its yes comes a moment before the path is its own.
+				time.Sleep(100 * time.Millisecond)
+				all = append(all, next)
+			}
+			if got := all[0].operate(http.MethodPost, "/control/backends/s-0/offline"); got != http.StatusOK {
+				t.Errorf("offline: %d", got)
+			}
+			time.Sleep(600 * time.Millisecond) // from when a drain binds
+			s.mu.Lock()
+			out := s.byServer["s-0"]
+			s.mu.Unlock()
+			s.retire(all[first])
+			s.retire(all[1-first])
+			time.Sleep(200 * time.Millisecond)
+			l.end()
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.byServer["s-0"] != out {
+				t.Errorf("%d calls came to a backend that was out", s.byServer["s-0"]-out)
+			}
+			if l.lost.Load() > 0 || l.wrong.Load() > 0 {
+				t.Errorf("%d lost and %d wrong of %d, the first: %s", l.lost.Load(), l.wrong.Load(), l.calls.Load(), *l.first.Load())
+			}
+		})
+	}
+}
--- a/internal/agent/succession.go
+++ b/internal/agent/succession.go
@@ -30,7 +30,7 @@
 	beside  int           // processes that serve beside this one
 	younger int           // those of them that have taken over from this one
 	again   chan struct{} // says that none of them is left: claims are to come here again
-	ends    map[*successor.Link]func()
+	others  map[*successor.Link]*core.Other
 }
 
 // claim asks whoever serves under this agent's name for what it leaves. Where that is nobody, or not to be had, the agent
@@ -99,11 +99,11 @@
 				l.Close()
 			}
 		}
-		leave := a.core.Join(heir.Link.Say)
+		before := a.core.Join(heir.Link.Say)
 		a.share(1, 0)
 		go func() {
-			heir.Link.Run(func(n succession.News) { a.core.Hear(ctx, n) })
-			leave()
+			heir.Link.Run(func(n succession.News) { a.core.Hear(ctx, n, before) })
+			a.core.Part(before)
 			a.share(-1, 0)
 			a.log.Info("the process before is gone")
 		}()
@@ -135,33 +135,33 @@
 
 // leave is what the next process gets.
 func (a *Agent) leave(l *successor.Link) (succession.State, []*net.TCPListener, error) {
-	s, end, err := a.core.Leave(context.Background(), l.Say)
+	s, next, err := a.core.Leave(context.Background(), l.Say)
 	s.Name = a.cfg.Name
 	for _, listener := range a.listeners {
 		s.Listeners = append(s.Listeners, listener.Addr().String())
 	}
 	a.line.mu.Lock()
 	defer a.line.mu.Unlock()
-	if a.line.ends == nil {
-		a.line.ends = map[*successor.Link]func(){}
+	if a.line.others == nil {
+		a.line.others = map[*successor.Link]*core.Other{}
 	}
-	a.line.ends[l] = end
+	a.line.others[l] = next
 	return s, a.listeners, err
 }
 
 // linked serves beside the next process, until one of the two ends.
 func (a *Agent) linked(l *successor.Link) {
 	a.line.mu.Lock()
-	end := a.line.ends[l]
-	delete(a.line.ends, l)
+	next := a.line.others[l]
+	delete(a.line.others, l)
 	a.line.mu.Unlock()
-	if end == nil {
+	if next == nil {
 		return // nothing was left
 	}
 	a.share(1, 1)
 	a.log.Info("a process that replaces this one has begun")
-	l.Run(func(n succession.News) { a.core.Hear(context.Background(), n) })
-	end()
+	l.Run(func(n succession.News) { a.core.Hear(context.Background(), n, next) })
+	a.core.Part(next)
 	a.share(-1, -1)
 	a.log.Info("the process that replaces this one is gone")
 	if !a.replaced() {
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -96,7 +96,7 @@
 	clock     func() learned.Clock // nil where nothing is remembered
 	published time.Duration        // when the figures were
 	list      discovery.List       // as it stands
-	others    map[*other]bool      // processes that this one tells what it is told
+	others    map[*Other]bool      // processes that this one tells what it is told
 }
 
 // New returns a Core that is ready to Run.
--- a/internal/host/core/succession.go
+++ b/internal/host/core/succession.go
@@ -18,8 +18,8 @@
 	Learned *choice.Memory
 }
 
-// other is a process that serves beside this one.
-type other struct{ say func(succession.News) }
+// Other is a process that serves beside this one.
+type Other struct{ say func(succession.News) }
 
 // inherit takes over what the operators have said, before any server counts as one that may be sent to.
 func (c *Core) inherit() {
@@ -41,12 +41,12 @@
 }
 
 // Leave returns what a process begins with that replaces this one. From that moment on say is told what this process is
-// told, until the returned function is called.
-func (c *Core) Leave(ctx context.Context, say func(succession.News)) (s succession.State, end func(), err error) {
-	o := &other{say}
+// told, until the Other parts.
+func (c *Core) Leave(ctx context.Context, say func(succession.News)) (s succession.State, o *Other, err error) {
+	o = &Other{say}
 	s, err = demand(ctx, c, func() succession.State {
 		if c.others == nil {
-			c.others = map[*other]bool{}
+			c.others = map[*Other]bool{}
 		}
 		c.others[o] = true
 		s := succession.State{Discovery: c.discovery, Said: c.ledger.Saying()}
@@ -60,28 +60,37 @@
 		}
 		return s
 	})
-	return s, func() { c.post(func() { delete(c.others, o) }) }, err
+	return s, o, err
 }
 
-// Join has say told what this process is told, until the returned function is called.
-func (c *Core) Join(say func(succession.News)) (end func()) {
-	o := &other{say}
+// Join has say told what this process is told, until the Other parts.
+func (c *Core) Join(say func(succession.News)) *Other {
+	o := &Other{say}
 	c.post(func() {
 		if c.others == nil {
-			c.others = map[*other]bool{}
+			c.others = map[*Other]bool{}
 		}
 		c.others[o] = true
 	})
-	return func() { c.post(func() { delete(c.others, o) }) }
+	return o
 }
 
-// Hear takes what another process was told. It is not said again.
-func (c *Core) Hear(ctx context.Context, n succession.News) {
+// Part says that a process is gone.
+func (c *Core) Part(o *Other) { c.post(func() { delete(c.others, o) }) }
+
+// Hear takes what another process was told, and passes it on to those that it does not come from: of three each knows only
+// the one before and the one behind, so that nothing comes back.
+func (c *Core) Hear(ctx context.Context, n succession.News, from *Other) {
 	var said []discovery.Entry
 	if len(n.Ended) > 0 && json.Unmarshal(n.Ended, &said) != nil {
 		said = nil
 	}
 	demand(ctx, c, func() bool {
+		for o := range c.others {
+			if o != from {
+				o.say(n)
+			}
+		}
 		if n.Offline != "" {
 			orders, _ := c.ledger.Offline(c.Now(), n.Offline)
 			c.do(orders)
