Of three processes the first still ends as replaced when the second goes

A process that is replaced says so to the one before, and the taking from the queue ends after 0.5 s in any case.

--- a/internal/agent/succession.go
+++ b/internal/agent/succession.go
@@ -160,8 +160,18 @@
 	}
 	a.share(1, 1)
 	a.log.Info("a process that replaces this one has begun")
-	l.Run(func(n succession.News) { a.core.Hear(context.Background(), n, next) })
+	a.core.Tell(succession.News{Replaced: true}) // for the one before
+	further := false
+	l.Run(func(n succession.News) {
+		further = further || n.Replaced
+		a.core.Hear(context.Background(), n, next)
+	})
 	a.core.Part(next)
+	if further { // and another serves in its place
+		a.share(-1, 0)
+		a.log.Info("the process that replaced this one was replaced, too")
+		return
+	}
 	a.share(-1, -1)
 	a.log.Info("the process that replaces this one is gone")
 	if !a.replaced() {
--- a/internal/decide/succession/succession.go
+++ b/internal/decide/succession/succession.go
@@ -28,6 +28,9 @@
 	Offline string          `json:"offline,omitempty"`
 	Online  string          `json:"online,omitempty"`
 	Ended   json.RawMessage `json:"ended,omitempty"` // entries of servers that drain or are gone, in discovery's form
+
+	// Replaced says that the process that says it has left what it had to a further one: its end leaves nobody alone.
+	Replaced bool `json:"replaced,omitempty"`
 }
 
 // Counts reports whether the other process's word that a server drains or is gone counts: not where it is of an earlier
--- a/internal/host/core/succession.go
+++ b/internal/host/core/succession.go
@@ -78,6 +78,9 @@
 // Part says that a process is gone.
 func (c *Core) Part(o *Other) { c.post(func() { delete(c.others, o) }) }
 
+// Tell tells all processes beside this one.
+func (c *Core) Tell(n succession.News) { c.post(func() { c.tell(n) }) }
+
 // Hear takes what another process was told, and passes it on to those that it does not come from: of three each knows only
 // the one before and the one behind, so that nothing comes back.
 func (c *Core) Hear(ctx context.Context, n succession.News, from *Other) {
--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	drained = 50 * time.Millisecond // without a new connection, the kernel's queue is empty
+	drained     = 50 * time.Millisecond  // without a new connection, the kernel's queue is empty
+	mostDrained = 500 * time.Millisecond // how long that is waited for
 
 	// LastWords is how long a connection that came just before the end has to send a request.
 	LastWords = 200 * time.Millisecond
@@ -47,7 +48,8 @@
 	*net.TCPListener
 	door   *Door
 	ending atomic.Bool
-	left   atomic.Bool // to another process, which accepts what stands in the queue
+	by     atomic.Int64 // when the taking from the queue ends at the latest, Unix nanoseconds; 0 before it begins
+	left   atomic.Bool  // to another process, which accepts what stands in the queue
 	closed chan struct{}
 }
 
@@ -59,6 +61,9 @@
 // Accept is net.Listener's. At the end it takes what stands in the kernel's queue first.
 func (l *Listener) Accept() (net.Conn, error) {
 	for queued := true; ; queued = false {
+		if by := l.by.Load(); by != 0 && time.Now().UnixNano() > by {
+			return nil, l.end()
+		}
 		c, err := l.AcceptTCP()
 		switch {
 		case err == nil:
@@ -67,15 +72,20 @@
 		case !l.ending.Load():
 			return nil, err
 		case !queued || l.left.Load():
-			l.Close()
-			close(l.closed)
-			return nil, net.ErrClosed
+			return nil, l.end()
 		}
-		l.SetDeadline(time.Now().Add(drained)) // one that has passed lets nothing in that waits already
+		l.by.CompareAndSwap(0, time.Now().Add(mostDrained).UnixNano()) // a queue of two processes is never empty for long
+		l.SetDeadline(time.Now().Add(drained))                         // one that has passed lets nothing in that waits already
 	}
 }
 
-// CloseAfter ends the accepting after some time, when nobody waits in the queue any more.
+func (l *Listener) end() error {
+	l.Close()
+	close(l.closed)
+	return net.ErrClosed
+}
+
+// CloseAfter ends the accepting after some time, when nobody waits in the queue any more, or else a little later.
 func (l *Listener) CloseAfter(lingering time.Duration) {
 	l.ending.Store(true)
 	l.SetDeadline(time.Now().Add(lingering))
--- a/internal/host/door/door_test.go
+++ b/internal/host/door/door_test.go
@@ -136,3 +136,36 @@
 		t.Errorf("%d connections", d.door.Count())
 	}
 }
+
+// A queue that never gets empty, as two processes accept from it, does not keep the door open.
+func TestBusyQueueEnds(t *testing.T) {
+	d := openDoor(t, 1000)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if c, err := net.Dial("tcp", d.Addr().String()); err == nil {
+				c.Close()
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}()
+	go d.CloseAfter(time.Millisecond)
+	for end := time.Now().Add(testkit.Patience); ; {
+		c, err := d.Accept()
+		if err != nil {
+			break
+		}
+		c.Close()
+		d.door.Leave(c)
+		if time.Now().After(end) {
+			t.Fatal("it accepts for ever")
+		}
+	}
+	<-d.closed
+}
