--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -77,10 +77,14 @@
 	return s
 }
 
-// free returns an address at which nobody listens.
+var addresses atomic.Int64
+
+// free returns an address at which nobody listens, and nobody will: what connects from this machine does so from 127.0.0.1,
+// where a port that is free now may be taken a moment later.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 2+os.Getpid()%250, n/250%250, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
