A rig of processes: many agents, a list service that works in turn, and their failures

The rig starts N processes of the built program, with a list service of a stated amount of work (in turn, callers given up after a time, work done all the same), kills, stops, continues and restarts them by a scenario in TOML, and judges by what the list service and the kernel saw. Tables in arrays now have complaints by line and number too.

The tests plant a program that dies, one that never asks and a run that is interrupted, and see each.

--- /dev/null
+++ b/internal/lab/fleet/fleet_test.go
@@ -0,0 +1,310 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"ternbeam/internal/lab/testkit"
+)
+
+// program builds the agent's program once.
+func program(t *testing.T) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "ternbeam")
+	if out, err := exec.Command("go", "build", "-o", name, "ternbeam/cmd/ternbeam").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return name
+}
+
+const small = `
+agents = 12
+known = "old"
+must_ask_s = 10
+[list]
+all_s = 1
+[[step]]
+name = "cold start"
+limit_s = 20
+calls = 2
+[[step]]
+name = "killed, and killed again while the list is down"
+limit_s = 20
+calls = 3
+[[step.fault]]
+kind = "kill"
+share = 0.7
+for_s = 0.2
+[[step.fault]]
+at_s = 0.5
+kind = "list"
+how = "resets"
+for_s = 1
+[[step.fault]]
+at_s = 0.7
+kind = "kill"
+share = 0.5
+for_s = 0.1
+[[step]]
+name = "stopped for so long that their watches are gone"
+limit_s = 20
+[[step.fault]]
+kind = "stop"
+share = 0.5
+for_s = 1
+`
+
+// The real program recovers from faults, in small.
+func TestSmallFleet(t *testing.T) {
+	s, err := Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	r, err := Run(context.Background(), s, Options{Program: program(t), Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var table strings.Builder
+	r.Table(&table)
+	t.Log("\n" + table.String())
+	if len(r.Faults) > 0 {
+		t.Errorf("faults: %q", r.Faults)
+	}
+	started, died := 0, 0
+	for _, e := range r.Events {
+		switch e.Kind {
+		case Started:
+			started++
+		case Died:
+			died++
+		}
+	}
+	if want := 12 + 8 + 6; started != want || died != want-12 {
+		t.Errorf("%d starts and %d deaths, %d are meant", started, died, want)
+	}
+	if left := running(dir); len(left) > 0 {
+		t.Errorf("processes are left: %v", left)
+	}
+}
+
+// running returns the processes whose configuration is in a folder.
+func running(dir string) (ids []string) {
+	all, _ := filepath.Glob("/proc/[0-9]*/environ")
+	for _, name := range all {
+		if text, err := os.ReadFile(name); err == nil && strings.Contains(string(text), "NODE_CONFIG="+dir) {
+			ids = append(ids, name)
+		}
+	}
+	return ids
+}
+
+// A program that dies, and one that never asks, are seen; an interrupted run leaves nothing behind.
+func TestVerdictSees(t *testing.T) {
+	scenario := func() *Scenario {
+		s, err := Parse([]byte("agents = 3\n[[step]]\nname = \"cold start\"\nlimit_s = 0.3\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	script := func(text string) string {
+		name := filepath.Join(t.TempDir(), "agent")
+		if err := os.WriteFile(name, []byte("#!/bin/sh\n"+text+"\n"), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		return name
+	}
+	for text, want := range map[string]string{"exit 3": "on its own: exit status 3", "exec sleep 60": "only 0 of 3"} {
+		r, err := Run(context.Background(), scenario(), Options{Program: script(text), Dir: t.TempDir()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Join(r.Faults, "\n"); !strings.Contains(got, want) {
+			t.Errorf("%q: %q is not among %q", text, want, got)
+		}
+	}
+	s, dir := scenario(), t.TempDir()
+	s.Steps[0].Limit = time.Hour
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan error)
+	go func() {
+		_, err := Run(ctx, s, Options{Program: script("exec sleep 60"), Dir: dir})
+		over <- err
+	}()
+	testkit.Eventually(t, "they run", func() bool { return len(running(dir)) == 3 })
+	cancel()
+	if err := <-over; err == nil || len(running(dir)) > 0 {
+		t.Errorf("%v, and %v is left", err, running(dir))
+	}
+}
+
+// What is wrong in a scenario is told by line and key.
+func TestScenarioProblems(t *testing.T) {
+	_, err := Parse([]byte(`agents = 0
+known = "all"
+[list]
+all_s = -1
+odd = 1
+[[step]]
+name = "a"
+[[step.fault]]
+kind = "kill"
+how = "silent"
+[[step]]
+limit_s = 0
+[[step.fault]]
+kind = "stop"
+[[step.fault]]
+kind = "flood"
+share = 2
+[[step.fault]]
+kind = "list"
+how = "slow"
+share = 1
+`))
+	if err == nil {
+		t.Fatal("all is well")
+	}
+	for _, want := range []string{"line 1: agents: must be", "line 2: known: must be", "line 4: list.all_s", "line 5: list.odd: no such key",
+		"line 10: step.0.fault.0.how", "line 11: step.1.name", "line 12: step.1.limit_s", "line 16: step.1.fault.1.kind", "line 17: step.1.fault.1.share",
+		"line 20: step.1.fault.2.how", "line 21: step.1.fault.2.share"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in\n%v", want, err)
+		}
+	}
+	if _, err := Parse([]byte("agents = 1")); err == nil || !strings.Contains(err.Error(), "step: 1 to 64") {
+		t.Errorf("%v for no step", err)
+	}
+}
+
+// Scenarios that are shipped can be read.
+func TestShipped(t *testing.T) {
+	all, _ := filepath.Glob("../../../lab/fleet/*.toml")
+	if len(all) == 0 {
+		t.Fatal("there are none")
+	}
+	for _, name := range all {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(text); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// A list service works through its callers in turn, gives up who waits for too long, and does that work all the same.
+func TestListService(t *testing.T) {
+	const agents = 8
+	record := NewRecord()
+	l, err := NewList(ListOptions{Agents: agents, Each: 100 * time.Millisecond, Patience: 250 * time.Millisecond,
+		Known: (&Scenario{Servers: 1}).servers(listVersion, 0, 1)}, record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	answers := make(chan int, agents)
+	begin := time.Now()
+	for i := range agents {
+		go func() {
+			resp, err := client.Get("http://" + l.Addr(i) + "/v1/endpoints")
+			if err != nil {
+				answers <- 0
+				return
+			}
+			resp.Body.Close()
+			answers <- resp.StatusCode
+		}()
+	}
+	count := map[int]int{}
+	for range agents {
+		count[<-answers]++
+	}
+	if count[200] == 0 || count[503] == 0 || count[200]+count[503] != agents {
+		t.Fatalf("answers %v", count)
+	}
+	l.mu.Lock()
+	done := l.free.Sub(begin)
+	l.mu.Unlock()
+	if done < agents*100*time.Millisecond {
+		t.Errorf("all work is done after %v, that of callers given up left out", done)
+	}
+	l.Be(Refuses)
+	if resp, err := client.Get("http://" + l.Addr(0) + "/v1/endpoints"); err != nil || resp.StatusCode != 503 {
+		t.Errorf("%v of a service that refuses", err)
+	}
+	l.Be(Resets)
+	if _, err := client.Get("http://" + l.Addr(0) + "/v1/endpoints"); err == nil {
+		t.Error("an answer of a service that resets")
+	}
+	events, _ := record.Since(0)
+	if n := len(slices.DeleteFunc(slices.Clone(events), func(e Event) bool { return e.Said != GivenUp })); n != count[503] {
+		t.Errorf("%d are recorded as given up, %d were", n, count[503])
+	}
+}
+
+// The count of a step is held against records made by hand.
+func TestStepReport(t *testing.T) {
+	s := time.Second
+	events := []Event{{At: 0, Kind: Mended, Agent: -1}, {At: s, Kind: Called, Agent: 0, Said: Answered}, {At: s, Kind: Began, Agent: 0},
+		{At: 2 * s, Kind: Called, Agent: 1, Said: GivenUp}, {At: 3 * s, Kind: Called, Agent: 1, Said: Answered}, {At: 4 * s, Kind: Began, Agent: 1},
+		{At: 5 * s, Kind: Ended, Agent: 0}, {At: 5 * s, Kind: Called, Agent: 0, Said: Down}, {At: 6 * s, Kind: Mended, Agent: -1},
+		{At: 8 * s, Kind: Called, Agent: 0, Said: Answered}, {At: 8 * s, Kind: Began, Agent: 0}, {At: 9 * s, Kind: Began, Agent: 0}, {At: 9 * s, Kind: Ended, Agent: 0}}
+	first := newStepReport(Step{}, 2, 0, events[:6])
+	if first.All != 4*s || first.Calls != 3 || first.GivenUp != 1 || first.Most != 2 || first.Holding != 2 {
+		t.Errorf("%+v", first)
+	}
+	second := newStepReport(Step{}, 2, 5*s, events)
+	if second.All != 2*s || second.Calls != 1 || second.Down != 1 || second.Holding != 2 || second.Mended != 6*s {
+		t.Errorf("%+v", second)
+	}
+	r := &Report{Scenario: &Scenario{Agents: 2}, Steps: []StepReport{first, second}, Events: []Event{{Kind: Died, Said: "on its own: x"}}}
+	r.Steps[0].Step.Within, r.Steps[0].Step.Calls = 3*s, 1
+	r.Steps[1].Holding = 1
+	r.judge()
+	if len(r.Faults) != 4 {
+		t.Errorf("%q", r.Faults)
+	}
+}
+
+// A process that is stopped goes on when it is continued, and one killed by the rig has not died on its own.
+func TestSignals(t *testing.T) {
+	record := NewRecord()
+	dir := t.TempDir()
+	a := &process{record: record, log: filepath.Join(dir, "log")}
+	a.program = filepath.Join(dir, "agent")
+	if err := os.WriteFile(a.program, []byte("#!/bin/sh\nexec sleep 60\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.start(); err != nil {
+		t.Fatal(err)
+	}
+	state := func() string {
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", a.cmd.Process.Pid))
+		_, after, _ := strings.Cut(string(text), ") ")
+		return after[:min(1, len(after))]
+	}
+	a.signal(syscall.SIGSTOP)
+	testkit.Eventually(t, "it stops", func() bool { return state() == "T" })
+	a.signal(syscall.SIGCONT)
+	testkit.Eventually(t, "it goes on", func() bool { return state() != "T" })
+	if err := a.kill(); err != nil {
+		t.Fatal(err)
+	}
+	events, _ := record.Since(0)
+	if last := events[len(events)-1]; last.Kind != Died || last.Said != "" {
+		t.Errorf("%+v", last)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/record.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// What is in a record.
+const (
+	Called  = "called"  // an agent asks the list service; how it ended is in Said
+	Began   = "began"   // a watch of an agent has delivered
+	Ended   = "ended"   // that watch is over
+	Fault   = "fault"   // something was done to the fleet
+	Mended  = "mended"  // and undone
+	Started = "started" // a process of an agent
+	Died    = "died"    // a process of an agent; by its own doing where Said is not empty
+)
+
+// How a call to the list service ended.
+const (
+	Answered = "answered"
+	GivenUp  = "given up" // it waited for too long; the work was done all the same
+	Down     = "down"
+	Hung     = "hung" // nothing was said
+)
+
+// Event is what the world saw at one moment.
+type Event struct {
+	At    time.Duration // since the fleet began
+	Kind  string
+	Agent int    // -1 for none
+	Said  string `json:",omitempty"`
+}
+
+// Record is all that the world saw, in order. Nothing in it comes from the program's own words, and nothing in it changes.
+type Record struct {
+	began time.Time
+
+	mu      sync.Mutex
+	events  []Event
+	changed chan struct{} // closed at the next event
+}
+
+// NewRecord returns an empty Record that begins now.
+func NewRecord() *Record { return &Record{began: time.Now(), changed: make(chan struct{})} }
+
+// Now is the time since it began.
+func (r *Record) Now() time.Duration { return time.Since(r.began) }
+
+// Add writes down what happens now.
+func (r *Record) Add(kind string, agent int, said string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, Event{r.Now(), kind, agent, said})
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Since returns what came after the first n events, and what tells of the next.
+func (r *Record) Since(n int) ([]Event, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events[n:len(r.events):len(r.events)], r.changed
+}
--- /dev/null
+++ b/internal/lab/fleet/report.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// Report is what became of a run.
+type Report struct {
+	Scenario *Scenario
+	Steps    []StepReport
+	Faults   []string // what broke an expectation; none where the run is good
+	Events   []Event
+}
+
+// StepReport is what became of a step, by the record.
+type StepReport struct {
+	Step    Step
+	Begin   time.Duration
+	Mended  time.Duration // when the last fault was over, or the agents began to start
+	All     time.Duration // from then until all agents held a watch; 0 if they never did
+	Holding int           // agents that held a watch at the end
+	Down    int           // calls that met a service that was down
+	Calls   int           // calls that met one that was up
+	GivenUp int           // of them, those that waited for too long
+	Most    int           // of them, those of one agent
+}
+
+// newStepReport counts a step that began at a time.
+func newStepReport(step Step, agents int, begin time.Duration, events []Event) StepReport {
+	r := StepReport{Step: step, Begin: begin, Mended: begin}
+	for _, e := range events {
+		if e.Kind == Mended && e.At >= begin {
+			r.Mended = e.At
+		}
+	}
+	open, calls := make([]int, agents), make([]int, agents)
+	for _, e := range events {
+		switch e.Kind {
+		case Began, Ended:
+			before := open[e.Agent]
+			if e.Kind == Began {
+				open[e.Agent]++
+			} else {
+				open[e.Agent]--
+			}
+			switch {
+			case before == 0:
+				if r.Holding++; r.Holding == agents && r.All == 0 && e.At >= r.Mended {
+					r.All = e.At - r.Mended
+				}
+			case open[e.Agent] == 0:
+				r.Holding--
+			}
+		case Called:
+			if e.At < begin {
+				continue
+			}
+			if e.Said == Down || e.Said == Hung {
+				r.Down++
+				continue
+			}
+			r.Calls++
+			calls[e.Agent]++
+			r.Most = max(r.Most, calls[e.Agent])
+			if e.Said == GivenUp {
+				r.GivenUp++
+			}
+		}
+	}
+	return r
+}
+
+func (r StepReport) String() string {
+	return fmt.Sprintf("%s: %d hold a watch, all after %.1f s; %d calls, %d given up, %d of one agent at most; %d while down",
+		r.Step.Name, r.Holding, r.All.Seconds(), r.Calls, r.GivenUp, r.Most, r.Down)
+}
+
+// judge holds the record against what the scenario expects.
+func (r *Report) judge() {
+	fault := func(format string, args ...any) { r.Faults = append(r.Faults, fmt.Sprintf(format, args...)) }
+	for _, e := range r.Events {
+		if e.Kind == Died && e.Said != "" {
+			fault("agent %d died %v after the start, %s", e.Agent, e.At.Round(time.Millisecond), e.Said)
+		}
+	}
+	agents := r.Scenario.Agents
+	for _, s := range r.Steps {
+		if s.Holding < agents {
+			fault("%s: only %d of %d agents hold a watch", s.Step.Name, s.Holding, agents)
+		} else if s.Step.Within > 0 && s.All > s.Step.Within {
+			fault("%s: all hold a watch after %.2f s, over %.2f s", s.Step.Name, s.All.Seconds(), s.Step.Within.Seconds())
+		}
+		if most := s.Step.Calls * float64(agents); most > 0 && float64(s.Calls) > most {
+			fault("%s: %d calls, over %.0f", s.Step.Name, s.Calls, most)
+		}
+	}
+}
+
+// Table prints a report.
+func (r *Report) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "step\thold a watch\tall after s\tcalls\tgiven up\tof one at most\twhile down\t")
+	for _, s := range r.Steps {
+		all := "never"
+		if s.Holding == r.Scenario.Agents {
+			all = fmt.Sprintf("%.1f", s.All.Seconds())
+		}
+		fmt.Fprintf(t, "%s\t%d of %d\t%s\t%d\t%d\t%d\t%d\t\n", s.Step.Name, s.Holding, r.Scenario.Agents, all, s.Calls, s.GivenUp, s.Most, s.Down)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(w, "FAULT:", f)
+	}
+	return nil
+}
+
+// JSON writes a report with its record.
+func (r *Report) JSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	return e.Encode(r)
+}
--- /dev/null
+++ b/internal/lab/fleet/scenario.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"ternbeam/internal/settings/conffile"
+)
+
+// Scenario is what a fleet goes through.
+type Scenario struct {
+	Agents   int
+	Servers  int
+	Seed     uint64
+	Known    string        // what agents know at their first start
+	MustAsk  time.Duration // within which the list must be asked for
+	All      time.Duration // what the list service needs for all agents
+	Patience time.Duration // of that service
+	Steps    []Step
+}
+
+// Step is some faults, and the recovery from them. The first step is the cold start.
+type Step struct {
+	Name   string
+	Limit  time.Duration // for the recovery
+	Within time.Duration // the recovery must take no longer; 0 for any time
+	Calls  float64       // and no more calls to the list service, a fleet's agent; 0 for any number
+	Faults []Action
+}
+
+// Action is one fault.
+type Action struct {
+	At    time.Duration // after the step begins
+	Kind  string
+	Share float64       // of the agents that it hits, drawn by the scenario's seed
+	For   time.Duration // it lasts
+	How   Mode          // of the list service
+}
+
+// The kinds of faults.
+const (
+	Kill = "kill" // SIGKILL; the agent starts again under its name when the fault ends
+	Stop = "stop" // SIGSTOP, and SIGCONT when it ends
+	Away = "list" // the list service is not Up
+)
+
+// What agents know at their first start.
+const (
+	KnownWhole = "whole"
+	KnownOld   = "old"   // an older version of the list
+	KnownNone  = "none"  // no server
+	KnownWrong = "wrong" // an older version, half of whose servers are no more
+)
+
+type file struct {
+	Agents   *int     `toml:"agents"`
+	Servers  *int     `toml:"servers"`
+	Seed     *int     `toml:"seed"`
+	Known    string   `toml:"known"`
+	MustAskS *float64 `toml:"must_ask_s"`
+	List     struct {
+		AllS      *float64 `toml:"all_s"`
+		PatienceS *float64 `toml:"patience_s"`
+	} `toml:"list"`
+	Step []struct {
+		Name   string   `toml:"name"`
+		LimitS *float64 `toml:"limit_s"`
+		Within *float64 `toml:"within"`
+		Calls  *float64 `toml:"calls"`
+		Fault  []struct {
+			AtS   *float64 `toml:"at_s"`
+			Kind  string   `toml:"kind"`
+			Share *float64 `toml:"share"`
+			ForS  *float64 `toml:"for_s"`
+			How   string   `toml:"how"`
+		} `toml:"fault"`
+	} `toml:"step"`
+}
+
+const mostSteps = 64
+
+// Parse reads a scenario.
+func Parse(text []byte) (*Scenario, error) {
+	var in file
+	f := conffile.Read(text, &in)
+	s := &Scenario{Agents: 12, Servers: 4, Known: KnownWhole, MustAsk: 10 * time.Second, All: time.Second, Patience: 2 * time.Second}
+	f.Count("agents", in.Agents, 1, 5000, &s.Agents)
+	f.Count("servers", in.Servers, 1, 5000, &s.Servers)
+	seed := 1
+	f.Count("seed", in.Seed, 0, 1<<31, &seed)
+	s.Seed = uint64(seed)
+	f.Span("must_ask_s", in.MustAskS, time.Second, 1, 3600, &s.MustAsk)
+	f.Span("list.all_s", in.List.AllS, time.Second, 0.001, 3600, &s.All)
+	f.Span("list.patience_s", in.List.PatienceS, time.Second, 0.01, 3600, &s.Patience)
+	if in.Known != "" {
+		if s.Known = in.Known; !slices.Contains([]string{KnownWhole, KnownOld, KnownNone, KnownWrong}, s.Known) {
+			f.Problem("known", "must be whole, old, none or wrong")
+		}
+	}
+	if len(in.Step) == 0 || len(in.Step) > mostSteps {
+		f.Problem("step", "1 to %d steps are needed, there are %d", mostSteps, len(in.Step))
+	}
+	for i, step := range in.Step {
+		at := fmt.Sprintf("step.%d", i)
+		out := Step{Name: step.Name, Limit: 30 * time.Second}
+		if out.Name == "" {
+			f.Problem(at+".name", "must be given")
+		}
+		f.Span(at+".limit_s", step.LimitS, time.Second, 0.1, 3600, &out.Limit)
+		f.Span(at+".within", step.Within, s.All, 0, 1000, &out.Within)
+		f.Share(at+".calls", step.Calls, 0, 1e6, &out.Calls)
+		if len(step.Fault) > mostSteps {
+			f.Problem(at+".fault", "%d faults at most, there are %d", mostSteps, len(step.Fault))
+		}
+		for j, fault := range step.Fault {
+			at := fmt.Sprintf("%s.fault.%d", at, j)
+			a := Action{Kind: fault.Kind, Share: 1}
+			f.Span(at+".at_s", fault.AtS, time.Second, 0, 3600, &a.At)
+			f.Span(at+".for_s", fault.ForS, time.Second, 0, 3600, &a.For)
+			f.Share(at+".share", fault.Share, 0, 1, &a.Share)
+			switch a.Kind {
+			case Kill, Stop:
+				if fault.How != "" {
+					f.Problem(at+".how", "only a fault of the list service has one")
+				}
+			case Away:
+				if a.How = modes[fault.How]; a.How == Up {
+					f.Problem(at+".how", "must be refuses, resets or silent")
+				}
+				if fault.Share != nil {
+					f.Problem(at+".share", "the list service is one")
+				}
+			default:
+				f.Problem(at+".kind", "must be kill, stop or list")
+			}
+			out.Faults = append(out.Faults, a)
+		}
+		s.Steps = append(s.Steps, out)
+	}
+	return s, f.Err()
+}
+
+// Change puts other figures in place of those of the file, where they are given.
+func (s *Scenario) Change(agents int, all *float64, seed *uint64) {
+	if agents > 0 {
+		s.Agents = agents
+	}
+	if all != nil {
+		of := s.All
+		s.All = time.Duration(*all * float64(time.Second))
+		for i := range s.Steps { // which are told in multiples of it
+			s.Steps[i].Within = time.Duration(float64(s.Steps[i].Within) / float64(of) * float64(s.All))
+		}
+	}
+	if seed != nil {
+		s.Seed = *seed
+	}
+}
--- a/internal/lab/standin/config.go
+++ b/internal/lab/standin/config.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -31,6 +32,13 @@
 	Cancel            bool // attempts may be cancelled, and two be out at a time
 	ColdFor           time.Duration
 	Cores             float64
+
+	// Of an agent among many.
+	Name      string        // n0 where empty
+	Seed      uint64        // a fixed one where 0
+	Balancers int           // how many agents there are; 1 where 0
+	Me        int           // which of them it is
+	MustAsk   time.Duration // the list must be asked for within it; pushed where 0
 }
 
 // Config words the configuration of an agent, as NODE_CONFIG names it.
@@ -46,17 +54,21 @@
 	for _, t := range Tenants {
 		tenants = append(tenants, map[string]string{"Name": t})
 	}
-	text, err := json.Marshal(map[string]any{"name": "n0", "listen": p.Listen, "discovery": p.Discovery,
-		"seed": "8c1f30d27a5be964", "known": p.Known,
+	mode := "automatic"
+	if p.MustAsk > 0 {
+		mode = "subscribe"
+	}
+	text, err := json.Marshal(map[string]any{"name": cmp.Or(p.Name, "n0"), "listen": p.Listen, "discovery": p.Discovery,
+		"seed": fmt.Sprintf("%016x", cmp.Or(p.Seed, 0x8c1f30d27a5be964)), "known": p.Known,
 		"limits": map[string]any{"cores": cmp.Or(p.Cores, 1), "memory_mb": 192, "sockets": cmp.Or(p.Sockets, 1024)},
-		"settings": map[string]any{"Balancers": 1,
+		"settings": map[string]any{"Balancers": max(1, p.Balancers), "Me": p.Me,
 			"Classes": []any{class(Check, "repeatable", 2), record, class(Pay, "once", 10), class(Note, "repeatable", 1)},
 			"Ceilings": map[string]any{"ConnIdleNs": cmp.Or(p.ConnIdle, time.Minute),
 				"ConnectTimeoutNs": cmp.Or(p.ConnectTimeout, 5*time.Second), "MayCancel": p.Cancel, "ParallelTries": p.Cancel,
 				"MostHeld": cmp.Or(p.MostHeld, 1000), "MostTries": cmp.Or(p.MostTries, 3),
 				"RetryAfter": p.MaxRetryAfter > 0, "MaxRetryAfterNs": p.MaxRetryAfter},
-			"Discovery": "automatic", "Report": map[string]any{"Fields": []string{"util", "qps", "eps"}},
-			"Rules":  map[string]any{"ColdFrom": 0.2, "ColdNs": p.ColdFor},
+			"Discovery": mode, "Report": map[string]any{"Fields": []string{"util", "qps", "eps"}},
+			"Rules":  map[string]any{"ColdFrom": 0.2, "ColdNs": p.ColdFor, "MustAskInNs": p.MustAsk},
 			"TickNs": 5 * time.Millisecond, "WeightKind": "silent", "Tenants": tenants, "Zones": []string{"z"}}})
 	if err != nil {
 		panic(err) // of plain values
--- a/internal/settings/conffile/conffile.go
+++ b/internal/settings/conffile/conffile.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -50,12 +51,14 @@
 	return f
 }
 
-// lines finds the line of every key and table. A text that is no TOML has those before the first fault.
+// lines finds the line of every key and table. Of a table in an array it is found by its number too, as in step.0.name; by
+// the name alone it is that of the last. A text that is no TOML has those before the first fault.
 func lines(text []byte) map[string]int {
 	at := map[string]int{}
 	var p unstable.Parser
 	p.Reset(text)
-	var table []string
+	var table, place []string
+	arrays := map[string]int{} // how many tables an array has so far
 	for p.NextExpression() {
 		e := p.Expression()
 		var key []string
@@ -69,8 +72,20 @@
 		}
 		switch e.Kind {
 		case unstable.Table, unstable.ArrayTable:
-			table = key
+			table, place = key, nil
+			for i, name := range key {
+				place = append(place, name)
+				array := strings.Join(place, ".")
+				if e.Kind == unstable.ArrayTable && i == len(key)-1 {
+					arrays[array]++
+				}
+				if n := arrays[array]; n > 0 {
+					place = append(place, strconv.Itoa(n-1))
+				}
+			}
+			at[strings.Join(place, ".")] = line
 		case unstable.KeyValue:
+			at[strings.Join(append(slices.Clone(place), key...), ".")] = line
 			key = append(slices.Clone(table), key...)
 		}
 		at[strings.Join(key, ".")] = line
