When the list is asked for is decided apart: in turns, by place, number and a clock that all have

Cause: choice/choice.go resubscribe() drew each wait from 3 s at most, whatever had failed; 300 agents that lose the list together come back at 85 calls a second and more, a service that needs 6 s for all does 50 a second, and it does the work for callers that it has given up all the same: from then on it answers nobody. And the first call was not spread at all.

internal/decide/asking takes it over from choice, core and discovery: each agent asks at its place in a period of 5 s, by its number among the agents and Unix time, so that the fleet never asks faster than N in 5 s, whatever made it ask. The period is shorter where the service was seen to be fast, longer where calls were given up twice, and as short as the time that is left where a watch fell silent. Services beside the agent are asked as before.

--- a/choice/api.go
+++ b/choice/api.go
@@ -49,8 +49,6 @@
 	Zone           int           // where this balancer runs
 	CrossZonePrice float64       // what an attempt in another zone costs, as a share of a request; 0 for nothing
 	ListWeights    bool          // the list's weights say something of the servers' capacities
-	Subscribe      bool          // the list of servers must be subscribed to
-	MustAsk        time.Duration // what the list says counts as told if it is not asked for so long; 0 for any
 	WarmKeys       bool          // a server that met a request's key lately does less work for it
 	Probes         bool          // servers may be probed
 	ProbePrice     float64       // what a probe costs, as a share of a request
@@ -151,8 +149,6 @@
 		Full    bool // the whole list, not only the entries that changed
 		Servers []Server
 	}
-	// ListUnavailable says that a call to the list failed or the subscription broke.
-	ListUnavailable struct{}
 	// Request is a client's request. It is owed one final answer: a served attempt, a Refuse or a Fail.
 	Request struct {
 		ID            string
@@ -201,30 +197,28 @@
 	TimerFired struct{ Token uint64 }
 )
 
-func (ServerList) event()      {}
-func (ListUnavailable) event() {}
-func (Request) event()         {}
-func (Whole) event()           {}
-func (Outcome) event()         {}
-func (Streaming) event()       {}
-func (ClientGone) event()      {}
-func (Probed) event()          {}
-func (PeerMessage) event()     {}
-func (TimerFired) event()      {}
+func (ServerList) event()  {}
+func (Request) event()     {}
+func (Whole) event()       {}
+func (Outcome) event()     {}
+func (Streaming) event()   {}
+func (ClientGone) event()  {}
+func (Probed) event()      {}
+func (PeerMessage) event() {}
+func (TimerFired) event()  {}
 
 // ActionKind names what an Action does and which of its fields count.
 type ActionKind int
 
 // The kinds of actions.
 const (
-	Send      ActionKind = iota // Request to Server, given up after After (0: when the client does); see Within
-	Cancel                      // attempt number Attempt of Request
-	Refuse                      // Request: trying again does no harm; the client stays away for After
-	Fail                        // Request: no promise about its effect
-	SetTimer                    // TimerFired with Token comes after After
-	Probe                       // Server
-	Subscribe                   // to the list of servers
-	Tell                        // every other balancer of Data
+	Send     ActionKind = iota // Request to Server, given up after After (0: when the client does); see Within
+	Cancel                     // attempt number Attempt of Request
+	Refuse                     // Request: trying again does no harm; the client stays away for After
+	Fail                       // Request: no promise about its effect
+	SetTimer                   // TimerFired with Token comes after After
+	Probe                      // Server
+	Tell                       // every other balancer of Data
 )
 
 // Action is something that the Balancer wants done. Actions take effect in order.
@@ -261,9 +255,6 @@
 func (b *Balancer) Start(now time.Duration) []Action {
 	b.now, b.actions = now, b.actions[:0]
 	b.timer(tickToken, b.horizon/ticks)
-	if b.set.Subscribe {
-		b.act(Action{Kind: Subscribe})
-	}
 	return b.actions
 }
 
@@ -275,10 +266,6 @@
 	switch e := ev.(type) {
 	case ServerList:
 		b.list(e)
-	case ListUnavailable:
-		if b.set.Subscribe {
-			b.resubscribe()
-		}
 	case Request:
 		b.request(e)
 	case Whole:
@@ -304,7 +291,6 @@
 // Tokens of the timers that belong to no request.
 const (
 	tickToken uint64 = iota
-	subscribeToken
 	firstToken
 )
 
@@ -312,8 +298,6 @@
 	switch r := b.timers[token]; {
 	case token == tickToken:
 		b.tick()
-	case token == subscribeToken:
-		b.act(Action{Kind: Subscribe})
 	case r != nil && token == r.due:
 		b.finish(r)
 	case r != nil && r.waits > 0 && token == r.late:
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 )
 
 // The module's own constants. All are shares, counts or multiples; times come from the settings.
@@ -44,8 +43,6 @@
 	shareTime   = 8    // horizons over which the rate of answers is averaged
 	subsetLeast = 16   // servers that even a quiet balancer draws from
 	subsetTime  = 2    // horizons in which a balancer's traffic would meet all that it draws from
-	askSpan     = 8    // horizons over which those that lost the list together ask for it again
-	askMostPart = 0.3  // of the time within which it must be heard, the rest for silence before and the call
 )
 
 func (b *Balancer) tick() {
@@ -63,7 +60,6 @@
 
 // list takes the list or a change of it. Every change counts from the same event on.
 func (b *Balancer) list(l ServerList) {
-	b.tries = 0
 	named := make(map[string]bool, len(l.Servers))
 	for _, e := range l.Servers {
 		named[e.ID] = true
@@ -112,17 +108,6 @@
 	}
 }
 
-// resubscribe asks again, at a time drawn from a span that doubles with a further failure: those that lost it
-// together must not swamp it, and one that answers nobody in time has done the work all the same.
-func (b *Balancer) resubscribe() {
-	span := askSpan * float64(b.horizon) * float64(min(b.tries, 1)+1)
-	if b.set.MustAsk > 0 {
-		span = min(span, askMostPart*float64(b.set.MustAsk))
-	}
-	b.tries++
-	b.timer(subscribeToken, time.Duration(span*b.rng.Float64()))
-}
-
 // Capacity estimate.
 
 // report takes a server's word on its load: its rate over its utilisation is what it could do at most.
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,7 +22,6 @@
 	usual     []float64     // mean time to an answer, a class each
 	least     []float64     // least usual time to an answer, a class each
 	budget    float64       // further attempts that may be made
-	tries     int           // subscriptions that failed in a row
 	trialBy   Effect        // the least harmful effect among the classes
 	tightest  time.Duration // the shortest aim
 	jam       float64       // part of the slack used, averaged
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,7 +83,7 @@
 	var feed core.Feed
 	if sources != nil {
 		pooled.Addresses = sources.Addresses
-		feed = members.New(members.Settings{Config: *sources, Discovery: cfg.Discovery, Known: cfg.Known, Zones: cfg.Host.Zones, Seed: cfg.Seed,
+		feed = members.New(members.Settings{Config: *sources, Discovery: cfg.Discovery, Known: cfg.Known, Asking: cfg.Asking, Zones: cfg.Host.Zones, Seed: cfg.Seed,
 			Log: log}).Feed
 	}
 	a.pool = pool.New(pooled)
@@ -110,7 +110,7 @@
 	}
 	var err error
 	a.core, err = core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
-		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Feed: feed, Pool: a.pool, Log: log,
+		MostHeld: cfg.Host.Ceilings.MostHeld, Known: cfg.Known, Discovery: cfg.Discovery, Asking: cfg.Asking, Feed: feed, Pool: a.pool, Log: log,
 		Transports: transports, Illegal: a.noteIllegal, Routes: ways,
 		Publish: cfg.Ops != "", Inherited: a.line.inheritance()})
 	return a, err
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -121,14 +121,13 @@
 
 // The kinds of orders.
 const (
-	Begin     OrderKind = iota // Attempt
-	Withdraw                   // Attempt
-	Reply                      // Answer to Call
-	SetTimer                   // Fired with Token is owed at At
-	Subscribe                  // to the list
-	Retire                     // Server: its idle connections are closed
-	Bound                      // Attempt is given up at At, earlier than was said when it began
-	Discard                    // Reply: nobody takes it
+	Begin    OrderKind = iota // Attempt
+	Withdraw                  // Attempt
+	Reply                     // Answer to Call
+	SetTimer                  // Fired with Token is owed at At
+	Retire                    // Server: its idle connections are closed
+	Bound                     // Attempt is given up at At, earlier than was said when it began
+	Discard                   // Reply: nobody takes it
 )
 
 // Order is something that the host is to do. Orders are carried out in their order.
@@ -241,13 +240,6 @@
 	return l.orders
 }
 
-// ListUnavailable says that the watch on the list ended.
-func (l *Ledger) ListUnavailable(now time.Duration) []Order {
-	l.begin(now)
-	l.handle(choice.ListUnavailable{})
-	return l.orders
-}
-
 // Arrived takes a call from its front.
 func (l *Ledger) Arrived(now time.Duration, call *Call) []Order {
 	l.begin(now)
@@ -403,8 +395,6 @@
 		switch act.Kind {
 		case choice.SetTimer:
 			l.order(Order{Kind: SetTimer, Token: act.Token, At: l.now + act.After})
-		case choice.Subscribe:
-			l.order(Order{Kind: Subscribe})
 		case choice.Send:
 			if call := l.calls[act.Request]; call != nil {
 				l.send(call, act)
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/decide/routes"
@@ -60,7 +61,8 @@
 	MostHeld   int            // calls not answered yet; 0 for no bound
 	Known      discovery.List // the list as it was last had
 	Discovery  string         // address of the list
-	Feed       Feed           // brings the list where not nil; Known and Discovery mean nothing then
+	Asking     asking.Settings
+	Feed       Feed // brings the list where not nil; Known and Discovery mean nothing then
 	Pool       *pool.Pool
 	Transports map[choice.Protocols]Transport // by what a server is spoken to in
 	Log        *slog.Logger
@@ -89,10 +91,9 @@
 	// What follows belongs to the loop.
 	ledger    *ledger.Ledger
 	timers    timerHeap
-	discovery string // the address that is followed
-	watch     func() // begins a watch there
-	unwatch   func() // ends it; nothing that it has delivered is applied from then on
-	haveWatch bool
+	discovery string               // the address that is followed
+	watch     func()               // begins a watch there
+	unwatch   func()               // ends it; nothing that it has delivered is applied from then on
 	clock     func() learned.Clock // nil where nothing is remembered
 	published time.Duration        // when the figures were
 	list      discovery.List       // as it stands
@@ -170,9 +171,7 @@
 		c.inherit()
 		c.apply(c.set.Known)
 		c.learn()
-		if !c.set.Module.Subscribe {
-			c.beginWatch()
-		}
+		go c.watch()
 	}
 	first := time.AfterFunc(firstList, func() { c.post(c.markReady) })
 	defer first.Stop()
@@ -276,10 +275,6 @@
 		switch o.Kind {
 		case ledger.SetTimer:
 			heap.Push(&c.timers, timer{at: o.At, token: o.Token})
-		case ledger.Subscribe:
-			if !c.haveWatch && c.set.Feed == nil {
-				c.beginWatch()
-			}
 		case ledger.Begin:
 			c.begin(o.Attempt)
 		case ledger.Withdraw:
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/discovery"
 )
@@ -32,9 +33,7 @@
 		c.log.Info("new configuration", "discovery", addr, "before", c.discovery)
 		if addr != c.discovery {
 			c.follow(ctx, addr, discovery.List{Version: discovery.Unknown})
-			if c.haveWatch {
-				c.beginWatch()
-			}
+			go c.watch()
 		}
 	})
 }
@@ -47,32 +46,19 @@
 	}
 	ctx, c.unwatch = context.WithCancel(ctx)
 	c.discovery, c.list.Version = addr, known.Version
-	d := discovery.New(addr, known, c.log)
-	current := func(event func()) {
-		c.post(func() {
-			if ctx.Err() == nil {
-				event()
-			}
-		})
-	}
-	deliver := func(l discovery.List) { current(func() { c.apply(l); c.markReady() }) }
-	c.watch = func() { d.KeepWatching(ctx, deliver, nil) }
-	if c.set.Module.Subscribe {
-		c.watch = func() { // each time that the module asks for it
-			d.Watch(ctx, deliver)
-			current(func() {
-				c.haveWatch = false
-				c.do(c.ledger.ListUnavailable(c.Now()))
+	d := discovery.New(addr, known, asking.New(c.set.Asking, c.set.Seed), c.log)
+	c.watch = func() {
+		d.KeepWatching(ctx, func(l discovery.List) {
+			c.post(func() {
+				if ctx.Err() == nil {
+					c.apply(l)
+					c.markReady()
+				}
 			})
-		}
+		}, nil)
 	}
 }
 
-func (c *Core) beginWatch() {
-	c.haveWatch = true
-	go c.watch()
-}
-
 // apply applies the list of servers or a change of it.
 func (c *Core) apply(l discovery.List) {
 	c.pass(l)
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/decide/membership"
 	"ternbeam/internal/decide/resolve"
@@ -21,6 +22,7 @@
 	sourceconf.Config
 	Discovery string         // the platform's list; none where empty
 	Known     discovery.List // as it was last had
+	Asking    asking.Settings
 	Zones     []string
 	Seed      uint64
 	Log       *slog.Logger
@@ -158,7 +160,7 @@
 
 // watch watches the platform's list, again and again.
 func (h *Host) watch(ctx context.Context, deliver func([]ledger.Entry)) {
-	discovery.New(h.set.Discovery, h.set.Known, h.set.Log).KeepWatching(ctx, func(l discovery.List) {
+	discovery.New(h.set.Discovery, h.set.Known, asking.New(h.set.Asking, h.set.Seed), h.set.Log).KeepWatching(ctx, func(l discovery.List) {
 		r := h.word(l)
 		h.post(ctx, func() { h.report(r, deliver) })
 	}, func() {
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/settings/wire"
 )
@@ -38,6 +39,7 @@
 	Seed   uint64
 	Known  discovery.List
 	Module choice.Settings // as the simulator's adapter reads them
+	Asking asking.Settings // how the list is asked for
 	Fields []string        // the figures in a load report
 	Host   HostSettings
 }
@@ -127,9 +129,11 @@
 		h.Write([]byte(file.Seed))
 		cfg.Seed = h.Sum64()
 	}
-	if cfg.Module, cfg.Fields, err = wire.ParseSettings(file.Settings); err != nil {
+	set, err := wire.ParseSettings(file.Settings)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errSettings, err)
 	}
+	cfg.Module, cfg.Fields, cfg.Asking = set.Module, set.Fields, asking.Settings(set.List)
 	if err := json.Unmarshal(file.Settings, &cfg.Host); err != nil {
 		return nil, fmt.Errorf("%w: %w", errSettings, err)
 	}
--- a/internal/settings/wire/decode.go
+++ b/internal/settings/wire/decode.go
@@ -20,11 +20,12 @@
 
 // The kinds of messages.
 const (
-	Turn     Kind = iota // a batch begins at Now
-	YourTurn             // a batch ends; the reply is due
-	Launch               // an instance begins, with Settings and Seed
-	Killed               // an instance is gone
-	Event                // an instance has an event
+	Turn        Kind = iota // a batch begins at Now
+	YourTurn                // a batch ends; the reply is due
+	Launch                  // an instance begins, with Settings and Seed
+	Killed                  // an instance is gone
+	Event                   // an instance has an event
+	Unavailable             // the list can't be had by an instance, or its subscription broke
 )
 
 // Message is one decoded line.
@@ -32,9 +33,10 @@
 	Kind     Kind
 	Now      time.Duration
 	Instance string
-	Settings choice.Settings
+	Settings Settings
 	Seed     uint64
 	Event    choice.Event
+	Restored bool // of a list: it was there at the start
 }
 
 // lists is how many numbered lists there are at a time.
@@ -142,6 +144,11 @@
 		return m, false, d.bad
 	case "Killed":
 		m.Kind = Killed
+	case "Members":
+		form := string(d.bytes(v, "Form"))
+		if m.Kind, m.Restored = Event, form == "restored"; form == "unavailable" {
+			m.Kind = Unavailable
+		}
 	default:
 		m.Kind = Event
 	}
@@ -149,9 +156,10 @@
 	if !ok {
 		return m, false, fmt.Errorf("instance %q was never launched", m.Instance)
 	}
-	if m.Kind == Event {
+	switch m.Kind {
+	case Event:
 		m.Event = d.event(string(kind), v, fields)
-	} else {
+	case Killed:
 		delete(d.instances, m.Instance)
 	}
 	return m, false, d.bad
@@ -190,8 +198,6 @@
 func (d *Decoder) members(v *fastjson.Value) choice.Event {
 	form := string(d.bytes(v, "Form"))
 	switch form {
-	case "unavailable":
-		return choice.ListUnavailable{}
 	case "update", "replace", "restored":
 	default:
 		d.fault("unknown Form %q", form)
@@ -325,15 +331,15 @@
 	return s
 }
 
-func (d *Decoder) launch(instance string, v *fastjson.Value) choice.Settings {
+func (d *Decoder) launch(instance string, v *fastjson.Value) Settings {
 	if v == nil || v.Type() != fastjson.TypeObject {
 		d.fault("Launch without BootInfo")
-		return choice.Settings{}
+		return Settings{}
 	}
-	set, fields, err := ParseSettings(v.MarshalTo(nil))
+	set, err := ParseSettings(v.MarshalTo(nil))
 	if err != nil {
 		d.fault("BootInfo: %v", err)
 	}
-	d.instances[instance] = fields
+	d.instances[instance] = set.Fields
 	return set
 }
--- a/internal/settings/wire/encode.go
+++ b/internal/settings/wire/encode.go
@@ -32,8 +32,6 @@
 		out = num(out, `,"FromNowNs":`, uint64(max(a.After, 0)))
 	case choice.Probe:
 		out = str(begin(out, "Poll", instance), `,"Backend":`, a.Server)
-	case choice.Subscribe:
-		out = append(begin(out, "Listen", instance), `,"On":true`...)
 	case choice.Tell:
 		out = append(begin(out, "Publish", instance), `,"Whom":"*","Blob":"`...)
 		out = append(base64.StdEncoding.AppendEncode(out, a.Data), '"')
@@ -41,6 +39,11 @@
 	return append(out, "}\n"...)
 }
 
+// AppendListen appends the line by which an instance subscribes to the list of servers.
+func AppendListen(out []byte, instance string) []byte {
+	return append(begin(out, "Listen", instance), `,"On":true}`+"\n"...)
+}
+
 // AppendYield appends the line that ends a reply.
 func AppendYield(out []byte) []byte { return append(out, `{"type":"Yield"}`+"\n"...) }
 
--- a/internal/settings/wire/settings.go
+++ b/internal/settings/wire/settings.go
@@ -32,7 +32,21 @@
 	}
 	TickNs     int64
 	WeightKind string
-	Zone       int
+	Me, Zone   int
+}
+
+// Settings are what the object says.
+type Settings struct {
+	Module choice.Settings
+	List   List
+	Fields []string // the names of the figures in a load report, in their order
+}
+
+// List is what it says of how the list of servers is asked for. It has the form of asking.Settings.
+type List struct {
+	Shared     bool
+	Agents, Me int
+	MustAsk    time.Duration
 }
 
 var (
@@ -40,15 +54,15 @@
 	groups  = []string{choice.GroupAll: "all", choice.GroupZone: "zone", choice.GroupCell: "cell"}
 )
 
-// ParseSettings reads the settings object of an instance. It returns the module's settings and the names of the
-// figures in a load report, in their order. The simulator's adapter and the real agent both read it here.
-func ParseSettings(data []byte) (choice.Settings, []string, error) {
+// ParseSettings reads the settings object of an instance. The simulator's adapter and the real agent both read it here.
+func ParseSettings(data []byte) (Settings, error) {
 	var boot bootInfo
 	if err := json.Unmarshal(data, &boot); err != nil {
-		return choice.Settings{}, nil, err
+		return Settings{}, err
 	}
-	set, err := boot.settings()
-	return set, boot.Report.Fields, err
+	module, err := boot.settings()
+	return Settings{Module: module, Fields: boot.Report.Fields, List: List{Shared: boot.Discovery == "subscribe",
+		Agents: boot.Balancers, Me: boot.Me, MustAsk: time.Duration(boot.Rules.MustAskInNs)}}, err
 }
 
 // KeyError is what is wrong with one key of the settings, such as Classes.0.Effect.
@@ -91,8 +105,6 @@
 		Zone:           b.Zone,
 		CrossZonePrice: b.Prices.CrossZone,
 		ListWeights:    b.WeightKind == "nominal" || b.WeightKind == "rough",
-		Subscribe:      b.Discovery == "subscribe",
-		MustAsk:        time.Duration(b.Rules.MustAskInNs),
 		WarmKeys:       b.Domain.WarmKeys,
 		Probes:         b.Ceilings.Probes,
 		ProbePrice:     b.Prices.Probe,
