The rig has servers, kiosks and the four rules, judged from what the world saw

Need: what a start of the whole fleet sends to cold servers, and whether drains are kept where the list service fails, can't be told from watches alone. Servers have a stated capacity, start cold, fall over beyond a stated push from all agents together, go silent, crash, drain and start again; kiosks ask every agent; the list is told in changes, by agent where it is cut. From the record: one final answer in time (but for agents that were killed or stopped), no effect twice, nothing 500 ms after a drain was told or counts as told, no cold server pushed over. A canary notes when the machine stands still; such a run is void.

--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -80,6 +80,12 @@
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		a.doom = true
 	}
+	switch s {
+	case syscall.SIGSTOP:
+		a.record.Add(Stopped, a.number, "")
+	case syscall.SIGCONT:
+		a.record.Add(Resumed, a.number, "")
+	}
 	if err := a.cmd.Process.Signal(s); !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
--- a/internal/lab/fleet/record.go
+++ b/internal/lab/fleet/record.go
@@ -14,6 +14,15 @@
 	Mended  = "mended"  // and undone
 	Started = "started" // a process of an agent
 	Died    = "died"    // a process of an agent; by its own doing where Said is not empty
+	Stopped = "stopped" // a process of an agent is stopped
+	Resumed = "resumed" // and continued
+	Told    = "told"    // an agent is told that the server in Said drains or is gone, by the list service
+	Drains  = "drains"  // the list has it that the server in Said drains or is gone
+	Serves  = "serves"  // the list has it that the server in Said is to be sent to
+	Got     = "got"     // the server in Said gets a call by an agent
+	Fell    = "fell"    // the server in Said was pushed over while it was cold
+	Answer  = "answer"  // a kiosk of an agent has its answer, after Took
+	Stall   = "stall"   // the machine itself stood still, for Took
 )
 
 // How a call to the list service ended.
@@ -24,12 +33,16 @@
 	Hung     = "hung" // nothing was said
 )
 
+// Unreached is what becomes of a call to an agent that does not listen. The other kinds of answers are standin's.
+const Unreached = "unreached"
+
 // Event is what the world saw at one moment.
 type Event struct {
 	At    time.Duration // since the fleet began
 	Kind  string
-	Agent int    // -1 for none
-	Said  string `json:",omitempty"`
+	Agent int           // -1 for none
+	Said  string        `json:",omitempty"`
+	Took  time.Duration `json:",omitempty"`
 }
 
 // Record is all that the world saw, in order. Nothing in it comes from the program's own words, and nothing in it changes.
@@ -49,9 +62,15 @@
 
 // Add writes down what happens now.
 func (r *Record) Add(kind string, agent int, said string) {
+	r.Put(Event{Kind: kind, Agent: agent, Said: said})
+}
+
+// Put is Add for what has more to say. Its time is now.
+func (r *Record) Put(e Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.events = append(r.events, Event{r.Now(), kind, agent, said})
+	e.At = r.Now()
+	r.events = append(r.events, e)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
--- /dev/null
+++ b/internal/lab/fleet/rules_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"ternbeam/internal/lab/standin"
+)
+
+const (
+	ms  = time.Millisecond
+	sec = time.Second
+)
+
+// A record in which an answer is late or lost is told from one in which the agent was killed or stood still.
+func TestAnswersRule(t *testing.T) {
+	answer := func(at, took time.Duration, said string) Event {
+		return Event{At: at, Kind: Answer, Agent: 1, Said: said, Took: took}
+	}
+	events := []Event{{At: 0, Kind: Started, Agent: 1}, answer(3*sec, 2*sec, "served"), answer(3*sec, 3*sec, "served"), answer(4*sec, ms, standin.Lost.String()),
+		answer(4*sec, ms, Unreached), {At: 5 * sec, Kind: Died, Agent: 1}, answer(5*sec+ms, sec, standin.Lost.String()), {At: 6 * sec, Kind: Started, Agent: 1},
+		{At: 10 * sec, Kind: Stopped, Agent: 1}, {At: 15 * sec, Kind: Resumed, Agent: 1}, answer(15*sec, 5*sec, "served"), answer(16*sec, ms, standin.Lost.String())}
+	got := strings.Join(answers(events, 2*sec), "\n")
+	if want := "3s: an answer of agent 1 took 3s\n4s: a call to agent 1 was lost after 1ms\n16s: a call to agent 1 was lost after 1ms"; got != want {
+		t.Errorf("%s", got)
+	}
+}
+
+// A send after a drain was told, or counts as told, is seen; one before is none.
+func TestDrainsRule(t *testing.T) {
+	const must = 10 * sec
+	send := func(at time.Duration) Event { return Event{At: at, Kind: Got, Agent: 0, Said: "s"} }
+	begin := []Event{{At: 0, Kind: Started, Agent: 0}, {At: sec, Kind: Called, Agent: 0, Said: Answered}, {At: sec, Kind: Began, Agent: 0},
+		{At: 2 * sec, Kind: Drains, Agent: -1, Said: "s"}}
+	for name, c := range map[string]struct {
+		events []Event
+		faults int
+	}{
+		"told, and sent in the grace":   {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, send(2*sec + 500*ms)}, 0},
+		"told, and sent later":          {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, send(2*sec + 900*ms)}, 1},
+		"told, and served again":        {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, {At: 3 * sec, Kind: Serves, Agent: -1, Said: "s"}, send(4 * sec)}, 0},
+		"not told":                      {[]Event{send(20 * sec)}, 0},
+		"the watch ended long ago":      {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, send(12 * sec), send(14 * sec)}, 1},
+		"asked in vain meanwhile":       {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 8 * sec, Kind: Called, Agent: 0, Said: Down}, send(14 * sec), send(49 * sec)}, 1},
+		"a new process that never asks": {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 4 * sec, Kind: Died, Agent: 0}, {At: 5 * sec, Kind: Started, Agent: 0}, send(14 * sec), send(16 * sec)}, 1},
+		"stopped, and just continued":   {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 4 * sec, Kind: Stopped, Agent: 0}, {At: 30 * sec, Kind: Resumed, Agent: 0}, send(30*sec + 100*ms), send(32 * sec)}, 1},
+	} {
+		if got := drains(append(begin[:len(begin):len(begin)], c.events...), 1, must); len(got) != c.faults {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
+
+// A cold server bears what it is said to bear, and falls over beyond.
+func TestColdServerFalls(t *testing.T) {
+	opts := ServerOptions{Capacity: 100, ColdFrom: 0.5, ColdFor: time.Hour, Push: 2, FallIn: 3 * sec, Queue: time.Hour}
+	for rate, falls := range map[int]bool{50: false, 95: false, 130: true} {
+		now := time.Duration(0)
+		s := &server{id: "s", opts: opts, pod: standin.NewPod(), record: NewRecord(), now: func() time.Duration { return now }}
+		if err := s.start(true); err != nil {
+			t.Fatal(err)
+		}
+		for range 10 * rate {
+			now += sec / time.Duration(rate)
+			s.take(standin.Call{ID: callID(3, 7)})
+		}
+		events, _ := s.record.Since(0)
+		if fell := events[len(events)-1].Kind == Fell || s.live == nil; fell != falls {
+			t.Errorf("at %d calls a second, %.2f times what it can do: fell %t", rate, s.pushed(), fell)
+		}
+		if e := events[0]; e.Kind != Got || e.Agent != 3 || e.Said != "s" {
+			t.Errorf("%+v", e)
+		}
+		s.stop()
+	}
+}
--- a/internal/lab/standin/config.go
+++ b/internal/lab/standin/config.go
@@ -31,6 +31,7 @@
 	MaxRetryAfter     time.Duration
 	Cancel            bool // attempts may be cancelled, and two be out at a time
 	ColdFor           time.Duration
+	ColdFrom          float64 // 0.2 where 0
 	Cores             float64
 
 	// Of an agent among many.
@@ -68,7 +69,7 @@
 				"MostHeld": cmp.Or(p.MostHeld, 1000), "MostTries": cmp.Or(p.MostTries, 3),
 				"RetryAfter": p.MaxRetryAfter > 0, "MaxRetryAfterNs": p.MaxRetryAfter},
 			"Discovery": mode, "Report": map[string]any{"Fields": []string{"util", "qps", "eps"}},
-			"Rules":  map[string]any{"ColdFrom": 0.2, "ColdNs": p.ColdFor, "MustAskInNs": p.MustAsk},
+			"Rules":  map[string]any{"ColdFrom": cmp.Or(p.ColdFrom, 0.2), "ColdNs": p.ColdFor, "MustAskInNs": p.MustAsk},
 			"TickNs": 5 * time.Millisecond, "WeightKind": "silent", "Tenants": tenants, "Zones": []string{"z"}}})
 	if err != nil {
 		panic(err) // of plain values
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -160,14 +160,15 @@
 	Pod         *Pod // one of its own where nil
 	Cell        int
 	Script      Script
-	Service     time.Duration // what a call takes
-	Most        int           // calls at a time; others are turned away. 0 for any number
-	ColdFrom    float64       // share of its speed that it starts with
-	ColdFor     time.Duration // until it has all of it
-	NoLoad      bool          // states no load
-	Shapes      []string      // takes refunds in these versions of their shape and nothing else; any class where nil
-	Listed      []string      // what the list says of them; Shapes where nil
-	Saw         func(Call)    // is told of each call that comes whole
+	Service     time.Duration                    // what a call takes
+	Most        int                              // calls at a time; others are turned away. 0 for any number
+	ColdFrom    float64                          // share of its speed that it starts with
+	ColdFor     time.Duration                    // until it has all of it
+	NoLoad      bool                             // states no load
+	Load        func() (util, perSecond float64) // the load that it states in place of what it counts; nil for none
+	Shapes      []string                         // takes refunds in these versions of their shape and nothing else; any class where nil
+	Listed      []string                         // what the list says of them; Shapes where nil
+	Saw         func(Call)                       // is told of each call that comes whole
 }
 
 // Server is a form server.
@@ -399,6 +400,10 @@
 	if s.opts.NoLoad {
 		return nil
 	}
+	if s.opts.Load != nil {
+		util, perSecond := s.opts.Load()
+		return &load{inFlight: float64(s.inFlight), util: util, qps: perSecond}
+	}
 	l := &load{inFlight: float64(s.inFlight), qps: float64(s.done) / max(1, time.Since(s.since).Seconds())}
 	if s.opts.Most > 0 {
 		l.util = float64(s.inFlight) / float64(s.opts.Most)
