--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -20,8 +20,10 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/agent"
+	"ternbeam/internal/decide/sharing"
 	"ternbeam/internal/lab/demo"
 	"ternbeam/internal/settings/config"
+	"ternbeam/internal/settings/peerconf"
 	"ternbeam/internal/settings/sourceconf"
 	"ternbeam/internal/settings/stateconf"
 	"ternbeam/internal/thrift/thriftmap"
@@ -73,6 +75,7 @@
 type runCommand struct {
 	Thrift    string `help:"Take Thrift too, as this file says (see deploy/thrift.toml)." placeholder:"FILE"`
 	Sources   string `help:"Take servers from the sources of this file (see deploy/sources.toml)." placeholder:"FILE"`
+	Peers     string `help:"Have lists of servers from other agents and pass them on, as this file says (see deploy/peers.toml)." placeholder:"FILE"`
 	Translate string `help:"Translate between the shapes of this file (see deploy/translate.toml)." placeholder:"FILE"`
 	State     string `help:"Keep what is learned, as this file says (see deploy/state.toml)." placeholder:"FILE"`
 }
@@ -105,7 +108,17 @@
 			return err
 		}
 	}
-	opts := agent.Options{Service: service, Sources: sources, Shared: os.Getenv("TMPDIR")}
+	var lists *sharing.Settings
+	if r.Peers != "" {
+		text, err := os.ReadFile(r.Peers)
+		if err != nil {
+			return err
+		}
+		if lists, err = peerconf.Parse(text); err != nil {
+			return fmt.Errorf("%s: %w", r.Peers, err)
+		}
+	}
+	opts := agent.Options{Service: service, Sources: sources, Peers: lists, Shared: os.Getenv("TMPDIR")}
 	if r.Translate != "" {
 		opts.Shapes = func() (*translate.Set, error) { return loadShapes(r.Translate) }
 	}
@@ -127,7 +140,7 @@
 }
 
 type checkCommand struct {
-	Files []string `arg:"" help:"An agent's configuration (.json), a Thrift service's (.toml) that of what is kept (state.toml, or any with a table half_life) or that of the sources (sources.toml, or any with a table dns) or that of shapes (translate.toml, or any with a table shapes). The classes of a service are held against those of the configuration, where both are given."`
+	Files []string `arg:"" help:"An agent's configuration (.json), a Thrift service's (.toml) that of what is kept (state.toml, or any with a table half_life) or that of the sources (sources.toml, or any with a table dns) or that of peers (peers.toml, or any with a table lists) or that of shapes (translate.toml, or any with a table shapes). The classes of a service are held against those of the configuration, where both are given."`
 }
 
 // Run checks the files.
@@ -162,6 +175,8 @@
 				_, err = stateconf.Parse(text)
 			case later && (bytes.Contains(text, []byte("\n[[dns]]")) || filepath.Base(name) == "sources.toml"):
 				_, err = sourceconf.Parse(text)
+			case later && (bytes.Contains(text, []byte("\n[lists]")) || filepath.Base(name) == "peers.toml"):
+				_, err = peerconf.Parse(text)
 			case later && (bytes.Contains(text, []byte("\n[shapes.")) || filepath.Base(name) == "translate.toml"):
 				_, err = translate.Compile(text)
 			case later:
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -8,6 +8,11 @@
 //go:embed thrift.toml
 var Thrift string
 
+// Peers is the sample of how agents share lists.
+//
+//go:embed peers.toml
+var Peers string
+
 // Translate is the sample of shapes and mappings.
 //
 //go:embed translate.toml
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -17,10 +18,12 @@
 	"ternbeam/internal/bridge"
 	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/routes"
+	"ternbeam/internal/decide/sharing"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/keeper"
 	"ternbeam/internal/host/members"
+	"ternbeam/internal/host/peers"
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/http/httpback"
 	"ternbeam/internal/http/httpfront"
@@ -69,6 +72,7 @@
 type Options struct {
 	Service *thriftmap.Map                 // takes Thrift too
 	Sources *sourceconf.Config             // where servers come from; the platform's list alone where nil
+	Peers   *sharing.Settings              // lists pass among agents; they do not where nil
 	Shapes  func() (*translate.Set, error) // reads the shapes of calls, again with each reload; calls have none where nil
 	Shared  string                         // the folder that a process shares with the one that replaces it; empty for none
 }
@@ -87,6 +91,17 @@
 			Log: log}).Feed
 	}
 	a.pool = pool.New(pooled)
+	if opts.Peers != nil {
+		if sources != nil {
+			return nil, errors.New("lists from other agents and further sources of servers don't go together yet")
+		}
+		others, err := peers.New(peers.Settings{Settings: *opts.Peers, Listen: cfg.Peers.Listen, Peers: cfg.Peers.All, Discovery: cfg.Discovery,
+			Known: cfg.Known, Asking: cfg.Asking, Zones: cfg.Host.Zones, Seed: cfg.Seed, Log: log})
+		if err != nil {
+			return nil, err
+		}
+		feed = others.Feed
+	}
 	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(a.pool, cfg.Fields, cfg.Long())}
 	if service != nil {
 		t := thriftback.New(a.pool, service)
--- a/internal/decide/asking/asking.go
+++ b/internal/decide/asking/asking.go
@@ -147,6 +147,11 @@
 	return min(most, max(quick, min(quick<<min(a.vain, 8), vainPeriod)))
 }
 
+// Turn returns the agent's next place in periods of a length, or of the usual one if that is longer.
+func (a *Asker) Turn(now, every time.Duration) time.Duration {
+	return a.turn(now, max(every, a.base(0)))
+}
+
 // turn is the agent's next place in periods of a length.
 func (a *Asker) turn(now, every time.Duration) time.Duration {
 	if every <= 0 {
--- /dev/null
+++ b/internal/decide/sharing/sharing_test.go
@@ -0,0 +1,466 @@
+package sharing
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ternbeam/internal/decide/asking"
+	"ternbeam/internal/decide/company"
+)
+
+// world is many nodes, the links between them and a list service, in virtual time.
+type world struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    time.Duration
+	order  uint64
+	events events
+
+	set    Settings
+	nodes  []*host
+	delay  time.Duration
+	loss   float64
+	dup    float64
+	cut    func(from, to int) bool // nil for none
+	replay bool                    // datagrams come again, much later
+
+	version int64
+	rows    map[string]Row
+	log     []Row // the one at i made version i+1
+	told    []time.Duration
+	each    time.Duration
+	free    time.Duration
+	down    bool
+	reach   func(place int) bool // who reaches the service; nil for all
+	calls   int
+	sent    int
+	bytes   int
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// host is one life of a node.
+type host struct {
+	w     *world
+	place int
+	node  *Node
+	life  int
+	alive bool
+	timer time.Duration // of the latest that was set
+	watch int           // counts watches; a late word of an earlier one means nothing
+	known map[string]Row
+	began time.Duration
+}
+
+func newWorld(t *testing.T, agents, servers int, seed uint64) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: 1000 * time.Hour, set: Defaults, rows: map[string]Row{}, each: time.Millisecond, delay: time.Millisecond}
+	for i := range servers {
+		w.tell(Row{ID: fmt.Sprint("forms-", i), Body: fmt.Appendf(nil, "127.0.0.1:%d in service", i)})
+	}
+	for p := range agents {
+		w.nodes = append(w.nodes, &host{w: w, place: p})
+	}
+	return w
+}
+
+// tell has the service know of a change.
+func (w *world) tell(r Row) {
+	w.version++
+	r.Stamp = w.version
+	w.log = append(w.log, r)
+	w.told = append(w.told, w.now)
+	if r.Gone {
+		delete(w.rows, r.ID)
+	} else {
+		w.rows[r.ID] = r
+	}
+	for _, h := range w.nodes {
+		if h.alive && h.node.Watching() {
+			h.hear(h.watch, w.version, false, []Row{r})
+		}
+	}
+}
+
+func (w *world) at(at time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.events, event{at, w.order, do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// start begins a new life.
+func (h *host) start(version int64, known []Row) {
+	h.life++
+	w := h.w
+	h.alive, h.known, h.began = true, map[string]Row{}, w.now
+	seed := w.rng.Uint64()
+	c := company.New(company.Settings{Agents: len(w.nodes), Me: h.place, Epoch: uint64(w.now / time.Millisecond)}, seed)
+	asker := asking.New(asking.Settings{Shared: true, Agents: len(w.nodes), Me: h.place, MustAsk: 10 * time.Second}, seed)
+	h.node = New(w.set, c, asker, version, known, seed)
+	for _, r := range known {
+		h.known[r.ID] = r
+	}
+	h.do(h.node.Start(w.now))
+}
+
+func (h *host) kill() {
+	h.alive = false
+	h.watch++
+}
+
+// do carries out actions.
+func (h *host) do(actions []Action) {
+	w := h.w
+	for _, a := range actions {
+		switch a.Kind {
+		case Send:
+			data := a.Datagram.Encode()
+			if len(data) > w.set.Size {
+				w.t.Fatalf("a datagram of %d bytes", len(data))
+			}
+			w.sent++
+			w.bytes += len(data)
+			w.carry(h.place, a.To, data)
+		case Watch:
+			h.call(a.Version)
+		case Unwatch:
+			h.watch++
+		case Deliver:
+			if a.Full {
+				h.known = map[string]Row{}
+			}
+			for _, r := range a.Rows {
+				if r.Gone {
+					delete(h.known, r.ID)
+				} else {
+					h.known[r.ID] = r
+				}
+			}
+		}
+	}
+	if next := h.node.Next(); next != h.timer {
+		h.timer = next
+		life := h.life
+		w.at(max(next, w.now), func() {
+			if h.alive && h.life == life && h.timer == next {
+				h.timer = 0
+				h.do(h.node.Tick(w.now))
+			}
+		})
+	}
+}
+
+// carry brings a datagram to another node, or does not.
+func (w *world) carry(from, to int, data []byte) {
+	if w.cut != nil && w.cut(from, to) {
+		return
+	}
+	times := 1
+	if w.rng.Float64() < w.loss {
+		times = 0
+	}
+	if w.rng.Float64() < w.dup {
+		times++
+	}
+	arrive := func() {
+		h := w.nodes[to]
+		if !h.alive {
+			return
+		}
+		d, err := Decode(data)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		h.do(h.node.Heard(w.now, d))
+	}
+	for range times {
+		w.after(time.Duration((0.5+w.rng.Float64()/2)*float64(w.delay)), arrive)
+	}
+	if w.replay && w.rng.IntN(10) == 0 {
+		w.after(time.Duration(w.rng.Float64()*float64(10*time.Second)), arrive)
+	}
+}
+
+// call asks the service for a watch.
+func (h *host) call(version int64) {
+	w := h.w
+	w.calls++
+	h.watch++
+	watch, life := h.watch, h.life
+	mine := func() bool { return h.alive && h.life == life && h.watch == watch }
+	over := func(silent time.Duration) {
+		if mine() {
+			h.watch++
+			h.do(h.node.Over(w.now, silent))
+		}
+	}
+	if w.reach != nil && !w.reach(h.place) {
+		w.after(asking.Silence, func() { over(asking.Silence) })
+		return
+	}
+	if w.down {
+		w.after(time.Millisecond, func() { over(0) })
+		return
+	}
+	w.free = max(w.free, w.now) + w.each
+	if wait := w.free - w.now; wait > 2*time.Second {
+		w.after(2*time.Second, func() { over(0) })
+		return
+	}
+	w.at(w.free, func() {
+		if !mine() {
+			return
+		}
+		if w.down {
+			over(0)
+			return
+		}
+		h.do(h.node.Answered(w.now))
+		if version < 1 || version > w.version {
+			var all []Row
+			for _, r := range w.rows {
+				all = append(all, r)
+			}
+			h.hear(watch, w.version, true, all)
+		} else if version < w.version {
+			h.hear(watch, w.version, false, w.log[version:])
+		}
+		var beat func()
+		beat = func() {
+			switch {
+			case !mine():
+			case w.down:
+				over(0)
+			case w.reach != nil && !w.reach(h.place):
+				w.after(asking.Silence, func() { over(asking.Silence) })
+			default:
+				h.do(h.node.Alive(w.now))
+				w.after(100*time.Millisecond, beat)
+			}
+		}
+		w.after(150*time.Millisecond, beat)
+	})
+}
+
+func (h *host) hear(watch int, version int64, full bool, rows []Row) {
+	if h.watch == watch && (h.w.reach == nil || h.w.reach(h.place)) {
+		h.do(h.node.List(h.w.now, version, full, append([]Row(nil), rows...)))
+	}
+}
+
+// behind counts living nodes whose list is not that of the service.
+func (w *world) behind() (n int) {
+	for _, h := range w.nodes {
+		if h.alive && !h.right() {
+			n++
+		}
+	}
+	return n
+}
+
+// state says how a node stands, for those who look into a failure.
+func (h *host) state() string {
+	gen, version := h.node.Version()
+	out := fmt.Sprintf("version %d of %d, count %d, watch %d, stale for %v", version, h.w.version, gen, h.node.watch, h.node.Staleness(h.w.now))
+	for id, r := range h.w.rows {
+		if k := h.known[id]; string(k.Body) != string(r.Body) {
+			out += fmt.Sprintf("; %s %q of %d, not %q of %d", id, k.Body, k.Stamp, r.Body, r.Stamp)
+		}
+	}
+	for id, k := range h.known {
+		if _, ok := h.w.rows[id]; !ok {
+			out += fmt.Sprintf("; %s %q of %d is no more", id, k.Body, k.Stamp)
+		}
+	}
+	if t := h.node.transfer; t != nil {
+		out += fmt.Sprintf("; from %d to %v, head %d, %d rows, %d early, moved %v ago", t.from, t.cursor, t.head, len(t.rows), len(t.stash), h.w.now-t.moved)
+	}
+	return out
+}
+
+// oldest is when the oldest change was told that the node has not heard of.
+func (h *host) oldest() time.Duration {
+	last := map[string]Row{}
+	for _, r := range h.w.log {
+		last[r.ID] = r
+	}
+	oldest := h.w.now
+	for id, r := range last {
+		if k, ok := h.known[id]; ok == r.Gone || ok && string(k.Body) != string(r.Body) {
+			oldest = min(oldest, h.w.told[r.Stamp-1])
+		}
+	}
+	return oldest
+}
+
+// right reports whether what the module was told is what the service says.
+func (h *host) right() bool {
+	if len(h.known) != len(h.w.rows) {
+		return false
+	}
+	for id, r := range h.w.rows {
+		if k, ok := h.known[id]; !ok || string(k.Body) != string(r.Body) || k.Less != r.Less {
+			return false
+		}
+	}
+	return true
+}
+
+// settle runs until all have the list, and returns how long that took.
+func (w *world) settle(limit time.Duration) (took time.Duration, ok bool) {
+	begin := w.now
+	for w.now-begin < limit {
+		if w.behind() == 0 {
+			return w.now - begin, true
+		}
+		w.run(20 * time.Millisecond)
+	}
+	return limit, false
+}
+
+func (w *world) watchers() (n int) {
+	for _, h := range w.nodes {
+		if h.alive && h.node.Watching() {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) startAll() {
+	for _, h := range w.nodes {
+		w.after(time.Duration(w.rng.Float64()*float64(100*time.Millisecond)), func() { h.start(0, nil) })
+	}
+	w.run(101 * time.Millisecond)
+}
+
+// Calls to the service for a recovery do not grow with the fleet, and all have the list soon.
+func TestFewCalls(t *testing.T) {
+	for _, agents := range []int{5, 50, 200, 500} {
+		t.Run(fmt.Sprint(agents, " agents"), func(t *testing.T) {
+			w := newWorld(t, agents, 60, 1)
+			w.loss, w.delay = 0.05, 20*time.Millisecond
+			w.each = min(100*time.Millisecond, 8*time.Second/time.Duration(agents))
+			check := func(what string) {
+				calls, sent, bytes := w.calls, w.sent, w.bytes
+				took, ok := w.settle(30 * time.Second)
+				w.run(5 * time.Second)
+				each := float64(agents) * (took + 5*time.Second).Seconds()
+				t.Logf("%s: all have it after %v, %d calls; %.1f datagrams, %.0f bytes an agent a second; %d watch", what, took, w.calls-calls,
+					float64(w.sent-sent)/each, float64(w.bytes-bytes)/each, w.watchers())
+				if !ok || took > 6*time.Second {
+					t.Errorf("%s: %d are behind after %v", what, w.behind(), took)
+				}
+				if w.calls-calls > 40 || w.watchers() < min(agents, w.set.Watchers) {
+					t.Errorf("%s: %d calls, %d watch", what, w.calls-calls, w.watchers())
+				}
+			}
+			w.startAll()
+			check("cold start")
+			for _, i := range w.rng.Perm(agents)[:agents*7/10] {
+				w.nodes[i].kill()
+				w.nodes[i].start(0, nil)
+			}
+			check("seven in ten killed")
+			w.down = true
+			w.run(5 * time.Second)
+			w.tell(Row{ID: "forms-0", Less: true, Body: []byte("drains")})
+			w.down = false
+			check("after an outage")
+			w.run(20 * time.Second)
+			if n := w.watchers(); n > 3*w.set.Watchers {
+				t.Errorf("%d go on watching", n)
+			}
+		})
+	}
+}
+
+// Every agent hears of every change within the bound, whatever is lost, late, doubled or replayed, while watchers are killed.
+func TestStalenessBound(t *testing.T) {
+	const bound = 10 * time.Second
+	seeds := uint64(20)
+	if testing.Short() {
+		seeds = 3
+	}
+	worst := time.Duration(0)
+	for seed := range seeds {
+		w := newWorld(t, 60, 40, seed)
+		w.loss, w.dup, w.delay, w.replay, w.each = 0.2, 0.05, 200*time.Millisecond, true, 20*time.Millisecond
+		w.startAll()
+		if _, ok := w.settle(20 * time.Second); !ok {
+			t.Fatalf("seed %d: %d have no list", seed, w.behind())
+		}
+		for range 30 {
+			id := fmt.Sprint("forms-", w.rng.IntN(60))
+			switch w.rng.IntN(3) {
+			case 0:
+				w.tell(Row{ID: id, Gone: true})
+			case 1:
+				w.tell(Row{ID: id, Less: true, Body: []byte("drains")})
+			default:
+				w.tell(Row{ID: id, Body: fmt.Appendf(nil, "again %d", w.version)})
+			}
+			if w.rng.IntN(3) == 0 { // whoever watches first dies, and comes back
+				for _, h := range w.nodes {
+					if h.alive && h.node.Watching() {
+						h.kill()
+						w.after(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() {
+							if !h.alive {
+								h.start(0, nil)
+							}
+						})
+						break
+					}
+				}
+			}
+			begin := w.now
+			for w.now-begin < time.Duration(w.rng.IntN(3000))*time.Millisecond {
+				w.run(50 * time.Millisecond)
+				for _, h := range w.nodes {
+					if !h.alive || h.right() {
+						continue
+					}
+					stale := w.now - max(h.began, h.oldest())
+					if worst = max(worst, stale); stale > bound {
+						t.Fatalf("seed %d: agent %d is %v behind; %s", seed, h.place, stale, h.state())
+					}
+				}
+			}
+		}
+		if _, ok := w.settle(bound); !ok {
+			t.Errorf("seed %d: %d are behind in the end", seed, w.behind())
+		}
+	}
+	t.Logf("behind for %v at the most", worst)
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -90,7 +90,6 @@
 type Client struct {
 	addr    string
 	lists   *listing.Keeper // which of them are believed
-	asker   *asking.Asker   // when it is asked
 	silence time.Duration   // after which a watch is dead
 	said    string          // how the latest watch ended, if none has delivered since
 	client  *http.Client
@@ -102,12 +101,12 @@
 const Unknown = listing.Unknown
 
 // New returns a Client that has a list already, or one of the version Unknown.
-func New(addr string, known List, asker *asking.Asker, log *slog.Logger) *Client {
+func New(addr string, known List, log *slog.Logger) *Client {
 	lists := listing.New(known.Version)
 	if known.Version != Unknown {
 		lists.Judge(known.judged())
 	}
-	return &Client{addr: addr, lists: lists, asker: asker, silence: asking.Silence, log: log, client: &http.Client{
+	return &Client{addr: addr, lists: lists, silence: asking.Silence, log: log, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -128,24 +127,33 @@
 
 // KeepWatching watches until ctx ends, again and again from the last version, when the Asker says so. An agent goes on with
 // the list that it has while there is no watch; lost, if it is not nil, is called at each that ends.
-func (d *Client) KeepWatching(ctx context.Context, deliver func(List), lost func()) {
-	for next := d.asker.Start(now()); ; {
+func (d *Client) KeepWatching(ctx context.Context, asker *asking.Asker, deliver func(List), lost func()) {
+	on := Events{Answered: func() { asker.Answered(now()) }, Alive: func() {}, Deliver: func(l List) { asker.Delivered(); deliver(l) }}
+	for next := asker.Start(now()); ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(next - now()):
 		}
-		silent := d.Watch(ctx, deliver)
+		asker.Asked(now())
+		silent := d.Watch(ctx, on)
 		if ctx.Err() != nil {
 			return
 		}
 		if lost != nil {
 			lost()
 		}
-		next = d.asker.Over(now(), silent)
+		next = asker.Over(now(), silent)
 	}
 }
 
+// Events are told while a watch lasts, by the goroutine that watches.
+type Events struct {
+	Answered func()     // the call was taken
+	Alive    func()     // something has come
+	Deliver  func(List) // a list that is believed
+}
+
 // silenceError is how a watch ends on which nothing has come for so long.
 type silenceError time.Duration
 
@@ -153,9 +161,8 @@
 
 // Watch delivers lists in order until the watch ends, and returns for how long nothing had come then. How it ended is logged,
 // unless the one before ended in the same way.
-func (d *Client) Watch(ctx context.Context, deliver func(List)) (silent time.Duration) {
-	d.asker.Asked(now())
-	err := d.watch(ctx, deliver)
+func (d *Client) Watch(ctx context.Context, on Events) (silent time.Duration) {
+	err := d.watch(ctx, on)
 	if ctx.Err() == nil && err.Error() != d.said {
 		d.said = err.Error()
 		d.log.Warn("the watch ended", "error", err, "version", d.lists.Version())
@@ -166,22 +173,22 @@
 }
 
 // watch is Watch; it always ends with an error.
-func (d *Client) watch(ctx context.Context, deliver func(List)) error {
+func (d *Client) watch(ctx context.Context, on Events) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(d.silence, func() { cancel(silenceError(d.silence)) })
 	defer silence.Stop()
 
-	alive := func() { silence.Reset(d.silence) }
+	alive := func() { silence.Reset(d.silence); on.Alive() }
 	if d.lists.Version() == Unknown {
-		if err := d.read(ctx, "", alive, func(l List) error {
+		if err := d.read(ctx, "", on.Answered, alive, func(l List) error {
 			l.Full = true
-			return d.take(l, deliver)
+			return d.take(l, on.Deliver)
 		}); !errors.Is(err, io.EOF) {
 			return err
 		}
 	}
-	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.lists.Version()), alive, func(l List) error { return d.take(l, deliver) })
+	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.lists.Version()), on.Answered, alive, func(l List) error { return d.take(l, on.Deliver) })
 }
 
 // take delivers what is believed of a list. One that is not ends the watch: the next begins from the last good one.
@@ -206,13 +213,12 @@
 	}
 	l.Servers = kept
 	d.said = ""
-	d.asker.Delivered()
 	deliver(l)
 	return nil
 }
 
 // read takes the lists of one answer until it ends; it always ends with an error.
-func (d *Client) read(ctx context.Context, query string, alive func(), take func(List) error) error {
+func (d *Client) read(ctx context.Context, query string, answered, alive func(), take func(List) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return err
@@ -225,7 +231,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	d.asker.Answered(now())
+	answered()
 	// Empty lines mean nothing to the decoder, but every read shows that the watch is alive.
 	var got, done int64 // bytes that came, and those of whole lists
 	lines := json.NewDecoder(readerFunc(func(p []byte) (int, error) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -39,11 +39,11 @@
 	defer s.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := New(s.Listener.Addr().String(), List{Version: 7}, asking.New(asking.Settings{}, 1), slog.New(slog.DiscardHandler))
+	d := New(s.Listener.Addr().String(), List{Version: 7}, slog.New(slog.DiscardHandler))
 	d.silence = 300 * time.Millisecond
 	var got []string
 	delivered := make(chan struct{}, 8)
-	go d.KeepWatching(ctx, func(l List) {
+	go d.KeepWatching(ctx, asking.New(asking.Settings{}, 1), func(l List) {
 		got = append(got, fmt.Sprintln(l.Version, l.Full, l.Servers[0].ID))
 		delivered <- struct{}{}
 	}, nil)
@@ -82,10 +82,10 @@
 	defer s.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := New(s.Listener.Addr().String(), List{Version: 7}, asking.New(asking.Settings{}, 1), slog.New(slog.DiscardHandler))
+	d := New(s.Listener.Addr().String(), List{Version: 7}, slog.New(slog.DiscardHandler))
 	d.silence = 2 * time.Second // the list comes after 3 s
 	delivered := make(chan struct{}, 8)
-	go d.KeepWatching(ctx, func(List) { delivered <- struct{}{} }, nil)
+	go d.KeepWatching(ctx, asking.New(asking.Settings{}, 1), func(List) { delivered <- struct{}{} }, nil)
 	wait(t, delivered)
 	if len(calls) != 1 {
 		t.Errorf("%d watches", len(calls))
@@ -156,11 +156,11 @@
 			defer cancel()
 			var got []int64
 			last := make(chan struct{})
-			d := New(s.Listener.Addr().String(), List{Version: 7}, asking.New(asking.Settings{}, 1), slog.New(slog.NewTextHandler(&log, nil)))
+			d := New(s.Listener.Addr().String(), List{Version: 7}, slog.New(slog.NewTextHandler(&log, nil)))
 			ended := make(chan struct{})
 			go func() {
 				defer close(ended)
-				d.KeepWatching(ctx, func(l List) {
+				d.KeepWatching(ctx, asking.New(asking.Settings{}, 1), func(l List) {
 					if got = append(got, l.Version); l.Version == 10 {
 						close(last)
 					}
@@ -191,8 +191,8 @@
 	}))
 	defer s.Close()
 	var got []Entry
-	d := New(s.Listener.Addr().String(), List{Version: Unknown}, asking.New(asking.Settings{}, 1), slog.New(slog.DiscardHandler))
-	d.Watch(context.Background(), func(l List) { got = l.Servers })
+	d := New(s.Listener.Addr().String(), List{Version: Unknown}, slog.New(slog.DiscardHandler))
+	d.Watch(context.Background(), Events{Answered: func() {}, Alive: func() {}, Deliver: func(l List) { got = l.Servers }})
 	if len(got) != 2 || got[0].ID != "b" || got[1].ID != "a" || got[1].State != "terminating" {
 		t.Errorf("delivered %+v", got)
 	}
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -46,9 +46,9 @@
 	}
 	ctx, c.unwatch = context.WithCancel(ctx)
 	c.discovery, c.list.Version = addr, known.Version
-	d := discovery.New(addr, known, asking.New(c.set.Asking, c.set.Seed), c.log)
+	d := discovery.New(addr, known, c.log)
 	c.watch = func() {
-		d.KeepWatching(ctx, func(l discovery.List) {
+		d.KeepWatching(ctx, asking.New(c.set.Asking, c.set.Seed), func(l discovery.List) {
 			c.post(func() {
 				if ctx.Err() == nil {
 					c.apply(l)
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -160,7 +160,7 @@
 
 // watch watches the platform's list, again and again.
 func (h *Host) watch(ctx context.Context, deliver func([]ledger.Entry)) {
-	discovery.New(h.set.Discovery, h.set.Known, asking.New(h.set.Asking, h.set.Seed), h.set.Log).KeepWatching(ctx, func(l discovery.List) {
+	discovery.New(h.set.Discovery, h.set.Known, h.set.Log).KeepWatching(ctx, asking.New(h.set.Asking, h.set.Seed), func(l discovery.List) {
 		r := h.word(l)
 		h.post(ctx, func() { h.report(r, deliver) })
 	}, func() {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -31,11 +31,14 @@
 	record  *Record
 	book    *standin.Book
 	list    *List
+	relay   *relay // nil where agents don't talk
+	groups  map[string][]int
 	servers []*server
 	agents  []*process
 	rng     *rand.Rand
 	say     func(string)
 	asking  func() // ends the kiosks; nil before they begin
+	sides   int    // of the links, so far
 }
 
 // known is what an agent knows at its first start. An old list is of a version that the service has forgotten, so that it
@@ -63,9 +66,14 @@
 	return fmt.Sprintf("127.%d.%d.%d:7000", 16+os.Getpid()%200, agent/250, 1+agent%250)
 }
 
+// peerAt is where an agent listens for the others.
+func peerAt(agent int) string {
+	return fmt.Sprintf("127.%d.%d.%d:7946", 16+os.Getpid()%200, agent/250, 1+agent%250)
+}
+
 // Run has a fleet go through a scenario. It leaves no process behind.
 func Run(ctx context.Context, s *Scenario, o Options) (*Report, error) {
-	f := &fleet{Scenario: s, record: NewRecord(), book: standin.NewBook(), rng: rand.New(rand.NewPCG(s.Seed, 0)), say: o.Progress}
+	f := &fleet{Scenario: s, record: NewRecord(), book: standin.NewBook(), groups: map[string][]int{}, rng: rand.New(rand.NewPCG(s.Seed, 0)), say: o.Progress}
 	if f.say == nil {
 		f.say = func(string) {}
 	}
@@ -115,12 +123,22 @@
 	if f.list, err = NewList(ListOptions{Agents: f.Agents, Each: f.All / time.Duration(f.Agents), Patience: f.Patience, Book: f.book}, f.record); err != nil {
 		return err
 	}
+	var talk []string
+	if f.Talk {
+		if f.relay, err = newRelay(f.Agents, f.Links, f.Seed); err != nil {
+			return err
+		}
+		talk = f.relay.addrs()
+	}
 	known := f.known()
 	for i := range f.Agents {
 		p := standin.Platform{Name: fmt.Sprint("n", i), Listen: listenAt(i), Discovery: f.list.Addr(i), Known: known, Seed: f.Seed<<20 + uint64(i) + 1,
 			Balancers: f.Agents, Me: i, MustAsk: f.MustAsk, Deadline: f.Kiosks.Left, ColdFrom: f.Server.ColdFrom, ColdFor: f.Server.ColdFor,
-			ConnectTimeout: 250 * time.Millisecond, Cancel: true}
-		a, err := newProcess(i, o.Program, o.Dir, p, f.record)
+			ConnectTimeout: 250 * time.Millisecond, Cancel: true, Peers: talk}
+		if f.Talk {
+			p.PeerListen = peerAt(i)
+		}
+		a, err := newProcess(i, o.Program, o.Dir, p, f.Talk, f.record)
 		if err != nil {
 			return err
 		}
@@ -171,6 +189,9 @@
 	if f.list != nil {
 		f.list.Close()
 	}
+	if f.relay != nil {
+		f.relay.close()
+	}
 }
 
 // each does something to each, all at once.
@@ -198,7 +219,10 @@
 
 // step brings a step's faults about and waits for the recovery.
 func (f *fleet) step(ctx context.Context, number int, step Step) (StepReport, error) {
-	begin := f.record.Now()
+	begin, sent, sentBytes := f.record.Now(), 0, 0
+	if f.relay != nil {
+		sent, sentBytes = f.relay.count()
+	}
 	if number == 0 {
 		f.record.Add(Mended, -1, "cold start")
 		if err := each(f.agents, (*process).start); err != nil {
@@ -231,11 +255,17 @@
 	for {
 		events, changed := f.record.Since(0)
 		r := newStepReport(step, f.Agents, begin, events)
-		if r.Holding == f.Agents {
+		if f.relay != nil {
+			datagrams, bytes := f.relay.count()
+			each := float64(f.Agents) * (f.record.Now() - begin).Seconds()
+			r.Datagrams, r.Bytes = float64(datagrams-sent)/each, float64(bytes-sentBytes)/each
+		}
+		if r.recovered(f.Agents) && f.record.Now() >= r.Mended+step.Stay {
 			return r, nil
 		}
 		select {
 		case <-changed:
+		case <-time.After(100 * time.Millisecond):
 		case <-limit:
 			return r, nil
 		case <-ctx.Done():
@@ -253,7 +283,7 @@
 	if hitsServers(a.Kind) {
 		return f.serverFault(a)
 	}
-	hit := draw(f, f.agents, a.Share)
+	hit := f.hit(a)
 	switch a.Kind {
 	case Kill:
 		return func() error { return each(hit, (*process).kill) }, func() error { return each(hit, (*process).start) }
@@ -265,9 +295,34 @@
 	for _, a := range hit {
 		numbers = append(numbers, a.number)
 	}
+	if a.Kind == Cut {
+		f.sides++
+		side := f.sides
+		return func() error { f.relay.divide(numbers, side); return nil }, func() error { f.relay.divide(numbers, 0); return nil }
+	}
 	return func() error { f.list.Be(a.How, numbers...); return nil }, func() error { f.list.Be(Up, numbers...); return nil }
 }
 
+// hit draws the agents that a fault hits. Faults that name one group hit the same ones, or all others.
+func (f *fleet) hit(a Action) (out []*process) {
+	if a.Group == "" {
+		return draw(f, f.agents, a.Share)
+	}
+	group, drawn := f.groups[a.Group]
+	if !drawn {
+		for _, p := range draw(f, f.agents, a.Share) {
+			group = append(group, p.number)
+		}
+		f.groups[a.Group] = group
+	}
+	for _, p := range f.agents {
+		if slices.Contains(group, p.number) != a.Others {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // serverFault is fault for servers.
 func (f *fleet) serverFault(a Action) (begins, ends func() error) {
 	hit := draw(f, f.servers, a.Share)
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 
+	"ternbeam/deploy"
 	"ternbeam/internal/lab/standin"
 )
 
@@ -17,6 +18,7 @@
 	number  int
 	program string
 	config  string // its file
+	peers   string // the file by which it talks with others; empty where it does not
 	log     string
 	record  *Record
 
@@ -27,9 +29,13 @@
 }
 
 // newProcess writes the configuration of an agent.
-func newProcess(number int, program, dir string, p standin.Platform, record *Record) (*process, error) {
+func newProcess(number int, program, dir string, p standin.Platform, talk bool, record *Record) (*process, error) {
 	a := &process{number: number, program: program, record: record, config: filepath.Join(dir, p.Name+".json"), log: filepath.Join(dir, p.Name+".log")}
-	return a, os.WriteFile(a.config, p.Config(), 0o600)
+	if err := os.WriteFile(a.config, p.Config(), 0o600); err != nil || !talk {
+		return a, err
+	}
+	a.peers = filepath.Join(dir, "peers.toml")
+	return a, os.WriteFile(a.peers, []byte(deploy.Peers), 0o600)
 }
 
 // start starts it, if it does not run.
@@ -44,7 +50,11 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(a.program)
+	var args []string
+	if a.peers != "" {
+		args = []string{"run", "--peers", a.peers}
+	}
+	cmd := exec.Command(a.program, args...)
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+a.config, "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = log, log
 	// It ends with the rig, however that ends.
--- a/internal/lab/fleet/report.go
+++ b/internal/lab/fleet/report.go
@@ -16,6 +16,7 @@
 	Scenario *Scenario
 	Steps    []StepReport
 	Faults   []string      // what broke an expectation; none where the run is good
+	Behind   time.Duration // the longest for which an agent sent to a server that the list said drains
 	Doubles  int           // effects that came twice
 	Stalls   int           // of the machine itself
 	Stood    time.Duration // the longest of them
@@ -26,16 +27,27 @@
 
 // StepReport is what became of a step, by the record.
 type StepReport struct {
-	Step    Step
-	Begin   time.Duration
-	Mended  time.Duration // when the last fault was over, or the agents began to start
-	All     time.Duration // from then until all agents held a watch; 0 if they never did
-	Holding int           // agents that held a watch at the end
-	Down    int           // calls that met a service that was down
-	Calls   int           // calls that met one that was up
-	GivenUp int           // of them, those that waited for too long
-	Most    int           // of them, those of one agent
-	Answers map[string]int
+	Step             Step
+	Begin            time.Duration
+	Mended           time.Duration // when the last fault was over, or the agents began to start
+	All              time.Duration // from then until all agents held a watch; 0 if they never did
+	Holding          int           // agents that held a watch at the end
+	Down             int           // calls that met a service that was down
+	Calls            int           // calls that met one that was up
+	GivenUp          int           // of them, those that waited for too long
+	Most             int           // of them, those of one agent
+	Answers          map[string]int
+	Serving          int           // agents that have served a call since
+	ServedBy         time.Duration // from Mended until each had; 0 if they never did
+	Datagrams, Bytes float64       // that agents sent, an agent a second
+}
+
+// recovered reports whether the step's recovery is over.
+func (r *StepReport) recovered(agents int) bool {
+	if r.Step.Served {
+		return r.Serving == agents
+	}
+	return r.Holding == agents
 }
 
 // newStepReport counts a step that began at a time.
@@ -46,7 +58,7 @@
 			r.Mended = e.At
 		}
 	}
-	open, calls := make([]int, agents), make([]int, agents)
+	open, calls, serving := make([]int, agents), make([]int, agents), make([]bool, agents)
 	for _, e := range events {
 		switch e.Kind {
 		case Began, Ended:
@@ -82,6 +94,12 @@
 			if e.At >= begin {
 				r.Answers[e.Said]++
 			}
+			if e.Said == standin.Served.String() && e.At-e.Took >= r.Mended && !serving[e.Agent] {
+				serving[e.Agent] = true
+				if r.Serving++; r.Serving == agents {
+					r.ServedBy = e.At - r.Mended
+				}
+			}
 		}
 	}
 	return r
@@ -115,14 +133,23 @@
 	for _, f := range drains(r.Events, agents, r.Scenario.MustAsk) {
 		fault("rule 3: %s", f)
 	}
+	var stale []string
+	r.Behind, stale = staleness(r.Events, r.Scenario.Stale)
+	for _, f := range stale {
+		fault("%s", f)
+	}
 	if r.Stood > noise {
 		r.Void = fmt.Sprintf("the machine stood still for %v", r.Stood)
 	}
 	for _, s := range r.Steps {
-		if s.Holding < agents {
-			fault("%s: only %d of %d agents hold a watch", s.Step.Name, s.Holding, agents)
-		} else if s.Step.Within > 0 && s.All > s.Step.Within {
-			fault("%s: all hold a watch after %.2f s, over %.2f s", s.Step.Name, s.All.Seconds(), s.Step.Within.Seconds())
+		took, n, what := s.All, s.Holding, "hold a watch"
+		if s.Step.Served {
+			took, n, what = s.ServedBy, s.Serving, "have served a call"
+		}
+		if n < agents {
+			fault("%s: only %d of %d agents %s", s.Step.Name, n, agents, what)
+		} else if s.Step.Within > 0 && took > s.Step.Within {
+			fault("%s: all %s after %.2f s, over %.2f s", s.Step.Name, what, took.Seconds(), s.Step.Within.Seconds())
 		}
 		if most := s.Step.Calls * float64(agents); most > 0 && float64(s.Calls) > most {
 			fault("%s: %d calls, over %.0f", s.Step.Name, s.Calls, most)
@@ -133,13 +160,18 @@
 // Table prints a report.
 func (r *Report) Table(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "step\thold a watch\tall after s\tcalls\tgiven up\tof one at most\twhile down\t")
+	fmt.Fprintln(t, "step\thold a watch\tall after s\tserve\tall after s\tcalls\tgiven up\tof one at most\twhile down\tdatagrams\tbytes\t")
 	for _, s := range r.Steps {
 		all := "never"
 		if s.Holding == r.Scenario.Agents {
 			all = fmt.Sprintf("%.1f", s.All.Seconds())
 		}
-		fmt.Fprintf(t, "%s\t%d of %d\t%s\t%d\t%d\t%d\t%d\t\n", s.Step.Name, s.Holding, r.Scenario.Agents, all, s.Calls, s.GivenUp, s.Most, s.Down)
+		served := "never"
+		if s.Serving == r.Scenario.Agents {
+			served = fmt.Sprintf("%.1f", s.ServedBy.Seconds())
+		}
+		fmt.Fprintf(t, "%s\t%d of %d\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.0f\t\n", s.Step.Name, s.Holding, r.Scenario.Agents, all, s.Serving, served,
+			s.Calls, s.GivenUp, s.Most, s.Down, s.Datagrams, s.Bytes)
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -180,8 +212,8 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "most sent to a cold server: %.2f times what it could do; %d effects twice; %d stalls of the machine, %v at most\n",
-		r.Push, r.Doubles, r.Stalls, r.Stood.Round(time.Millisecond))
+	_, err := fmt.Fprintf(w, "most sent to a cold server: %.2f times what it could do; %v behind a drain at most; %d effects twice; %d stalls of the machine, %v at most\n",
+		r.Push, r.Behind.Round(time.Millisecond), r.Doubles, r.Stalls, r.Stood.Round(time.Millisecond))
 	return err
 }
 
--- a/internal/lab/fleet/rules.go
+++ b/internal/lab/fleet/rules.go
@@ -138,3 +138,29 @@
 	}
 	return faults
 }
+
+// staleness returns the longest for which an agent went on sending to a server after the list said that it drains, and who did so
+// longer than a bound; any time where that is 0.
+func staleness(events []Event, bound time.Duration) (most time.Duration, faults []string) {
+	draining, excused := map[string]time.Duration{}, downs{}
+	for _, e := range events {
+		switch e.Kind {
+		case Drains:
+			draining[e.Said] = e.At
+		case Serves:
+			delete(draining, e.Said)
+		case Started, Resumed: // it had no way to know better in its first moment
+			excused[e.Agent] = append(excused[e.Agent], span{e.At, e.At + bound})
+		case Got:
+			since, drains := draining[e.Said]
+			if !drains || e.Agent < 0 || excused.any(e.Agent, e.At-time.Millisecond, e.At) {
+				continue
+			}
+			late := e.At - since
+			if most = max(most, late); bound > 0 && late > bound+drainGrace+noise {
+				faults = append(faults, fmt.Sprintf("%v: agent %d sent to %s, which the list had drained for %v", e.At, e.Agent, e.Said, late))
+			}
+		}
+	}
+	return most, faults
+}
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -20,6 +20,9 @@
 	Kiosks   KioskOptions
 	Server   ServerOptions
 	Cold     bool // the servers have just started
+	Talk     bool // lists pass among agents
+	Links    LinkOptions
+	Stale    time.Duration // no agent may be so much behind the list; 0 for any
 	Steps    []Step
 }
 
@@ -27,6 +30,8 @@
 type Step struct {
 	Name   string
 	Limit  time.Duration // for the recovery
+	Stay   time.Duration // the step lasts so long from then on, at the least, that its faults are over
+	Served bool          // the recovery is over when every agent has served a call, not when each holds a watch
 	Within time.Duration // the recovery must take no longer; 0 for any time
 	Calls  float64       // and no more calls to the list service, a fleet's agent; 0 for any number
 	Faults []Action
@@ -34,11 +39,13 @@
 
 // Action is one fault.
 type Action struct {
-	At    time.Duration // after the step begins
-	Kind  string
-	Share float64       // of the agents or servers that it hits, drawn by the scenario's seed
-	For   time.Duration // it lasts
-	How   Mode          // of the list service
+	At     time.Duration // after the step begins
+	Kind   string
+	Share  float64       // of the agents or servers that it hits, drawn by the scenario's seed
+	Group  string        // faults of one group hit the same agents
+	Others bool          // but this one all others
+	For    time.Duration // it lasts
+	How    Mode          // of the list service
 }
 
 // The kinds of faults.
@@ -46,6 +53,7 @@
 	Kill = "kill" // SIGKILL; the agent starts again under its name when the fault ends
 	Stop = "stop" // SIGSTOP, and SIGCONT when it ends
 	Away = "list" // the list service is not Up
+	Cut  = "cut"  // datagrams between these agents and the others are lost
 
 	Mute  = "silent" // servers let connect and answer nothing
 	Crash = "crash"  // servers refuse connections, and start again cold when it ends
@@ -79,6 +87,14 @@
 		Keyed  *float64 `toml:"keyed"`
 		Unsafe *float64 `toml:"unsafe"`
 	} `toml:"calls"`
+	Peers struct {
+		Talk    bool     `toml:"talk"`
+		Loss    *float64 `toml:"loss"`
+		Twice   *float64 `toml:"twice"`
+		Late    *float64 `toml:"late"`
+		DelayMS *float64 `toml:"delay_ms"`
+		StaleS  *float64 `toml:"stale_s"`
+	} `toml:"peers"`
 	Server struct {
 		Capacity  *float64 `toml:"capacity"`
 		ServiceMS *float64 `toml:"service_ms"`
@@ -92,14 +108,18 @@
 	Step []struct {
 		Name   string   `toml:"name"`
 		LimitS *float64 `toml:"limit_s"`
+		StayS  *float64 `toml:"stay_s"`
+		Served bool     `toml:"served"`
 		Within *float64 `toml:"within"`
 		Calls  *float64 `toml:"calls"`
 		Fault  []struct {
-			AtS   *float64 `toml:"at_s"`
-			Kind  string   `toml:"kind"`
-			Share *float64 `toml:"share"`
-			ForS  *float64 `toml:"for_s"`
-			How   string   `toml:"how"`
+			AtS    *float64 `toml:"at_s"`
+			Kind   string   `toml:"kind"`
+			Share  *float64 `toml:"share"`
+			Group  string   `toml:"group"`
+			Others bool     `toml:"others"`
+			ForS   *float64 `toml:"for_s"`
+			How    string   `toml:"how"`
 		} `toml:"fault"`
 	} `toml:"step"`
 }
@@ -132,6 +152,12 @@
 	if s.Kiosks.Keyed+s.Kiosks.Unsafe > 1 {
 		f.Problem("calls.unsafe", "with those that have a key these are more than all")
 	}
+	s.Talk = in.Peers.Talk
+	f.Share("peers.loss", in.Peers.Loss, 0, 1, &s.Links.Loss)
+	f.Share("peers.twice", in.Peers.Twice, 0, 1, &s.Links.Twice)
+	f.Share("peers.late", in.Peers.Late, 0, 1, &s.Links.Late)
+	f.Span("peers.delay_ms", in.Peers.DelayMS, time.Millisecond, 0, 60_000, &s.Links.Delay)
+	f.Span("peers.stale_s", in.Peers.StaleS, time.Second, 0, 3600, &s.Stale)
 	s.Cold = in.Server.Cold
 	s.Server = ServerOptions{Capacity: 100, Service: 20 * time.Millisecond, Queue: time.Second, ColdFrom: 0.33, ColdFor: 8 * time.Second, Push: 3,
 		FallIn: 3 * time.Second}
@@ -147,7 +173,11 @@
 	}
 	for i, step := range in.Step {
 		at := fmt.Sprintf("step.%d", i)
-		out := Step{Name: step.Name, Limit: 30 * time.Second}
+		out := Step{Name: step.Name, Limit: 30 * time.Second, Served: step.Served}
+		if out.Served && s.Kiosks.Rate == 0 {
+			f.Problem(at+".served", "nobody asks: calls.rate is 0")
+		}
+		f.Span(at+".stay_s", step.StayS, time.Second, 0, 3600, &out.Stay)
 		if out.Name == "" {
 			f.Problem(at+".name", "must be given")
 		}
@@ -159,12 +189,15 @@
 		}
 		for j, fault := range step.Fault {
 			at := fmt.Sprintf("%s.fault.%d", at, j)
-			a := Action{Kind: fault.Kind, Share: 1}
+			a := Action{Kind: fault.Kind, Share: 1, Group: fault.Group, Others: fault.Others}
 			f.Span(at+".at_s", fault.AtS, time.Second, 0, 3600, &a.At)
 			f.Span(at+".for_s", fault.ForS, time.Second, 0, 3600, &a.For)
 			f.Share(at+".share", fault.Share, 0, 1, &a.Share)
 			switch a.Kind {
-			case Kill, Stop, Mute, Crash, Drain:
+			case Kill, Stop, Cut, Mute, Crash, Drain:
+				if a.Kind == Cut && !s.Talk {
+					f.Problem(at+".kind", "agents don't talk: peers.talk is not true")
+				}
 				if fault.How != "" {
 					f.Problem(at+".how", "only a fault of the list service has one")
 				}
@@ -173,7 +206,7 @@
 					f.Problem(at+".how", "must be refuses, resets or silent")
 				}
 			default:
-				f.Problem(at+".kind", "must be kill, stop, list, silent, crash or drain")
+				f.Problem(at+".kind", "must be kill, stop, cut, list, silent, crash or drain")
 			}
 			out.Faults = append(out.Faults, a)
 		}
--- a/internal/lab/standin/config.go
+++ b/internal/lab/standin/config.go
@@ -35,11 +35,13 @@
 	Cores             float64
 
 	// Of an agent among many.
-	Name      string        // n0 where empty
-	Seed      uint64        // a fixed one where 0
-	Balancers int           // how many agents there are; 1 where 0
-	Me        int           // which of them it is
-	MustAsk   time.Duration // the list must be asked for within it; pushed where 0
+	Name       string   // n0 where empty
+	Seed       uint64   // a fixed one where 0
+	Balancers  int      // how many agents there are; 1 where 0
+	Me         int      // which of them it is
+	Peers      []string // where the others are reached, by place
+	PeerListen string
+	MustAsk    time.Duration // the list must be asked for within it; pushed where 0
 }
 
 // Config words the configuration of an agent, as NODE_CONFIG names it.
@@ -60,7 +62,7 @@
 		mode = "subscribe"
 	}
 	text, err := json.Marshal(map[string]any{"name": cmp.Or(p.Name, "n0"), "listen": p.Listen, "discovery": p.Discovery,
-		"seed": fmt.Sprintf("%016x", cmp.Or(p.Seed, 0x8c1f30d27a5be964)), "known": p.Known,
+		"seed": fmt.Sprintf("%016x", cmp.Or(p.Seed, 0x8c1f30d27a5be964)), "known": p.Known, "peers": p.Peers, "peer_listen": p.PeerListen,
 		"limits": map[string]any{"cores": cmp.Or(p.Cores, 1), "memory_mb": 192, "sockets": cmp.Or(p.Sockets, 1024)},
 		"settings": map[string]any{"Balancers": max(1, p.Balancers), "Me": p.Me,
 			"Classes": []any{class(Check, "repeatable", 2), record, class(Pay, "once", 10), class(Note, "repeatable", 1)},
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -40,10 +40,17 @@
 	Known  discovery.List
 	Module choice.Settings // as the simulator's adapter reads them
 	Asking asking.Settings // how the list is asked for
+	Peers  Peers           // where other agents are reached, where talk among them is allowed
 	Fields []string        // the figures in a load report
 	Host   HostSettings
 }
 
+// Peers are the addresses of the agents that front the same servers.
+type Peers struct {
+	Listen string   // where this one listens for them; empty where there is no talk
+	All    []string // by their places
+}
+
 // HostSettings are those of the settings that bind the host and do not concern the module.
 type HostSettings struct {
 	Classes []struct {
@@ -111,6 +118,8 @@
 	var file struct {
 		Name, Listen, Discovery, Ops, Seed string
 		Limits                             Limits          `json:"limits"`
+		PeerListen                         string          `json:"peer_listen"`
+		Peers                              []string        `json:"peers"`
 		Known                              discovery.List  `json:"known"`
 		Settings                           json.RawMessage `json:"settings"`
 	}
@@ -121,7 +130,7 @@
 		return nil, fmt.Errorf("%w: there are none", errSettings)
 	}
 	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops,
-		Limits: file.Limits, Known: file.Known}
+		Limits: file.Limits, Known: file.Known, Peers: Peers{file.PeerListen, file.Peers}}
 	cfg.Known.Full = true
 	var err error
 	if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
--- /dev/null
+++ b/internal/settings/peerconf/peerconf.go
@@ -0,0 +1,42 @@
+// Package peerconf reads how an agent talks with the others that front the same servers.
+package peerconf
+
+import (
+	"time"
+
+	"ternbeam/internal/decide/sharing"
+	"ternbeam/internal/settings/conffile"
+)
+
+type file struct {
+	Lists struct {
+		Size     *int     `toml:"size"`
+		RoundMS  *float64 `toml:"round_ms"`
+		Fanout   *int     `toml:"fanout"`
+		Watchers *int     `toml:"watchers"`
+		BatchMS  *float64 `toml:"batch_ms"`
+		StaleS   *float64 `toml:"stale_s"`
+		CalmS    *float64 `toml:"calm_s"`
+	} `toml:"lists"`
+}
+
+// Parse reads such a file. An error holds every problem, by line and key.
+func Parse(text []byte) (*sharing.Settings, error) {
+	var in file
+	src := conffile.Read(text, &in)
+	s, l := sharing.Defaults, &in.Lists
+	src.Count("lists.size", l.Size, sharing.LeastSize, sharing.MostSize, &s.Size)
+	src.Span("lists.round_ms", l.RoundMS, time.Millisecond, 50, 10_000, &s.Round)
+	src.Count("lists.fanout", l.Fanout, 1, 16, &s.Fanout)
+	src.Count("lists.watchers", l.Watchers, 1, 100, &s.Watchers)
+	src.Span("lists.batch_ms", l.BatchMS, time.Millisecond, 100, 60_000, &s.Batch)
+	src.Span("lists.stale_s", l.StaleS, time.Second, 1, 600, &s.Stale)
+	src.Span("lists.calm_s", l.CalmS, time.Second, 1, 600, &s.Calm)
+	if s.Stale < 4*s.Round {
+		src.Problem("lists.stale_s", "must be four rounds or more")
+	}
+	if err := src.Err(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
