An agent that knows no server is not ready before its list; reports of the rig as pages

Need: at a cold start without a known list agents said that they were ready and refused every call until their list came. Where the list service is shared, one that knows no server waits for its list, five seconds at most, before it says so.

--- a/cmd/ternbeam-fleet/main.go
+++ b/cmd/ternbeam-fleet/main.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -32,8 +34,10 @@
 	Program  string   `default:"bin/ternbeam" type:"existingfile" help:"The agent's program."`
 	Agents   int      `help:"So many agents, whatever the scenario says."`
 	All      *float64 `help:"So many seconds of the list service for all agents, whatever the scenario says." placeholder:"S"`
+	Rate     *float64 `help:"So many calls a second of each agent's clients, whatever the scenario says."`
 	Seed     *uint64  `help:"Another seed."`
 	JSON     string   `help:"Write the report and all that the world saw there." placeholder:"FILE"`
+	HTML     string   `help:"Write the report as a page there, with curves over time." placeholder:"FILE"`
 	Logs     string   `help:"Keep the configurations and logs of the agents in this folder." placeholder:"FOLDER"`
 }
 
@@ -55,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	s.Change(c.Agents, c.All, c.Seed)
+	s.Change(c.Agents, c.All, c.Rate, c.Seed)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	dir := c.Logs
@@ -71,13 +75,15 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON != "" {
-		out, err := os.Create(c.JSON)
+	for name, write := range map[string]func(io.Writer) error{c.JSON: report.JSON, c.HTML: report.HTML} {
+		if name == "" {
+			continue
+		}
+		out, err := os.Create(name)
 		if err != nil {
 			return err
 		}
-		defer out.Close()
-		if err := report.JSON(out); err != nil {
+		if err := errors.Join(write(out), out.Close()); err != nil {
 			return err
 		}
 	}
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,6 +13,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/lab/testkit"
@@ -103,6 +106,49 @@
 	})
 }
 
+// An agent that knows no server, and shares its list service with others, is not ready before it has a list.
+func TestNotReadyWithoutServers(t *testing.T) {
+	backend := newBackend(t, "b", func(http.ResponseWriter, *http.Request) {})
+	let := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-let:
+		case <-r.Context().Done():
+			return
+		}
+		fmt.Fprintf(w, `{"version":8,"full":true,"servers":[{"id":"b","addr":"%s","state":"in_service"}]}`+"\n", backend.Addr)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	defer s.CloseClientConnections()
+	cfg := trial{}.config(t)
+	cfg.Asking.Shared, cfg.Discovery = true, s.Listener.Addr().String()
+	cfg.Known.Servers = nil
+	a, err := New(cfg, nil, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); a.Run(ctx, nil) }()
+	defer func() { cancel(); <-ended }()
+	select {
+	case <-a.Ready():
+		t.Error("ready without a server")
+	case <-time.After(time.Second): // five times what one that knows a server takes
+	}
+	close(let)
+	testkit.Eventually(t, "it is ready", func() bool {
+		select {
+		case <-a.Ready():
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // A new configuration names another discovery, which counts versions otherwise: the agent asks it for the whole
 // list and watches from there. A file that can't be read changes nothing.
 func TestReloadSwitchesDiscovery(t *testing.T) {
--- /dev/null
+++ b/internal/decide/company/company_test.go
@@ -0,0 +1,109 @@
+package company
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const second = time.Second
+
+// Words of later lives and later beats win, in whatever order and however often they come, so that all who hear the same know
+// the same.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Word {
+			return Word{Place: rapid.IntRange(0, 4).Draw(t, "place"), Epoch: uint64(rapid.IntRange(1, 3).Draw(t, "epoch")), Beat: uint32(rapid.IntRange(0, 5).Draw(t, "beat"))}
+		}), 1, 20).Draw(t, "words")
+		a, b := New(Settings{Agents: 5, Me: 0, Epoch: 9}, 1), New(Settings{Agents: 5, Me: 0, Epoch: 9}, 2)
+		for _, w := range words {
+			a.Hear(second, w)
+		}
+		rand.New(rand.NewPCG(uint64(len(words)), 1)).Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
+		for _, w := range append(words, words...) {
+			b.Hear(second, w)
+		}
+		for p := 1; p < 5; p++ {
+			x, _ := a.Of(p)
+			y, _ := b.Of(p)
+			if x.Word != y.Word {
+				t.Fatalf("place %d: %+v and %+v", p, x.Word, y.Word)
+			}
+		}
+	})
+}
+
+// One that says nothing more is not there after a while, an old word does not bring it back, and a new life does.
+func TestThere(t *testing.T) {
+	c := New(Settings{Agents: 3, Me: 0, Epoch: 1}, 1)
+	if c.There(0, 1, second) || c.Hear(0, Word{Place: 3}) || c.Hear(0, Word{Place: -1}) {
+		t.Error("somebody is there of whom nothing was said, or at no place")
+	}
+	c.Hear(10*second, Word{Place: 1, Epoch: 5, Beat: 7, Age: 2 * second})
+	if !c.There(11*second, 1, 3*second) || c.There(12*second, 1, 3*second) {
+		t.Error("the age of a word does not count")
+	}
+	if c.Hear(20*second, Word{Place: 1, Epoch: 5, Beat: 7}) || c.Hear(20*second, Word{Place: 1, Epoch: 4, Beat: 99}) || c.There(20*second, 1, 3*second) {
+		t.Error("an old word has brought it back")
+	}
+	if !c.Hear(21*second, Word{Place: 1, Epoch: 6}) || !c.There(21*second, 1, 3*second) {
+		t.Error("a new life is not heard of")
+	}
+	if m, _ := c.Of(1); m.Since != 21*second {
+		t.Errorf("in this life since %v", m.Since)
+	}
+	c.Hear(22*second, Word{Place: 1, Epoch: 6, Beat: 1, Flags: Leaving})
+	if c.There(22*second, 1, 3*second) {
+		t.Error("one that ends is there")
+	}
+}
+
+// A life goes on after what others remember of an earlier one, though the clock went back; of two at one place both see it.
+func TestRivals(t *testing.T) {
+	a, other := New(Settings{Agents: 2, Me: 0, Epoch: 10}, 1), New(Settings{Agents: 2, Me: 1, Epoch: 1}, 1)
+	other.Hear(0, Word{Place: 0, Epoch: 99, Beat: 50})
+	a.Hear(0, Word{Place: 0, Epoch: 99, Beat: 50})
+	if !other.Hear(second, a.Own()) || a.Rivals() != 1 {
+		t.Error("a life after an earlier one with a later clock is not heard of")
+	}
+	b := New(Settings{Agents: 2, Me: 0, Epoch: 11}, 1)
+	for range 5 {
+		b.Hear(0, a.Own())
+		a.Hear(0, b.Own())
+	}
+	if a.Rivals() < 3 || b.Rivals() < 3 {
+		t.Errorf("two at one place: %d and %d", a.Rivals(), b.Rivals())
+	}
+}
+
+// Everybody is passed on in turn, the places that are named first each time, and nobody of whom word is old.
+func TestSample(t *testing.T) {
+	const n = 50
+	c := New(Settings{Agents: n, Me: 0, Epoch: 1}, 1)
+	for p := 1; p < n; p++ {
+		c.Hear(time.Duration(p)*second, Word{Place: p, Epoch: 1})
+	}
+	seen := map[int]int{}
+	for range 20 {
+		words := c.Sample(n*second, 5, []int{7, 3}, 30*second)
+		if len(words) != 3 && len(words) != 5 || words[0].Place == 3 {
+			t.Fatalf("%+v", words)
+		}
+		for _, w := range words {
+			if seen[w.Place]++; w.Age != n*second-time.Duration(w.Place)*second {
+				t.Errorf("age %v of %d", w.Age, w.Place)
+			}
+		}
+	}
+	if len(seen) != 30 || seen[19] > 0 || seen[49] < 2 {
+		t.Errorf("passed on: %v", seen)
+	}
+	if got := c.Sample(n*second, 5, []int{45, 44}, 30*second); got[0].Place != 45 || got[1].Place != 44 {
+		t.Errorf("%+v", got)
+	}
+	if got := c.Those(n*second, 0, 10*second); len(got) != 10 || got[0] != 40 {
+		t.Errorf("there: %v", got)
+	}
+}
--- a/internal/decide/sharing/sharing.go
+++ b/internal/decide/sharing/sharing.go
@@ -38,10 +38,10 @@
 	// askRate is how many calls a second all together make to a service that answers nobody, once all have tried.
 	askRate = 10
 	// burst is how many chunks go out at a time, and stashed how many that come too early are kept.
-	burst   = 16
+	burst   = 32
 	stashed = 64
 	// mostSent is how many chunks an agent sends in a second.
-	mostSent = 200
+	mostSent = 600
 	// firstList is how long after the answer the first list of a watch comes, if anything has changed.
 	firstList = 100 * time.Millisecond
 	// gap is how often a part is asked for again that was lost, idle how long a transfer may stand still before it is, and stuck
@@ -624,7 +624,9 @@
 		return
 	}
 	n.surplus = 0
-	stale := n.now-n.fresh > n.set.Stale || n.doubtful > 0
+	// A list that is on its way is waited for, but not for ever.
+	comes := n.transfer != nil && n.now-n.transfer.moved < stuck && n.now-n.fresh < 3*n.set.Stale
+	stale := n.now-n.fresh > n.set.Stale && !comes || n.doubtful > 0
 	if !stale && len(watchers) >= n.set.Watchers {
 		n.lack, n.askAt, n.again, n.turn, n.vain = 0, 0, 0, 0, false
 		return
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -154,8 +154,10 @@
 func (c *Core) Malformed() { c.malformed.Add(1) }
 
 const (
-	// firstList is how long the agent waits for discovery's word before it calls itself ready.
+	// firstList is how long the agent waits for discovery's word before it calls itself ready, and anyList how long where it
+	// knows no server and would refuse all calls: what a list service that is busy with a whole fleet needs, if it is not too slow.
 	firstList   = 200 * time.Millisecond
+	anyList     = 5 * time.Second
 	sweepEvery  = time.Second
 	reportEvery = 5 * time.Second
 )
@@ -173,7 +175,11 @@
 		c.learn()
 		go c.watch()
 	}
-	first := time.AfterFunc(firstList, func() { c.post(c.markReady) })
+	wait := firstList
+	if c.set.Asking.Shared && c.ledger.ServerCount() == 0 {
+		wait = anyList
+	}
+	first := time.AfterFunc(wait, func() { c.post(c.markReady) })
 	defer first.Stop()
 	sweep, report := time.NewTicker(sweepEvery), time.NewTicker(reportEvery)
 	defer sweep.Stop()
