--- a/cmd/ternbeam-fleet/main.go
+++ b/cmd/ternbeam-fleet/main.go
@@ -33,6 +33,7 @@
 	Scenario string   `arg:"" type:"existingfile" help:"The scenario (see lab/fleet)."`
 	Program  string   `default:"bin/ternbeam" type:"existingfile" help:"The agent's program."`
 	Agents   int      `help:"So many agents, whatever the scenario says."`
+	Servers  int      `help:"So many servers, whatever the scenario says."`
 	All      *float64 `help:"So many seconds of the list service for all agents, whatever the scenario says." placeholder:"S"`
 	Rate     *float64 `help:"So many calls a second of each agent's clients, whatever the scenario says."`
 	Seed     *uint64  `help:"Another seed."`
@@ -59,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	s.Change(c.Agents, c.All, c.Rate, c.Seed)
+	s.Change(c.Agents, c.Servers, c.All, c.Rate, c.Seed)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	dir := c.Logs
--- a/internal/lab/fleet/rules_test.go
+++ b/internal/lab/fleet/rules_test.go
@@ -52,6 +52,19 @@
 	}
 }
 
+// Who goes on sending to a server that the list drained is seen by the bound, told or not; one that has just begun is not.
+func TestStalenessRule(t *testing.T) {
+	send := func(at time.Duration, agent int) Event { return Event{At: at, Kind: Got, Agent: agent, Said: "s"} }
+	events := []Event{{At: 0, Kind: Started, Agent: 0}, {At: 0, Kind: Started, Agent: 1}, {At: 20 * sec, Kind: Drains, Agent: -1, Said: "s"}, send(25*sec, 0), send(29*sec, 0),
+		{At: 28 * sec, Kind: Resumed, Agent: 1}, send(30*sec, 1), send(40*sec, 1), {At: 41 * sec, Kind: Serves, Agent: -1, Said: "s"}, send(50*sec, 0)}
+	if most, faults := staleness(events, 8*sec); most != 20*sec || len(faults) != 2 {
+		t.Errorf("%v, %q", most, faults)
+	}
+	if _, faults := staleness(events, 0); len(faults) != 0 {
+		t.Errorf("%q where there is no bound", faults)
+	}
+}
+
 // A cold server bears what it is said to bear, and falls over beyond.
 func TestColdServerFalls(t *testing.T) {
 	opts := ServerOptions{Capacity: 100, ColdFrom: 0.5, ColdFor: time.Hour, Push: 2, FallIn: 3 * sec, Queue: time.Hour}
