A process that stood still reads what has come before it calls its watch dead

Seen on the rig, 300 processes, a fifth stopped for 20 s and a drain meanwhile: five agents sent to the drained server 0.6 to 2.7 s after they were continued, with the drain in their sockets for 16 s. At fault: the timer of 4.5 s in discovery.watch() is due at once after SIGCONT and ends the watch before what has come is read; the agent asks again at its turn, up to 3 s later. A timer that fires half a second late or more now waits another half for what has come.

A call of which nothing is heard is no longer taken for one that was given up, unless the next is silent too: after 8 s of silence a third of 300 agents waited for 15 s.

--- a/internal/decide/asking/asking.go
+++ b/internal/decide/asking/asking.go
@@ -60,6 +60,7 @@
 	delivered bool          // it brought a list that was believed
 	vain      int           // calls in a row that brought none though they were not given up
 	crowded   int           // calls in a row that were given up
+	hung      int           // calls in a row of which nothing was heard
 	wait      time.Duration // before a service beside the agent is asked again
 	waits     []time.Duration
 }
@@ -90,7 +91,7 @@
 	if a.answered {
 		return
 	}
-	a.answered, a.crowded = true, 0
+	a.answered, a.crowded, a.hung = true, 0, 0
 	if len(a.waits) == recent {
 		a.waits = a.waits[1:]
 	}
@@ -108,8 +109,13 @@
 		a.wait = min(2*a.wait, mostWait)
 		return next
 	}
+	if !a.answered && silent > 0 {
+		a.hung++
+	}
 	switch {
 	case a.delivered:
+	case a.hung == 1: // a service that queues says sooner or later that it gives up; silence is a broken link, unless it goes on
+		a.vain++
 	case a.answered || now-a.asked < patience/2: // the wait tells a service that is down from one that gives callers up
 		a.vain++
 	default:
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"ternbeam/choice"
@@ -84,7 +85,12 @@
 		Weight: e.Weight, Started: time.Duration(e.StartedMS) * time.Millisecond}, nil
 }
 
-const mostBytes = 8 << 20 // of one list: some 50,000 entries
+const (
+	mostBytes = 8 << 20 // of one list: some 50,000 entries
+	// standstill is by how much later than set a timer fires that shows that the process stood still, and what it takes then to
+	// read what has come.
+	standstill = 500 * time.Millisecond
+)
 
 // Client watches the list of one discovery.
 type Client struct {
@@ -176,10 +182,24 @@
 func (d *Client) watch(ctx context.Context, on Events) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(d.silence, func() { cancel(silenceError(d.silence)) })
+	begun := time.Now()
+	var last atomic.Int64 // when something came, since then
+	silence := time.AfterFunc(d.silence, func() {
+		before := last.Load()
+		if time.Since(begun)-time.Duration(before) < d.silence+standstill {
+			cancel(silenceError(d.silence))
+			return
+		}
+		// The process stood still itself, and has not read yet what has come meanwhile.
+		time.AfterFunc(standstill, func() {
+			if last.Load() == before {
+				cancel(silenceError(d.silence))
+			}
+		})
+	})
 	defer silence.Stop()
 
-	alive := func() { silence.Reset(d.silence); on.Alive() }
+	alive := func() { last.Store(int64(time.Since(begun))); silence.Reset(d.silence); on.Alive() }
 	if d.lists.Version() == Unknown {
 		if err := d.read(ctx, "", on.Answered, alive, func(l List) error {
 			l.Full = true
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -76,12 +76,18 @@
 share = 0.1
 for_s = 1
 [[step]]
-name = "stopped for so long that their watches are gone"
+name = "stopped for so long that a watch is dead, a drain meanwhile"
 limit_s = 20
+stay_s = 1
 [[step.fault]]
 kind = "stop"
 share = 0.5
-for_s = 1
+for_s = 6
+[[step.fault]]
+at_s = 1
+kind = "drain"
+share = 0.5
+for_s = 8
 `
 
 // The real program recovers from faults, in small.
--- a/internal/lab/fleet/list.go
+++ b/internal/lab/fleet/list.go
@@ -246,9 +246,13 @@
 				return
 			}
 			version = change.Version
+			last := map[string]string{} // what the line says of a server in the end
 			for _, e := range change.Servers {
-				if e.State != "in_service" {
-					l.record.Add(Told, agent, e.ID)
+				last[e.ID] = e.State
+			}
+			for id, state := range last {
+				if state != "in_service" {
+					l.record.Add(Told, agent, id)
 				}
 			}
 		} else if flush() != nil {
