--- /dev/null
+++ b/internal/host/peers/peers_test.go
@@ -0,0 +1,167 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"ternbeam/choice"
+	"ternbeam/internal/decide/asking"
+	"ternbeam/internal/decide/ledger"
+	"ternbeam/internal/decide/sharing"
+	"ternbeam/internal/discovery"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
+)
+
+// group is some hosts that reach one another, and what each has told its module.
+type group struct {
+	hosts []*Host
+	addrs []string
+
+	mu    sync.Mutex
+	known []map[string]choice.State
+}
+
+func (g *group) of(i int, id string) (choice.State, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.known[i][id]
+	return s, ok
+}
+
+func start(t *testing.T, n int, list string, known discovery.List) *group {
+	t.Helper()
+	g := &group{}
+	for range n {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.addrs = append(g.addrs, c.LocalAddr().String())
+		c.Close()
+	}
+	set := sharing.Defaults
+	set.Round, set.Stale, set.Batch = 50*time.Millisecond, time.Hour, time.Hour // who is of low rank never asks here
+	set.Watchers = 1
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	t.Cleanup(func() { cancel(); all.Wait() })
+	for i := range n {
+		h, err := New(Settings{Settings: set, Listen: g.addrs[i], Peers: g.addrs, Discovery: list, Known: known, Seed: uint64(i),
+			Asking: asking.Settings{Shared: true, Me: i, MustAsk: 10 * time.Second}, Log: slog.New(slog.DiscardHandler)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.hosts, g.known = append(g.hosts, h), append(g.known, map[string]choice.State{})
+		all.Go(func() {
+			h.Feed(ctx, func(changes []ledger.Entry) {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				for _, e := range changes {
+					if g.known[i][e.ID] = e.State; e.State == choice.Gone {
+						delete(g.known[i], e.ID)
+					}
+				}
+			})
+		})
+	}
+	return g
+}
+
+// One watches, and all have its list, its changes, and no more than that; what strangers send is counted and changes nothing.
+func TestListsPassOn(t *testing.T) {
+	var entries []discovery.Entry
+	for i := range 30 {
+		entries = append(entries, discovery.Entry{ID: fmt.Sprint("s", i), Addr: fmt.Sprintf("127.0.0.1:%d", 1000+i), State: "in_service", Weight: 1})
+	}
+	list, err := standin.NewList(entries...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer list.Close()
+	g := start(t, 4, list.Addr(), discovery.List{Servers: []discovery.Entry{{ID: "old", Addr: "127.0.0.1:1", State: "in_service"}}, Full: true})
+	everywhere := func(what string, holds func(i int) bool) {
+		t.Helper()
+		testkit.Eventually(t, what, func() bool {
+			for i := range g.hosts {
+				if !holds(i) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	everywhere("all have the list", func(i int) bool { _, ok := g.of(i, "s29"); return ok })
+	stranger, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	forged := sharing.Datagram{Gen: 99, At: sharing.Cursor{Version: 99, ID: "x"}}
+	forged.From.Place = 1
+	for _, data := range [][]byte{forged.Encode(), []byte("noise"), make([]byte, sharing.MostSize)} {
+		if _, err := stranger.WriteTo(data, net.UDPAddrFromAddrPort(netip.MustParseAddrPort(g.addrs[0]))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	testkit.Eventually(t, "they are counted", func() bool { return g.hosts[0].Odd.Load() == 3 })
+	list.Tell(discovery.Entry{ID: "s3", Addr: "127.0.0.1:1003", State: "terminating", Weight: 1}, discovery.Entry{ID: "s4", State: "terminated"})
+	everywhere("all hear of the change", func(i int) bool {
+		drains, _ := g.of(i, "s3")
+		_, there := g.of(i, "s4")
+		return drains == choice.Draining && !there
+	})
+}
+
+// An entry is read as it was worded, and in few bytes.
+func TestRows(t *testing.T) {
+	for _, e := range []discovery.Entry{
+		{ID: "s-5be2a07c", Addr: "10.1.0.18:8000", Zone: "a", Cell: 3, State: "in_service", Weight: 1},
+		{ID: "a", Addr: "[::1]:1", Addrs: []string{"[::1]:1", "unix:/x"}, State: "terminating", Weight: 0.5, StartedMS: 1765000000000, Protocol: "thrift", Multiplexed: true,
+			Shapes: []string{"refund-record/2"}},
+		{ID: "b", Addr: "127.0.0.1:1", State: "in_service", Weight: 0},
+	} {
+		r := row(e)
+		got, err := entry(r)
+		if err != nil || !reflect.DeepEqual(got, e) {
+			t.Errorf("%+v, %v, not %+v", got, err, e)
+		}
+		if r.Less != (e.State == "terminating") || r.Gone || len(r.Body) > 120 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if got, err := entry(row(discovery.Entry{ID: "c", State: "terminated"})); err != nil || got.State != "terminated" {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if _, err := entry(sharing.Row{ID: "d", Body: []byte{0xff}}); err == nil {
+		t.Error("noise is an entry")
+	}
+	if n := len(row(discovery.Entry{ID: "s", Addr: "10.1.0.18:8000", Zone: "a", State: "in_service", Weight: 1}).Body); n > 24 {
+		t.Errorf("%d bytes of a plain entry", n)
+	}
+}
+
+// What is wrong in the configuration is told before anything is sent.
+func TestProblems(t *testing.T) {
+	good := Settings{Settings: sharing.Defaults, Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"}, Log: slog.New(slog.DiscardHandler)}
+	for name, spoil := range map[string]func(*Settings){
+		"no listener":  func(s *Settings) { s.Listen = "" },
+		"no peers":     func(s *Settings) { s.Peers = nil },
+		"no address":   func(s *Settings) { s.Peers = []string{"x", "y"} },
+		"far place":    func(s *Settings) { s.Asking.Me = 2 },
+		"bad listener": func(s *Settings) { s.Listen = "somewhere" },
+	} {
+		s := good
+		spoil(&s)
+		if _, err := New(s); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
