--- a/internal/lab/fleet/record.go
+++ b/internal/lab/fleet/record.go
@@ -19,6 +19,8 @@
 	Told    = "told"    // an agent is told that the server in Said drains or is gone, by the list service
 	Drains  = "drains"  // the list has it that the server in Said drains or is gone
 	Serves  = "serves"  // the list has it that the server in Said is to be sent to
+	Mutes   = "mutes"   // the server in Said falls silent
+	Speaks  = "speaks"  // and answers again
 	Got     = "got"     // the server in Said gets a call by an agent
 	Fell    = "fell"    // the server in Said was pushed over while it was cold
 	Answer  = "answer"  // a kiosk of an agent has its answer, after Took
--- a/internal/lab/fleet/report.go
+++ b/internal/lab/fleet/report.go
@@ -40,6 +40,7 @@
 	Serving          int           // agents that have served a call since
 	ServedBy         time.Duration // from Mended until each had; 0 if they never did
 	Datagrams, Bytes float64       // that agents sent, an agent a second
+	Silent           []int         // calls that servers got while they were silent, by the second since the first fell silent
 }
 
 // recovered reports whether the step's recovery is over.
@@ -59,6 +60,7 @@
 		}
 	}
 	open, calls, serving := make([]int, agents), make([]int, agents), make([]bool, agents)
+	silent, muted := map[string]bool{}, time.Duration(0)
 	for _, e := range events {
 		switch e.Kind {
 		case Began, Ended:
@@ -76,6 +78,20 @@
 			case open[e.Agent] == 0:
 				r.Holding--
 			}
+		case Mutes:
+			if len(silent) == 0 {
+				muted = e.At
+			}
+			silent[e.Said] = true
+		case Speaks:
+			delete(silent, e.Said)
+		case Got:
+			if e.At >= begin && silent[e.Said] {
+				for int((e.At-muted)/time.Second) >= len(r.Silent) {
+					r.Silent = append(r.Silent, 0)
+				}
+				r.Silent[int((e.At-muted)/time.Second)]++
+			}
 		case Called:
 			if e.At < begin {
 				continue
@@ -212,6 +228,11 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	for _, s := range r.Steps {
+		if len(s.Silent) > 0 {
+			fmt.Fprintf(w, "%s: calls to silent servers, by the second: %v\n", s.Step.Name, s.Silent)
+		}
+	}
 	_, err := fmt.Fprintf(w, "most sent to a cold server: %.2f times what it could do; %v behind a drain at most; %d effects twice; %d stalls of the machine, %v at most\n",
 		r.Push, r.Behind.Round(time.Millisecond), r.Doubles, r.Stalls, r.Stood.Round(time.Millisecond))
 	return err
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -73,7 +73,11 @@
 func (s *server) mute(silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.silent = silent
+	if s.silent = silent; silent {
+		s.record.Add(Mutes, -1, s.id)
+	} else {
+		s.record.Add(Speaks, -1, s.id)
+	}
 }
 
 // drain has it want nothing new.
