--- a/internal/host/peers/peers_test.go
+++ b/internal/host/peers/peers_test.go
@@ -44,7 +44,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		g.addrs = append(g.addrs, c.LocalAddr().String())
+		g.addrs, g.known = append(g.addrs, c.LocalAddr().String()), append(g.known, map[string]choice.State{})
 		c.Close()
 	}
 	set := sharing.Defaults
@@ -59,7 +59,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		g.hosts, g.known = append(g.hosts, h), append(g.known, map[string]choice.State{})
+		g.hosts = append(g.hosts, h)
 		all.Go(func() {
 			h.Feed(ctx, func(changes []ledger.Entry) {
 				g.mu.Lock()
--- a/internal/lab/fleet/list.go
+++ b/internal/lab/fleet/list.go
@@ -199,6 +199,9 @@
 			return
 		}
 	}
+	if mode == Resets {
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}
 	if how != Answered {
 		http.Error(w, how, http.StatusServiceUnavailable)
 		return
