A drain that was heeded early is taken back where its list never came; silence is told apart by call

Read again, two faults. A drain counts before the list that it comes with is complete; if the rest never came and the service put the server back as it had been, the sheet said the same as before and the module was not told: it drained for ever. Node.put() now knows of whom the module was told more than the sheet says. And after one call of which nothing was heard, a later one that was given up still counted as silent in Asker.Over(), so that the agent did not slow down. Both tests fail without the change.

--- a/internal/decide/asking/asking.go
+++ b/internal/decide/asking/asking.go
@@ -109,12 +109,13 @@
 		a.wait = min(2*a.wait, mostWait)
 		return next
 	}
-	if !a.answered && silent > 0 {
+	hung := !a.answered && silent > 0
+	if hung {
 		a.hung++
 	}
 	switch {
 	case a.delivered:
-	case a.hung == 1: // a service that queues says sooner or later that it gives up; silence is a broken link, unless it goes on
+	case hung && a.hung == 1: // a service that queues says sooner or later that it gives up; silence is a broken link, unless it goes on
 		a.vain++
 	case a.answered || now-a.asked < patience/2: // the wait tells a service that is down from one that gives callers up
 		a.vain++
--- a/internal/decide/asking/asking_test.go
+++ b/internal/decide/asking/asking_test.go
@@ -266,6 +266,34 @@
 	}
 }
 
+// One call of which nothing is heard is no queue; two are, and so is one that was given up after it.
+func TestHung(t *testing.T) {
+	const n = 300
+	for name, c := range map[string]struct {
+		waits []time.Duration // of calls in vain, 4.5 s being silence
+		slow  bool
+	}{
+		"down": {[]time.Duration{time.Millisecond, time.Millisecond, time.Millisecond}, false}, "once silent": {[]time.Duration{Silence, time.Millisecond}, false},
+		"given up once": {[]time.Duration{patience}, false}, "given up twice": {[]time.Duration{patience, patience}, true},
+		"silent, then given up twice": {[]time.Duration{Silence, patience, patience}, true}, "silent three times": {[]time.Duration{Silence, Silence, Silence}, true},
+	} {
+		a := New(Settings{Shared: true, Agents: n, Me: 0, MustAsk: mustAsk}, 1)
+		now, next := 1000*time.Hour+time.Second, time.Duration(0)
+		for _, w := range c.waits {
+			a.Asked(now)
+			silent := time.Duration(0)
+			if w == Silence {
+				silent = Silence
+			}
+			next = a.Over(now+w, silent)
+			now, next = next, next-now-w
+		}
+		if slow := next > 2*period; slow && !c.slow || !slow && c.slow && a.crowded < 2 {
+			t.Errorf("%s: asked again after %v, given up %d times", name, next, a.crowded)
+		}
+	}
+}
+
 // A service beside the agent costs nothing to ask: at once at the start, then soon, later each time until it answers.
 func TestBeside(t *testing.T) {
 	a := New(Settings{Agents: 300, Me: 299}, 1)
--- a/internal/decide/sharing/sharing.go
+++ b/internal/decide/sharing/sharing.go
@@ -92,8 +92,9 @@
 	version  int64 // its version
 	fresh    time.Duration
 	transfer *transfer
-	wanted   time.Duration // when it was last asked for
-	tokens   float64       // chunks that may be sent
+	heeded   map[string]bool // servers of which the module was told before the list was complete that they want nothing new
+	wanted   time.Duration   // when it was last asked for
+	tokens   float64         // chunks that may be sent
 	refilled time.Duration
 
 	watch     watch
@@ -137,7 +138,7 @@
 
 // New returns a Node. The list that was there at the start is not passed on before the service has said that it holds.
 func New(set Settings, c *company.Company, asker *asking.Asker, version int64, restored []Row, seed uint64) *Node {
-	n := &Node{set: set, company: c, asker: asker, rng: rand.New(rand.NewPCG(seed, 11)), sheet: newSheet(0, 0), version: max(0, version), restored: restored}
+	n := &Node{set: set, company: c, asker: asker, rng: rand.New(rand.NewPCG(seed, 11)), sheet: newSheet(0, 0), version: max(0, version), restored: restored, heeded: map[string]bool{}}
 	n.ranks = make([]int, c.Agents())
 	places := make([]int, c.Agents())
 	for p := range places {
@@ -420,7 +421,8 @@
 	}
 	var rows []Row
 	for _, r := range t.rows {
-		if old := n.sheet.rows[r.ID]; (r.Less || r.Gone) && old != nil && !old.Gone && !old.Less && old.Stamp < r.Stamp {
+		if old := n.sheet.rows[r.ID]; (r.Less || r.Gone) && old != nil && !old.Gone && !old.Less && old.Stamp < r.Stamp && !n.heeded[r.ID] {
+			n.heeded[r.ID] = true // which is one of the sheet's, so that there are no more of them
 			rows = append(rows, r)
 		}
 	}
@@ -435,7 +437,7 @@
 	if !t.whole {
 		var news []Row
 		for _, r := range t.rows {
-			if n.sheet.put(r) {
+			if n.put(r) {
 				news = append(news, r)
 			}
 		}
@@ -452,10 +454,18 @@
 		return
 	}
 	n.doubtful = 0
-	n.sheet = fresh
+	n.sheet, n.heeded = fresh, map[string]bool{}
 	n.changed(0, fresh.live(), true)
 }
 
+// put puts a row into the sheet. It reports whether the module has to be told: also where the sheet says the same as before, if the
+// module was told of a list that never became complete.
+func (n *Node) put(r Row) bool {
+	news := n.sheet.put(r) || n.heeded[r.ID]
+	delete(n.heeded, r.ID)
+	return news
+}
+
 // dubious reports whether a list takes away so much that others' word is not enough for it, yet.
 func (n *Node) dubious(fresh *sheet) bool {
 	had, lost := 0, 0
@@ -560,10 +570,10 @@
 		if full && old != nil && old.Stamp > version {
 			continue // another agent has told of a later version already
 		}
-		if full && old != nil && !old.Gone && !r.Gone && string(old.Body) == string(r.Body) {
+		if full && old != nil && !old.Gone && !r.Gone && string(old.Body) == string(r.Body) && !n.heeded[r.ID] {
 			continue
 		}
-		if n.sheet.put(r) {
+		if n.put(r) {
 			news = append(news, r)
 		}
 	}
@@ -571,7 +581,7 @@
 		for _, r := range n.sheet.live() {
 			if !named[r.ID] && r.Stamp <= version {
 				gone := Row{ID: r.ID, Stamp: version, Gone: true}
-				n.sheet.put(gone)
+				n.put(gone)
 				news = append(news, gone)
 			}
 		}
--- a/internal/decide/sharing/sharing_test.go
+++ b/internal/decide/sharing/sharing_test.go
@@ -599,6 +599,14 @@
 	if _, v := h.node.Version(); v != version {
 		t.Errorf("version %d, as if the list were complete", v)
 	}
+	// The rest never comes, and the service has put the server back: the module hears of that though the list is as it was.
+	body := h.w.rows["forms-5"].Body
+	h.do(h.node.Heard(w.now, &Datagram{From: company.Word{Place: 1, Epoch: 1<<50 + 1}, Gen: gen, At: Cursor{version + 20, lastID},
+		Chunk: &Chunk{Gen: gen, Sort: 7, After: Cursor{version, lastID}, Upto: Cursor{version + 20, lastID}, Head: version + 20,
+			Rows: []Row{{ID: "forms-5", Stamp: version + 20, Body: body}}}}))
+	if h.known["forms-5"].Less {
+		t.Error("it drains for ever")
+	}
 }
 
 // What is sent is read again as it was; what no agent sends is an error.
