Read again: one clock of the list, discovery.Now, in place of three copies

The same function stood in discovery, members and peers; the two hosts call discovery's now. Behaviour as it was; their tests, vet and the layout test pass.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -128,20 +128,20 @@
 	return out
 }
 
-// now is the clock by which the list is asked for: Unix time, the same for all agents.
-func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+// Now is the clock by which the list is asked for: Unix time, the same for all agents, as the starts of servers are given.
+func Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 // KeepWatching watches until ctx ends, again and again from the last version, when the Asker says so. An agent goes on with
 // the list that it has while there is no watch; lost, if it is not nil, is called at each that ends.
 func (d *Client) KeepWatching(ctx context.Context, asker *asking.Asker, deliver func(List), lost func()) {
-	on := Events{Answered: func() { asker.Answered(now()) }, Alive: func() {}, Deliver: func(l List) { asker.Delivered(); deliver(l) }}
-	for next := asker.Start(now()); ; {
+	on := Events{Answered: func() { asker.Answered(Now()) }, Alive: func() {}, Deliver: func(l List) { asker.Delivered(); deliver(l) }}
+	for next := asker.Start(Now()); ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(next - now()):
+		case <-time.After(next - Now()):
 		}
-		asker.Asked(now())
+		asker.Asked(Now())
 		silent := d.Watch(ctx, on)
 		if ctx.Err() != nil {
 			return
@@ -149,7 +149,7 @@
 		if lost != nil {
 			lost()
 		}
-		next = asker.Over(now(), silent)
+		next = asker.Over(Now(), silent)
 	}
 }
 
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -65,9 +65,6 @@
 	return h
 }
 
-// now is the clock of the events: Unix time, as the starts of servers are given.
-func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // Feed is core.Feed: it tells every change, until the context ends.
 func (h *Host) Feed(ctx context.Context, deliver func([]ledger.Entry)) {
 	if h.list >= 0 {
@@ -78,7 +75,7 @@
 	}
 	for i, d := range h.set.DNS {
 		number := h.list + 1 + i
-		go dnssource.Run(ctx, dnssource.Settings{Settings: d.Resolve, Addrs: d.Servers, Seed: h.set.Seed + uint64(i), Log: h.set.Log, Now: now},
+		go dnssource.Run(ctx, dnssource.Settings{Settings: d.Resolve, Addrs: d.Servers, Seed: h.set.Seed + uint64(i), Log: h.set.Log, Now: discovery.Now},
 			func(w resolve.Word) {
 				h.post(ctx, func() {
 					h.report(membership.Report{Source: number, Full: true, Claims: w.Claims, Until: w.Until}, deliver)
@@ -86,7 +83,7 @@
 			}, func() {
 				h.set.Log.Warn("no name server answers", "name", d.Name)
 				h.post(ctx, func() {
-					h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(now(), number) })
+					h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(discovery.Now(), number) })
 				})
 			})
 	}
@@ -96,7 +93,7 @@
 		wait := time.Minute
 		h.mu.Lock()
 		if at, any := h.all.Next(); any {
-			wait = min(wait, max(0, at-now()))
+			wait = min(wait, max(0, at-discovery.Now()))
 		}
 		h.mu.Unlock()
 		timer.Reset(wait)
@@ -106,7 +103,7 @@
 		case event := <-h.events:
 			event()
 		case <-timer.C:
-			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Tick(now()) })
+			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Tick(discovery.Now()) })
 		}
 	}
 }
@@ -119,7 +116,7 @@
 }
 
 func (h *Host) report(r membership.Report, deliver func([]ledger.Entry)) {
-	h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Report(now(), r) })
+	h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Report(discovery.Now(), r) })
 }
 
 // change works on the membership and tells what came of it.
@@ -165,7 +162,7 @@
 		h.post(ctx, func() { h.report(r, deliver) })
 	}, func() {
 		h.post(ctx, func() {
-			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(now(), h.list) })
+			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(discovery.Now(), h.list) })
 		})
 	})
 }
--- a/internal/host/peers/peers.go
+++ b/internal/host/peers/peers.go
@@ -84,9 +84,6 @@
 	return h, nil
 }
 
-// now is the clock of the events: Unix time, as the starts of servers and the turns of agents are given.
-func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // Feed is core.Feed: it tells every change, until the context ends.
 func (h *Host) Feed(ctx context.Context, deliver func([]ledger.Entry)) {
 	defer h.conn.Close()
@@ -94,19 +91,19 @@
 		h.give(h.set.Known.Servers, false, deliver)
 	}
 	go h.receive(ctx, deliver)
-	h.do(ctx, h.node.Start(now()), deliver)
+	h.do(ctx, h.node.Start(discovery.Now()), deliver)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		timer.Reset(max(0, h.node.Next()-now()))
+		timer.Reset(max(0, h.node.Next()-discovery.Now()))
 		select {
 		case <-ctx.Done():
-			h.do(ctx, h.node.Leave(now()), deliver)
+			h.do(ctx, h.node.Leave(discovery.Now()), deliver)
 			return
 		case event := <-h.events:
 			event()
 		case <-timer.C:
-			h.do(ctx, h.node.Tick(now()), deliver)
+			h.do(ctx, h.node.Tick(discovery.Now()), deliver)
 		}
 	}
 }
@@ -130,7 +127,7 @@
 			continue
 		}
 		select {
-		case h.events <- func() { h.do(ctx, h.node.Heard(now(), d), deliver) }:
+		case h.events <- func() { h.do(ctx, h.node.Heard(discovery.Now(), d), deliver) }:
 		default:
 		}
 	}
@@ -218,17 +215,17 @@
 	d := discovery.New(h.set.Discovery, known, h.set.Log)
 	go func() {
 		silent := d.Watch(ctx, discovery.Events{
-			Answered: func() { post(func() []sharing.Action { return h.node.Answered(now()) }) },
-			Alive:    func() { post(func() []sharing.Action { return h.node.Alive(now()) }) },
+			Answered: func() { post(func() []sharing.Action { return h.node.Answered(discovery.Now()) }) },
+			Alive:    func() { post(func() []sharing.Action { return h.node.Alive(discovery.Now()) }) },
 			Deliver: func(l discovery.List) {
 				rows := make([]sharing.Row, 0, len(l.Servers))
 				for _, e := range l.Servers {
 					rows = append(rows, row(e))
 				}
-				post(func() []sharing.Action { return h.node.List(now(), l.Version, l.Full, rows) })
+				post(func() []sharing.Action { return h.node.List(discovery.Now(), l.Version, l.Full, rows) })
 			},
 		})
-		post(func() []sharing.Action { return h.node.Over(now(), silent) })
+		post(func() []sharing.Action { return h.node.Over(discovery.Now(), silent) })
 	}()
 }
 
