Read again: one wording of a list's entry for the ledger, Entry.Listed

The core and the host of lists among agents built the same ledger entry field by field. Behaviour as it was; the tests of discovery, core, peers, agent (those of lists and reloads), vet and the layout test pass.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -18,6 +18,7 @@
 	"ternbeam/choice"
 	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/asking"
+	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/decide/listing"
 	"ternbeam/internal/protocol"
 )
@@ -128,6 +129,12 @@
 	return out
 }
 
+// Listed is the entry as the ledger takes it.
+func (e Entry) Listed(zones []string) (ledger.Entry, error) {
+	s, err := e.Server(zones)
+	return ledger.Entry{Server: s, Addr: e.Addr, Addrs: e.Addrs, Multiplexed: e.Multiplexed, Shapes: e.Shapes}, err
+}
+
 // Now is the clock by which the list is asked for: Unix time, the same for all agents, as the starts of servers are given.
 func Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -69,12 +69,12 @@
 func (c *Core) enter(l discovery.List) {
 	entries := make([]ledger.Entry, 0, len(l.Servers))
 	for _, e := range l.Servers {
-		s, err := e.Server(c.set.Zones)
+		listed, err := e.Listed(c.set.Zones)
 		if err != nil {
 			c.log.Error("passing over an entry of the list", "error", err)
 			continue
 		}
-		entries = append(entries, ledger.Entry{Server: s, Addr: e.Addr, Addrs: e.Addrs, Multiplexed: e.Multiplexed, Shapes: e.Shapes})
+		entries = append(entries, listed)
 	}
 	c.do(c.ledger.List(c.Now(), l.Full, entries))
 	c.recall()
--- a/internal/host/peers/peers.go
+++ b/internal/host/peers/peers.go
@@ -164,17 +164,17 @@
 	var changes []ledger.Entry
 	named := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		s, err := e.Server(h.set.Zones)
+		listed, err := e.Listed(h.set.Zones)
 		if err != nil {
 			h.set.Log.Error("passing over an entry of the list", "error", err)
 			continue
 		}
-		if named[e.ID] = true; s.State == choice.Gone {
+		if named[e.ID] = true; listed.State == choice.Gone {
 			delete(h.given, e.ID)
 		} else {
 			h.given[e.ID] = true
 		}
-		changes = append(changes, ledger.Entry{Server: s, Addr: e.Addr, Addrs: e.Addrs, Multiplexed: e.Multiplexed, Shapes: e.Shapes})
+		changes = append(changes, listed)
 	}
 	if full {
 		for id := range h.given {
