Even places at every server: fair subsets, and turns to try servers that failed

Three hundred agents drew each from a subset made by chance, and each tried every server that it had ejected once in a horizon, whatever the others did. On the rig (300 agents, 900 calls a second, 100 servers, 20 of them silent for 20 s, all calls safe) the silent ones got 139 calls in the first second, 56 in the third and 136 in the twentieth; 2,780 of 17,800 calls were refused.

internal/decide/subset gives an agent its rank among all at each server, by a hash and the agents' number that the settings tell. Who draws from the servers where its rank is low is even by construction: each server has the same number of agents. The module takes the place with the list's entry, in place of a random rank of its own, and tries an ejected server in turn: by its place first, then a round of all that draw from it later. A trial that owes four usual answers is over, where a server that was well may owe sixteen; attempts at servers that are out are no jam; what is heard of servers that others try is forgotten.

--- a/choice/api.go
+++ b/choice/api.go
@@ -108,6 +108,7 @@
 	Weight  float64       // the list's figure for its size
 	Started time.Duration // its latest start, on the clock of the events; 0 for long ago
 	Speaks  Protocols
+	Place   float64 // this balancer's among all that might draw from it, from 0 to below 1; see package subset
 }
 
 // Report is what a server says of its own load. A negative figure is one that it does not state.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,9 +3,9 @@
 // The interface of this module, its settings, events and actions, is in api.go.
 
 import (
-	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 // The module's own constants. All are shares, counts or multiples; times come from the settings.
@@ -24,6 +24,7 @@
 	utilFloor   = 0.05 // less use than this says nothing of capacity, and less than this left counts as it
 	learn       = 0.05 // weight of a new sample in the averages that are kept by count
 	missedMost  = 16   // answers that a server may owe, by the usual time to one, before it is ejected
+	triedMost   = 4    // and one that is tried: it is known to have owed as many before
 	failWeight  = 0.3  // weight of a new sample in a server's share of failures
 	failEject   = 0.6  // ejected above it: three failures in a row, from nothing
 	lostFrom    = 0.03 // share of attempts lost at servers that answer others, from which late ones are copied
@@ -65,15 +66,12 @@
 		named[e.ID] = true
 		s := b.byID[e.ID]
 		if s == nil {
-			s = &server{heard: b.now, hash: hash(e.ID), rank: b.rng.Float64()}
-			if e.Zone == b.set.Zone {
-				s.rank /= nearRank
-			}
+			s = &server{heard: b.now, hash: hash(e.ID)}
 			b.byID[e.ID] = s
 			b.servers = append(b.servers, s)
 		} else if e.Started != s.Started {
 			// A restarted process is cold and well: what an earlier life showed says nothing of it.
-			*s = server{inFlight: s.inFlight, heard: b.now, hash: s.hash, rank: s.rank}
+			*s = server{inFlight: s.inFlight, heard: b.now, hash: s.hash}
 		}
 		begins := e.Started != s.Started
 		s.Server = e
@@ -95,16 +93,21 @@
 	b.narrow()
 }
 
-// narrow keeps the draws to a subset, each balancer's own and of its zone first: of a fleet that it meets too
-// seldom it would only know what is long past. Servers of other protocols are fleets of their own.
+// narrow keeps the draws to a subset, by this balancer's places and of its zone first: of a fleet that it
+// meets too seldom it would only know what is long past. Servers of other protocols are fleets of their own.
 func (b *Balancer) narrow() {
-	n := max(subsetLeast, int(b.served*subsetTime*b.horizon.Seconds()))
-	order := slices.DeleteFunc(slices.Clone(b.servers), func(s *server) bool { return s.State != Ready })
-	slices.SortFunc(order, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
-	near := map[Protocols]int{}
-	for _, s := range order {
-		s.far = near[s.Speaks] >= n
-		near[s.Speaks]++
+	n, all := max(subsetLeast, b.served*subsetTime*b.horizon.Seconds()), map[Protocols]float64{}
+	for _, s := range b.servers {
+		if s.part = 1; s.Zone == b.set.Zone {
+			s.part = nearRank
+		}
+		if s.State == Ready {
+			all[s.Speaks] += s.part
+		}
+	}
+	for _, s := range b.servers {
+		s.part = min(1, s.part*n/all[s.Speaks])
+		s.far = s.Place >= s.part
 	}
 }
 
@@ -347,6 +350,9 @@
 	}
 	late := o.Result == Rejected || o.Result == TimedOut && part == 1 && !a.passedOver(b.usual[c])
 	switch {
+	case o.Result == Cancelled && s.trial: // that was its turn
+		b.eject(s)
+		return
 	case o.Result == Cancelled || o.Result == NotSent:
 		s.trial = false
 		return
@@ -363,7 +369,7 @@
 	}
 	b.lost -= learn * b.lost
 	// A dead server is no jam, nor one that loses some, an impatient client or a body that comes slowly.
-	if (late || o.Result == OK) && !a.req.Coming {
+	if (late && !b.ejected(s) || o.Result == OK) && !a.req.Coming {
 		b.jam += b.jamWeight * (b.slackUsed(a, late) - b.jam)
 	}
 	s.failing += failWeight * part * (bad - s.failing)
@@ -380,8 +386,17 @@
 	}
 }
 
-// eject keeps a server out of the draws for a horizon; then one request to spare tries it.
-func (b *Balancer) eject(s *server) { s.until, s.trial, b.news = b.now+b.horizon, false, b.news+1 }
+// eject keeps a server out of the draws until it is this balancer's turn to try it, by one request to spare.
+// All that draw from it have a turn in a round, a horizon apart: by their places first, then a round later.
+func (b *Balancer) eject(s *server) {
+	turn := s.Place
+	if s.until > 0 {
+		turn = s.part
+	}
+	s.until = b.now + time.Duration(float64(b.horizon)*max(1, turn*float64(b.set.Balancers)))
+	s.trial, b.news = false, b.news+1
+	b.weigh() // what is left of the others
+}
 
 // rescue withdraws what waits at a silent server and may go elsewhere; the outcome sends it again.
 func (b *Balancer) rescue(s *server) {
@@ -425,9 +440,12 @@
 // checkHealth looks for servers that take requests and answer none, for longer than is usual.
 func (b *Balancer) checkHealth() {
 	for _, s := range b.servers {
-		if (s.until == 0 || s.trial) && b.missed(s) > missedMost {
+		switch n := b.missed(s); {
+		case s.until == 0 && n > missedMost || s.trial && n > triedMost:
 			b.eject(s)
 			b.rescue(s)
+		case s.far && s.until > 0 && b.now >= s.until: // others try it
+			s.until, s.failing = 0, 0
 		}
 		b.copyLate(s)
 		s.trust *= math.Exp(-1.0 / ticks / reportTime)
@@ -603,7 +621,7 @@
 	jam := b.jam
 	for _, s := range b.servers {
 		for _, a := range s.inFlight {
-			if !a.passedOver(b.usual[a.req.Class]) && !a.req.Coming {
+			if !b.ejected(s) && !a.passedOver(b.usual[a.req.Class]) && !a.req.Coming {
 				jam += b.jamWeight * max(0, b.slackUsed(a, false)-jam)
 			}
 		}
--- a/choice/memory.go
+++ b/choice/memory.go
@@ -121,7 +121,8 @@
 		s.failing = within(e.Failing, 0, recallFailing)
 		if e.Ejected && float64(ejected+1) <= recallEjected*float64(len(b.servers)) {
 			ejected++
-			s.until = b.now + max(1, min(e.Trial, b.horizon))
+			b.eject(s)
+			s.until = min(s.until, b.now+max(1, e.Trial))
 		}
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -58,8 +58,8 @@
 	asked    time.Duration // the latest probe
 	asking   []*request    // that wait for its answer
 	hash     uint64        // of its id
-	rank     float64       // its place in this balancer's order of all servers
-	far      bool          // not in the subset
+	part     float64       // of all balancers that draws from it, if they fare like this one
+	far      bool          // this one does not
 	heard    time.Duration // the latest sign of life or, if later, the first send that waits for one
 	passed   time.Duration // when the latest sent of those that it has answered was sent
 	failing  float64       // share of failures among the latest outcomes
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -12,6 +12,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/asking"
+	"ternbeam/internal/decide/subset"
 	"ternbeam/internal/settings/wire"
 )
 
@@ -28,7 +29,8 @@
 // instance is one balancer, and what decides when it asks for the list.
 type instance struct {
 	*choice.Balancer
-	asker *asking.Asker // nil where the list comes unasked
+	asker  *asking.Asker // nil where the list comes unasked
+	places *subset.Subset
 }
 
 // run answers every batch of events with one flushed reply until the input ends.
@@ -55,8 +57,9 @@
 			if err != nil {
 				return err
 			}
-			i = instance{Balancer: b}
-			if list := asking.Settings(m.Settings.List); list.Shared {
+			list := asking.Settings(m.Settings.List)
+			i = instance{Balancer: b, places: subset.New(subset.Settings{Agents: list.Agents, Me: list.Me, Seed: m.Seed})}
+			if list.Shared {
 				i.asker = asking.New(list, m.Seed)
 				ask = i.asker.Start(now)
 			}
@@ -71,6 +74,9 @@
 		case wire.Event:
 			switch e := m.Event.(type) {
 			case choice.ServerList:
+				for at, s := range e.Servers {
+					e.Servers[at].Place = i.places.Place(s.ID)
+				}
 				if i.asker != nil && !m.Restored {
 					i.asker.Answered(now)
 					i.asker.Delivered()
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -15,6 +15,7 @@
 	"ternbeam/internal/decide/life"
 	"ternbeam/internal/decide/operators"
 	"ternbeam/internal/decide/routes"
+	"ternbeam/internal/decide/subset"
 )
 
 // Call is one call of a client. Its Needs name the protocol that a server must speak to be sent it.
@@ -185,6 +186,7 @@
 	Carries     func(needs choice.Protocols) bool // whether there is a transport for them
 	Illegal     func(error)
 	Routes      *routes.Routes // by shapes; nil where calls have none
+	Places      *subset.Subset // the places of this agent at servers; nil for the first at each
 }
 
 // Ledger keeps the calls. It is not safe for concurrent use.
@@ -329,6 +331,9 @@
 	ev := choice.ServerList{Full: full}
 	for _, e := range entries {
 		e.Server = l.word.Counts(e.Server)
+		if l.set.Places != nil {
+			e.Server.Place = l.set.Places.Place(e.ID)
+		}
 		ev.Servers = append(ev.Servers, l.listedAs(e))
 		l.entry(e)
 	}
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -19,6 +19,7 @@
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/decide/routes"
+	"ternbeam/internal/decide/subset"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/host/pool"
 )
@@ -108,7 +109,8 @@
 	}
 	now := time.Now()
 	books := ledger.New(ledger.Settings{Classes: len(set.Module.Classes), MaxAttempts: set.Module.MaxAttempts, MostHeld: set.MostHeld,
-		Carries: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, Illegal: set.Illegal, Routes: set.Routes}, balancer)
+		Carries: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, Illegal: set.Illegal, Routes: set.Routes,
+		Places: subset.New(subset.Settings{Agents: set.Module.Balancers, Me: set.Asking.Me, Seed: set.Seed})}, balancer)
 	c := &Core{set: set, log: set.Log, events: make(chan func(), 1024), urgent: make(chan func()), workers: newWorkers(), ready: make(chan struct{}),
 		started: now, origin: time.Duration(now.UnixNano()), ledger: books, others: map[*Other]bool{}}
 	c.begun = func(at *Attempt, e Ending) { c.post(func() { c.do(c.ledger.Begun(c.Now(), at, e)) }) }
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -19,6 +19,7 @@
 	ColdFor  time.Duration // until it has all of it; 0 for servers that are never cold
 	Push     float64       // a cold one falls over that is sent so many times what it can do
 	FallIn   time.Duration // in a window of this length
+	Reports  bool          // answers say the load
 }
 
 // fallSlack is how many calls beyond its push a cold server bears in a window: chance among few.
@@ -50,7 +51,7 @@
 func (s *server) start(cold bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	live, err := standin.Start(standin.Options{ID: s.id, Protocol: "http", Cell: s.cell, Pod: s.pod, Script: s.take, Load: s.load})
+	live, err := standin.Start(standin.Options{ID: s.id, Protocol: "http", Cell: s.cell, Pod: s.pod, Script: s.take, Load: s.load, NoLoad: !s.opts.Reports})
 	if err != nil {
 		return err
 	}
