Late calls are no jam while others are answered; one that waited in vain says more

An attempt is passed over also when another one, sent longer after it than is usual for an answer, was answered in good time by any server; and one that timed out weighs by what it waited, in usual answers over sixteen.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -348,7 +348,7 @@
 	if o.Result == TimedOut {
 		part = a.patience(b)
 	}
-	late := o.Result == Rejected || o.Result == TimedOut && part == 1 && !a.passedOver(b.usual[c])
+	late := o.Result == Rejected || o.Result == TimedOut && part == 1 && !b.passedOver(a)
 	switch {
 	case o.Result == Cancelled && s.trial: // that was its turn
 		b.eject(s)
@@ -370,9 +370,16 @@
 	b.lost -= learn * b.lost
 	// A dead server is no jam, nor one that loses some, an impatient client or a body that comes slowly.
 	if (late && !b.ejected(s) || o.Result == OK) && !a.req.Coming {
-		b.jam += b.jamWeight * (b.slackUsed(a, late) - b.jam)
+		used := b.slackUsed(a, late)
+		if b.jam += b.jamWeight * (used - b.jam); used < shedFrom {
+			b.prompt = max(b.prompt, a.sent)
+		}
+	}
+	weight := failWeight * part
+	if o.Result == TimedOut && bad > 0 { // one that waited in vain for long says as much as several
+		weight = max(weight, min(1, float64(b.now-a.sent)/b.usual[c]/missedMost))
 	}
-	s.failing += failWeight * part * (bad - s.failing)
+	s.failing += weight * (bad - s.failing)
 	s.judged, b.judged, b.news = b.now, b.now, b.news+1
 	if s.coldShare(b) < 1 {
 		b.coldSeen = min(b.coldSeen+1, 1/learn)
@@ -621,7 +628,7 @@
 	jam := b.jam
 	for _, s := range b.servers {
 		for _, a := range s.inFlight {
-			if !b.ejected(s) && !a.passedOver(b.usual[a.req.Class]) && !a.req.Coming {
+			if !b.ejected(s) && !b.passedOver(a) && !a.req.Coming {
 				jam += b.jamWeight * max(0, b.slackUsed(a, false)-jam)
 			}
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -37,6 +37,7 @@
 	coldBad   float64       // share of failures among attempts at cold servers
 	coldSeen  float64       // how many attempts that rests on, up to 1 / learn
 	judged    time.Duration // the latest outcome
+	prompt    time.Duration // when the latest sent of those that were answered in good time was sent
 	news      uint64        // reports, outcomes and ejections so far
 	checked   int           // remembered capacities that servers have spoken on since
 	wrong     int           // and those of them that were far off
@@ -129,9 +130,11 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.ColdFor))
 }
 
-// passedOver reports whether the server has answered one that it was sent longer after this one than is usual
-// for an answer: that is no queue, this one is lost or costly.
-func (a *attempt) passedOver(usual float64) bool { return float64(a.srv.passed-a.sent) > usual }
+// passedOver reports whether its server has answered one that was sent longer after this one than is usual for
+// an answer, or any has in good time: that is no queue, and no jam; this one is lost or costly, or its server ill.
+func (b *Balancer) passedOver(a *attempt) bool {
+	return float64(max(a.srv.passed, b.prompt)-a.sent) > b.usual[a.req.Class]
+}
 
 // patience is the time that the client gave, as a part of that from which an answer is late, 1 at most. The
 // less it is, the less it says of a server that no answer came in it.
