A late request is copied after eight usual answers; one withdrawn tells of its server

A second copy goes after eight usual times to an answer, within the budget of further attempts and where there is no jam; after two, as before, while some are lost. The attempt that is withdrawn as its copy was answered first counts against its server by what it waited, so that the copy does not hide the silence.

--- a/choice/api.go
+++ b/choice/api.go
@@ -189,24 +189,18 @@
 		Took   time.Duration
 		Report Report
 	}
-	// PeerMessage comes from another balancer.
-	PeerMessage struct {
-		From int
-		Data []byte
-	}
 	// TimerFired says that a timer set by SetTimer is due.
 	TimerFired struct{ Token uint64 }
 )
 
-func (ServerList) event()  {}
-func (Request) event()     {}
-func (Whole) event()       {}
-func (Outcome) event()     {}
-func (Streaming) event()   {}
-func (ClientGone) event()  {}
-func (Probed) event()      {}
-func (PeerMessage) event() {}
-func (TimerFired) event()  {}
+func (ServerList) event() {}
+func (Request) event()    {}
+func (Whole) event()      {}
+func (Outcome) event()    {}
+func (Streaming) event()  {}
+func (ClientGone) event() {}
+func (Probed) event()     {}
+func (TimerFired) event() {}
 
 // ActionKind names what an Action does and which of its fields count.
 type ActionKind int
@@ -219,7 +213,6 @@
 	Fail                       // Request: no promise about its effect
 	SetTimer                   // TimerFired with Token comes after After
 	Probe                      // Server
-	Tell                       // every other balancer of Data
 )
 
 // Action is something that the Balancer wants done. Actions take effect in order.
@@ -231,7 +224,6 @@
 	After   time.Duration
 	Within  time.Duration // a Send must be written whole so soon, or not at all; 0 for any time
 	Token   uint64
-	Data    []byte
 }
 
 // New returns a Balancer. Its random numbers follow from the seed alone.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,7 +28,8 @@
 	failWeight  = 0.3  // weight of a new sample in a server's share of failures
 	failEject   = 0.6  // ejected above it: three failures in a row, from nothing
 	lostFrom    = 0.03 // share of attempts lost at servers that answer others, from which late ones are copied
-	copyTimes   = 2    // usual times to an answer after which an attempt counts as late then
+	copyTimes   = 2.0  // usual times to an answer after which an attempt counts as late then
+	copyLast    = 8.0  // and after which it is copied whatever was lost
 	coldHeed    = 0.5  // failures at cold servers lower their part by so much of their share
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
 	retryShare  = 0.1  // further attempts as a share of first ones, besides what gets lost
@@ -353,7 +354,8 @@
 	case o.Result == Cancelled && s.trial: // that was its turn
 		b.eject(s)
 		return
-	case o.Result == Cancelled || o.Result == NotSent:
+	case o.Result == NotSent,
+		o.Result == Cancelled && (s.until > 0 || s.heard > a.sent || a.waited(b) < copyTimes):
 		s.trial = false
 		return
 	case o.Result == OK:
@@ -376,8 +378,8 @@
 		}
 	}
 	weight := failWeight * part
-	if o.Result == TimedOut && bad > 0 { // one that waited in vain for long says as much as several
-		weight = max(weight, min(1, float64(b.now-a.sent)/b.usual[c]/missedMost))
+	if o.Result == TimedOut && bad > 0 || o.Result == Cancelled { // so long in vain
+		weight = min(1, max(weight, a.waited(b)/missedMost))
 	}
 	s.failing += weight * (bad - s.failing)
 	s.judged, b.judged, b.news = b.now, b.now, b.news+1
@@ -416,11 +418,14 @@
 	}
 }
 
-// copyLate sends a second copy of what a server owes for long, while servers that answer others lose some.
+// copyLate sends a second copy of what a server owes for long, and sooner while some lose what they are sent.
 func (b *Balancer) copyLate(s *server) {
+	times := copyLast
+	if b.lost > lostFrom {
+		times = copyTimes
+	}
 	for _, a := range slices.Clone(s.inFlight) {
-		late := float64(b.now-a.sent) > copyTimes*b.usual[a.req.Class]
-		if late && !a.req.Coming && b.lost > lostFrom && b.jam < shedFrom && a.req.out == 1 && b.elsewhere(a) {
+		if a.waited(b) > times && !a.req.Coming && b.jam < shedFrom && a.req.out == 1 && b.elsewhere(a) {
 			b.budget--
 			b.try(a.req)
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -130,12 +130,15 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.ColdFor))
 }
 
-// passedOver reports whether its server has answered one that was sent longer after this one than is usual for
-// an answer, or any has in good time: that is no queue, and no jam; this one is lost or costly, or its server ill.
+// passedOver reports whether its server has answered one that was sent longer after this one than is usual, or
+// any other has in good time: there is no jam, and this one is lost or costly, or its server ill.
 func (b *Balancer) passedOver(a *attempt) bool {
 	return float64(max(a.srv.passed, b.prompt)-a.sent) > b.usual[a.req.Class]
 }
 
+// waited is the time since an attempt was sent, in usual times to an answer.
+func (a *attempt) waited(b *Balancer) float64 { return float64(b.now-a.sent) / b.usual[a.req.Class] }
+
 // patience is the time that the client gave, as a part of that from which an answer is late, 1 at most. The
 // less it is, the less it says of a server that no answer came in it.
 func (a *attempt) patience(b *Balancer) float64 {
--- a/internal/settings/wire/decode.go
+++ b/internal/settings/wire/decode.go
@@ -4,7 +4,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -132,9 +131,12 @@
 	if !d.inTurn {
 		return m, false, fmt.Errorf("%q outside a Turn", kind)
 	}
-	if string(kind) == "Census" {
+	switch string(kind) {
+	case "Census":
 		d.census(v)
 		return m, true, d.bad
+	case "Message": // from another instance: the module tells them nothing and has no use for it
+		return m, true, nil
 	}
 	m.Instance = d.name(v, "I")
 	switch string(kind) {
@@ -182,12 +184,6 @@
 	case "Health":
 		return choice.Probed{Server: d.name(v, "Backend"), Result: d.result(v), Took: d.time(v, "LagNs"),
 			Report: d.report(v, fields)}
-	case "Message":
-		data, err := base64.StdEncoding.DecodeString(d.str(v, "Blob"))
-		if err != nil {
-			d.fault("Blob is not base64: %v", err)
-		}
-		return choice.PeerMessage{From: d.int(v, "Who"), Data: data}
 	case "TimeoutFired":
 		return choice.TimerFired{Token: d.uint(v, "Handle")}
 	}
--- a/internal/settings/wire/encode.go
+++ b/internal/settings/wire/encode.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"strconv"
 
@@ -32,9 +31,6 @@
 		out = num(out, `,"FromNowNs":`, uint64(max(a.After, 0)))
 	case choice.Probe:
 		out = str(begin(out, "Poll", instance), `,"Backend":`, a.Server)
-	case choice.Tell:
-		out = append(begin(out, "Publish", instance), `,"Whom":"*","Blob":"`...)
-		out = append(base64.StdEncoding.AppendEncode(out, a.Data), '"')
 	}
 	return append(out, "}\n"...)
 }
