--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1233,7 +1233,7 @@
 		}
 		last := s.alone(h.Balancer)
 		for range 50 {
-			h.at += h.horizon * 2
+			h.tick(h.horizon * 2)
 			now := s.alone(h.Balancer)
 			if now > last || now < 1 {
 				t.Fatalf("%v parts after %v", now, last)
