Late requests are copied only where their server was silent since and others answer

A copy goes only where the server has answered nothing since the attempt was sent, and others have answered in good time what was sent later: that is silence, not a queue.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,7 +30,7 @@
 	failEject   = 0.6  // ejected above it: three failures in a row, from nothing
 	lostFrom    = 0.03 // share of attempts lost at servers that answer others, from which late ones are copied
 	copyTimes   = 2.0  // usual times to an answer after which an attempt counts as late then
-	copyLast    = 8.0  // and after which it is copied whatever was lost
+	copyLast    = 8.0  // and after which one is copied whose server has been silent since it was sent
 	coldHeed    = 0.5  // failures at cold servers lower their part by so much of their share
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
 	retryShare  = 0.1  // further attempts as a share of first ones, besides what gets lost
@@ -412,14 +412,13 @@
 	}
 }
 
-// copyLate sends a second copy of what a server owes for long, and sooner while some lose what they are sent.
+// copyLate sends a second copy of what a server owes for long, if it was silent since and others are not; and
+// sooner of what any owes, while servers that answer others lose some.
 func (b *Balancer) copyLate(s *server) {
-	times := copyLast
-	if b.lost > lostFrom {
-		times = copyTimes
-	}
 	for _, a := range slices.Clone(s.inFlight) {
-		if a.waited(b) > times && !a.req.Coming && b.jam < shedFrom && a.req.out == 1 && b.elsewhere(a) {
+		late := b.lost > lostFrom || a.waited(b) > copyLast && s.heard <= a.sent && b.passedOver(a)
+		late = late && a.waited(b) > copyTimes && !a.req.Coming && a.req.out == 1
+		if late && b.jam < shedFrom && b.elsewhere(a) {
 			b.budget--
 			b.try(a.req)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1142,7 +1142,13 @@
 	set.ParallelCopies = true
 	h := newBench(t, set, 1, 1)
 	id, to := h.ask(0)
-	copies, at := 0, h.at
+	h.at += 300 * time.Millisecond
+	next, other := h.ask(0) // which is answered in good time
+	if other == to {
+		t.Fatal("the busy server got both")
+	}
+	h.Handle(h.at+50*time.Millisecond, Outcome{Request: next, Server: other, Took: 50 * time.Millisecond, Closed: true, Report: NoReport})
+	copies, at := 0, h.at-300*time.Millisecond
 	for h.at < at+1900*time.Millisecond {
 		for _, a := range h.tick(h.horizon / ticks) {
 			if a.Kind == Send {
