--- a/cmd/ternbeam-fleet/main.go
+++ b/cmd/ternbeam-fleet/main.go
@@ -37,6 +37,7 @@
 	All      *float64 `help:"So many seconds of the list service for all agents, whatever the scenario says." placeholder:"S"`
 	Rate     *float64 `help:"So many calls a second of each agent's clients, whatever the scenario says."`
 	Seed     *uint64  `help:"Another seed."`
+	Places   string   `help:"What agents are told of their place and number: none, tenth, tenfold, pairs (two have each place), sides (two that each think they are all) or old (half know an old number)."`
 	JSON     string   `help:"Write the report and all that the world saw there." placeholder:"FILE"`
 	HTML     string   `help:"Write the report as a page there, with curves over time." placeholder:"FILE"`
 	Logs     string   `help:"Keep the configurations and logs of the agents in this folder." placeholder:"FOLDER"`
@@ -60,7 +61,9 @@
 	if err != nil {
 		return err
 	}
-	s.Change(c.Agents, c.Servers, c.All, c.Rate, c.Seed)
+	if err := s.Change(c.Agents, c.Servers, c.All, c.Rate, c.Seed, c.Places); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	dir := c.Logs
--- a/cmd/ternbeam-lab/main.go
+++ b/cmd/ternbeam-lab/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"ternbeam/internal/lab/crowd"
 	"ternbeam/internal/lab/outage"
 	"ternbeam/internal/lab/restart"
 	"ternbeam/internal/lab/rollout"
@@ -17,6 +18,7 @@
 type commands struct {
 	Restart restartCommand `cmd:"" help:"What an agent loses after a restart, with what it remembers and without."`
 	Rollout rolloutCommand `cmd:"" help:"A rolling deploy from an old shape to a new one and back, on sockets, with a hang on the way."`
+	Crowd   crowdCommand   `cmd:"" help:"How even the calls of servers are from many agents, and what those get that have fallen silent."`
 	Outage  outageCommand  `cmd:"" help:"What an agent loses while its list is down and the fleet is replaced, with SRV records and without."`
 }
 
@@ -63,6 +65,38 @@
 	return rollout.Table(os.Stdout, sets, results)
 }
 
+type crowdCommand struct {
+	Agents  []int         `default:"60,300,500" help:"So many agents, one fleet after the other."`
+	Servers int           `default:"100" help:"Servers."`
+	Rate    float64       `default:"900" help:"Calls a second of all agents."`
+	Use     float64       `default:"0.45" help:"Of the servers, if all are well."`
+	Unequal float64       `help:"Spread of the agents' parts of the calls: the standard deviation of their logarithms."`
+	Reports bool          `help:"Servers state their load."`
+	Unknown bool          `help:"The agents know no place."`
+	Silent  float64       `default:"0.2" help:"Share of the servers that falls silent."`
+	Warm    time.Duration `default:"28s" help:"Before."`
+	For     time.Duration `default:"20s" help:"For so long."`
+	After   time.Duration `default:"10s" help:"After it."`
+	Seed    uint64        `default:"1"`
+}
+
+// Run measures.
+func (c *crowdCommand) Run() error {
+	for _, agents := range c.Agents {
+		f := crowd.Fleet{Agents: agents, Servers: c.Servers, Rate: c.Rate, Use: c.Use, Unequal: c.Unequal, Reports: c.Reports, Silent: c.Silent,
+			Warm: c.Warm, For: c.For, After: c.After, Seed: c.Seed}
+		if c.Unknown {
+			f.Place = func(int) (me, of int) { return -1, agents }
+		}
+		r, err := crowd.Measure(f)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%d agents: %v\n", agents, r)
+	}
+	return nil
+}
+
 type outageCommand struct {
 	Seeds int     `default:"20" help:"Seeds for each variant."`
 	Rate  float64 `default:"100" help:"Calls a second."`
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -137,8 +137,9 @@
 	}
 	known := f.known()
 	for i := range f.Agents {
+		me, number := places[f.Places](i, f.Agents)
 		p := standin.Platform{Name: fmt.Sprint("n", i), Listen: f.listenAt(i), Discovery: f.list.Addr(i), Known: known, Seed: f.Seed<<20 + uint64(i) + 1,
-			Balancers: f.Agents, Me: i, MustAsk: f.MustAsk, Deadline: f.Kiosks.Left, ColdFrom: f.Server.ColdFrom, ColdFor: f.Server.ColdFor,
+			Balancers: number, Me: me, MustAsk: f.MustAsk, Deadline: f.Kiosks.Left, ColdFrom: f.Server.ColdFrom, ColdFor: f.Server.ColdFor,
 			ConnectTimeout: 250 * time.Millisecond, Cancel: true, Peers: talk}
 		if f.Talk {
 			p.PeerListen = f.peerAt(i)
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"ternbeam/internal/settings/conffile"
@@ -14,6 +16,7 @@
 	Servers  int
 	Seed     uint64
 	Known    string        // what agents know at their first start
+	Places   string        // what they are told of their place; the truth where empty
 	MustAsk  time.Duration // within which the list must be asked for
 	All      time.Duration // what the list service needs for all agents
 	Patience time.Duration // of that service
@@ -74,11 +77,23 @@
 	KnownWrong = "wrong" // an older version, half of whose servers are no more
 )
 
+// places are what agents may be told of their place and number. Each gives both for an agent of so many.
+var places = map[string]func(agent, agents int) (me, number int){
+	"":        func(i, n int) (int, int) { return i, n },
+	"none":    func(_, n int) (int, int) { return n, n }, // of no agent
+	"tenth":   func(i, n int) (int, int) { return i, max(1, n/10) },
+	"tenfold": func(i, n int) (int, int) { return i, n * 10 },
+	"pairs":   func(i, n int) (int, int) { return i / 2 * 2, n },                 // two have each place
+	"sides":   func(i, n int) (int, int) { return i % max(1, n/2), max(1, n/2) }, // two sides, each of which thinks that it is all
+	"old":     func(i, n int) (int, int) { return i, n / (1 + i%2) },             // half of them know an old number, half as large
+}
+
 type file struct {
 	Agents   *int     `toml:"agents"`
 	Servers  *int     `toml:"servers"`
 	Seed     *int     `toml:"seed"`
 	Known    string   `toml:"known"`
+	Places   string   `toml:"places"`
 	MustAskS *float64 `toml:"must_ask_s"`
 	List     struct {
 		AllS      *float64 `toml:"all_s"`
@@ -151,6 +166,9 @@
 			f.Problem("known", "must be whole, old, none or wrong")
 		}
 	}
+	if s.Places = in.Places; places[s.Places] == nil {
+		f.Problem("places", "must be one of %s, or not be given", strings.Join(slices.Sorted(maps.Keys(places))[1:], ", "))
+	}
 	s.Kiosks = KioskOptions{Left: 2 * time.Second, Keyed: 0.3}
 	f.Share("calls.rate", in.Calls.Rate, 0, 1000, &s.Kiosks.Rate)
 	f.Span("calls.left_ms", in.Calls.LeftMS, time.Millisecond, 10, 60_000, &s.Kiosks.Left)
@@ -226,7 +244,12 @@
 }
 
 // Change puts other figures in place of those of the file, where they are given.
-func (s *Scenario) Change(agents, servers int, all, rate *float64, seed *uint64) {
+func (s *Scenario) Change(agents, servers int, all, rate *float64, seed *uint64, told string) error {
+	if told != "" {
+		if s.Places = told; places[told] == nil {
+			return fmt.Errorf("places: %q is none of %s", told, strings.Join(slices.Sorted(maps.Keys(places))[1:], ", "))
+		}
+	}
 	if agents > 0 {
 		s.Agents = agents
 	}
@@ -246,4 +269,5 @@
 	if seed != nil {
 		s.Seed = *seed
 	}
+	return nil
 }
