Read again: one count of how even calls are, places worked out once, one check of places

The rig and the fleet in virtual time each counted mean, variation and what silent servers get; both call internal/lab/spread now, on gonum/stat. What agents of the rig are told of their places is checked in one function for file and flag. The simulation draws its agent the same way where there is one, and loses a field that nobody read.

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -311,6 +311,7 @@
 			delete(l.listed, e.ID)
 			l.word.Gone(e.ID)
 		} else {
+			e.Place = l.place(e.ID)
 			l.listed[e.ID] = e
 		}
 	}
@@ -326,14 +327,23 @@
 	return l.orders
 }
 
+// place is this agent's place at a server, which takes time in proportion to the number of agents to find out.
+func (l *Ledger) place(id string) float64 {
+	if known, ok := l.listed[id]; ok {
+		return known.Place
+	}
+	if l.set.Places == nil {
+		return 0
+	}
+	return l.set.Places.Place(id)
+}
+
 // apply applies entries, as they count by the operators' word.
 func (l *Ledger) apply(full bool, named map[string]bool, entries []Entry) {
 	ev := choice.ServerList{Full: full}
 	for _, e := range entries {
 		e.Server = l.word.Counts(e.Server)
-		if l.set.Places != nil {
-			e.Server.Place = l.set.Places.Place(e.ID)
-		}
+		e.Place = l.listed[e.ID].Place
 		ev.Servers = append(ev.Servers, l.listedAs(e))
 		l.entry(e)
 	}
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"testing"
+
+	"gonum.org/v1/gonum/stat"
 )
 
 // drawn tells which servers each agent has a place below a share at.
@@ -39,11 +41,8 @@
 }
 
 func variation(all []float64) float64 {
-	sum, squares, n := 0.0, 0.0, float64(len(all))
-	for _, x := range all {
-		sum, squares = sum+x, squares+x*x
-	}
-	return math.Sqrt(max(0, squares/n-sum*sum/n/n)) * n / sum
+	mean, deviation := stat.PopMeanStdDev(all, nil)
+	return deviation / mean
 }
 
 // Every server has as many agents that draw from it as any other, to one, whatever share they draw from and how many they are; and
--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -13,6 +13,7 @@
 	"ternbeam/choice"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/lab/sim"
+	"ternbeam/internal/lab/spread"
 )
 
 // Fleet is what is measured.
@@ -33,14 +34,13 @@
 
 // Result is what became of it. Shares of calls are of those that came in the span.
 type Result struct {
-	Mean, Largest     float64 // calls at a server, while all were well
-	Variation, Chance float64 // of these: the standard deviation over the mean, and that of single calls by chance
-	Silent            []int   // attempts at silent servers, by the second
-	Back              []int   // and at the same ones after it, by the second
-	Trials            float64 // at a silent server in a second, from the fifth second on
-	Calls             int     // from the first silence on
-	Refused, Failed   int
-	P50, P99          time.Duration // to an answer, all the time
+	spread.Spread           // of calls at servers, while all were well
+	Silent          []int   // attempts at silent servers, by the second
+	Back            []int   // and at the same ones after it, by the second
+	Trials          float64 // at a silent server in a second, from the fifth second on
+	Calls           int     // from the first silence on
+	Refused, Failed int
+	P50, P99        time.Duration // to an answer, all the time
 }
 
 const (
@@ -99,7 +99,7 @@
 	w.At(falls, func() { mute(true) })
 	w.At(mends, func() { mute(false) })
 	w.RunUntil(end + 3*time.Second)
-	r.spread(cfg.Servers, calls)
+	r.Spread = spread.Of(f.Servers, calls)
 	var took []time.Duration
 	for _, c := range w.Calls() {
 		if c.At >= end {
@@ -122,28 +122,12 @@
 		slices.Sort(took)
 		r.P50, r.P99 = took[len(took)/2], took[len(took)*99/100]
 	}
-	if len(bad) > 0 && len(r.Silent) > 5 {
-		for _, n := range r.Silent[5:] {
-			r.Trials += float64(n) / float64(len(bad)*len(r.Silent[5:]))
-		}
-	}
+	r.Trials = spread.Tried(r.Silent, len(bad))
 	return r, nil
 }
 
 func seconds(d time.Duration) int { return int((d + time.Second - 1) / time.Second) }
 
-// spread says how even the calls were.
-func (r *Result) spread(servers []sim.Server, calls map[string]int) {
-	n, sum, squares := float64(len(servers)), 0.0, 0.0
-	for _, s := range servers {
-		x := float64(calls[s.ID])
-		sum, squares, r.Largest = sum+x, squares+x*x, max(r.Largest, x)
-	}
-	if r.Mean = sum / n; sum > 0 {
-		r.Variation, r.Chance = math.Sqrt(max(0, squares/n-r.Mean*r.Mean))/r.Mean, 1/math.Sqrt(r.Mean)
-	}
-}
-
 func (r Result) String() string {
 	return fmt.Sprintf("calls at a server %.0f, largest %.2f of it, variation %.3f, by chance %.3f; answers after %v, 99 in 100 %v\nsilent %v, %.2f a second at each; back %v; of %d calls %d refused, %d failed",
 		r.Mean, r.Largest/r.Mean, r.Variation, r.Chance, r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.Silent, r.Trials, r.Back, r.Calls, r.Refused, r.Failed)
--- a/internal/lab/fleet/report.go
+++ b/internal/lab/fleet/report.go
@@ -4,11 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"ternbeam/internal/lab/spread"
 	"ternbeam/internal/lab/standin"
 )
 
@@ -44,26 +44,7 @@
 	Silent           []int         // calls that servers got while they were silent, by the second since the first fell silent
 	Muted            int           // how many fell silent
 	Back             []int         // calls that these got from when the last of them answered again, by the second
-	Spread           Spread        // of what servers got
-}
-
-// Spread says how even the calls were that servers got.
-type Spread struct {
-	Mean, Largest     float64 // calls of a server
-	Variation, Chance float64 // standard deviation over the mean, and that of single calls that each go anywhere by chance
-}
-
-// newSpread counts what each of so many servers got.
-func newSpread(servers int, got map[string]int) (s Spread) {
-	squares, n := 0.0, float64(servers)
-	for _, calls := range got {
-		x := float64(calls)
-		s.Mean, squares, s.Largest = s.Mean+x/n, squares+x*x/n, max(s.Largest, x)
-	}
-	if s.Mean > 0 {
-		s.Variation, s.Chance = math.Sqrt(max(0, squares-s.Mean*s.Mean))/s.Mean, 1/math.Sqrt(s.Mean)
-	}
-	return s
+	Spread           spread.Spread // of what servers got
 }
 
 // count counts an event in its second.
@@ -75,19 +56,8 @@
 	return seconds
 }
 
-// settled is how many seconds servers are silent before it is judged what they get.
-const settled = 5
-
 // Tried is how many calls a silent server got in a second, from the fifth on.
-func (r *StepReport) Tried() (mean float64) {
-	if len(r.Silent) <= settled || r.Muted == 0 {
-		return 0
-	}
-	for _, n := range r.Silent[settled:] {
-		mean += float64(n) / float64(len(r.Silent[settled:])*r.Muted)
-	}
-	return mean
-}
+func (r *StepReport) Tried() float64 { return spread.Tried(r.Silent, r.Muted) }
 
 // recovered reports whether the step's recovery is over.
 func (r *StepReport) recovered(agents int) bool {
@@ -171,7 +141,7 @@
 			}
 		}
 	}
-	r.Spread = newSpread(servers, got)
+	r.Spread = spread.Of(servers, got)
 	return r
 }
 
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -88,6 +88,14 @@
 	"old":     func(i, n int) (int, int) { return i, n / (1 + i%2) },             // half of them know an old number, half as large
 }
 
+// tell sets what the agents are told.
+func (s *Scenario) tell(name string) error {
+	if s.Places = name; places[name] == nil {
+		return fmt.Errorf("must be one of %s, or not be given", strings.Join(slices.Sorted(maps.Keys(places))[1:], ", "))
+	}
+	return nil
+}
+
 type file struct {
 	Agents   *int     `toml:"agents"`
 	Servers  *int     `toml:"servers"`
@@ -166,8 +174,8 @@
 			f.Problem("known", "must be whole, old, none or wrong")
 		}
 	}
-	if s.Places = in.Places; places[s.Places] == nil {
-		f.Problem("places", "must be one of %s, or not be given", strings.Join(slices.Sorted(maps.Keys(places))[1:], ", "))
+	if err := s.tell(in.Places); err != nil {
+		f.Problem("places", "%v", err)
 	}
 	s.Kiosks = KioskOptions{Left: 2 * time.Second, Keyed: 0.3}
 	f.Share("calls.rate", in.Calls.Rate, 0, 1000, &s.Kiosks.Rate)
@@ -246,8 +254,8 @@
 // Change puts other figures in place of those of the file, where they are given.
 func (s *Scenario) Change(agents, servers int, all, rate *float64, seed *uint64, told string) error {
 	if told != "" {
-		if s.Places = told; places[told] == nil {
-			return fmt.Errorf("places: %q is none of %s", told, strings.Join(slices.Sorted(maps.Keys(places))[1:], ", "))
+		if err := s.tell(told); err != nil {
+			return fmt.Errorf("places: %w", err)
 		}
 	}
 	if agents > 0 {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -83,7 +83,6 @@
 // Call is what became of a call.
 type Call struct {
 	At       time.Duration
-	Agent    int
 	Class    int
 	Kind     ledger.Kind
 	Answered time.Duration // 0 where its agent ended before
@@ -205,12 +204,9 @@
 	n := w.asked
 	w.asked++
 	class := w.class(w.luck(n, "class"))
-	agent := w.agents[0]
-	if last := len(w.agents) - 1; last > 0 {
-		at, _ := slices.BinarySearch(w.sums, w.luck(n, "agent")*w.sums[last])
-		agent = w.agents[at]
-	}
-	c := &Call{At: w.now, Agent: agent.number, Class: class}
+	at, _ := slices.BinarySearch(w.sums, w.luck(n, "agent")*w.sums[len(w.sums)-1])
+	agent := w.agents[at]
+	c := &Call{At: w.now, Class: class}
 	w.calls = append(w.calls, c)
 	call := &ledger.Call{Request: choice.Request{ID: fmt.Sprint(n), Class: class, Deadline: w.now + w.cfg.Module.Classes[class].Deadline,
 		Key: fmt.Sprint("k", n)}, Payload: &payload{n, c}}
