The rig names calls whose effect came twice, and what the world saw of them

lab/fleet/turns.toml ended with effects twice and said only how many. Events of kiosks and servers carry the call's number, and each such call is told with its servers and what became of its agent.

--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -309,7 +309,7 @@
 		doubles += p.Doubles()
 	}
 	// A key whose effect came in both pods is one too many as well.
-	doubles += standin.Shared(d.pods[0], d.pods[1])
+	doubles += len(standin.Shared(d.pods[0], d.pods[1]))
 	fmt.Fprintf(d.opts.Out, "\neffects that came twice: %d\ncalls sent to a server after its drain: %d\n", doubles, late)
 	if lost+doubles+late > 0 {
 		return fmt.Errorf("the demo saw %d calls lost, %d effects twice, %d calls after a drain", lost, doubles, late)
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -13,7 +13,7 @@
 var planted = []struct{ name, file, old, new, world string }{
 	{"told as never run after the last byte", "internal/decide/life/attempt.go", "case !a.CanHaveRun():", "case true:", "unsafe"},
 	{"refused after a reset", "choice/choice.go", "} else if r.mayRefuse() {", "} else if true {", "unsafe"},
-	{"answered twice as the reply meets the deadline", "internal/decide/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil {", "unsafe"},
+	{"answered twice as the reply meets the deadline", "internal/decide/ledger/ledger.go", "if call == nil || call.over.Load() {", "if call == nil {", "unsafe"},
 	{"connection used again with bytes behind the answer", "internal/lab/explore/host.go", "if !c.Host.(*on).foreign {", "if true {", "one-place"},
 	{"connection kept whose server sent a second answer", "internal/decide/life/conn.go", "if c.State() == InUse && len(b.queue) == 0 && b.open <= b.most {", "if c.State() != Closed && len(b.queue) == 0 {", "one-place"},
 	{"sent to a server after its drain", "internal/decide/life/attempt.go", "case now.Retired:", "case now.Retired && now.Late:", "unsafe"},
@@ -22,7 +22,7 @@
 	{"group of a keyed call not looked at", "choice/choice.go", "return s.Cell == first.srv.Cell", "return true", "keyed"},
 	{"unsafe call sent again", "choice/choice.go", "case first == nil || c.Effect == Safe:", "case first == nil || c.Effect != Keyed:", "unsafe"},
 	{"place leaked where a dial is given up", "internal/decide/life/conn.go", "\t\treturn nil, nil\n\t}\n\treturn b.free(), nil", "\t}\n\treturn nil, nil", "withdrawn"},
-	{"withdrawn copy's reply wins", "internal/decide/ledger/ledger.go", "if call == nil || call.Over() {", "if call == nil || call.Over() && call.out == 0 {", "copies"},
+	{"withdrawn copy's reply wins", "internal/decide/ledger/ledger.go", "if call == nil || call.over.Load() {", "if call == nil || call.Over() && call.out == 0 {", "copies"},
 	{"sent after it was withdrawn", "internal/decide/life/attempt.go", "case now.Withdrawn:", "case now.Withdrawn && now.Late:", "withdrawn"},
 	{"withdrawn and told as never run", "internal/decide/life/attempt.go", "case c == Withdrawn:\n\t\ta.end(choice.Cancelled)", "case c == Withdrawn:\n\t\ta.end(choice.ConnectFailed)", "withdrawn"},
 	{"sequence id used again while its reply may come", "internal/decide/life/line.go", "if l.seq++; l.slots[l.seq] == nil {", "if l.seq = 1; true {", "line"},
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -106,9 +106,13 @@
 		report.Doubles += s.pod.Doubles() // each server is a pod of its own
 		report.Push = max(report.Push, s.pushed())
 		for _, o := range f.servers[:s.number] {
-			report.Doubles += standin.Shared(s.pod, o.pod)
+			for _, id := range standin.Shared(s.pod, o.pod) {
+				agent, call := agentOf(id)
+				report.Twice = append(report.Twice, Twice{Agent: agent, Call: call, Servers: [2]string{o.id, s.id}})
+			}
 		}
 	}
+	report.Doubles += len(report.Twice)
 	report.judge()
 	return report, nil
 }
--- a/internal/lab/fleet/kiosk.go
+++ b/internal/lab/fleet/kiosk.go
@@ -61,7 +61,7 @@
 			if errors.Is(answer.Err, syscall.ECONNREFUSED) {
 				said = Unreached
 			}
-			record.Put(Event{Kind: Answer, Agent: agent, Said: said, Took: answer.Took})
+			record.Put(Event{Kind: Answer, Agent: agent, Call: call, Said: said, Took: answer.Took})
 		})
 	}
 }
--- a/internal/lab/fleet/record.go
+++ b/internal/lab/fleet/record.go
@@ -43,6 +43,7 @@
 	At    time.Duration // since the fleet began
 	Kind  string
 	Agent int           // -1 for none
+	Call  int           `json:",omitempty"` // of that agent's kiosk, from 1 on
 	Said  string        `json:",omitempty"`
 	Took  time.Duration `json:",omitempty"`
 }
--- a/internal/lab/fleet/report.go
+++ b/internal/lab/fleet/report.go
@@ -19,6 +19,7 @@
 	Faults   []string      // what broke an expectation; none where the run is good
 	Behind   time.Duration // the longest for which an agent sent to a server that the list said drains
 	Doubles  int           // effects that came twice
+	Twice    []Twice       // of them, those that came at two servers
 	Stalls   int           // of the machine itself
 	Stood    time.Duration // the longest of them
 	Void     string        // why the run says nothing of the program; empty where it does
@@ -26,6 +27,25 @@
 	Events   []Event
 }
 
+// Twice is a call that had its effect at two servers that drop no repeats of one another's.
+type Twice struct {
+	Agent, Call int
+	Servers     [2]string
+}
+
+// story says what became of the call, by the record.
+func (t Twice) story(events []Event) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "call %d of agent %d, at %s and %s:", t.Call, t.Agent, t.Servers[0], t.Servers[1])
+	for _, e := range events {
+		of := e.Kind == Stopped || e.Kind == Resumed || e.Kind == Died || e.Kind == Started
+		if e.Agent == t.Agent && (e.Call == t.Call || of) {
+			fmt.Fprintf(&b, " %v %s", e.At.Round(time.Millisecond), strings.TrimSpace(e.Kind+" "+e.Said))
+		}
+	}
+	return b.String()
+}
+
 // StepReport is what became of a step, by the record.
 type StepReport struct {
 	Step             Step
@@ -169,6 +189,9 @@
 	if r.Doubles > 0 {
 		fault("rule 2: %d effects came twice", r.Doubles)
 	}
+	for _, t := range r.Twice {
+		fault("rule 2: %s", t.story(r.Events))
+	}
 	agents := r.Scenario.Agents
 	for _, f := range drains(r.Events, agents, r.Scenario.MustAsk) {
 		fault("rule 3: %s", f)
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -123,8 +123,8 @@
 
 // take says how a call fares: those before it go first.
 func (s *server) take(c standin.Call) standin.Step {
-	agent, _ := agentOf(c.ID)
-	s.record.Add(Got, agent, s.id)
+	agent, call := agentOf(c.ID)
+	s.record.Put(Event{Kind: Got, Agent: agent, Call: call, Said: s.id})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, can := s.now(), s.canDo()
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -487,18 +487,12 @@
 	return fmt.Sprintf("method %d", int(m))
 }
 
-// Shared counts the effects that came in both of two pods.
-func Shared(a, b *Pod) (n int) {
+// Shared names the effects that came in both of two pods, by their keys.
+func Shared(a, b *Pod) (keys []string) {
 	a.mu.Lock()
-	keys := make([]string, 0, len(a.effects))
 	for key := range a.effects {
 		keys = append(keys, key)
 	}
 	a.mu.Unlock()
-	for _, key := range keys {
-		if b.Effects(key) > 0 {
-			n++
-		}
-	}
-	return n
+	return slices.DeleteFunc(keys, func(key string) bool { return b.Effects(key) == 0 })
 }
