Late answers are given, leavings seen behind bytes, idle connections end in order

Ruled out: the key's window (WriteBy holds), an attempt held in a socket (servers saw two ids' arrivals, the second after SIGCONT).

net/http reads one byte behind a request and no further: a client that had sent more and left was not noticed, its request was sent on and so was the one behind it. Each 100 ms the front looks past what is unread, and keeps 128 KiB of it, as an end may stand behind what the kernel takes (door.Conn.Look). A call whose client left is not begun, and nothing is sent for it from the moment of the leaving on, whatever waits in the loop's queue (ledger.Call.Leave).

http.Server.Shutdown and SetKeepAlivesEnabled close a connection that they take for idle while a request is being read from it, and the door did so for another client: it was sent on all the same, and once more when its client, who heard nothing, asked again. The door closes them now, and not those on which something has been heard; a request read from one that is closed is not acted on. An answer that begins to come as its client leaves is closed (handover); its attempt waited for a reader for good.

Each was seen to fail without its mend, the last but one where both its guards are out.

--- a/internal/decide/ledger/copy.go
+++ b/internal/decide/ledger/copy.go
@@ -24,6 +24,7 @@
 	t.Calls.Fill = func(c, twin *Call) {
 		twin.Request, twin.Payload, twin.Tag, twin.Answer, twin.out = c.Request, c.Payload, c.Tag, c.Answer, c.out
 		twin.over.Store(c.over.Load())
+		twin.gone.Store(c.gone.Load())
 		for _, at := range c.attempts {
 			twin.attempts = append(twin.attempts, t.Attempts.Of(at))
 		}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -26,6 +26,7 @@
 	Answer  func(Answer) // takes the one final answer, on the loop: it must not block
 
 	over     atomic.Bool // the final answer is given, or the client is gone
+	gone     atomic.Bool // the client is gone; the news of it may still be on its way
 	attempts []*Attempt  // by number; nil for one that has ended
 	out      int         // attempts in flight
 	unfit    error       // why it can't be put in another shape
@@ -33,7 +34,14 @@
 }
 
 // Over reports whether the call has its final answer or its client is gone: nothing may be sent for it any more.
-func (c *Call) Over() bool { return c.over.Load() }
+func (c *Call) Over() bool { return c.over.Load() || c.gone.Load() }
+
+// Leave says that the client is gone, before the Ledger takes the news: from now on nothing more is sent for it, however
+// long the news has to wait.
+func (c *Call) Leave() { c.gone.Store(true) }
+
+// Gone reports whether the client is gone.
+func (c *Call) Gone() bool { return c.gone.Load() }
 
 // End gives the call up from outside a Ledger; transports under test use it.
 func (c *Call) End() { c.over.Store(true) }
@@ -263,7 +271,7 @@
 // Left takes the news that a call's client has gone away.
 func (l *Ledger) Left(now time.Duration, call *Call) []Order {
 	l.begin(now)
-	if l.calls[call.ID] == call && !call.Over() {
+	if l.calls[call.ID] == call && !call.over.Load() {
 		l.stats.Gone++
 		l.end(call)
 		l.handle(choice.ClientGone{Request: call.ID})
@@ -296,7 +304,7 @@
 		return l.orders
 	}
 	l.handle(choice.Outcome{Request: call.ID, Attempt: at.Number, Server: at.Server.ID, Result: e.Result,
-		Took: now - at.Sent, Closed: call.Over(), Report: e.Report})
+		Took: now - at.Sent, Closed: call.over.Load(), Report: e.Report})
 	l.forget(call)
 	return l.orders
 }
@@ -470,7 +478,7 @@
 // finish gives a call its final answer, if it has none yet.
 func (l *Ledger) finish(id string, ans Answer) bool {
 	call := l.calls[id]
-	if call == nil || call.Over() {
+	if call == nil || call.over.Load() {
 		return false
 	}
 	l.end(call)
@@ -502,7 +510,7 @@
 
 // forget drops a call that is answered and has no attempt in flight.
 func (l *Ledger) forget(call *Call) {
-	if call.Over() && call.out == 0 && l.calls[call.ID] == call {
+	if call.over.Load() && call.out == 0 && l.calls[call.ID] == call {
 		delete(l.calls, call.ID)
 	}
 }
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -81,6 +81,7 @@
 	events    chan func()
 	urgent    chan func() // goes before events: the operators' word, which waits for no queue of calls
 	workers   workers
+	abandoned atomic.Int64           // calls whose clients were gone before they could be taken
 	malformed atomic.Int64           // calls that no front could read, which the loop never sees
 	ready     chan struct{}          // closed when clients may begin
 	begun     func(*Attempt, Ending) // one for all attempts
@@ -150,7 +151,14 @@
 }
 
 // Left takes the news that the client of a call has gone away: no answer is owed any more.
-func (c *Core) Left(call *Call) { c.post(func() { c.do(c.ledger.Left(c.Now(), call)) }) }
+// Nothing more is sent for it from this moment on, however many events are queued before this one.
+func (c *Core) Left(call *Call) {
+	call.Leave()
+	c.post(func() { c.do(c.ledger.Left(c.Now(), call)) })
+}
+
+// Abandoned counts a call whose client was gone before it could be taken.
+func (c *Core) Abandoned() { c.abandoned.Add(1) }
 
 // Malformed counts a call that a front could not read.
 func (c *Core) Malformed() { c.malformed.Add(1) }
@@ -272,7 +280,7 @@
 		c.log.Info("shapes", "translated", s.Translated, "unfit", s.Unfit, "unknown", s.Unknown, "untold", s.Untold)
 	}
 	c.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
-		"gone", s.Gone, "malformed", c.malformed.Load(), "attempts", s.Attempts, "reports", s.Reports,
+		"gone", s.Gone, "abandoned", c.abandoned.Load(), "malformed", c.malformed.Load(), "attempts", s.Attempts, "reports", s.Reports,
 		"results", s.Results, "open", open, "held", held, "timers", len(c.timers),
 		"backends", c.ledger.ServerCount(), "connections", connections, "waiting", waiting)
 }
--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -3,6 +3,8 @@
 
 import (
 	"container/list"
+	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,25 +24,98 @@
 // Door keeps account of the connections of all listeners that share it. They accept always: who waits in the
 // kernel's queue could neither be served nor turned away. When every place is taken, one that has no request gives
 // way: first the oldest of those that have not said anything yet, then the one that has been idle for longest.
+//
+// A request may come on a connection at the moment at which it is closed. Whoever reads one says so by Busy before it is
+// acted on, and does not act on it where the Door has closed the connection: its client asks once more elsewhere.
 type Door struct {
 	most int
 
-	mu      sync.Mutex
-	waiting map[net.Conn]*list.Element // in fresh or idle; nil with a request
-	fresh   *list.List                 // of visits, the oldest first
-	idle    *list.List
+	mu    sync.Mutex
+	all   map[net.Conn]*visit
+	fresh *list.List // of visits, the oldest first
+	idle  *list.List
 }
 
-// visit is a connection that has no request.
+// visit is a connection.
 type visit struct {
-	conn net.Conn
-	in   *list.List
+	conn *Conn
 	from *Listener
+	in   *list.List    // where it waits: fresh or idle; nil with a request
+	at   *list.Element // of in
+}
+
+// Conn is a client's connection.
+type Conn struct {
+	*net.TCPConn
+	heard atomic.Bool  // something has come since it was accepted or became idle
+	taken atomic.Int64 // bytes that were read in all
+
+	mu      sync.Mutex
+	reading bool   // somebody does, and gets what comes
+	ahead   []byte // read by Look, and by nobody else yet
+	over    bool   // more came than is kept, so that what follows is of no use
+}
+
+// MostAhead is how many bytes Look keeps: more than a usual request has.
+const MostAhead = 128 << 10
+
+// Taken is how many bytes were read from it.
+func (c *Conn) Taken() int { return int(c.taken.Load()) }
+
+// Read is net.Conn's.
+func (c *Conn) Read(p []byte) (n int, err error) {
+	c.mu.Lock()
+	if n = copy(p, c.ahead); n > 0 || c.over {
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		c.mu.Unlock()
+		if n == 0 {
+			err = net.ErrClosed
+		}
+		return n, err
+	}
+	c.reading = true
+	c.mu.Unlock()
+	n, err = c.TCPConn.Read(p)
+	c.mu.Lock()
+	c.reading = false
+	c.mu.Unlock()
+	if n > 0 {
+		c.Heard(n)
+	}
+	return n, err
+}
+
+// Heard says that bytes were read, past Read where somebody does that.
+func (c *Conn) Heard(n int) {
+	c.heard.Store(true)
+	c.taken.Add(int64(n))
+}
+
+// Look looks, without waiting, whether the client is still there, also where it has sent more than anybody reads: its end may
+// stand behind more than the kernel takes. Of that a part is kept to be read, so that the end can come; where there is more,
+// the connection is of no further use, as the second result says.
+func (c *Conn) Look() (gone, over bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var part [4 << 10]byte
+	for most := 2 * MostAhead; most > 0 && !c.reading; most -= len(part) { // who reads sees the end itself
+		n, err := peek.Take(c.TCPConn, part[:])
+		if n == 0 {
+			return !errors.Is(err, peek.ErrNothing), c.over
+		}
+		c.Heard(n)
+		if c.over = c.over || len(c.ahead)+n > MostAhead; !c.over {
+			c.ahead = append(c.ahead, part[:n]...)
+		}
+	}
+	return peek.HungUp(c.TCPConn), c.over
 }
 
 // New returns a Door that keeps so many connections at most.
 func New(most int) *Door {
-	return &Door{most: most, waiting: map[net.Conn]*list.Element{}, fresh: list.New(), idle: list.New()}
+	return &Door{most: most, all: map[net.Conn]*visit{}, fresh: list.New(), idle: list.New()}
 }
 
 // Listener is a net.Listener that accepts through a Door.
@@ -51,6 +126,11 @@
 	by     time.Time   // when the taking from the queue ends at the latest; who accepts sets it
 	left   atomic.Bool // to another process, which accepts what stands in the queue
 	closed chan struct{}
+
+	// What follows is under the Door's lock.
+	count   int           // of its connections
+	shut    bool          // none stays idle
+	emptied chan struct{} // closed when there are none; nil where nobody waits for that
 }
 
 // Listen lets the connections of a listener in through the Door.
@@ -64,10 +144,11 @@
 		if !l.by.IsZero() && time.Now().After(l.by) {
 			return nil, l.end()
 		}
-		c, err := l.AcceptTCP()
+		socket, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			l.door.enter(visit{c, l.door.fresh, l})
+			c := &Conn{TCPConn: socket}
+			l.door.enter(&visit{conn: c, from: l})
 			return c, nil
 		case !l.ending.Load():
 			return nil, err
@@ -97,36 +178,81 @@
 	<-l.closed
 }
 
-// DropSilent closes the listener's connections that have said nothing yet.
+// DropSilent closes the listener's connections that have said nothing yet. One on which a request has begun to come stays.
 func (l *Listener) DropSilent() {
-	d := l.door
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for e := d.fresh.Front(); e != nil; {
+	l.door.mu.Lock()
+	defer l.door.mu.Unlock()
+	l.dropLocked(l.door.fresh)
+}
+
+// DropIdle closes the listener's connections that are idle, and from now on those that become so.
+func (l *Listener) DropIdle() {
+	l.door.mu.Lock()
+	defer l.door.mu.Unlock()
+	l.shut = true
+	l.dropLocked(l.door.idle)
+}
+
+func (l *Listener) dropLocked(from *list.List) {
+	for e := from.Front(); e != nil; {
 		next := e.Next()
-		if e.Value.(visit).from == l {
-			d.dropLocked(e)
+		if v := e.Value.(*visit); v.from == l && !v.conn.heard.Load() {
+			l.door.dropLocked(v)
 		}
 		e = next
 	}
 }
 
-func (d *Door) enter(v visit) {
+// Empty waits until the listener, which accepts no more, has no connection left, or for the context's end.
+func (l *Listener) Empty(ctx context.Context) error {
+	l.door.mu.Lock()
+	if l.count == 0 {
+		l.door.mu.Unlock()
+		return nil
+	}
+	emptied := make(chan struct{})
+	l.emptied = emptied
+	l.door.mu.Unlock()
+	select {
+	case <-emptied:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (d *Door) enter(v *visit) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := d.fresh.PushBack(v)
-	if d.waiting[v.conn] = e; len(d.waiting) > d.most {
-		d.makeRoomLocked(e)
+	d.all[v.conn] = v
+	v.from.count++
+	d.waitLocked(v, d.fresh)
+	if len(d.all) > d.most {
+		d.makeRoomLocked(v)
 	}
 }
 
-// Busy says that a request has begun to come on a connection.
-func (d *Door) Busy(c net.Conn) {
+// waitLocked has a connection wait for a request.
+func (d *Door) waitLocked(v *visit, in *list.List) { v.in, v.at = in, in.PushBack(v) }
+
+// Busy says that a request has begun to come on a connection. It is false where the Door has closed that: then the request
+// must not be acted on.
+func (d *Door) Busy(c net.Conn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.waiting[c]; ok {
-		d.removeLocked(e)
-		d.waiting[c] = nil
+	v := d.all[c]
+	if v == nil {
+		return false
+	}
+	v.restLocked()
+	return true
+}
+
+// restLocked takes a connection out of where it waits.
+func (v *visit) restLocked() {
+	if v.in != nil {
+		v.in.Remove(v.at)
+		v.in, v.at = nil, nil
 	}
 }
 
@@ -134,33 +260,50 @@
 func (d *Door) Idle(c net.Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.waiting[c]; ok && e == nil {
-		d.waiting[c] = d.idle.PushBack(visit{conn: c, in: d.idle})
-		if len(d.waiting) > d.most {
-			d.makeRoomLocked(nil)
-		}
+	v := d.all[c]
+	if v == nil || v.in != nil {
+		return
+	}
+	v.conn.heard.Store(false)
+	d.waitLocked(v, d.idle)
+	if v.from.shut {
+		d.dropLocked(v)
+	} else if len(d.all) > d.most {
+		d.makeRoomLocked(nil)
 	}
 }
 
+// Waits reports whether a connection waits for a request.
+func (d *Door) Waits(c net.Conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.all[c]
+	return v != nil && v.in != nil
+}
+
 // Leave says that a connection is closed.
 func (d *Door) Leave(c net.Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.removeLocked(d.waiting[c])
-	delete(d.waiting, c)
+	if v := d.all[c]; v != nil {
+		d.forgetLocked(v)
+	}
 }
 
-func (d *Door) removeLocked(e *list.Element) {
-	if e != nil {
-		e.Value.(visit).in.Remove(e)
+func (d *Door) forgetLocked(v *visit) {
+	v.restLocked()
+	delete(d.all, v.conn)
+	if v.from.count--; v.from.count == 0 && v.from.emptied != nil {
+		close(v.from.emptied)
+		v.from.emptied = nil
 	}
 }
 
 // makeRoomLocked closes a connection on which nothing has come; the newest only if there is no other.
-func (d *Door) makeRoomLocked(newest *list.Element) {
+func (d *Door) makeRoomLocked(newest *visit) {
 	for _, from := range []*list.List{d.fresh, d.idle} {
 		for e := from.Front(); e != nil; e = e.Next() {
-			if e != newest && d.dropLocked(e) {
+			if v := e.Value.(*visit); v != newest && d.dropLocked(v) {
 				return
 			}
 		}
@@ -170,14 +313,12 @@
 	}
 }
 
-// dropLocked closes a connection unless a request has begun to come on it.
-func (d *Door) dropLocked(e *list.Element) bool {
-	v := e.Value.(visit)
+// dropLocked closes a connection unless a request has begun to come on it that nobody has read.
+func (d *Door) dropLocked(v *visit) bool {
 	if !peek.Silent(v.conn) {
 		return false
 	}
-	v.in.Remove(e)
-	delete(d.waiting, v.conn)
+	d.forgetLocked(v)
 	v.conn.Close()
 	return true
 }
@@ -186,12 +327,12 @@
 func (d *Door) Crowded() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.waiting)-d.fresh.Len() >= d.most*5/8
+	return len(d.all)-d.fresh.Len() >= d.most*5/8
 }
 
 // Count returns the number of connections.
 func (d *Door) Count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.waiting)
+	return len(d.all)
 }
--- /dev/null
+++ b/internal/http/httpfront/crossing_test.go
@@ -0,0 +1,367 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ternbeam/choice"
+	"ternbeam/internal/discovery"
+	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/door"
+	"ternbeam/internal/host/peek"
+	"ternbeam/internal/host/pool"
+	"ternbeam/internal/http/httpmsg"
+	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/testkit"
+	"ternbeam/internal/protocol"
+	"ternbeam/internal/settings/config"
+)
+
+// servers is a transport without sockets: each attempt is told to the test and ends as the test says.
+type servers struct {
+	begun chan *core.Attempt
+	ends  chan core.Ending
+
+	mu   sync.Mutex
+	seen map[string]int // attempts by the ids of their calls
+}
+
+func (s *servers) Attempt(ctx context.Context, at *core.Attempt) core.Ending {
+	s.mu.Lock()
+	s.seen[at.Call.ID]++
+	s.mu.Unlock()
+	s.begun <- at
+	select {
+	case e := <-s.ends:
+		return e
+	case <-ctx.Done():
+		if errors.Is(context.Cause(ctx), core.ErrWithdrawn) {
+			return core.Ended(choice.Cancelled)
+		}
+		return core.Ended(choice.TimedOut)
+	}
+}
+
+func (s *servers) of(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[id]
+}
+
+// rig is a front on loopback, before a core whose servers are the test's.
+type rig struct {
+	*Front
+	servers *servers
+	addr    string
+	conns   chan *door.Conn // as they are accepted
+}
+
+// newRig returns one that does not serve yet; most bounds its clients.
+func newRig(t *testing.T, most int) *rig {
+	t.Helper()
+	cfg, err := config.Parse(standin.Platform{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Cancel: true, MostTries: 6, Deadline: time.Minute}.Config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{servers: &servers{begun: make(chan *core.Attempt, 1000), ends: make(chan core.Ending), seen: map[string]int{}}, conns: make(chan *door.Conn, 1000)}
+	known := discovery.List{Full: true}
+	for i := range 4 {
+		known.Servers = append(known.Servers, discovery.Entry{ID: fmt.Sprint("s", i), Addr: "127.0.0.1:1", Zone: "z", State: "in_service"})
+	}
+	c, err := core.New(core.Settings{Module: cfg.Module, Zones: cfg.Host.Zones, Known: known, Discovery: cfg.Discovery, Log: slog.New(slog.DiscardHandler),
+		Pool:       pool.New(pool.Settings{DialTimeout: time.Second, IdleFor: time.Minute, Most: 10}),
+		Transports: map[choice.Protocols]core.Transport{protocol.HTTP: r.servers}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = l.Addr().String()
+	r.Front = New(cfg, c, door.New(most), l.(*net.TCPListener), slog.New(slog.DiscardHandler))
+	r.look = time.Millisecond
+	r.http.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		r.conns <- conn.(*door.Conn)
+		return withCaller(ctx, conn)
+	}
+	t.Cleanup(func() { r.http.Close() })
+	return r
+}
+
+func (r *rig) serve() *rig { go r.Serve(); return r }
+
+func (r *rig) dial(t *testing.T) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// the kinds of calls: how their requests begin, and what follows.
+var kinds = map[string]func(id string) string{
+	"safe": func(id string) string {
+		return "GET /form-check/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: form-check\r\nX-Account: leith\r\nX-Time-Left: 30\r\n\r\n"
+	},
+	"keyed": func(id string) string {
+		return "POST /refund-record/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: refund-record\r\nX-Account: leith\r\nX-Time-Left: 30\r\n" +
+			"Idempotency-Key: " + id + "\r\nContent-Length: 4\r\n\r\nform"
+	},
+	"unsafe": func(id string) string {
+		return "POST /pay-out/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: pay-out\r\nX-Account: leith\r\nX-Time-Left: 30\r\nContent-Length: 4\r\n\r\nform"
+	},
+}
+
+func say(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// leave has a client end its connection, or reset it.
+func leave(c *net.TCPConn, reset bool) {
+	if reset {
+		c.SetLinger(0)
+	}
+	c.Close()
+}
+
+// never says that an attempt has not run, so that another is made where somebody still wants it.
+var never = core.Ended(choice.ConnectFailed)
+
+// net/http reads no further than the first byte behind a request, so that it does not notice a client that has sent more and
+// leaves: neither the request that waits nor the one behind it is sent on for it.
+func TestClientThatSentMoreLeaves(t *testing.T) {
+	for kind, request := range kinds {
+		for _, reset := range []bool{false, true} {
+			for name, more := range map[string]string{"a byte": "G", "a request": request("b"), "much": strings.Repeat(request("b"), 1000)} {
+				t.Run(fmt.Sprint(kind, ", ", name, ", reset ", reset), func(t *testing.T) {
+					r := newRig(t, 10).serve()
+					c := r.dial(t)
+					say(t, c, request("a"))
+					at := <-r.servers.begun
+					go io.WriteString(c, more) // it may not all be taken
+					served := <-r.conns
+					testkit.Eventually(t, "something has come behind the request", func() bool { return !peek.Silent(served) || served.Taken() > len(request("a")) })
+					leave(c, reset)
+					testkit.Eventually(t, "the leaving is noticed", at.Call.Over)
+					select {
+					case r.servers.ends <- never:
+					case <-time.After(10 * time.Millisecond): // it was withdrawn before
+					}
+					testkit.Eventually(t, "the connection is given back", func() bool { return r.door.Count() == 0 })
+					testkit.Eventually(t, "the call is given back", func() bool {
+						s := r.core.Snapshot()
+						return s.Open == 0 && s.Held == 0 && s.Stats.Gone == 1
+					})
+					if a, b := r.servers.of("a"), r.servers.of("b"); a != 1 || b != 0 {
+						t.Errorf("%d attempts for the first, %d for the one behind it", a, b)
+					}
+				})
+			}
+		}
+	}
+}
+
+// A client may be gone before anybody reads what it asked: while it stood in the kernel's queue, or while the agent stood still.
+func TestClientIsGoneBeforeItsRequestIsRead(t *testing.T) {
+	for kind, request := range kinds {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprint(kind, ", reset ", reset), func(t *testing.T) {
+				r := newRig(t, 10)
+				c := r.dial(t)
+				say(t, c, request("a"))
+				leave(c, reset)
+				r.serve()
+				<-r.conns
+				testkit.Eventually(t, "the connection is given back", func() bool { return r.door.Count() == 0 })
+				if n, s := r.servers.of("a"), r.core.Snapshot(); n != 0 || s.Open != 0 || s.Stats.Requests != 0 {
+					t.Errorf("%d attempts; %d open of %d", n, s.Open, s.Stats.Requests)
+				}
+			})
+		}
+	}
+}
+
+// An answer is late where the agent stood still. It must be given all the same: a connection that is closed without a word has
+// its client ask again, for what may have had its effect.
+func TestAnswerAfterTheConnectionsTime(t *testing.T) {
+	r := newRig(t, 10)
+	r.http.WriteTimeout = 1 // counted from the request
+	c := r.serve().dial(t)
+	say(t, c, kinds["keyed"]("a"))
+	<-r.servers.begun
+	r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{Body: []byte("done")}}
+	if status, body := read(t, c); status != http.StatusOK || body != "done" {
+		t.Errorf("%d %q", status, body)
+	}
+}
+
+func read(t *testing.T, c net.Conn) (status int, body string) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(testkit.Patience))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(text)
+}
+
+// served has a request served on a connection, which is idle then.
+func (r *rig) served(t *testing.T, c net.Conn) {
+	t.Helper()
+	say(t, c, kinds["safe"]("before"))
+	<-r.servers.begun
+	r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{}}
+	if status, _ := read(t, c); status != http.StatusOK {
+		t.Fatal(status)
+	}
+}
+
+// The door may close a connection for another one while a request is being read from it. The client, who hears nothing, asks
+// once more elsewhere: the request that was read must not be sent on, or it has its effect twice.
+func TestConnectionIsClosedWhileARequestIsRead(t *testing.T) {
+	for kind, request := range kinds {
+		t.Run(kind, func(t *testing.T) {
+			r := newRig(t, 4)
+			var cross func()
+			var crossing atomic.Bool
+			r.http.ConnState = func(c net.Conn, state http.ConnState) {
+				if state == http.StateActive && crossing.Load() { // the request has been read, and nobody knows yet
+					cross()
+				}
+				r.note(c, state)
+			}
+			c := r.serve().dial(t)
+			r.served(t, c)
+			first := <-r.conns
+			testkit.Eventually(t, "it is idle", func() bool { return r.door.Waits(first) })
+			for i := range 3 {
+				say(t, r.dial(t), kinds["safe"](fmt.Sprint("other", i)))
+				<-r.servers.begun
+				<-r.conns
+			}
+			cross = sync.OnceFunc(func() { // another client comes, and takes the last place
+				r.dial(t)
+				<-r.conns
+			})
+			crossing.Store(true)
+			say(t, c, request("a"))
+			testkit.Eventually(t, "it is closed", func() bool {
+				c.SetReadDeadline(time.Now().Add(time.Millisecond))
+				_, err := c.Read(make([]byte, 1))
+				return err != nil && !isTimeout(err)
+			})
+			if n, s := r.servers.of("a"), r.core.Snapshot(); n != 0 || s.Open != 3 {
+				t.Errorf("%d attempts, %d open", n, s.Open)
+			}
+		})
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// A request that comes byte by byte across the moment at which the agent ends is answered, on a connection that was idle before
+// and on a fresh one.
+func TestRequestComesInPiecesAcrossTheEnd(t *testing.T) {
+	for _, fresh := range []bool{false, true} {
+		for kind, request := range kinds {
+			t.Run(fmt.Sprint(kind, ", fresh ", fresh), func(t *testing.T) {
+				r := newRig(t, 10).serve()
+				c := r.dial(t)
+				if !fresh {
+					r.served(t, c)
+				}
+				conn, text := <-r.conns, request("a")
+				half := conn.Taken() + 10
+				say(t, c, text[:10])
+				testkit.Eventually(t, "the first bytes are read", func() bool { return conn.Taken() >= half })
+				stopped := make(chan struct{})
+				go func() { r.Stop(time.Nanosecond, 0, testkit.Patience); close(stopped) }()
+				testkit.Eventually(t, "the agent accepts no more", func() bool {
+					other, err := net.Dial("tcp", r.addr)
+					if err == nil {
+						other.Close()
+					}
+					return err != nil
+				})
+				r.listen.DropIdle()
+				r.listen.DropSilent() // as it is done a little later
+				say(t, c, text[10:])
+				<-r.servers.begun
+				r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{Body: []byte("done")}}
+				if status, body := read(t, c); status != http.StatusOK || body != "done" {
+					t.Errorf("%d %q", status, body)
+				}
+				<-stopped
+			})
+		}
+	}
+}
+
+// The front waits for the last answer, and for nothing beside it.
+func TestStopWaitsForAnswersOnly(t *testing.T) {
+	r := newRig(t, 10).serve()
+	idle, busy := r.dial(t), r.dial(t)
+	r.served(t, idle)
+	say(t, busy, kinds["unsafe"]("a"))
+	<-r.servers.begun
+	stopped := make(chan struct{})
+	go func() { r.Stop(time.Nanosecond, 0, testkit.Patience); close(stopped) }()
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the idle connection ends with %v", err)
+	}
+	select {
+	case <-stopped:
+		t.Fatal("it did not wait for the answer")
+	case r.servers.ends <- never:
+	}
+	<-r.servers.begun // it never ran, and is sent on once more
+	r.servers.ends <- core.Ended(choice.Failed)
+	if status, _ := read(t, busy); status != http.StatusBadGateway {
+		t.Error(status)
+	}
+	<-stopped
+}
+
+// An answer that begins to come when its client leaves has something that waits for a reader.
+func TestAnswerThatNobodyTakesIsClosed(t *testing.T) {
+	for name, cross := range map[string]func(h handover, ans core.Answer){
+		"the answer first":  func(h handover, ans core.Answer) { h.give(ans); h.call.Leave(); h.clear() },
+		"the leaving first": func(h handover, ans core.Answer) { h.call.Leave(); h.clear(); h.give(ans) },
+		"between":           func(h handover, ans core.Answer) { h.call.Leave(); h.give(ans); h.clear() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			in, out := io.Pipe()
+			cross(newHandover(&core.Call{}), core.Answer{Reply: &httpmsg.Reply{Stream: in}})
+			if _, err := out.Write([]byte("x")); err != io.ErrClosedPipe {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -30,7 +31,12 @@
 	// From 2 s on an idle connection may be closed. Clients that ask once keep theirs for good, and all clients
 	// together hold a third of the descriptors at most: each that stays longer keeps another client out.
 	idleTimeout = 2050 * time.Millisecond
-	lateWrite   = time.Second // how long after the deadline an answer may still be written
+	lateWrite   = time.Second // how long a client may take nothing of its answer
+
+	// lookEvery is how often it is looked whether a client that waits is still there. net/http tells at once of one that leaves,
+	// unless something has come behind its request: then it reads no further. What its client does not want is not to be sent
+	// on from 0.3 s later.
+	lookEvery = 100 * time.Millisecond
 )
 
 // Front is the HTTP/1.1 side of the agent towards its clients.
@@ -44,6 +50,7 @@
 	door   *door.Door
 	listen *door.Listener
 	ending atomic.Bool // answers say that their connection ends
+	look   time.Duration
 	budget httpmsg.Budget
 }
 
@@ -59,13 +66,16 @@
 
 // New returns a Front that takes the connections of a listener through a door.
 func New(cfg *config.Config, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
-	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l)}
+	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l), look: lookEvery}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
 		if in.URL.Path != "/ready" {
 			f.request(w, in)
 			return
 		}
+		if f.ending.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		select {
 		case <-c.Ready():
 			w.WriteHeader(http.StatusOK)
@@ -80,37 +90,51 @@
 	f.budget.Most = cfg.Limits.HeapLimit() / uploadsPart
 	f.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: head, ReadTimeout: read,
 		WriteTimeout: cfg.LongestDeadline() + lateWrite, IdleTimeout: idleTimeout, MaxHeaderBytes: httpmsg.MaxHead,
-		ConnState: f.note, ConnContext: countAsked, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+		ConnState: f.note, ConnContext: withCaller, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	return f
 }
 
 // note follows a connection through the server, as its ConnState.
-func (f *Front) note(c net.Conn, state http.ConnState) {
-	if t, ok := c.(*tape); ok {
-		if c = t.TCPConn; state == http.StateIdle {
-			t.next()
-		}
-	}
+func (f *Front) note(conn net.Conn, state http.ConnState) {
+	c := doorConn(conn)
 	switch state {
 	case http.StateActive:
-		f.door.Busy(c)
+		f.door.Busy(c) // request looks whether it still is
 	case http.StateIdle:
+		if t, ok := conn.(*tape); ok {
+			t.next()
+		}
 		f.door.Idle(c)
 	case http.StateClosed, http.StateHijacked:
 		f.door.Leave(c)
 	}
 }
 
-type askedKey struct{}
-
-// countAsked lets the requests on a connection be counted, and its tape be found.
-func countAsked(ctx context.Context, c net.Conn) context.Context {
+// doorConn is a connection as the door knows it.
+func doorConn(c net.Conn) *door.Conn {
 	if t, ok := c.(*tape); ok {
-		ctx = context.WithValue(ctx, tapeKey{}, t)
+		return t.Conn
 	}
-	return context.WithValue(ctx, askedKey{}, new(int))
+	return c.(*door.Conn)
 }
 
+// caller is a client's connection, as its requests find it.
+type caller struct {
+	conn  *door.Conn
+	tape  *tape // nil where bodies are short
+	asked int   // requests so far
+}
+
+type callerKey struct{}
+
+// withCaller lets the requests on a connection find it.
+func withCaller(ctx context.Context, c net.Conn) context.Context {
+	t, _ := c.(*tape)
+	return context.WithValue(ctx, callerKey{}, &caller{conn: doorConn(c), tape: t})
+}
+
+func callerOf(in *http.Request) *caller { return in.Context().Value(callerKey{}).(*caller) }
+
 // Serve takes calls until Stop; it always ends with an error.
 func (f *Front) Serve() error {
 	if f.long {
@@ -129,20 +153,26 @@
 	closed := make(chan struct{})
 	go func() { f.listen.CloseAfter(accepting); close(closed) }()
 	time.Sleep(idling)
-	f.http.SetKeepAlivesEnabled(false)
+	// Not http.Server's Shutdown: it closes a connection that it takes for idle while a request is being read there, which is
+	// then sent on all the same, and once more when its client, who heard nothing, asks again.
+	f.listen.DropIdle()
 	<-closed
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	silent := time.AfterFunc(idling+door.LastWords, f.listen.DropSilent)
 	defer silent.Stop()
-	if err := f.http.Shutdown(ctx); err != nil {
+	if err := f.listen.Empty(ctx); err != nil {
 		f.log.Warn("connections were still open at the end", "error", err)
-		f.http.Close()
 	}
+	f.http.Close()
 }
 
 // request serves one request of the application.
 func (f *Front) request(w http.ResponseWriter, in *http.Request) {
+	from := callerOf(in)
+	if !f.door.Busy(from.conn) { // closed while this was being read: its client asks once more, and must not have its effect twice
+		panic(http.ErrAbortHandler)
+	}
 	call, body, err := f.parse(in, w)
 	if err != nil {
 		status := http.StatusBadRequest
@@ -158,20 +188,33 @@
 		return
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
-	answers := make(chan core.Answer, 1)
-	call.Answer = func(ans core.Answer) { answers <- ans }
+	gone, over := false, false
+	if !call.Coming { // or what comes is its body, whose reader sees the end
+		gone, over = from.conn.Look()
+	}
+	if gone { // behind another request, or long ago: there is nobody to send it on for
+		f.core.Abandoned()
+		w.Header().Set("Connection", "close")
+		f.answer(w, core.Answer{Kind: core.Failed})
+		return
+	}
+	if over { // no requests can be told apart in what is left of that
+		w.Header().Set("Connection", "close")
+	}
+	answers := newHandover(call)
+	defer answers.clear()
+	call.Answer = answers.give
 	f.core.Take(call)
-	asked := in.Context().Value(askedKey{}).(*int)
 	// Some clients ask once and keep their connection for good. Where places get short it ends with the answer; a
 	// client that does come back opens another.
-	if *asked++; *asked == 1 && f.door.Crowded() {
+	if from.asked++; from.asked == 1 && f.door.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if call.Coming {
 		defer body.stop() // however this ends
 		broken, err := body.pump(f.core, call), error(nil)
 		select {
-		case ans := <-answers:
+		case ans := <-answers.one:
 			if body.stop() {
 				w.Header().Set("Connection", "close") // what is left of the request is not read
 			}
@@ -186,13 +229,54 @@
 			return
 		}
 	}
+	look := time.NewTicker(f.look)
+	defer look.Stop()
+	for {
+		select {
+		case ans := <-answers.one:
+			f.final(w, ans)
+			return
+		case <-in.Context().Done():
+		case <-look.C:
+			if gone, over = from.conn.Look(); over {
+				w.Header().Set("Connection", "close")
+			}
+			if !gone {
+				continue
+			}
+		}
+		break
+	}
+	f.core.Left(call)
+	// Nobody should be there to read this; whoever is must not take the silence for an empty answer.
+	w.Header().Set("Connection", "close")
+	f.answer(w, core.Answer{Kind: core.Failed})
+}
+
+// handover brings one call its final answer. An answer may begin to come at the moment at which its client leaves: whoever
+// finds it last closes what it comes on, which would wait for a reader for good.
+type handover struct {
+	call *core.Call
+	one  chan core.Answer
+}
+
+func newHandover(call *core.Call) handover { return handover{call, make(chan core.Answer, 1)} }
+
+// give is Call.Answer.
+func (h handover) give(ans core.Answer) {
+	if h.one <- ans; h.call.Gone() {
+		h.clear()
+	}
+}
+
+// clear closes an answer that nobody took. Where none has come yet, give does if the client is gone by then.
+func (h handover) clear() {
 	select {
-	case ans := <-answers:
-		f.final(w, ans)
-	case <-in.Context().Done():
-		f.core.Left(call)
-		// Nobody should be there to read this; whoever is must not take the silence for an empty answer.
-		f.answer(w, core.Answer{Kind: core.Failed})
+	case ans := <-h.one:
+		if r, ok := ans.Reply.(io.Closer); ok {
+			r.Close()
+		}
+	default:
 	}
 }
 
@@ -223,9 +307,13 @@
 			return
 		}
 	}
+	// From now on: the request may have taken long to come, and the agent may have stood still. A connection that is closed
+	// without a word has its client ask again, for what may have had its effect.
+	patience := lateWrite
 	if f.long {
-		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writePause)) // the request may have taken long to come
+		patience = writePause
 	}
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(patience))
 	if ans.Cause != nil {
 		body = []byte(ans.Cause.Error())
 		h["Content-Type"] = []string{"text/plain; charset=utf-8"}
@@ -279,7 +367,7 @@
 		return nil, 0, errFraming
 	}
 	if chunked {
-		if t, ok := in.Context().Value(tapeKey{}).(*tape); !ok || t.twoLengths(in) {
+		if t := callerOf(in).tape; t == nil || t.twoLengths(in) {
 			return nil, 0, errTwoLengths
 		}
 	}
--- a/internal/http/httpfront/long.go
+++ b/internal/http/httpfront/long.go
@@ -46,8 +46,7 @@
 }
 
 func pace(in *http.Request, w http.ResponseWriter) *paced {
-	t, _ := in.Context().Value(tapeKey{}).(*tape)
-	return &paced{body: in.Body, control: http.NewResponseController(w), tape: t}
+	return &paced{body: in.Body, control: http.NewResponseController(w), tape: callerOf(in).tape}
 }
 
 // errStopped is why a body is read no further.
@@ -249,11 +248,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &tape{TCPConn: c.(*net.TCPConn)}, nil
+	return &tape{Conn: c.(*door.Conn)}, nil
 }
 
-type tapeKey struct{}
-
 const (
 	readAhead = 4 << 10                       // net/http reads so much at a time, and so far beyond a request
 	tapeMost  = httpmsg.MaxHead + 3*readAhead // a head that it takes, and what lies round it
@@ -261,7 +258,7 @@
 
 // tape is a connection that keeps the bytes in which the head of the current request stands.
 type tape struct {
-	*net.TCPConn
+	*door.Conn
 	bytes  []byte
 	last   int // how many of them came last
 	pacing atomic.Bool
@@ -284,7 +281,7 @@
 }
 
 func (t *tape) Read(p []byte) (int, error) {
-	n, err := t.TCPConn.Read(p)
+	n, err := t.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && t.pacing.Load() {
 		if n = t.here(p); n > 0 {
 			err = nil
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/peek"
 	"ternbeam/internal/thrift/thriftmap"
 	"ternbeam/internal/thrift/thriftwire"
@@ -23,7 +24,7 @@
 // only as long as there is something to write.
 type client struct {
 	front *Front
-	conn  *net.TCPConn
+	conn  *door.Conn
 
 	// What follows is the reader's.
 	raw        syscall.RawConn
@@ -58,7 +59,7 @@
 // errStopping is why one is closed on which nothing is under way when the agent ends.
 var errStopping = errors.New("the agent ends")
 
-func (f *Front) open(conn *net.TCPConn) {
+func (f *Front) open(conn *door.Conn) {
 	c := &client{front: f, conn: conn}
 	c.room.L = &c.mu
 	raw, err := conn.SyscallConn()
@@ -140,8 +141,23 @@
 	}
 }
 
+// begin says that a call has come. It is false where the door has closed the connection while it was read: its client asks
+// once more elsewhere, and it must not have its effect twice.
+func (c *client) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asked = true; c.busy {
+		return true
+	}
+	c.busy = c.front.door.Busy(c.conn)
+	return c.busy
+}
+
 // message handles one. An error ends the reading.
 func (c *client) message(message []byte, arrival time.Duration) error {
+	if !c.begin() {
+		return net.ErrClosed
+	}
 	h, err := thriftwire.ReadHead(message)
 	if err != nil {
 		c.front.core.Malformed()
@@ -212,10 +228,6 @@
 func (c *client) enter(call *core.Call, seq int32, oneway bool) *slot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.asked = true; !c.busy {
-		c.busy = true
-		c.front.door.Busy(c.conn)
-	}
 	s := &slot{call: call, seq: seq}
 	if call != nil {
 		for oneway && c.taken >= c.front.m.MaxCalls && !c.dead {
@@ -443,6 +455,7 @@
 		n, err = syscall.Read(int(fd), *chunk)
 	}
 	if n > 0 {
+		c.conn.Heard(n)
 		c.chunk, c.start, c.end, c.filled = chunk, 0, n, nil
 		return true
 	}
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -67,7 +67,7 @@
 		if err != nil {
 			return err
 		}
-		f.open(c.(*net.TCPConn))
+		f.open(c.(*door.Conn))
 	}
 }
 
