A list service that is silent twice, drips or comes back is heard in time for drains

What a silent watch missed counts as told 6 s after; 4.5 s of that were over when it was found out, and the next call had 4.5 s more (discovery.go, watch). Where lists are pushed the whole list is asked for now, with 0.7 s for each call. A list in drips counted as a sign of life for good: an empty line, a whole list and 256 KiB do. A service that is back was asked after up to 0.75 s, where what it has heard counts at once and nothing may go to a server that drains 0.5 s later: the longest wait follows from the grace of the settings.

--- a/internal/decide/asking/asking.go
+++ b/internal/decide/asking/asking.go
@@ -8,6 +8,7 @@
 package asking
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -18,6 +19,7 @@
 	Agents  int           // how many there are, as far as known
 	Me      int           // which of them this is, from 0 on; a number that none has where unknown
 	MustAsk time.Duration // what the list says counts as told if it is not asked for so long; 0 for any
+	Grace   time.Duration // how long after it was told of a drain an agent may still send there; 0 where that is not said
 }
 
 const (
@@ -43,9 +45,16 @@
 	// recent is how many waits are remembered; the longest of them counts.
 	recent = 4
 
-	// A service beside the agent is asked again so soon.
+	// A service beside the agent is asked again so soon. What it has heard while it was down counts from its return on, so that
+	// the longest wait, half as long again by chance, leaves most of the grace of a drain.
 	leastWait = 50 * time.Millisecond
-	mostWait  = 500 * time.Millisecond
+	waitParts = 3                      // of the grace, for the longest
+	usual     = 500 * time.Millisecond // the grace, where it is not said
+
+	// FirstWord is how long a service beside the agent may take to say something: it has nobody else to serve. What a watch
+	// missed that fell silent counts as told 6 s after that, of which Silence is over when it is found out, so that there is time
+	// for a second call if the first is silent, too.
+	FirstWord = 700 * time.Millisecond
 )
 
 // Asker decides for one agent. Times are those of a clock that all agents have, to a small part of a period; one that is off
@@ -62,6 +71,7 @@
 	crowded   int           // calls in a row that were given up
 	hung      int           // calls in a row of which nothing was heard
 	wait      time.Duration // before a service beside the agent is asked again
+	doubt     bool          // it fell silent, and has not delivered since
 	waits     []time.Duration
 }
 
@@ -99,14 +109,24 @@
 }
 
 // Delivered says that the call has brought a list that is believed.
-func (a *Asker) Delivered() { a.delivered, a.vain, a.wait = true, 0, leastWait }
+func (a *Asker) Delivered() { a.delivered, a.vain, a.wait, a.doubt = true, 0, leastWait, false }
+
+// How returns how the next call is made: whether it asks for the whole list before it watches, which answers at once whatever
+// has changed, and how long it may take to be answered.
+func (a *Asker) How() (whole bool, within time.Duration) {
+	if a.set.Shared {
+		return false, Silence // a call waits for its turn, and costs all others time
+	}
+	return a.doubt, FirstWord
+}
 
 // Over says that the call is over: it failed, or the watch that it began has ended. Nothing had come for so long. It
 // returns when to ask next.
 func (a *Asker) Over(now, silent time.Duration) time.Duration {
 	if !a.set.Shared {
 		next := now + a.wait/2 + time.Duration(a.rng.Int64N(int64(a.wait)))
-		a.wait = min(2*a.wait, mostWait)
+		a.wait = min(2*a.wait, max(leastWait, cmp.Or(a.set.Grace, usual)/waitParts))
+		a.doubt = a.doubt || silent > 0
 		return next
 	}
 	hung := !a.answered && silent > 0
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,6 +2,7 @@
 package discovery
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -88,6 +89,8 @@
 
 const (
 	mostBytes = 8 << 20 // of one list: some 50,000 entries
+	// pace is how much of a list shows that it goes on: one that takes longer than a watch may be silent comes at some 57 KB/s.
+	pace = 256 << 10
 	// standstill is by how much later than set a timer fires that shows that the process stood still, and what it takes then to
 	// read what has come.
 	standstill = 500 * time.Millisecond
@@ -149,6 +152,7 @@
 		case <-time.After(next - Now()):
 		}
 		asker.Asked(Now())
+		on.Whole, on.Within = asker.How()
 		silent := d.Watch(ctx, on)
 		if ctx.Err() != nil {
 			return
@@ -165,6 +169,9 @@
 	Answered func()     // the call was taken
 	Alive    func()     // something has come
 	Deliver  func(List) // a list that is believed
+
+	Whole  bool          // the whole list is asked for first
+	Within time.Duration // in which a call is to be answered, and the whole list to come; 0 for what a watch may be silent
 }
 
 // silenceError is how a watch ends on which nothing has come for so long.
@@ -191,31 +198,47 @@
 	defer cancel(nil)
 	begun := time.Now()
 	var last atomic.Int64 // when something came, since then
-	silence := time.AfterFunc(d.silence, func() {
-		before := last.Load()
-		if time.Since(begun)-time.Duration(before) < d.silence+standstill {
-			cancel(silenceError(d.silence))
+	limit := d.silence
+	if on.Within > 0 {
+		limit = min(limit, on.Within)
+	}
+	var allowed atomic.Int64 // how long nothing may come
+	allowed.Store(int64(limit))
+	silence := time.AfterFunc(limit, func() {
+		before, may := last.Load(), time.Duration(allowed.Load())
+		if time.Since(begun)-time.Duration(before) < may+standstill {
+			cancel(silenceError(may))
 			return
 		}
 		// The process stood still itself, and has not read yet what has come meanwhile.
 		time.AfterFunc(standstill, func() {
 			if last.Load() == before {
-				cancel(silenceError(d.silence))
+				cancel(silenceError(may))
 			}
 		})
 	})
 	defer silence.Stop()
-
-	alive := func() { last.Store(int64(time.Since(begun))); silence.Reset(d.silence); on.Alive() }
-	if d.lists.Version() == Unknown {
-		if err := d.read(ctx, "", on.Answered, alive, func(l List) error {
+	lasts := func(may time.Duration) {
+		allowed.Store(int64(may))
+		last.Store(int64(time.Since(begun)))
+		silence.Reset(may)
+	}
+	answered := func() { lasts(d.silence); on.Answered() }
+	alive := func() { lasts(d.silence); on.Alive() }
+	if d.lists.Version() == Unknown || on.Whole {
+		asked := on.Answered // the whole list has as long as the call
+		if !on.Whole {
+			asked = answered
+		}
+		if err := d.read(ctx, "", asked, func() { on.Alive() }, func(l List) error {
 			l.Full = true
+			lasts(limit) // for the watch
 			return d.take(l, on.Deliver)
 		}); !errors.Is(err, io.EOF) {
 			return err
 		}
 	}
-	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.lists.Version()), on.Answered, alive, func(l List) error { return d.take(l, on.Deliver) })
+	return d.read(ctx, fmt.Sprintf("?stream=1&index=%d", d.lists.Version()), answered, alive, func(l List) error { return d.take(l, on.Deliver) })
 }
 
 // take delivers what is believed of a list. One that is not ends the watch: the next begins from the last good one.
@@ -259,15 +282,22 @@
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
 	answered()
-	// Empty lines mean nothing to the decoder, but every read shows that the watch is alive.
-	var got, done int64 // bytes that came, and those of whole lists
+	// Empty lines mean nothing to the decoder; they show that the watch is alive, and so does a list that is whole. One that
+	// has begun does not: what comes of it in drips may never be one.
+	var got, done, shown int64 // bytes that came, those of whole lists, and those when something was last shown
+	within := false            // a list
 	lines := json.NewDecoder(readerFunc(func(p []byte) (int, error) {
 		if got-done > mostBytes {
 			return 0, fmt.Errorf("a list of over %d bytes", mostBytes)
 		}
 		n, err := resp.Body.Read(p)
 		got += int64(n)
-		alive()
+		empty := len(bytes.TrimSpace(p[:n])) == 0
+		within = within || !empty
+		if !within && bytes.IndexByte(p[:n], '\n') >= 0 || got-shown >= pace {
+			shown = got
+			alive()
+		}
 		return n, err
 	}))
 	for {
@@ -275,7 +305,12 @@
 		if err := lines.Decode(&list); err != nil {
 			return cmp.Or(context.Cause(ctx), fmt.Errorf("reading the list, byte %d: %w", lines.InputOffset(), err))
 		}
-		done = lines.InputOffset()
+		rest, err := io.ReadAll(lines.Buffered())
+		if err != nil {
+			return err
+		}
+		done, within, shown = lines.InputOffset(), len(bytes.TrimSpace(rest)) > 0, got
+		alive()
 		if err := take(list); err != nil {
 			return err
 		}
--- a/internal/settings/wire/settings.go
+++ b/internal/settings/wire/settings.go
@@ -29,6 +29,7 @@
 	Rules     struct {
 		ColdFrom            float64
 		ColdNs, MustAskInNs int64
+		DrainGraceNs        int64
 	}
 	TickNs     int64
 	WeightKind string
@@ -47,6 +48,7 @@
 	Shared     bool
 	Agents, Me int
 	MustAsk    time.Duration
+	Grace      time.Duration
 }
 
 var (
@@ -62,7 +64,7 @@
 	}
 	module, err := boot.settings()
 	return Settings{Module: module, Fields: boot.Report.Fields, List: List{Shared: boot.Discovery == "subscribe",
-		Agents: boot.Balancers, Me: boot.Me, MustAsk: time.Duration(boot.Rules.MustAskInNs)}}, err
+		Agents: boot.Balancers, Me: boot.Me, MustAsk: time.Duration(boot.Rules.MustAskInNs), Grace: time.Duration(boot.Rules.DrainGraceNs)}}, err
 }
 
 // KeyError is what is wrong with one key of the settings, such as Classes.0.Effect.
