A thousand leavings, counted; a test of a closed connection waits for its end

The test of a connection that the door closes looked before the front was done, and passed with both guards out; it waits now, and fails.

--- a/internal/http/httpback/httpback_test.go
+++ b/internal/http/httpback/httpback_test.go
@@ -61,6 +61,7 @@
 	}{
 		"nothing":        {func(*exchange.Transport, *core.Attempt, context.CancelCauseFunc) {}, choice.OK},
 		"answered":       {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.End() }, choice.NotSent},
+		"left just now":  {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.Leave() }, choice.NotSent},
 		"drains":         {func(u *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { u.Pool.Retire(a.Server) }, choice.ConnectFailed},
 		"withdrawn":      {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(core.ErrWithdrawn) }, choice.Cancelled},
 		"window is over": {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.WriteBy = time.Now() }, choice.NotSent},
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -76,7 +76,7 @@
 	}
 	r := &rig{servers: &servers{begun: make(chan *core.Attempt, 1000), ends: make(chan core.Ending), seen: map[string]int{}}, conns: make(chan *door.Conn, 1000)}
 	known := discovery.List{Full: true}
-	for i := range 4 {
+	for i := range 64 { // so many that none seems silent by what a test has it owe
 		known.Servers = append(known.Servers, discovery.Entry{ID: fmt.Sprint("s", i), Addr: "127.0.0.1:1", Zone: "z", State: "in_service"})
 	}
 	c, err := core.New(core.Settings{Module: cfg.Module, Zones: cfg.Host.Zones, Known: known, Discovery: cfg.Discovery, Log: slog.New(slog.DiscardHandler),
@@ -248,11 +248,15 @@
 			r := newRig(t, 4)
 			var cross func()
 			var crossing atomic.Bool
+			over := make(chan net.Conn, 10)
 			r.http.ConnState = func(c net.Conn, state http.ConnState) {
 				if state == http.StateActive && crossing.Load() { // the request has been read, and nobody knows yet
 					cross()
 				}
 				r.note(c, state)
+				if state == http.StateClosed && crossing.Load() {
+					over <- c
+				}
 			}
 			c := r.serve().dial(t)
 			r.served(t, c)
@@ -269,11 +273,12 @@
 			})
 			crossing.Store(true)
 			say(t, c, request("a"))
-			testkit.Eventually(t, "it is closed", func() bool {
-				c.SetReadDeadline(time.Now().Add(time.Millisecond))
-				_, err := c.Read(make([]byte, 1))
-				return err != nil && !isTimeout(err)
-			})
+			if conn := <-over; conn != net.Conn(first) { // nobody serves it any more
+				t.Fatal("another connection is closed")
+			}
+			if _, err := c.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+				t.Errorf("the client hears %v", err)
+			}
 			if n, s := r.servers.of("a"), r.core.Snapshot(); n != 0 || s.Open != 3 {
 				t.Errorf("%d attempts, %d open", n, s.Open)
 			}
@@ -365,3 +370,74 @@
 		})
 	}
 }
+
+// 200 clients leave at once, again and again, half of them behind bytes that nobody reads: from 0.3 s later nothing is sent on for any of
+// them, and all that they held is given back. What the machine itself stood still for is not the program's.
+func TestThousandLeavings(t *testing.T) {
+	r := newRig(t, 1000)
+	r.look = lookEvery
+	r.serve()
+	var stood atomic.Int64
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			begun := time.Now()
+			time.Sleep(time.Millisecond)
+			stood.Store(max(stood.Load(), int64(time.Since(begun)-time.Millisecond)))
+		}
+	}()
+	longest := time.Duration(0)
+	for round := 0; r.core.Snapshot().Stats.Gone < 1000; round++ { // some are answered before
+		if round == 20 {
+			t.Fatal("most are answered before they leave")
+		}
+		stood.Store(0)
+		left := map[string]time.Time{}
+		clients, attempts := map[string]*net.TCPConn{}, map[string]*core.Attempt{}
+		for i := range 200 {
+			id := fmt.Sprint("r", round, "c", i)
+			c := r.dial(t)
+			say(t, c, kinds[[]string{"safe", "keyed", "unsafe"}[i%3]](id))
+			clients[id] = c
+			for attempts[id] == nil { // others are copied meanwhile
+				at := <-r.servers.begun
+				attempts[at.Call.ID] = at
+			}
+			if i%2 == 0 {
+				say(t, c, "G")
+			}
+		}
+		for id, c := range clients {
+			left[id] = time.Now()
+			leave(c, len(id)%2 == 0)
+		}
+		largest := time.Duration(0)
+		for len(left) > 0 {
+			for id, at := range left {
+				if attempts[id].Call.Over() {
+					largest = max(largest, time.Since(at))
+					delete(left, id)
+				} else if time.Since(at) > testkit.Patience {
+					t.Fatalf("%s is not noticed", id)
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if longest = max(longest, largest); largest > 300*time.Millisecond+time.Duration(stood.Load()) {
+			t.Errorf("noticed after %v; the machine stood still for %v at most", largest, time.Duration(stood.Load()))
+		}
+		testkit.Eventually(t, "all is given back", func() bool {
+			for range 200 { // what was sent before goes on until its answer or its time
+				select {
+				case r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{}}:
+				default:
+				}
+			}
+			s := r.core.Snapshot()
+			ended := s.Stats.Gone + s.Stats.Refused + s.Stats.Failed
+			return s.Open == 0 && s.Held == 0 && ended == 200*(round+1) && r.door.Count() == 0
+		})
+	}
+	t.Logf("%d leavings, the longest noticed after %v", r.core.Snapshot().Stats.Gone, longest)
+}
