--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -93,14 +93,21 @@
 	c.taken.Add(int64(n))
 }
 
+// parts are what Look reads into: one of its own for each request would be most of the garbage.
+var parts = sync.Pool{New: func() any { return new([4 << 10]byte) }}
+
 // Look looks, without waiting, whether the client is still there, also where it has sent more than anybody reads: its end may
 // stand behind more than the kernel takes. Of that a part is kept to be read, so that the end can come; where there is more,
 // the connection is of no further use, as the second result says.
 func (c *Conn) Look() (gone, over bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var part [4 << 10]byte
-	for most := 2 * MostAhead; most > 0 && !c.reading; most -= len(part) { // who reads sees the end itself
+	if c.reading { // who reads sees the end itself, unless it comes at this moment
+		return peek.HungUp(c.TCPConn), c.over
+	}
+	part := parts.Get().(*[4 << 10]byte)
+	defer parts.Put(part)
+	for most := 2 * MostAhead; most > 0; most -= len(part) {
 		n, err := peek.Take(c.TCPConn, part[:])
 		if n == 0 {
 			return !errors.Is(err, peek.ErrNothing), c.over
