What is read as the agent ends is answered before it is gone

Three crossings of the shutdown, found by reading:

A request read after SIGTERM had its own time, which may go on beyond the agent's end at the longest deadline and 0.6 s: it was closed without an answer there (front.go Stop, http.Close), and the same in Thrift. Its deadline now ends 50 ms before the agent does, and connections that have said nothing are dropped no later than that, also where all deadlines are under 0.2 s. 2. An idle connection was closed by the door while its reader had bytes in hand that nobody had counted: between the read and Conn.Heard, or in net/http's buffer, or read ahead by Look, where begun and the peek saw nothing. The request was dropped (or its context ended, 502). At the end of a listener the door now sets the read deadline that the reader meets; what it has or finds goes before, and a reader that takes its deadline back has found a request. Eviction for another client closes as before, asked by Busy. 3. What Look has read ahead counts as having come.

--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,10 @@
 
 	// LastWords is how long a connection that came just before the end has to send a request.
 	LastWords = 200 * time.Millisecond
+
+	// LastAnswer is how long before an agent is gone at its end all that it has taken is answered, and who has said nothing is
+	// dropped: the time to write answers.
+	LastAnswer = 50 * time.Millisecond
 )
 
 // Door keeps account of the connections of all listeners that share it. They accept always: who waits in the
@@ -57,6 +62,8 @@
 	reading bool   // somebody does, and gets what comes
 	ahead   []byte // read by Look, and by nobody else yet
 	over    bool   // more came than is kept, so that what follows is of no use
+	ending  bool   // who reads is to end it, unless something has come
+	readBy  time.Time
 }
 
 // mostAhead is how many bytes Look keeps: more than a usual request has.
@@ -72,6 +79,7 @@
 		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
 			c.ahead = nil
 		}
+		c.goOnLocked()
 		c.mu.Unlock()
 		if n == 0 {
 			err = net.ErrClosed
@@ -80,16 +88,62 @@
 	}
 	c.reading = true
 	c.mu.Unlock()
-	n, err = c.TCPConn.Read(p)
-	c.mu.Lock()
-	c.reading = false
-	c.mu.Unlock()
+	for again := true; again; {
+		n, err = c.TCPConn.Read(p)
+		c.mu.Lock()
+		if again = c.ending && errors.Is(err, os.ErrDeadlineExceeded) && !peek.Silent(c.TCPConn); again || n > 0 {
+			c.goOnLocked() // it came before the end did
+		}
+		c.reading = again
+		c.mu.Unlock()
+	}
 	if n > 0 {
 		c.Heard(n)
 	}
 	return n, err
 }
 
+// end has who reads the connection find that its time is over. What it has read, or finds now, goes before: the connection stays
+// then. So nothing is both read and left without an answer.
+func (c *Conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// goOnLocked undoes end.
+func (c *Conn) goOnLocked() {
+	if c.ending {
+		c.ending = false
+		c.TCPConn.SetReadDeadline(c.readBy)
+	}
+}
+
+// SetReadDeadline is net.Conn's. A reader that waits for a request sets a time for that; one that takes it back has found a request
+// in what it had read before, which the end must not cut short.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readBy = t
+	if c.ending = c.ending && !t.IsZero(); c.ending {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline is net.Conn's.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// quiet reports whether nothing has come that nobody has read.
+func (c *Conn) quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead) == 0 && !c.over && peek.Silent(c.TCPConn)
+}
+
 // Heard says that bytes were read, past Read where somebody does that.
 func (c *Conn) Heard(n int) { c.taken.Add(int64(n)) }
 
@@ -133,6 +187,7 @@
 	by     time.Time   // when the taking from the queue ends at the latest; who accepts sets it
 	left   atomic.Bool // to another process, which accepts what stands in the queue
 	closed chan struct{}
+	gentle bool // who reads a connection ends it, by its read deadline
 
 	// What follows is under the Door's lock.
 	count   int           // of its connections
@@ -145,6 +200,13 @@
 	return &Listener{TCPListener: l, door: d, closed: make(chan struct{})}
 }
 
+// Gentle has who reads a connection end it when it is dropped with others at the end, by its read deadline: for readers that
+// close a connection on which nothing has come by then. It is called before anything is accepted.
+func (l *Listener) Gentle() *Listener {
+	l.gentle = true
+	return l
+}
+
 // Accept is net.Listener's. At the end it takes what stands in the kernel's queue first.
 func (l *Listener) Accept() (net.Conn, error) {
 	for queued := true; ; queued = false {
@@ -204,7 +266,7 @@
 	for e := from.Front(); e != nil; {
 		next := e.Next()
 		if v := e.Value.(*visit); v.from == l && !v.begun() {
-			l.door.dropLocked(v)
+			l.door.endLocked(v)
 		}
 		e = next
 	}
@@ -275,7 +337,7 @@
 	}
 	d.waitLocked(v, d.idle)
 	if v.from.shut {
-		d.dropLocked(v)
+		d.endLocked(v)
 	} else if len(d.all) > d.most {
 		d.makeRoomLocked(nil)
 	}
@@ -323,7 +385,7 @@
 
 // dropLocked closes a connection unless a request has begun to come on it that nobody has read.
 func (d *Door) dropLocked(v *visit) bool {
-	if !peek.Silent(v.conn) {
+	if !v.conn.quiet() {
 		return false
 	}
 	d.forgetLocked(v)
@@ -331,6 +393,15 @@
 	return true
 }
 
+// endLocked is dropLocked at the end of a listener: nobody waits for the place.
+func (d *Door) endLocked(v *visit) {
+	if !v.from.gentle {
+		d.dropLocked(v)
+	} else if v.conn.quiet() {
+		v.conn.end()
+	}
+}
+
 // Crowded reports whether those that have asked something hold most of the places: five of eight.
 func (d *Door) Crowded() bool {
 	d.mu.Lock()
--- a/internal/host/door/door_test.go
+++ b/internal/host/door/door_test.go
@@ -169,3 +169,43 @@
 	}
 	<-d.closed
 }
+
+// Bytes come as the end of an idle connection is under way: who reads it finds them before the end, whichever came first, and the
+// connection goes on with the time to read that it was set.
+func TestBytesComeAsAnIdleConnectionEnds(t *testing.T) {
+	for name, cross := range map[string]func(c *Conn, client net.Conn){
+		"the end, then bytes": func(c *Conn, client net.Conn) { c.end(); io.WriteString(client, "GET") },
+		"bytes, then the end": func(c *Conn, client net.Conn) { io.WriteString(client, "GET"); c.end() },
+		"a time to read between": func(c *Conn, client net.Conn) {
+			c.end()
+			io.WriteString(client, "GET")
+			c.SetReadDeadline(time.Now().Add(testkit.Patience))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := openDoor(t, 10).Gentle()
+			client := visitor(t, d, "")
+			c := accept(t, d).(*Conn)
+			cross(c, client)
+			testkit.Eventually(t, "the bytes are there", func() bool { return !c.quiet() })
+			p := make([]byte, 10)
+			if n, err := c.Read(p); string(p[:n]) != "GET" {
+				t.Fatalf("%q, %v", p[:n], err)
+			}
+			io.WriteString(client, " /")
+			if n, err := c.Read(p); string(p[:n]) != " /" {
+				t.Errorf("it does not go on: %q, %v", p[:n], err)
+			}
+		})
+	}
+	d := openDoor(t, 10).Gentle()
+	visitor(t, d, "")
+	c := accept(t, d).(*Conn)
+	d.DropSilent()
+	if _, err := c.Read(make([]byte, 1)); !isTimeout(err) {
+		t.Errorf("one on which nothing comes: %v", err)
+	}
+	if n := d.door.Count(); n != 1 {
+		t.Errorf("%d connections before the reader has closed it", n)
+	}
+}
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -437,3 +437,76 @@
 	}
 	t.Logf("%d leavings, the longest noticed after %v", r.core.Snapshot().Stats.Gone, longest)
 }
+
+// A request comes whole when the agent is about to end, and its own time goes on beyond that. It is read, so that it must have its
+// final answer before the process is gone.
+func TestRequestReadNearTheEndIsAnsweredBeforeIt(t *testing.T) {
+	for _, fresh := range []bool{false, true} {
+		for kind, request := range kinds {
+			t.Run(fmt.Sprint(kind, ", fresh ", fresh), func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t, 10).serve()
+				c := r.dial(t)
+				if !fresh {
+					r.served(t, c)
+				}
+				conn, text := <-r.conns, request("a")
+				half := conn.Taken() + 10
+				say(t, c, text[:10])
+				testkit.Eventually(t, "the first bytes are read", func() bool { return conn.Taken() >= half })
+				stopped := make(chan struct{})
+				go func() { r.Stop(time.Nanosecond, 0, time.Second); close(stopped) }()
+				testkit.Eventually(t, "it ends", r.ending.Load)
+				say(t, c, text[10:])
+				<-r.servers.begun // and its server hangs
+				if status, _ := read(t, c); status == http.StatusOK {
+					t.Error("served by nobody")
+				}
+				<-stopped
+			})
+		}
+	}
+}
+
+// What was read of the next request while the one before was under way is a request that has come: the connection stays for it where
+// the agent ends right behind the first answer, though nothing of it is left in the kernel.
+func TestNextRequestIsReadAheadAtTheEnd(t *testing.T) {
+	for name, say2 := range map[string]func(t *testing.T, c net.Conn, begun func()){
+		"in net/http's buffer": func(t *testing.T, c net.Conn, begun func()) {
+			say(t, c, kinds["safe"]("a")+kinds["safe"]("b"))
+			begun()
+		},
+		"by the look for its leaving": func(t *testing.T, c net.Conn, begun func()) {
+			say(t, c, kinds["safe"]("a"))
+			begun()
+			say(t, c, kinds["safe"]("b"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 10)
+			ending := sync.OnceFunc(func() { r.ending.Store(true); r.listen.DropIdle() })
+			r.http.ConnState = func(c net.Conn, state http.ConnState) {
+				if state == http.StateIdle { // the first answer is written
+					ending()
+				}
+				r.note(c, state)
+			}
+			c := r.serve().dial(t)
+			say2(t, c, func() { <-r.servers.begun })
+			conn := <-r.conns
+			testkit.Eventually(t, "what follows is read ahead", func() bool { return conn.Taken() == 2*len(kinds["safe"]("a")) && peek.Silent(conn) })
+			in := bufio.NewReader(c)
+			c.SetReadDeadline(time.Now().Add(testkit.Patience))
+			for i := range 2 {
+				r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{Body: []byte("done")}}
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatalf("answer %d: %v", i, err)
+				}
+				if io.Copy(io.Discard, resp.Body); resp.StatusCode != http.StatusOK || resp.Close != (i == 1) {
+					t.Errorf("answer %d: %s, close %t", i, resp.Status, resp.Close)
+				}
+			}
+		})
+	}
+}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -49,7 +49,8 @@
 	http   *http.Server
 	door   *door.Door
 	listen *door.Listener
-	ending atomic.Bool // answers say that their connection ends
+	ending atomic.Bool  // answers say that their connection ends
+	last   atomic.Int64 // by the core's clock, when all is to be answered as the agent ends; 0 before
 	look   time.Duration
 	budget httpmsg.Budget
 }
@@ -66,7 +67,7 @@
 
 // New returns a Front that takes the connections of a listener through a door.
 func New(cfg *config.Config, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
-	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l), look: lookEvery}
+	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l).Gentle(), look: lookEvery}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
 		if !f.door.Busy(callerOf(in).conn) { // closed while this was being read: its client asks once more, and must not have its effect twice
@@ -150,6 +151,7 @@
 // answered, for so long as it may take; who has said nothing by then is not waited for.
 func (f *Front) Stop(accepting, idling, atMost time.Duration) {
 	end := time.Now().Add(atMost)
+	f.last.Store(int64(f.core.Now() + atMost - door.LastAnswer))
 	f.ending.Store(true)
 	closed := make(chan struct{})
 	go func() { f.listen.CloseAfter(accepting); close(closed) }()
@@ -160,7 +162,7 @@
 	<-closed
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	silent := time.AfterFunc(idling+door.LastWords, f.listen.DropSilent)
+	silent := time.AfterFunc(min(idling+door.LastWords, time.Until(end)-door.LastAnswer), f.listen.DropSilent)
 	defer silent.Stop()
 	if err := f.listen.Empty(ctx); err != nil {
 		f.log.Warn("connections were still open at the end", "error", err)
@@ -358,6 +360,10 @@
 		body.left = left
 		call.Deadline += body.longest()
 	}
+	// What is read when the agent ends has less time: an answer must come before the process goes.
+	if last := time.Duration(f.last.Load()); last > 0 {
+		call.Deadline = min(call.Deadline, last)
+	}
 	return call, body, nil
 }
 
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -39,6 +39,7 @@
 	ids    atomic.Uint64 // how many were given
 
 	stopping atomic.Bool
+	last     atomic.Int64 // by the core's clock, when all is to be answered as the agent ends; 0 before
 	mu       sync.Mutex
 	clients  map[*client]bool
 	left     chan struct{} // told when one is forgotten
@@ -76,6 +77,8 @@
 func (f *Front) Stop(lingering, idling, atMost time.Duration) {
 	end := time.NewTimer(atMost)
 	defer end.Stop()
+	by := time.Now().Add(atMost)
+	f.last.Store(int64(f.core.Now() + atMost - door.LastAnswer))
 	time.Sleep(idling) // in Thrift there is no word for a goodbye: who calls meanwhile is answered
 	f.stopping.Store(true)
 	f.mu.Lock()
@@ -84,7 +87,7 @@
 	}
 	f.mu.Unlock()
 	f.listen.CloseAfter(lingering)
-	silent := time.AfterFunc(door.LastWords, f.listen.DropSilent)
+	silent := time.AfterFunc(min(door.LastWords, time.Until(by)-door.LastAnswer), f.listen.DropSilent)
 	defer silent.Stop()
 	for f.count() > 0 {
 		select {
@@ -138,5 +141,8 @@
 		left = min(left, read.Left)
 	}
 	call.Deadline = arrival + left
+	if last := time.Duration(f.last.Load()); last > 0 { // or the process is gone before the answer comes
+		call.Deadline = min(call.Deadline, last)
+	}
 	return call, nil
 }
