Thrift clients that leave unread are noticed; a crash and a leak are mended

Found by reading, and the crash by the new test:

A client with as much under way as it may has nothing read of it, so that its end was not seen and its calls went on being sent. Its connection is looked at each 100 ms while the reader waits (client.go awaitLocked). The agent crashed where a client's connection broke under an answer while a call that is refused at once had its place in the order of answers: die told the core of a call that there is not (client.go, slots without a call). 3. The news that a Thrift client left could come to the ledger before its call: then nobody ended the call, which counted as open for good. Arrived asks for the leaving now.

--- a/internal/agent/thrift_test.go
+++ b/internal/agent/thrift_test.go
@@ -351,6 +351,46 @@
 	w.atRest(t)
 }
 
+// A client has as much under way as it may, so that nothing is read of it any more, and leaves: that is noticed all the same, and
+// nothing further is sent on for it.
+func TestThriftClientLeavesWhileNothingIsRead(t *testing.T) {
+	for name, oneway := range map[string]bool{"calls that wait for answers": false, "a oneway that waits for its turn": true} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", reset ", reset), func(t *testing.T) {
+				t.Parallel()
+				release := make(chan struct{})
+				defer close(release)
+				w := newWorld(t, speeches[1], standin.Platform{MostTries: 1}, func(text string) string {
+					return strings.Replace(text, "max_calls_per_connection = 64", "max_calls_per_connection = 2", 1)
+				}, standin.Options{ID: "s", Script: func(standin.Call) standin.Step { return standin.Step{Until: release} }})
+				c := w.dial(t)
+				for i := range int32(2) {
+					c.Write(call(thriftwire.Binary, i, fmt.Sprint("id", i)))
+				}
+				testkit.Eventually(t, "two are under way", func() bool { _, open := w.held(); return open == 2 })
+				if oneway {
+					c.Write(frame(message(thriftwire.Binary, thriftwire.Oneway, "note", []byte{0, 0, 0, 9}, "note")))
+				}
+				for i := range int32(10) { // two of them are refused, which is told behind the first; the others are not read
+					c.Write(call(thriftwire.Binary, 10+i, fmt.Sprint("more", i)))
+				}
+				if reset {
+					c.(*net.TCPConn).SetLinger(0)
+				}
+				c.Close()
+				left := time.Now()
+				testkit.Eventually(t, "the calls are over", func() bool { return w.core.Snapshot().Stats.Gone == 2 })
+				t.Logf("noticed after %v", time.Since(left))
+				for i := range 10 {
+					if n := w.deliveries(fmt.Sprint("more", i)); n != 0 {
+						t.Errorf("more%d came %d times", i, n)
+					}
+				}
+			})
+		}
+	}
+}
+
 // A oneway gets no reply, and what is asked behind it is answered as ever.
 func TestOneway(t *testing.T) {
 	for _, sp := range speeches[1:] {
--- /dev/null
+++ b/internal/decide/ledger/crossing_test.go
@@ -0,0 +1,42 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"ternbeam/choice"
+)
+
+// A client leaves while its call is on its way to the ledger, so that the news of one may come before the other: the call is over at
+// once in either order, nothing is sent for it, and nothing of it stays.
+func TestClientLeavesAsItsCallArrives(t *testing.T) {
+	for name, cross := range map[string]func(l *Ledger, call *Call) []Order{
+		"the leaving first": func(l *Ledger, call *Call) []Order {
+			return append(l.Left(time.Hour, call), l.Arrived(time.Hour, call)...)
+		},
+		"the call first": func(l *Ledger, call *Call) []Order {
+			return append(l.Arrived(time.Hour, call), l.Left(time.Hour, call)...)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			module, err := choice.New(choice.Settings{Tick: time.Millisecond, MaxAttempts: 2, Classes: []choice.Class{
+				{Name: "check", Aim: time.Second, Deadline: time.Second, Worth: 1}}}, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := New(Settings{MaxAttempts: 2, Carries: func(choice.Protocols) bool { return true }}, module)
+			l.Start(time.Hour)
+			l.List(time.Hour, true, []Entry{{Server: choice.Server{ID: "s", Weight: 1}, Addr: "127.0.0.1:1"}})
+			call := &Call{Request: choice.Request{ID: "a", Deadline: time.Hour + time.Second}}
+			call.Leave()
+			for _, o := range cross(l, call) {
+				if o.Kind == Begin || o.Kind == Reply {
+					t.Errorf("order %d for nobody", o.Kind)
+				}
+			}
+			if open, held := l.Count(); open != 0 || held != 0 || l.Stats().Gone != 1 {
+				t.Errorf("%d open, %d held, %d gone", open, held, l.Stats().Gone)
+			}
+		})
+	}
+}
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -255,6 +255,9 @@
 	l.begin(now)
 	l.stats.Requests++
 	switch {
+	case call.Gone(): // already: the news of it may have come before, and nobody would end the call
+		call.over.Store(true)
+		l.stats.Gone++
 	case l.calls[call.ID] != nil: // an id is never repeated
 		l.reply(call, Answer{Kind: Duplicate})
 	case l.set.MostHeld > 0 && l.open >= l.set.MostHeld: // turned away before the module, as in the simulator
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -103,7 +103,7 @@
 	if !c.dead {
 		c.dead = true
 		for _, s := range c.waiting {
-			if s.frame == nil {
+			if s.frame == nil && s.call != nil { // what is refused at once has no call
 				c.taken--
 				owed = append(owed, s.call)
 			}
@@ -230,9 +230,7 @@
 	defer c.mu.Unlock()
 	s := &slot{call: call, seq: seq}
 	if call != nil {
-		for oneway && c.taken >= c.front.m.MaxCalls && !c.dead {
-			c.room.Wait()
-		}
+		c.awaitLocked(func() bool { return oneway && c.taken >= c.front.m.MaxCalls })
 		if c.taken >= c.front.m.MaxCalls {
 			return nil
 		}
@@ -341,15 +339,41 @@
 func (c *client) waitForRoom() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.dead && (len(c.waiting) >= 2*c.front.m.MaxCalls || len(c.unsent) > mostUnsent) {
-		c.room.Wait()
-	}
+	c.awaitLocked(func() bool { return len(c.waiting) >= 2*c.front.m.MaxCalls || len(c.unsent) > mostUnsent })
 	if c.dead {
 		return net.ErrClosed
 	}
 	return nil
 }
 
+// awaitLocked has the reader wait for as long as the client has too much under way. Nothing is read meanwhile, so that the client's
+// end would not be seen: it is looked for. One that stands behind more than the kernel takes is seen when that is read.
+func (c *client) awaitLocked(full func() bool) {
+	if c.dead || !full() {
+		return
+	}
+	over := make(chan struct{})
+	defer close(over)
+	go func() {
+		look := time.NewTicker(lookEvery)
+		defer look.Stop()
+		for {
+			select {
+			case <-over:
+				return
+			case <-look.C:
+				if peek.HungUp(c.conn) {
+					c.die()
+					return
+				}
+			}
+		}
+	}()
+	for !c.dead && full() {
+		c.room.Wait()
+	}
+}
+
 // next reads one frame. Its length is looked at before anything is allocated for it. The arrival is the time of its
 // first byte.
 func (c *client) next() (message []byte, arrival time.Duration, err error) {
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -24,6 +24,9 @@
 	writeTimeout = time.Second
 	// mostUnsent is how many bytes may wait for a client before no more of its calls are read.
 	mostUnsent = 1 << 20
+	// lookEvery is how often it is looked whether a client is still there of which nothing is read. What its client does not want is
+	// not to be sent on from 0.3 s later.
+	lookEvery = 100 * time.Millisecond
 )
 
 // Front is the Thrift side of the agent towards its clients.
