A silent watch is found after 3 s, and a fleet that asks in turns has its lists by 6.5 s

Cause: what a watch that fell silent misses counts as told 6 s after. Where all agents ask one service, it was found after 4.5 s and the turn came up to 3 s later (asking.go base, made for MustAskInNs of 10 s): 7.5 s and the queue, against 6.5 s. A watch carries a line every 2 s; one that is late by a second is silent now, and the turn is within what is left. Calls wait for 4.5 s as before, since a service's patience is not told and a caller that goes is work done in vain. Edge: a service that needs over 3 s for all can't tell all in time; up to 4.5 s each is still served at its first call.

Also: the timer of the silence could end a watch on which something came at that very moment (discovery.go).

--- a/internal/decide/asking/asking.go
+++ b/internal/decide/asking/asking.go
@@ -23,9 +23,17 @@
 }
 
 const (
-	// Silence is how long nothing may come from a service that is asked or watched: a watch carries a line every 2 s at the
-	// least, and one that is silent for longer than two of them is dead.
-	Silence = 4500 * time.Millisecond
+	// Silence is how long nothing may come on a watch: it carries a line every 2 s at the least, and one whose line is late by
+	// half of that is dead. Of what it misses nothing may be known for told at the most, in which all agents that watched may have to
+	// ask one service in turns.
+	Silence = 3 * time.Second
+	// told is how long after a watch fell silent what it missed counts as told, whether or not it arrived.
+	told = 6 * time.Second
+	// CallWait is how long a call to a service that all agents ask may wait for its turn before it is taken for lost. The service
+	// gives callers up by itself, after its patience, which is not told; a caller that goes sooner has its work done all the same.
+	CallWait = 4500 * time.Millisecond
+	// answer is what a call takes where the service keeps pace with its callers.
+	answer = 500 * time.Millisecond
 
 	// patience is how long a caller waits at the least before the service gives it up.
 	patience = 2 * time.Second
@@ -53,7 +61,7 @@
 
 	// FirstWord is how long a service beside the agent may take to say something: it has nobody else to serve. What a watch
 	// missed that fell silent counts as told 6 s after that, of which Silence is over when it is found out, so that there is time
-	// for a second call if the first is silent, too.
+	// for further calls if the first are silent, too.
 	FirstWord = 700 * time.Millisecond
 )
 
@@ -115,7 +123,7 @@
 // has changed, and how long it may take to be answered.
 func (a *Asker) How() (whole bool, within time.Duration) {
 	if a.set.Shared {
-		return false, Silence // a call waits for its turn, and costs all others time
+		return false, CallWait // a call waits for its turn, and costs all others time
 	}
 	return a.doubt, FirstWord
 }
@@ -162,6 +170,9 @@
 		// The list is to be heard before it counts as told: what was spent in silence and what the call may take is gone.
 		most = min(most, max(must-silent-patience-must/20, must/4))
 	}
+	if silent > 0 && a.answered { // a watch: what it missed is to be heard in time for the drains among it
+		most = min(most, max(told+cmp.Or(a.set.Grace, usual)-silent-answer, leastPeriod))
+	}
 	if len(a.waits) == 0 {
 		return most
 	}
--- a/internal/decide/asking/asking_test.go
+++ b/internal/decide/asking/asking_test.go
@@ -259,7 +259,11 @@
 				a.Answered(now - time.Hour + patience)
 				a.Delivered()
 				wait := a.Over(now, silent) - now
-				if limit := max(must-silent-patience, must/4); wait <= 0 || wait > limit {
+				limit := max(must-silent-patience, must/4)
+				if silent > 0 {
+					limit = min(limit, told+usual-silent)
+				}
+				if wait <= 0 || wait > limit {
 					t.Errorf("asked after %v, %v of silence and what the call takes aside, where %v are left of %v", wait, silent, limit, must)
 				}
 			}
@@ -267,24 +271,49 @@
 	}
 }
 
+// All watches on a service that answers in turn fall silent at once, and servers begin to drain right after. All agents have the list by
+// what counts as told, and the least grace, where the service needs up to 3 s for all; up to 4.5 s each is served at its first call still, as fast as the service can.
+func TestAllWatchesFallSilent(t *testing.T) {
+	begin := 1000 * time.Hour
+	for _, n := range []int{10, 80, 300, 1000} {
+		for _, all := range []time.Duration{100 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 4500 * time.Millisecond} {
+			for seed := range uint64(5) {
+				s := &service{each: all / time.Duration(n)}
+				agents := fleet(n, begin, mustAsk, seed, func(i int) (int, int) { return i, n })
+				s.recover(agents, begin, time.Minute)
+				fell := begin + time.Minute + time.Duration(seed)*1234*time.Millisecond
+				lose(agents, fell+Silence, Silence)
+				last, calls, left := s.recover(agents, fell, time.Minute)
+				most := told + usual
+				if all > 3*time.Second {
+					most = Silence + all + answer
+				}
+				if left > 0 || last > most || calls != n {
+					t.Errorf("%d agents, %v for all: %d left out, the last has it %v after the silence began, over %v, with %d calls", n, all, left, last, most, calls)
+				}
+			}
+		}
+	}
+}
+
 // One call of which nothing is heard is no queue; two are, and so is one that was given up after it.
 func TestHung(t *testing.T) {
 	const n = 300
 	for name, c := range map[string]struct {
-		waits []time.Duration // of calls in vain, 4.5 s being silence
+		waits []time.Duration // of calls in vain, CallWait being silence
 		slow  bool
 	}{
-		"down": {[]time.Duration{time.Millisecond, time.Millisecond, time.Millisecond}, false}, "once silent": {[]time.Duration{Silence, time.Millisecond}, false},
+		"down": {[]time.Duration{time.Millisecond, time.Millisecond, time.Millisecond}, false}, "once silent": {[]time.Duration{CallWait, time.Millisecond}, false},
 		"given up once": {[]time.Duration{patience}, false}, "given up twice": {[]time.Duration{patience, patience}, true},
-		"silent, then given up twice": {[]time.Duration{Silence, patience, patience}, true}, "silent three times": {[]time.Duration{Silence, Silence, Silence}, true},
+		"silent, then given up twice": {[]time.Duration{CallWait, patience, patience}, true}, "silent three times": {[]time.Duration{CallWait, CallWait, CallWait}, true},
 	} {
 		a := New(Settings{Shared: true, Agents: n, Me: 0, MustAsk: mustAsk}, 1)
 		now, next := 1000*time.Hour+time.Second, time.Duration(0)
 		for _, w := range c.waits {
 			a.Asked(now)
 			silent := time.Duration(0)
-			if w == Silence {
-				silent = Silence
+			if w == CallWait {
+				silent = CallWait
 			}
 			next = a.Over(now+w, silent)
 			now, next = next, next-now-w
@@ -341,7 +370,6 @@
 // A watch that fell silent is found out after Silence, and what it missed counts as told 6 s after it fell silent. The whole list
 // is there by then, and by the grace of a drain, even where the first calls after it are silent, too.
 func TestSilentTwice(t *testing.T) {
-	const told = 6 * time.Second
 	for seed := range uint64(50) {
 		a := New(Settings{Grace: 500 * time.Millisecond}, seed)
 		a.Asked(time.Hour)
@@ -352,7 +380,7 @@
 		}
 		fell := time.Hour
 		now := a.Over(fell+Silence, Silence)
-		for range 2 { // silent calls
+		for range 3 { // silent calls
 			whole, within := a.How()
 			if !whole || within != FirstWord {
 				t.Fatalf("whole %t, within %v", whole, within)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -198,13 +198,17 @@
 	defer cancel(nil)
 	limit := d.silence
 	if on.Within > 0 {
-		limit = min(limit, on.Within)
+		limit = on.Within
 	}
 	var last atomic.Pointer[pause]
 	last.Store(&pause{time.Now(), limit})
 	silence := time.AfterFunc(limit, func() {
 		before := last.Load()
-		if time.Since(before.since) < before.most+standstill {
+		passed := time.Since(before.since)
+		if passed < before.most { // something came at this moment, and the timer is set anew
+			return
+		}
+		if passed < before.most+standstill {
 			cancel(silenceError(before.most))
 			return
 		}
--- a/internal/host/peers/peers.go
+++ b/internal/host/peers/peers.go
@@ -215,6 +215,7 @@
 	d := discovery.New(h.set.Discovery, known, h.set.Log)
 	go func() {
 		silent := d.Watch(ctx, discovery.Events{
+			Within:   asking.CallWait,
 			Answered: func() { post(func() []sharing.Action { return h.node.Answered(discovery.Now()) }) },
 			Alive:    func() { post(func() []sharing.Action { return h.node.Alive(discovery.Now()) }) },
 			Deliver: func(l discovery.List) {
