A drain that only an older list tells counts at once

Cause: discovery that begins anew counts its versions from the start. Its lists are held as mistakes up to three times (listing.go Judge), and with them the drains that nobody else tells: up to 0.5 s where lists are pushed, and three turns where one service is asked. Drains and ends of servers that did not restart since now bind out of a list that is held; the next call asks for the whole list, so that a server which was only named by a stale list is back with that. Ruled out: believing the first older list whole, which lets a stale copy of discovery take servers away or bring them back.

The property test of listing said that a held list changes nothing; it now says that nothing but its drains is applied, and that all of them are, entry by entry, which is as strict. TestDrainInAListThatIsNotBelieved fails without the mend.

--- a/internal/decide/listing/listing.go
+++ b/internal/decide/listing/listing.go
@@ -1,6 +1,6 @@
 // Package listing decides which lists of servers are believed. Discovery that is overbooked or begins anew sends lists
 // that are empty, older than the last or name a server twice; the last good one holds then, and a drain that was told
-// binds. It does no I/O and reads no clock.
+// binds, whatever list told it. It does no I/O and reads no clock.
 package listing
 
 import (
@@ -36,10 +36,10 @@
 
 // Verdict says what to make of a list.
 type Verdict struct {
-	Hold     bool   // nothing of it is applied: the last good list holds
+	Hold     bool   // nothing of it is applied but its drains: the last good list holds
 	Reason   string // what is wrong with it, empty for nothing
 	Skip     []int  // entries that are not applied, of servers that it names again, in their order
-	Draining []int  // entries that count as draining, whatever they say
+	Draining []int  // entries that count as draining, whatever they say; of one that is held, all that count
 }
 
 // Keeper judges the lists of one discovery in the order in which they come. Its zero value is not of use.
@@ -64,10 +64,10 @@
 	case l.Full && len(l.Entries) == 0 && len(k.known) > 0:
 		return Verdict{Hold: true, Reason: fmt.Sprintf("a whole list without a server, where %d were known", len(k.known))}
 	case back && !l.Full:
-		return Verdict{Hold: true, Reason: fmt.Sprintf("a change to version %d after version %d", l.Version, k.version)}
+		return Verdict{Hold: true, Reason: fmt.Sprintf("a change to version %d after version %d", l.Version, k.version), Draining: k.drains(l)}
 	case back && k.behind < behindMost:
 		k.behind++
-		return Verdict{Hold: true, Reason: fmt.Sprintf("version %d after version %d", l.Version, k.version)}
+		return Verdict{Hold: true, Reason: fmt.Sprintf("version %d after version %d", l.Version, k.version), Draining: k.drains(l)}
 	case back:
 		v.Reason = fmt.Sprintf("version %d after version %d, believed as it comes for the %dth time", l.Version, k.version, k.behind+1)
 	}
@@ -107,6 +107,22 @@
 	return v
 }
 
+// drains are the entries of an older list by which a server that is sent to drains or is gone. It may be the only one to tell: discovery
+// that has begun anew counts from the start. A server that was only put back since is whole again by the next list.
+func (k *Keeper) drains(l List) (all []int) {
+	for i, e := range l.Entries {
+		if before, known := k.known[e.ID]; e.State == choice.Ready || known && (before.State != choice.Ready || e.Started < before.Started) {
+			continue
+		}
+		all = append(all, i)
+		e.State = choice.Draining
+		if k.known[e.ID] = e; len(k.known) > Most {
+			delete(k.known, e.ID)
+		}
+	}
+	return all
+}
+
 // beats reports whether an entry counts and not another of the same server: that of the later start, or else the one
 // that sends less there.
 func beats(e, other Entry) bool {
--- a/internal/decide/listing/listing_test.go
+++ b/internal/decide/listing/listing_test.go
@@ -30,6 +30,11 @@
 		"an empty change":            {[]List{{1, true, ready("a")}}, List{Version: 1}, Verdict{}},
 		"back":                       {[]List{{7, true, ready("a")}}, List{3, true, ready("a")}, Verdict{Hold: true, Reason: "version 3 after version 7"}},
 		"a change back":              {[]List{{7, true, ready("a")}}, List{3, false, ready("b")}, Verdict{Hold: true, Reason: "a change to version 3 after version 7"}},
+		"back, with a drain":         {[]List{{7, true, ready("a", "b")}}, List{3, true, []Entry{{ID: "b"}, draining}}, Verdict{Hold: true, Reason: "version 3 after version 7", Draining: []int{1}}},
+		"a change back, with a drain and an end": {[]List{{7, true, ready("a", "b")}}, List{3, false, []Entry{{ID: "b", State: choice.Gone}, draining}},
+			Verdict{Hold: true, Reason: "a change to version 3 after version 7", Draining: []int{0, 1}}},
+		"back, with a drain before the restart":   {[]List{{7, true, []Entry{{ID: "a", Started: 6}}}}, List{3, true, []Entry{draining}}, Verdict{Hold: true, Reason: "version 3 after version 7"}},
+		"back, with a drain, then the newer list": {[]List{{7, true, ready("a")}, {3, true, []Entry{draining}}}, List{7, true, []Entry{{ID: "a"}}}, Verdict{}},
 		"back for the fourth time": {[]List{{7, true, append(ready("b"), draining)}, {3, true, ready("a")}, {3, true, ready("a")}, {3, true, ready("a")}},
 			List{3, true, []Entry{{ID: "a", Started: 5}, {ID: "b"}}},
 			Verdict{Reason: "version 3 after version 7, believed as it comes for the 4th time", Draining: []int{0}}},
@@ -55,8 +60,9 @@
 	}
 }
 
-// Whatever comes: a list that is held changes nothing, one entry of each server is applied, and a drain ends only by a
-// newer list, an end or a restart. What is applied is kept here by other means than the Keeper's.
+// Whatever comes: of a list that is held nothing is applied but all drains of servers that did not restart since, one entry of each
+// server is applied, and a drain ends only by a list that is not older, an end or a restart. What is applied is kept here by other
+// means than the Keeper's.
 func TestAnyLists(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := New(Unknown)
@@ -74,6 +80,16 @@
 				if v.Reason == "" || k.Version() != at {
 					t.Fatalf("held for %q, version %d, was %d", v.Reason, k.Version(), at)
 				}
+				for i, e := range l.Entries {
+					b, ok := applied[e.ID]
+					binds := e.State != choice.Ready && (!ok || b.State == choice.Ready && e.Started >= b.Started)
+					if slices.Contains(v.Draining, i) != binds {
+						t.Fatalf("of a list that is held, entry %d binds: %t", i, !binds)
+					}
+					if binds {
+						applied[e.ID] = Entry{ID: e.ID, State: choice.Draining, Started: e.Started}
+					}
+				}
 				continue
 			}
 			older := at != Unknown && l.Version < at
--- a/internal/discovery/crossing_test.go
+++ b/internal/discovery/crossing_test.go
@@ -159,3 +159,48 @@
 		cancel()
 	}
 }
+
+// Discovery begins anew and counts from the start, with a list that alone tells of a drain: the drain counts at once, though the list is
+// not believed yet. Whether the server drains still is asked with the next call, by the whole list.
+func TestDrainInAListThatIsNotBelieved(t *testing.T) {
+	entry := func(id, state string) string {
+		return fmt.Sprintf(`{"id":%q,"addr":"127.0.0.1:1","state":%q}`, id, state)
+	}
+	answers := func(version int, full bool, servers string) func(http.ResponseWriter, *http.Request) {
+		return func(w http.ResponseWriter, r *http.Request) {
+			write(w, fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`+"\n", version, full, servers))
+			if r.URL.Query().Has("stream") {
+				<-r.Context().Done()
+			}
+		}
+	}
+	both := entry("a", "in_service") + "," + entry("b", "in_service")
+	addr, asked := calls(t, answers(8, true, both), answers(2, true, entry("a", "terminating")+","+entry("b", "in_service")),
+		answers(8, true, both), answers(9, false, entry("b", "terminating")))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := New(addr, List{Version: Unknown}, slog.New(slog.DiscardHandler))
+	heard := make(chan string, 100)
+	go d.KeepWatching(ctx, asking.New(asking.Settings{}, 1), func(l List) {
+		said := fmt.Sprint(l.Version, " ", l.Full)
+		for _, e := range l.Servers {
+			said += " " + e.ID + " " + e.State
+		}
+		heard <- said
+	}, nil)
+	for _, want := range []string{"8 true a in_service b in_service", "8 false a terminating", "8 true a in_service b in_service", "9 false b terminating"} {
+		select {
+		case got := <-heard:
+			if got != want {
+				t.Errorf("heard %q, not %q", got, want)
+			}
+		case <-time.After(testkit.Patience):
+			t.Fatalf("%q is never heard", want)
+		}
+	}
+	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?stream=1&index=8", "/v1/endpoints", "/v1/endpoints?stream=1&index=8"} {
+		if got := <-asked; got != want {
+			t.Errorf("asked for %s, not %s", got, want)
+		}
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -102,6 +102,7 @@
 	lists   *listing.Keeper // which of them are believed
 	silence time.Duration   // after which a watch is dead
 	said    string          // how the latest watch ended, if none has delivered since
+	doubt   bool            // drains of a list that was not believed were delivered, and no whole list since
 	client  *http.Client
 	log     *slog.Logger
 }
@@ -226,7 +227,7 @@
 	}
 	answered := func() { goesOn(d.silence); on.Answered() }
 	alive := func() { goesOn(d.silence); on.Alive() }
-	if d.lists.Version() == Unknown || on.Whole {
+	if d.lists.Version() == Unknown || on.Whole || d.doubt {
 		came, comes := answered, alive
 		if on.Whole {
 			came, comes = on.Answered, on.Alive // the whole list has as long as the call
@@ -252,6 +253,16 @@
 func (d *Client) take(l List, deliver func(List)) error {
 	v := d.lists.Judge(l.judged())
 	if v.Hold {
+		if len(v.Draining) > 0 { // they bind at once; whether the rest is right the whole list says
+			drains := List{Version: d.lists.Version()}
+			for _, i := range v.Draining {
+				e := l.Servers[i]
+				e.State = "terminating"
+				drains.Servers = append(drains.Servers, e)
+			}
+			d.doubt = true
+			deliver(drains)
+		}
 		return fmt.Errorf("a list that is not believed: %s", v.Reason)
 	}
 	if v.Reason != "" {
@@ -269,7 +280,7 @@
 		kept = append(kept, e)
 	}
 	l.Servers = kept
-	d.said = ""
+	d.said, d.doubt = "", d.doubt && !l.Full
 	deliver(l)
 	return nil
 }
