What has come goes before the time to read it: no request is reset over a standstill

Cause: Go's read deadlines are asked before the kernel. An agent that stood still for longer than a head may take (2 s), or an idle connection may rest, closed the connection over a whole request that had come meanwhile: without an answer on a fresh one. Where only the watch for the client's leaving met such a deadline, before front.go took it back, net/http took that for the leaving: the call was given up and answered 502 to a client that was there.

door.Conn.Read takes what has come though the time has passed; nothing is waited for, so nobody gets more time. front.go asks whether the client is gone where net/http says so. The same care for long bodies (long.go, tape) is not needed beside it and is gone.

TestTimeToReadPassesOverAWholeRequest and a case of TestBytesComeAsAnIdleConnectionEnds fail without either.

--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -88,15 +88,19 @@
 	}
 	c.reading = true
 	c.mu.Unlock()
-	for again := true; again; {
-		n, err = c.TCPConn.Read(p)
-		c.mu.Lock()
-		if again = c.ending && errors.Is(err, os.ErrDeadlineExceeded) && !peek.Silent(c.TCPConn); again || n > 0 {
-			c.goOnLocked() // it came before the end did
+	n, err = c.TCPConn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		// What has come goes before the time, which may have passed while the process stood still: a connection that is closed over a
+		// request that has come leaves that without an answer. Nobody gets more time by this, as nothing is waited for.
+		if n, _ = peek.Take(c.TCPConn, p); n > 0 {
+			err = nil
 		}
-		c.reading = again
-		c.mu.Unlock()
 	}
+	c.mu.Lock()
+	if c.reading = false; n > 0 {
+		c.goOnLocked()
+	}
+	c.mu.Unlock()
 	if n > 0 {
 		c.Heard(n)
 	}
--- a/internal/host/door/door_test.go
+++ b/internal/host/door/door_test.go
@@ -181,6 +181,11 @@
 			io.WriteString(client, "GET")
 			c.SetReadDeadline(time.Now().Add(testkit.Patience))
 		},
+		"bytes, then the time to read is over": func(c *Conn, client net.Conn) {
+			io.WriteString(client, "GET")
+			testkit.Eventually(t, "the bytes are there", func() bool { return !c.quiet() })
+			c.SetReadDeadline(time.Unix(1, 0))
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := openDoor(t, 10).Gentle()
@@ -193,6 +198,7 @@
 				t.Fatalf("%q, %v", p[:n], err)
 			}
 			io.WriteString(client, " /")
+			testkit.Eventually(t, "more bytes are there", func() bool { return !c.quiet() })
 			if n, err := c.Read(p); string(p[:n]) != " /" {
 				t.Errorf("it does not go on: %q, %v", p[:n], err)
 			}
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -510,3 +510,33 @@
 		})
 	}
 }
+
+// The agent stood still, so that the time in which a head is to come has passed when it gets to read: what has come whole is answered
+// all the same, and a client that has said nothing, or not all, is not waited for.
+func TestTimeToReadPassesOverAWholeRequest(t *testing.T) {
+	for kind, request := range kinds {
+		t.Run(kind, func(t *testing.T) {
+			r := newRig(t, 10)
+			r.http.ReadHeaderTimeout, r.http.ReadTimeout = 1, 1
+			c, half, none := r.dial(t), r.dial(t), r.dial(t)
+			say(t, c, request("a"))
+			say(t, half, request("b")[:20])
+			r.serve()
+			<-r.servers.begun
+			time.Sleep(2 * r.look) // for the leaving that net/http sees in the time that has passed
+			r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{Body: []byte("done")}}
+			if status, body := read(t, c); status != http.StatusOK || body != "done" {
+				t.Errorf("%d %q", status, body)
+			}
+			for name, c := range map[string]net.Conn{"half": half, "none": none} {
+				c.SetReadDeadline(time.Now().Add(testkit.Patience))
+				if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("%s is waited for", name)
+				}
+			}
+			if s := r.core.Snapshot(); s.Stats.Gone != 0 || s.Stats.Requests != 1 {
+				t.Errorf("%d requests, %d gone", s.Stats.Requests, s.Stats.Gone)
+			}
+		})
+	}
+}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -232,12 +232,17 @@
 	}
 	look := time.NewTicker(f.look)
 	defer look.Stop()
-	for {
+	for left := in.Context().Done(); ; {
 		select {
 		case ans := <-answers.one:
 			f.final(w, ans)
 			return
-		case <-in.Context().Done():
+		case <-left:
+			// Or the time to read had passed, before it was taken back above: to net/http that is the end of the client, too.
+			if left = nil; !gone() {
+				w.Header().Set("Connection", "close") // it does not watch any more
+				continue
+			}
 		case <-look.C:
 			if !gone() {
 				continue
--- a/internal/http/httpfront/long.go
+++ b/internal/http/httpfront/long.go
@@ -7,15 +7,12 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
-	"ternbeam/internal/host/peek"
 	"ternbeam/internal/http/httpmsg"
 )
 
@@ -38,14 +35,12 @@
 	came    int64
 	waited  time.Duration
 
-	tape *tape
-
 	mu      sync.Mutex
 	stopped bool
 }
 
 func pace(in *http.Request, w http.ResponseWriter) *paced {
-	return &paced{body: in.Body, control: http.NewResponseController(w), tape: callerOf(in).tape}
+	return &paced{body: in.Body, control: http.NewResponseController(w)}
 }
 
 // errStopped is why a body is read no further.
@@ -63,10 +58,6 @@
 	if stopped {
 		return 0, errStopped
 	}
-	if p.tape != nil {
-		p.tape.pacing.Store(true)
-		defer p.tape.pacing.Store(false)
-	}
 	n, err := p.body.Read(b)
 	p.waited += time.Since(begin)
 	p.came += int64(n)
@@ -258,20 +249,12 @@
 // tape is a connection that keeps the bytes in which the head of the current request stands.
 type tape struct {
 	*door.Conn
-	bytes  []byte
-	last   int // how many of them came last
-	pacing atomic.Bool
+	bytes []byte
+	last  int // how many of them came last
 }
 
 func (t *tape) Read(p []byte) (int, error) {
 	n, err := t.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && t.pacing.Load() {
-		// An agent that stood still finds the time over in which bytes came that it has not read; to net/http a read that fails
-		// is the end of the client.
-		if n, _ = peek.Take(t.TCPConn, p); n > 0 {
-			err = nil
-		}
-	}
 	if n > 0 {
 		got := p[:n]
 		if len(got) > readAhead { // read past net/http's buffer: of a body
