--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -56,6 +56,29 @@
 	return cmd, &log
 }
 
+// configure writes the configuration of an agent that knows no server, and returns its path and where the agent listens.
+func configure(t *testing.T, discovery, settings string) (config, listen string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen = l.Addr().String()
+	l.Close()
+	config = filepath.Join(t.TempDir(), "config.json")
+	text, err := json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": "1f", "discovery": discovery,
+		"settings": json.RawMessage(settings),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"version": 0, "full": true, "servers": []any{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return config, listen
+}
+
 // The program, on loopback peers: ready, a request served by a backend that only the watch names, and a gentle end.
 func TestProgram(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -72,23 +95,7 @@
 		}
 	}))
 	defer discovery.CloseClientConnections()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := l.Addr().String()
-	l.Close()
-	config := filepath.Join(t.TempDir(), "config.json")
-	text, err := json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": "1f",
-		"discovery": discovery.Listener.Addr().String(), "settings": json.RawMessage(settings),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known":  map[string]any{"version": 0, "full": true, "servers": []any{}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(config, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	config, listen := configure(t, discovery.Listener.Addr().String(), settings)
 	cmd, log := program(t, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -523,7 +523,6 @@
 			say(t, half, request("b")[:20])
 			r.serve()
 			<-r.servers.begun
-			time.Sleep(2 * r.look) // for the leaving that net/http sees in the time that has passed
 			r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{Body: []byte("done")}}
 			if status, body := read(t, c); status != http.StatusOK || body != "done" {
 				t.Errorf("%d %q", status, body)
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -232,17 +232,12 @@
 	}
 	look := time.NewTicker(f.look)
 	defer look.Stop()
-	for left := in.Context().Done(); ; {
+	for {
 		select {
 		case ans := <-answers.one:
 			f.final(w, ans)
 			return
-		case <-left:
-			// Or the time to read had passed, before it was taken back above: to net/http that is the end of the client, too.
-			if left = nil; !gone() {
-				w.Header().Set("Connection", "close") // it does not watch any more
-				continue
-			}
+		case <-in.Context().Done():
 		case <-look.C:
 			if !gone() {
 				continue
