--- a/cmd/ternbeam/signals_test.go
+++ b/cmd/ternbeam/signals_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -28,13 +29,15 @@
 // SIGTERM comes during SIGHUP, and again while the last call is under way: there is one end, in which that call is answered, and discovery
 // is not moved by a configuration that nobody follows any more.
 func TestSignalsCross(t *testing.T) {
-	release, taken := make(chan struct{}), make(chan struct{}, 10)
+	held, taken := make(chan struct{}), make(chan struct{}, 10)
+	release := sync.OnceFunc(func() { close(held) })
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		taken <- struct{}{}
-		<-release
+		<-held
 		fmt.Fprintf(w, "checked %s", r.URL.Path)
 	}))
 	defer backend.Close()
+	defer release()
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintf(w, `{"version":1,"full":true,"servers":[{"id":"s","addr":"%s","zone":"z","state":"in_service"}]}`+"\n", backend.Listener.Addr())
 		w.(http.Flusher).Flush()
@@ -73,7 +76,7 @@
 		t.Fatalf("it ended before its last answer: %v\n%s", err, log)
 	case <-time.After(100 * time.Millisecond): // for the signals to arrive
 	}
-	close(release)
+	release()
 	if got := <-answered; got != "200 checked /form-check/a1" {
 		t.Errorf("answered %s", got)
 	}
