The rig has watches fall silent and judges drains by the 6 s

The rig judged drains by MustAskInNs alone, so that a fleet which asks in turns could be late by seconds unseen.

--- a/internal/lab/fleet/list.go
+++ b/internal/lab/fleet/list.go
@@ -34,12 +34,13 @@
 	Refuses      // answers 503 at once; its watches have ended
 	Resets       // resets who connects; its watches have ended
 	Silent       // lets connect and says nothing, on watches neither
+	Hushes       // not a mode: watches that are open fall silent for good, and new calls find the service as it is
 )
 
 func (m Mode) takes() bool { return m <= Full }
 
 // modes are their names in a scenario.
-var modes = map[string]Mode{"late": Late, "breaks": Breaks, "old": Old, "full": Full, "refuses": Refuses, "resets": Resets, "silent": Silent}
+var modes = map[string]Mode{"late": Late, "breaks": Breaks, "old": Old, "full": Full, "refuses": Refuses, "resets": Resets, "silent": Silent, "hushes": Hushes}
 
 // heartbeat is how often a watch carries a line while nothing changes.
 const heartbeat = 2 * time.Second
@@ -53,6 +54,7 @@
 
 	mu    sync.Mutex
 	modes []Mode           // by agent
+	hush  []int            // how often its watches have fallen silent, by agent
 	late  time.Duration    // what a Late one takes
 	most  int              // watches that a Full one takes
 	held  int              // watches
@@ -68,7 +70,7 @@
 // NewList runs a List until Close.
 func NewList(opts ListOptions, record *Record) (*List, error) {
 	l := &List{opts: opts, record: record, old: opts.Book.Full(), turn: make(chan struct{}), conns: map[net.Conn]int{}, asked: map[string]int{},
-		modes: make([]Mode, opts.Agents)}
+		modes: make([]Mode, opts.Agents), hush: make([]int, opts.Agents)}
 	l.http = &http.Server{Handler: http.HandlerFunc(l.serve), ReadHeaderTimeout: 5 * time.Second,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, doorKey{}, l.asked[c.LocalAddr().String()])
@@ -107,15 +109,19 @@
 	l.late, l.most = late, most
 }
 
-// Be changes the mode as some agents meet it. Work that was taken before the service went down for all is gone when it is back.
+// Be changes the mode as some agents meet it, or has their watches fall silent. Work that was taken before the service went down for all is gone when it is back.
 func (l *List) Be(m Mode, agents ...int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(agents) == len(l.modes) {
+	if len(agents) == len(l.modes) && m != Hushes {
 		l.free = time.Time{}
 	}
 	hit := make(map[int]bool, len(agents))
 	for _, a := range agents {
+		if m == Hushes {
+			l.hush[a]++
+			continue
+		}
 		l.modes[a], hit[a] = m, true
 	}
 	close(l.turn)
@@ -192,7 +198,7 @@
 		case <-waited:
 			waited = nil
 		case <-turn:
-			if mode, turn = l.now(agent); !mode.takes() {
+			if mode, turn, _ = l.now(agent); !mode.takes() {
 				how, waited = Down, nil
 			}
 		case <-r.Context().Done():
@@ -217,6 +223,7 @@
 		lines.Encode(l.opts.Book.Full())
 		return
 	}
+	_, _, hushed := l.now(agent)
 	version := int64(-1)
 	fmt.Sscan(r.URL.Query().Get("index"), &version)
 	holds := false
@@ -264,7 +271,14 @@
 		select {
 		case <-changed:
 		case <-turn:
-			if mode, turn = l.now(agent); mode == Refuses || mode == Resets || old != (mode == Old) {
+			was := hushed
+			if mode, turn, hushed = l.now(agent); hushed != was && holds {
+				hold(false)
+				l.record.Add(Hushed, agent, "")
+				<-r.Context().Done()
+				return
+			}
+			if mode == Refuses || mode == Resets || old != (mode == Old) {
 				return
 			}
 		case <-beat.C:
@@ -280,9 +294,9 @@
 	}
 }
 
-// now is the mode as an agent meets it, and what is closed when one changes.
-func (l *List) now(agent int) (Mode, <-chan struct{}) {
+// now is the mode as an agent meets it, what is closed when one changes, and how often its watches have fallen silent.
+func (l *List) now(agent int) (Mode, <-chan struct{}, int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.modes[agent], l.turn
+	return l.modes[agent], l.turn, l.hush[agent]
 }
--- a/internal/lab/fleet/record.go
+++ b/internal/lab/fleet/record.go
@@ -10,6 +10,7 @@
 	Called  = "called"  // an agent asks the list service; how it ended is in Said
 	Began   = "began"   // a watch of an agent has delivered
 	Ended   = "ended"   // that watch is over
+	Hushed  = "hushed"  // that watch has fallen silent, and is over to the world
 	Fault   = "fault"   // something was done to the fleet
 	Mended  = "mended"  // and undone
 	Started = "started" // a process of an agent
--- a/internal/lab/fleet/rules.go
+++ b/internal/lab/fleet/rules.go
@@ -11,6 +11,8 @@
 	// drainGrace is how long after it was told of a drain an agent may still send, with the slack of the platform's rules and
 	// what a loaded machine needs to pass a call on.
 	drainGrace = standin.DrainGrace + 50*time.Millisecond
+	// toldAfter is how long after a watch fell silent what it misses counts as told, whether or not it arrived.
+	toldAfter = 6 * time.Second
 	// answerGrace is how long after its time a call's answer may come.
 	answerGrace = 70 * time.Millisecond
 	// noise is what the machine adds to both, with many processes on few cores.
@@ -76,10 +78,13 @@
 	contact  time.Duration            // the latest word between it and the service
 	until    time.Duration            // that word holds so long
 	told     map[string]time.Duration // when each server was told to drain, or counts as told
+	hushed   bool                     // its latest watch fell silent, and it has no other one yet
+	since    time.Duration            // when that was
 }
 
 // drains checks that nothing new goes to a server longer than the grace after its agent was told that it drains. What the list
-// says counts as told to an agent that has neither watched nor asked for mustAsk, four times that after a call that failed.
+// says counts as told to an agent that has neither watched nor asked for mustAsk, four times that after a call that failed, and to one
+// whose watch has fallen silent 6 s after that, however it asks.
 func drains(events []Event, agents int, mustAsk time.Duration) (faults []string) {
 	draining := map[string]time.Duration{} // by server, since when the list says so
 	all := make([]heard, agents)
@@ -100,6 +105,9 @@
 			all[e.Agent] = heard{told: map[string]time.Duration{}, contact: e.At, until: e.At + mustAsk}
 		case Began:
 			all[e.Agent].watching++
+			all[e.Agent].hushed = false
+		case Hushed:
+			all[e.Agent].hushed, all[e.Agent].since = true, e.At
 		case Ended:
 			h := &all[e.Agent]
 			if h.watching--; h.watching == 0 {
@@ -131,6 +139,9 @@
 			if !known && h.watching == 0 && e.At > h.until {
 				told, known = max(since+mustAsk, h.until), e.At >= since+mustAsk
 			}
+			if heard := max(since, h.since+toldAfter); h.hushed && e.At >= heard && (!known || heard < told) {
+				told, known = heard, true
+			}
 			if known && e.At > told+drainGrace+noise {
 				faults = append(faults, fmt.Sprintf("%v: agent %d sent to %s, %v after it was told that it drains", e.At, e.Agent, e.Said, e.At-told))
 			}
--- a/internal/lab/fleet/rules_test.go
+++ b/internal/lab/fleet/rules_test.go
@@ -37,14 +37,18 @@
 		events []Event
 		faults int
 	}{
-		"told, and sent in the grace":   {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, send(2*sec + 500*ms)}, 0},
-		"told, and sent later":          {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, send(2*sec + 900*ms)}, 1},
-		"told, and served again":        {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, {At: 3 * sec, Kind: Serves, Agent: -1, Said: "s"}, send(4 * sec)}, 0},
-		"not told":                      {[]Event{send(20 * sec)}, 0},
-		"the watch ended long ago":      {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, send(12 * sec), send(14 * sec)}, 1},
-		"asked in vain meanwhile":       {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 8 * sec, Kind: Called, Agent: 0, Said: Down}, send(14 * sec), send(49 * sec)}, 1},
-		"a new process that never asks": {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 4 * sec, Kind: Died, Agent: 0}, {At: 5 * sec, Kind: Started, Agent: 0}, send(14 * sec), send(16 * sec)}, 1},
-		"stopped, and just continued":   {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 4 * sec, Kind: Stopped, Agent: 0}, {At: 30 * sec, Kind: Resumed, Agent: 0}, send(30*sec + 100*ms), send(32 * sec)}, 1},
+		"told, and sent in the grace":          {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, send(2*sec + 500*ms)}, 0},
+		"told, and sent later":                 {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, send(2*sec + 900*ms)}, 1},
+		"told, and served again":               {[]Event{{At: 2 * sec, Kind: Told, Agent: 0, Said: "s"}, {At: 3 * sec, Kind: Serves, Agent: -1, Said: "s"}, send(4 * sec)}, 0},
+		"not told":                             {[]Event{send(20 * sec)}, 0},
+		"the watch ended long ago":             {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, send(12 * sec), send(14 * sec)}, 1},
+		"asked in vain meanwhile":              {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 8 * sec, Kind: Called, Agent: 0, Said: Down}, send(14 * sec), send(49 * sec)}, 1},
+		"a new process that never asks":        {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 4 * sec, Kind: Died, Agent: 0}, {At: 5 * sec, Kind: Started, Agent: 0}, send(14 * sec), send(16 * sec)}, 1},
+		"its watch fell silent before":         {[]Event{{At: sec, Kind: Ended, Agent: 0}, {At: sec, Kind: Hushed, Agent: 0}, send(7*sec + 700*ms), send(7*sec + 800*ms)}, 1},
+		"silent, and the drain came later":     {[]Event{{At: sec, Kind: Ended, Agent: 0}, {At: sec, Kind: Hushed, Agent: 0}, {At: 3 * sec, Kind: Serves, Agent: -1, Said: "s"}, {At: 9 * sec, Kind: Drains, Agent: -1, Said: "s"}, send(9*sec + 700*ms), send(10 * sec)}, 1},
+		"silent, and a call that was given up": {[]Event{{At: sec, Kind: Ended, Agent: 0}, {At: sec, Kind: Hushed, Agent: 0}, {At: 4 * sec, Kind: Called, Agent: 0, Said: GivenUp}, send(8 * sec)}, 1},
+		"silent, and another watch, not told":  {[]Event{{At: sec, Kind: Ended, Agent: 0}, {At: sec, Kind: Hushed, Agent: 0}, {At: 5 * sec, Kind: Called, Agent: 0, Said: Answered}, {At: 5 * sec, Kind: Began, Agent: 0}, send(9 * sec)}, 0},
+		"stopped, and just continued":          {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 4 * sec, Kind: Stopped, Agent: 0}, {At: 30 * sec, Kind: Resumed, Agent: 0}, send(30*sec + 100*ms), send(32 * sec)}, 1},
 	} {
 		if got := drains(append(begin[:len(begin):len(begin)], c.events...), 1, must); len(got) != c.faults {
 			t.Errorf("%s: %q", name, got)
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -239,7 +239,7 @@
 				}
 			case Away:
 				if a.How = modes[fault.How]; a.How == Up {
-					f.Problem(at+".how", "must be late, breaks, old, full, refuses, resets or silent")
+					f.Problem(at+".how", "must be late, breaks, old, full, refuses, resets, silent or hushes")
 				}
 			default:
 				f.Problem(at+".kind", "must be kill, stop, cut, list, silent, crash or drain")
