--- a/internal/http/httpback/crossing_test.go
+++ b/internal/http/httpback/crossing_test.go
@@ -104,7 +104,7 @@
 	var short []time.Duration
 	b := peer(t, func(c net.Conn, r *bufio.Reader, _ int) {
 		opened.Add(1)
-		for answered := (time.Time{}); ; answered = time.Now() {
+		for answered := (time.Time{}); ; {
 			id := next(r)
 			if id == "" {
 				return
@@ -114,6 +114,7 @@
 				short = append(short, rested)
 				mu.Unlock()
 			}
+			answered = time.Now() // it can't be there before
 			fmt.Fprint(c, answerTo(id))
 		}
 	})
