Accepting ends early enough for the last answer where deadlines are short

By reading: who accepts takes from a queue that is never empty for up to 1 s after SIGTERM (mostDrained), while an agent whose longest deadline is 150 ms is gone after 0.75 s and killed after 0.85 s: connections that it took then were closed with no answer. The accepting ends 0.25 s before the agent does now. TestBusyQueueEnds, with an end before the queue's own time, fails without.

--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -189,6 +189,7 @@
 	door   *Door
 	ending atomic.Bool
 	by     time.Time   // when the taking from the queue ends at the latest; who accepts sets it
+	latest time.Time   // what by may be at the most, zero for any; set before ending is
 	left   atomic.Bool // to another process, which accepts what stands in the queue
 	closed chan struct{}
 	gentle bool // who reads a connection ends it, by its read deadline
@@ -230,6 +231,9 @@
 		}
 		if l.by.IsZero() {
 			l.by = time.Now().Add(mostDrained) // a queue of two processes is never empty for long
+			if !l.latest.IsZero() && l.latest.Before(l.by) {
+				l.by = l.latest
+			}
 		}
 		l.SetDeadline(time.Now().Add(drained)) // one that has passed lets nothing in that waits already
 	}
@@ -243,8 +247,11 @@
 
 // CloseAfter ends the accepting after some time, when nobody waits in the queue any more, or else a little later. With no
 // time at all it ends at once, for where another process holds the listening socket, too: what stands in the queue is lost
-// to nobody then.
-func (l *Listener) CloseAfter(lingering time.Duration) {
+// to nobody then. Where the whole has to be over by some time, the accepting ends early enough for the last one's answer.
+func (l *Listener) CloseAfter(lingering time.Duration, end time.Time) {
+	if !end.IsZero() {
+		l.latest = end.Add(-LastAnswer - LastWords)
+	}
 	l.left.Store(lingering == 0)
 	l.ending.Store(true)
 	l.SetDeadline(time.Now().Add(lingering))
--- a/internal/host/door/door_test.go
+++ b/internal/host/door/door_test.go
@@ -112,7 +112,7 @@
 	for range 3 {
 		visitor(t, d, "GET /")
 	}
-	go d.CloseAfter(-time.Second)
+	go d.CloseAfter(-time.Second, time.Time{})
 	for !d.ending.Load() {
 		time.Sleep(time.Millisecond)
 	}
@@ -155,7 +155,8 @@
 			}
 		}
 	}()
-	go d.CloseAfter(time.Millisecond)
+	end := time.Now().Add(LastAnswer + LastWords + mostDrained/2) // of the whole agent, before the queue's own time is over
+	go d.CloseAfter(time.Millisecond, end)
 	for end := time.Now().Add(testkit.Patience); ; {
 		c, err := d.Accept()
 		if err != nil {
@@ -168,6 +169,9 @@
 		}
 	}
 	<-d.closed
+	if left := time.Until(end); left < LastAnswer {
+		t.Errorf("it accepted until %v before the end", left)
+	}
 }
 
 // Bytes come as the end of an idle connection is under way: who reads it finds them before the end, whichever came first, and the
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -154,7 +154,7 @@
 	f.last.Store(int64(f.core.Now() + atMost - door.LastAnswer))
 	f.ending.Store(true)
 	closed := make(chan struct{})
-	go func() { f.listen.CloseAfter(accepting); close(closed) }()
+	go func() { f.listen.CloseAfter(accepting, end); close(closed) }()
 	time.Sleep(idling)
 	// Not http.Server's Shutdown: it closes a connection that it takes for idle while a request is being read there, which is
 	// then sent on all the same, and once more when its client, who heard nothing, asks again.
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -89,7 +89,7 @@
 		c.wake()
 	}
 	f.mu.Unlock()
-	f.listen.CloseAfter(lingering)
+	f.listen.CloseAfter(lingering, by)
 	silent := time.AfterFunc(min(door.LastWords, time.Until(by)-door.LastAnswer), f.listen.DropSilent)
 	defer silent.Stop()
 	for f.count() > 0 {
