Hand-overs read again: a process that begins as the one before ends, by test

A process that is started while the one before is ending claims what that still has, or begins from nothing where its listener is closed; both may be told to end at any time. TestProcessBeginsAsTheOneBeforeEnds plays the three orders under load: no answer is another's, no call runs twice, both end by themselves. Nothing was found broken.

--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -312,6 +312,60 @@
 	}
 }
 
+// A process begins while the one before is already ending, and takes over what that still has, or begins from nothing; then both are told
+// to end while the other still does. Each ends by itself, and whoever has its answer has its own.
+func TestProcessBeginsAsTheOneBeforeEnds(t *testing.T) {
+	for name, end := range map[string]func(s *succession, old, next *process){
+		"the next one stays":       func(s *succession, _, next *process) { s.ready(next) },
+		"both are told to end":     func(s *succession, old, next *process) { s.ready(next); next.cmd.Process.Signal(syscall.SIGTERM) },
+		"both, before it is ready": func(_ *succession, _, next *process) { next.cmd.Process.Signal(syscall.SIGTERM) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccession(t, 2)
+			old := s.begin()
+			s.ready(old)
+			l := s.load(6)
+			old.cmd.Process.Signal(syscall.SIGTERM)
+			s.says(old, "msg=ending")
+			next := s.begin()
+			s.says(next, "msg=started")
+			end(s, old, next)
+			if name == "the next one stays" {
+				resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(s.ask(http.MethodGet, "form-check", "after"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					t.Errorf("%d", resp.StatusCode)
+				}
+				next.cmd.Process.Signal(syscall.SIGTERM)
+			}
+			for _, p := range []*process{old, next} {
+				select {
+				case err := <-p.ended:
+					if err != nil {
+						t.Errorf("ended with %v\n%s", err, p.log)
+					}
+				case <-time.After(time.Minute):
+					t.Fatalf("does not end\n%s", p.log)
+				}
+			}
+			l.end()
+			if n := l.wrong.Load(); n > 0 {
+				t.Errorf("%d wrong answers of %d", n, l.calls.Load())
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for id, n := range s.runs {
+				if n > 1 {
+					t.Errorf("%s ran %d times", id, n)
+				}
+			}
+		})
+	}
+}
+
 // A third process that is started while two serve takes over from the one that got ready last, whichever of the others ends
 // first; a word said to one of them reaches all.
 func TestThirdProcess(t *testing.T) {
