--- a/internal/lab/spread/spread.go
+++ b/internal/lab/spread/spread.go
@@ -3,6 +3,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -23,6 +24,7 @@
 	for len(all) < servers { // who got nothing
 		all = append(all, 0)
 	}
+	slices.Sort(all) // the last bits of a sum depend on the order, which a map has none of
 	mean, deviation := stat.PopMeanStdDev(all, nil)
 	if s.Mean = mean; mean > 0 {
 		s.Variation, s.Chance = deviation/mean, 1/math.Sqrt(mean)
