--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{servers: &servers{begun: make(chan *core.Attempt, 1000), ends: make(chan core.Ending), seen: map[string]int{}}, conns: make(chan *door.Conn, 1000)}
+	r := &rig{servers: &servers{begun: make(chan *core.Attempt, 1<<14), ends: make(chan core.Ending), seen: map[string]int{}}, conns: make(chan *door.Conn, 1<<14)} // more than any test makes: who waits here holds up the accepting
 	known := discovery.List{Full: true}
 	for i := range 64 { // so many that none seems silent by what a test has it owe
 		known.Servers = append(known.Servers, discovery.Entry{ID: fmt.Sprint("s", i), Addr: "127.0.0.1:1", Zone: "z", State: "in_service"})
