Read again: one place for the agent's last deadline, one constant for looks, Hush apart

What stood twice, or at the wrong depth: - Each front kept by when all is to be answered as the agent ends, and cut deadlines by itself. The core does so now for whatever it takes, and so also where the last byte of a long body comes later (Whole), which the fronts could not see.

--- a/internal/decide/asking/asking.go
+++ b/internal/decide/asking/asking.go
@@ -86,7 +86,7 @@
 // New returns an Asker. Its random numbers follow from the seed alone.
 func New(set Settings, seed uint64) *Asker {
 	a := &Asker{set: set, rng: rand.New(rand.NewPCG(seed, 1)), wait: leastWait}
-	a.set.Agents = max(1, set.Agents)
+	a.set.Agents, a.set.Grace = max(1, set.Agents), cmp.Or(set.Grace, usual)
 	if a.place = a.rng.Float64(); set.Me >= 0 && set.Me < set.Agents {
 		a.place = float64(set.Me) / float64(set.Agents)
 	}
@@ -133,7 +133,7 @@
 func (a *Asker) Over(now, silent time.Duration) time.Duration {
 	if !a.set.Shared {
 		next := now + a.wait/2 + time.Duration(a.rng.Int64N(int64(a.wait)))
-		a.wait = min(2*a.wait, max(leastWait, cmp.Or(a.set.Grace, usual)/waitParts))
+		a.wait = min(2*a.wait, max(leastWait, a.set.Grace/waitParts))
 		a.doubt = a.doubt || silent > 0
 		return next
 	}
@@ -171,7 +171,7 @@
 		most = min(most, max(must-silent-patience-must/20, must/4))
 	}
 	if silent > 0 && a.answered { // a watch: what it missed is to be heard in time for the drains among it
-		most = min(most, max(told+cmp.Or(a.set.Grace, usual)-silent-answer, leastPeriod))
+		most = min(most, max(told+a.set.Grace-silent-answer, leastPeriod))
 	}
 	if len(a.waits) == 0 {
 		return most
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -81,6 +81,7 @@
 	events    chan func()
 	urgent    chan func() // goes before events: the operators' word, which waits for no queue of calls
 	workers   workers
+	last      atomic.Int64           // by the module's clock, when all is to be answered as the agent ends; 0 before
 	abandoned atomic.Int64           // calls whose clients were gone before they could be taken
 	malformed atomic.Int64           // calls that no front could read, which the loop never sees
 	ready     chan struct{}          // closed when clients may begin
@@ -141,12 +142,27 @@
 // Ready is closed when clients may begin: the list has come, or was waited for long enough.
 func (c *Core) Ready() <-chan struct{} { return c.ready }
 
+// Ending says that the agent ends, and all that is taken from now on is to be answered in so long: what has more time of its own
+// has less then, as an answer must come before the process goes.
+func (c *Core) Ending(left time.Duration) { c.last.Store(int64(c.Now() + left)) }
+
+// inTime is a deadline, or an earlier one where the agent ends.
+func (c *Core) inTime(deadline time.Duration) time.Duration {
+	if last := time.Duration(c.last.Load()); last > 0 {
+		return min(deadline, last)
+	}
+	return deadline
+}
+
 // Take takes a call from a front. It gets one final answer.
-func (c *Core) Take(call *Call) { c.post(func() { c.do(c.ledger.Arrived(c.Now(), call)) }) }
+func (c *Core) Take(call *Call) {
+	call.Deadline = c.inTime(call.Deadline)
+	c.post(func() { c.do(c.ledger.Arrived(c.Now(), call)) })
+}
 
 // Whole takes the news that the last byte of a call that was Coming is here, and when its client gives up.
 func (c *Core) Whole(call *Call, left time.Duration) {
-	deadline := c.Now() + left
+	deadline := c.inTime(c.Now() + left)
 	c.post(func() { c.do(c.ledger.Whole(c.Now(), call, deadline)) })
 }
 
--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -24,6 +24,10 @@
 	// LastAnswer is how long before an agent is gone at its end all that it has taken is answered, and who has said nothing is
 	// dropped: the time to write answers.
 	LastAnswer = 50 * time.Millisecond
+
+	// LookEvery is how often it is looked whether a client that waits is still there, where nobody reads what it sends. What its
+	// client does not want is not to be sent on from 0.3 s later.
+	LookEvery = 100 * time.Millisecond
 )
 
 // Door keeps account of the connections of all listeners that share it. They accept always: who waits in the
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -83,20 +83,18 @@
 	if rest != nil {
 		size = math.MaxInt // not known
 	}
-	// A dial takes time: what was right to send before may not be any more.
-	if !Begin(ctx, at, size) {
-		if rest != nil {
-			rest.Stop()
-		}
-		t.Pool.Release(c, true)
-		return core.Ended(at.Life.Result())
+	// A dial takes time: what was right to send before may not be any more, nor on this connection.
+	send := Begin(ctx, at, size)
+	fit := !send || t.Pool.Fit(c)
+	if !fit {
+		Fail(at, life.Broken) // nothing was written yet
 	}
-	if !t.Pool.Fit(c) { // nothing was written yet
+	if !send || !fit {
 		if rest != nil {
 			rest.Stop()
 		}
-		t.Pool.Release(c, false)
-		return Fail(at, life.Broken)
+		t.Pool.Release(c, fit)
+		return core.Ended(at.Life.Result())
 	}
 	e, reuse := t.exchange(ctx, c, at, talk, message, rest, end)
 	t.Pool.Release(c, reuse)
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -371,7 +371,7 @@
 // them, and all that they held is given back. What the machine itself stood still for is not the program's.
 func TestThousandLeavings(t *testing.T) {
 	r := newRig(t, 1000)
-	r.look = lookEvery
+	r.look = door.LookEvery
 	r.serve()
 	var stood atomic.Int64
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -32,11 +32,6 @@
 	// together hold a third of the descriptors at most: each that stays longer keeps another client out.
 	idleTimeout = 2050 * time.Millisecond
 	lateWrite   = time.Second // how long a client may take nothing of its answer
-
-	// lookEvery is how often it is looked whether a client that waits is still there. net/http tells at once of one that leaves,
-	// unless something has come behind its request: then it reads no further. What its client does not want is not to be sent
-	// on from 0.3 s later.
-	lookEvery = 100 * time.Millisecond
 )
 
 // Front is the HTTP/1.1 side of the agent towards its clients.
@@ -49,8 +44,7 @@
 	http   *http.Server
 	door   *door.Door
 	listen *door.Listener
-	ending atomic.Bool  // answers say that their connection ends
-	last   atomic.Int64 // by the core's clock, when all is to be answered as the agent ends; 0 before
+	ending atomic.Bool // answers say that their connection ends
 	look   time.Duration
 	budget httpmsg.Budget
 }
@@ -67,7 +61,7 @@
 
 // New returns a Front that takes the connections of a listener through a door.
 func New(cfg *config.Config, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
-	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l).Gentle(), look: lookEvery}
+	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l).Gentle(), look: door.LookEvery}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
 		if !f.door.Busy(callerOf(in).conn) { // closed while this was being read: its client asks once more, and must not have its effect twice
@@ -151,7 +145,7 @@
 // answered, for so long as it may take; who has said nothing by then is not waited for.
 func (f *Front) Stop(accepting, idling, atMost time.Duration) {
 	end := time.Now().Add(atMost)
-	f.last.Store(int64(f.core.Now() + atMost - door.LastAnswer))
+	f.core.Ending(atMost - door.LastAnswer)
 	f.ending.Store(true)
 	closed := make(chan struct{})
 	go func() { f.listen.CloseAfter(accepting, end); close(closed) }()
@@ -230,6 +224,7 @@
 			return
 		}
 	}
+	// net/http tells at once of a client that leaves, unless something has come behind its request: then it reads no further.
 	look := time.NewTicker(f.look)
 	defer look.Stop()
 	for {
@@ -360,10 +355,6 @@
 		body.left = left
 		call.Deadline += body.longest()
 	}
-	// What is read when the agent ends has less time: an answer must come before the process goes.
-	if last := time.Duration(f.last.Load()); last > 0 {
-		call.Deadline = min(call.Deadline, last)
-	}
 	return call, body, nil
 }
 
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -313,6 +313,9 @@
 		side := f.sides
 		return func() error { f.relay.divide(numbers, side); return nil }, func() error { f.relay.divide(numbers, 0); return nil }
 	}
+	if a.How == Hushes {
+		return func() error { f.list.Hush(numbers...); return nil }, func() error { return nil }
+	}
 	return func() error {
 		f.list.Bounds(a.Late, int(a.Share*float64(f.Agents)+0.5))
 		f.list.Be(a.How, numbers...)
--- a/internal/lab/fleet/list.go
+++ b/internal/lab/fleet/list.go
@@ -34,7 +34,7 @@
 	Refuses      // answers 503 at once; its watches have ended
 	Resets       // resets who connects; its watches have ended
 	Silent       // lets connect and says nothing, on watches neither
-	Hushes       // not a mode: watches that are open fall silent for good, and new calls find the service as it is
+	Hushes       // a scenario's word for Hush: open watches fall silent for good, and new calls find the service as it is
 )
 
 func (m Mode) takes() bool { return m <= Full }
@@ -109,23 +109,34 @@
 	l.late, l.most = late, most
 }
 
-// Be changes the mode as some agents meet it, or has their watches fall silent. Work that was taken before the service went down for all is gone when it is back.
+// Hush has the open watches of some agents fall silent.
+func (l *List) Hush(agents ...int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range agents {
+		l.hush[a]++
+	}
+	l.turnLocked()
+}
+
+// turnLocked tells calls and watches that something has changed.
+func (l *List) turnLocked() {
+	close(l.turn)
+	l.turn = make(chan struct{})
+}
+
+// Be changes the mode as some agents meet it. Work that was taken before the service went down for all is gone when it is back.
 func (l *List) Be(m Mode, agents ...int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(agents) == len(l.modes) && m != Hushes {
+	if len(agents) == len(l.modes) {
 		l.free = time.Time{}
 	}
 	hit := make(map[int]bool, len(agents))
 	for _, a := range agents {
-		if m == Hushes {
-			l.hush[a]++
-			continue
-		}
 		l.modes[a], hit[a] = m, true
 	}
-	close(l.turn)
-	l.turn = make(chan struct{})
+	l.turnLocked()
 	if m == Refuses || m == Resets {
 		for c, agent := range l.conns {
 			if hit[agent] {
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -355,7 +355,7 @@
 	over := make(chan struct{})
 	defer close(over)
 	go func() {
-		look := time.NewTicker(lookEvery)
+		look := time.NewTicker(door.LookEvery)
 		defer look.Stop()
 		for {
 			select {
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -24,9 +24,6 @@
 	writeTimeout = time.Second
 	// mostUnsent is how many bytes may wait for a client before no more of its calls are read.
 	mostUnsent = 1 << 20
-	// lookEvery is how often it is looked whether a client is still there of which nothing is read. What its client does not want is
-	// not to be sent on from 0.3 s later.
-	lookEvery = 100 * time.Millisecond
 )
 
 // Front is the Thrift side of the agent towards its clients.
@@ -42,7 +39,6 @@
 	ids    atomic.Uint64 // how many were given
 
 	stopping atomic.Bool
-	last     atomic.Int64 // by the core's clock, when all is to be answered as the agent ends; 0 before
 	mu       sync.Mutex
 	clients  map[*client]bool
 	left     chan struct{} // told when one is forgotten
@@ -81,7 +77,7 @@
 	end := time.NewTimer(atMost)
 	defer end.Stop()
 	by := time.Now().Add(atMost)
-	f.last.Store(int64(f.core.Now() + atMost - door.LastAnswer))
+	f.core.Ending(atMost - door.LastAnswer)
 	time.Sleep(idling) // in Thrift there is no word for a goodbye: who calls meanwhile is answered
 	f.stopping.Store(true)
 	f.mu.Lock()
@@ -144,8 +140,5 @@
 		left = min(left, read.Left)
 	}
 	call.Deadline = arrival + left
-	if last := time.Duration(f.last.Load()); last > 0 { // or the process is gone before the answer comes
-		call.Deadline = min(call.Deadline, last)
-	}
 	return call, nil
 }
