--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -56,6 +56,58 @@
 	return cmd, &log
 }
 
+// process is the program under test, which is killed after the test if it is still there.
+type process struct {
+	cmd   *exec.Cmd
+	log   *testkit.Log
+	ops   string // its second address, where it has one
+	ended chan error
+}
+
+func start(t *testing.T, env ...string) *process {
+	t.Helper()
+	p := &process{ended: make(chan error, 1)}
+	p.cmd, p.log = program(t, env...)
+	go func() { p.ended <- p.cmd.Wait() }()
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	return p
+}
+
+// signals are sent to it one right behind the other.
+func (p *process) signals(t *testing.T, all ...syscall.Signal) {
+	t.Helper()
+	for _, s := range all {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// ends waits until it has ended, by itself and without an error.
+func (p *process) ends(t *testing.T, within time.Duration) {
+	t.Helper()
+	select {
+	case err := <-p.ended:
+		if err != nil {
+			t.Errorf("ended with %v\n%s", err, p.log)
+		}
+	case <-time.After(within):
+		t.Fatalf("does not end\n%s", p.log)
+	}
+}
+
+// word words a request of an application.
+func word(method, listen, path, class, id, left string) *http.Request {
+	req, err := http.NewRequest(method, "http://"+listen+path, nil)
+	if err != nil {
+		panic(err)
+	}
+	for name, value := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": class, "X-Account": "rosyth-port", "X-Time-Left": left} {
+		req.Header.Set(name, value)
+	}
+	return req
+}
+
 // configure writes the configuration of an agent that knows no server, and returns its path and where the agent listens.
 func configure(t *testing.T, discovery, settings string) (config, listen string) {
 	t.Helper()
@@ -96,21 +148,10 @@
 	}))
 	defer discovery.CloseClientConnections()
 	config, listen := configure(t, discovery.Listener.Addr().String(), settings)
-	cmd, log := program(t, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
-	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
-	defer cmd.Process.Kill()
+	p := start(t, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
 
 	get := func(path string) (int, string, error) {
-		req, err := http.NewRequest(http.MethodGet, "http://"+listen+path, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for name, value := range map[string]string{"X-Correlation-Id": "9b1f03aa5c7e2d41", "X-Service-Class": "form-check",
-			"X-Account": "rosyth-port", "X-Time-Left": "15"} {
-			req.Header.Set(name, value)
-		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := http.DefaultClient.Do(word(http.MethodGet, listen, path, "form-check", "9b1f03aa5c7e2d41", "15"))
 		if err != nil {
 			return 0, "", err
 		}
@@ -133,22 +174,11 @@
 	until("ready", "/ready", "")
 	until("served", "/form-check/a1", "checked /form-check/a1") // refused until the watch has named the backend
 	for range 2 {                                               // SIGHUP reads the configuration again, as often as it comes
-		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
+		p.signals(t, syscall.SIGHUP)
 		until("served after SIGHUP", "/form-check/a1", "checked /form-check/a1")
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	select {
-	case err := <-ended:
-		if err != nil {
-			t.Errorf("ended with %v\n%s", err, log)
-		}
-	case <-time.After(time.Minute):
-		t.Error("the agent does not end")
-	}
+	p.signals(t, syscall.SIGTERM)
+	p.ends(t, time.Minute)
 }
 
 func TestBadConfigurationEndsTheProgram(t *testing.T) {
--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -27,14 +26,6 @@
 	"Discovery":"automatic","Report":{"Fields":["util","qps","eps"]},"TickNs":5000000,"WeightKind":"silent",
 	"Tenants":[{"Name":"rosyth-port"}],"Zones":["z"]}`
 
-// process is one process of an agent that is replaced while it serves.
-type process struct {
-	cmd   *exec.Cmd
-	log   *testkit.Log
-	ops   string
-	ended chan error
-}
-
 // succession is an agent that is replaced, and the world round it.
 type succession struct {
 	t               *testing.T
@@ -96,10 +87,9 @@
 // begin starts a process with a second address of its own.
 func (s *succession) begin() *process {
 	s.t.Helper()
-	p := &process{ops: free(s.t), ended: make(chan error, 1)}
-	p.cmd, p.log = program(s.t, "NODE_CONFIG="+s.config, "NODE_NAME=n1", "NODE_LISTEN="+s.listen, "NODE_OPS="+p.ops, "TMPDIR="+s.shared)
-	go func() { p.ended <- p.cmd.Wait() }()
-	s.t.Cleanup(func() { p.cmd.Process.Kill() })
+	ops := free(s.t)
+	p := start(s.t, "NODE_CONFIG="+s.config, "NODE_NAME=n1", "NODE_LISTEN="+s.listen, "NODE_OPS="+ops, "TMPDIR="+s.shared)
+	p.ops = ops
 	return p
 }
 
@@ -144,14 +134,7 @@
 
 // ask words a call.
 func (s *succession) ask(method, class, id string) *http.Request {
-	req, err := http.NewRequest(method, "http://"+s.listen+"/"+class+"/1", nil)
-	if err != nil {
-		panic(err)
-	}
-	for name, value := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": class, "X-Account": "rosyth-port", "X-Time-Left": "5"} {
-		req.Header.Set(name, value)
-	}
-	return req
+	return word(method, s.listen, "/"+class+"/1", class, id, "5")
 }
 
 // says waits until a process has logged something.
@@ -342,14 +325,7 @@
 				next.cmd.Process.Signal(syscall.SIGTERM)
 			}
 			for _, p := range []*process{old, next} {
-				select {
-				case err := <-p.ended:
-					if err != nil {
-						t.Errorf("ended with %v\n%s", err, p.log)
-					}
-				case <-time.After(time.Minute):
-					t.Fatalf("does not end\n%s", p.log)
-				}
+				p.ends(t, time.Minute)
 			}
 			l.end()
 			if n := l.wrong.Load(); n > 0 {
--- a/internal/discovery/crossing_test.go
+++ b/internal/discovery/crossing_test.go
@@ -188,19 +188,6 @@
 		}
 		heard <- said
 	}, nil)
-	for _, want := range []string{"8 true a in_service b in_service", "8 false a terminating", "8 true a in_service b in_service", "9 false b terminating"} {
-		select {
-		case got := <-heard:
-			if got != want {
-				t.Errorf("heard %q, not %q", got, want)
-			}
-		case <-time.After(testkit.Patience):
-			t.Fatalf("%q is never heard", want)
-		}
-	}
-	for _, want := range []string{"/v1/endpoints", "/v1/endpoints?stream=1&index=8", "/v1/endpoints", "/v1/endpoints?stream=1&index=8"} {
-		if got := <-asked; got != want {
-			t.Errorf("asked for %s, not %s", got, want)
-		}
-	}
+	expect(t, heard, "8 true a in_service b in_service", "8 false a terminating", "8 true a in_service b in_service", "9 false b terminating")
+	expect(t, asked, "/v1/endpoints", "/v1/endpoints?stream=1&index=8", "/v1/endpoints", "/v1/endpoints?stream=1&index=8")
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -54,14 +54,20 @@
 		t.Errorf("delivered %q, not %q", got, want)
 	}
 	// Behind a silent watch the whole list is asked for: a watch would be as silent where nothing has changed.
-	for _, want := range []string{"/v1/endpoints?stream=1&index=7", "/v1/endpoints?stream=1&index=9", "/v1/endpoints", "/v1/endpoints"} {
+	expect(t, calls, "/v1/endpoints?stream=1&index=7", "/v1/endpoints?stream=1&index=9", "/v1/endpoints", "/v1/endpoints")
+}
+
+// expect waits for texts in their order.
+func expect(t *testing.T, from <-chan string, all ...string) {
+	t.Helper()
+	for _, want := range all {
 		select {
-		case call := <-calls:
-			if call != want {
-				t.Errorf("asked for %s, not %s", call, want)
+		case got := <-from:
+			if got != want {
+				t.Errorf("%q, not %q", got, want)
 			}
 		case <-time.After(testkit.Patience):
-			t.Fatalf("no call %s", want)
+			t.Fatalf("%q never comes", want)
 		}
 	}
 }
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -287,6 +287,20 @@
 	}
 }
 
+// half has the first bytes of a request read, on a fresh connection or on one that was idle, and returns the rest of it.
+func (r *rig) half(t *testing.T, fresh bool, text string) (c net.Conn, rest string) {
+	t.Helper()
+	c = r.dial(t)
+	if !fresh {
+		r.served(t, c)
+	}
+	conn := <-r.conns
+	half := conn.Taken() + 10
+	say(t, c, text[:10])
+	testkit.Eventually(t, "the first bytes are read", func() bool { return conn.Taken() >= half })
+	return c, text[10:]
+}
+
 // A request that comes byte by byte across the moment at which the agent ends is answered, on a connection that was idle before
 // and on a fresh one.
 func TestRequestComesInPiecesAcrossTheEnd(t *testing.T) {
@@ -294,14 +308,7 @@
 		for kind, request := range kinds {
 			t.Run(fmt.Sprint(kind, ", fresh ", fresh), func(t *testing.T) {
 				r := newRig(t, 10).serve()
-				c := r.dial(t)
-				if !fresh {
-					r.served(t, c)
-				}
-				conn, text := <-r.conns, request("a")
-				half := conn.Taken() + 10
-				say(t, c, text[:10])
-				testkit.Eventually(t, "the first bytes are read", func() bool { return conn.Taken() >= half })
+				c, rest := r.half(t, fresh, request("a"))
 				stopped := make(chan struct{})
 				go func() { r.Stop(time.Nanosecond, 0, testkit.Patience); close(stopped) }()
 				testkit.Eventually(t, "the agent accepts no more", func() bool {
@@ -313,7 +320,7 @@
 				})
 				r.listen.DropIdle()
 				r.listen.DropSilent() // as it is done a little later
-				say(t, c, text[10:])
+				say(t, c, rest)
 				<-r.servers.begun
 				r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{Body: []byte("done")}}
 				if status, body := read(t, c); status != http.StatusOK || body != "done" {
@@ -454,18 +461,11 @@
 			t.Run(fmt.Sprint(kind, ", fresh ", fresh), func(t *testing.T) {
 				t.Parallel()
 				r := newRig(t, 10).serve()
-				c := r.dial(t)
-				if !fresh {
-					r.served(t, c)
-				}
-				conn, text := <-r.conns, request("a")
-				half := conn.Taken() + 10
-				say(t, c, text[:10])
-				testkit.Eventually(t, "the first bytes are read", func() bool { return conn.Taken() >= half })
+				c, rest := r.half(t, fresh, request("a"))
 				stopped := make(chan struct{})
 				go func() { r.Stop(time.Nanosecond, 0, time.Second); close(stopped) }()
 				testkit.Eventually(t, "it ends", r.ending.Load)
-				say(t, c, text[10:])
+				say(t, c, rest)
 				<-r.servers.begun // and its server hangs
 				if status, _ := read(t, c); status == http.StatusOK {
 					t.Error("served by nobody")
