--- a/internal/http/httpback/httpback_test.go
+++ b/internal/http/httpback/httpback_test.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -308,7 +309,12 @@
 
 // An answer may come before a large request is taken whole; the write must not stand in its way.
 func TestEarlyAnswer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Before anybody connects: a buffer that is made small later may have taken the whole request by then.
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		failed := raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+		return errors.Join(failed, err)
+	}}
+	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -318,7 +324,6 @@
 		if err != nil {
 			return
 		}
-		c.(*net.TCPConn).SetReadBuffer(4 << 10)
 		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
 		l.Accept() // reads nothing till the test ends
 		c.Close()
