A failing test: requests open at the end of a shutdown get no answer before SIGKILL

Cause: see the test. It starts the program against servers that hang, sends requests before, across and after SIGTERM, and kills it when the platform may at the earliest.

--- /dev/null
+++ b/cmd/ternbeam/shutdown_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The platform's terms for the end of a process: SIGKILL comes so long after SIGTERM, by the longest deadline of the settings.
+const (
+	mostDeadlineBeforeKill = 3 * time.Second
+	killMargin             = 700 * time.Millisecond
+	longestStall           = 150 * time.Millisecond // for which a process may be held up
+)
+
+// killAfter is how long after SIGTERM the platform sends SIGKILL at the earliest.
+func killAfter(longestDeadline time.Duration) time.Duration {
+	return min(longestDeadline, mostDeadlineBeforeKill) + killMargin
+}
+
+// shutdownSettings are settings with classes of every effect, all with one deadline.
+func shutdownSettings(deadline time.Duration) string {
+	return fmt.Sprintf(`{"Balancers":1,"Classes":[
+		{"Name":"form-check","Effect":"repeatable","Group":"all","AimNs":300000000,"DeadlineNs":%[1]d,"Worth":2},
+		{"Name":"refund-pay","Effect":"once","Group":"all","AimNs":300000000,"DeadlineNs":%[1]d,"Worth":2}],
+		"Ceilings":{"ConnIdleNs":15000000000,"ConnectTimeoutNs":250000000,"MostHeld":100,"MostTries":5},
+		"Discovery":"automatic","Report":{"Fields":["util","qps","eps"]},"TickNs":5000000,"WeightKind":"silent",
+		"Tenants":[{"Name":"rosyth-port"}],"Zones":["z"]}`, deadline.Nanoseconds())
+}
+
+// configureServers writes the configuration of an agent whose list names some servers, and whose discovery is down.
+func configureServers(t *testing.T, settings string, servers ...net.Addr) (config, listen string) {
+	t.Helper()
+	var known []map[string]any
+	for i, addr := range servers {
+		known = append(known, map[string]any{"id": fmt.Sprint("s-", i), "addr": addr.String(), "zone": "z", "state": "in_service", "weight": 1})
+	}
+	listen = free(t)
+	text, err := json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": "1f", "discovery": free(t),
+		"settings": json.RawMessage(settings), "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known": map[string]any{"version": 1, "full": true, "servers": known}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	config = filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return config, listen
+}
+
+// hangingServer takes requests and answers none until the test ends.
+func hangingServer(t *testing.T) net.Addr {
+	t.Helper()
+	over := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		select {
+		case <-over:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() { close(over); server.CloseClientConnections(); server.Close() })
+	return server.Listener.Addr()
+}
+
+// lateClient is a client that sends one request while an agent ends, in two parts at set times after SIGTERM.
+type lateClient struct {
+	name         string
+	class        string
+	connect      time.Duration // after SIGTERM; below 0 for before
+	first, whole time.Duration // when the first half and the last byte of the request are sent
+}
+
+// answer sends the request and returns the status of its final answer, which has to come whole.
+func (c lateClient) answer(begin time.Time, listen string, deadline time.Duration) (status int, err error) {
+	method := map[string]string{"form-check": http.MethodGet, "refund-pay": http.MethodPost}[c.class]
+	var text bytes.Buffer
+	left := fmt.Sprintf("%.3f", deadline.Seconds())
+	if err := word(method, listen, "/"+c.class+"/1", c.class, c.name, left).Write(&text); err != nil {
+		return 0, err
+	}
+	time.Sleep(time.Until(begin.Add(c.connect)))
+	conn, err := net.Dial("tcp", listen)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	half := text.Len() / 2
+	for _, part := range []struct {
+		at   time.Duration
+		text []byte
+	}{{c.first, text.Bytes()[:half]}, {c.whole, text.Bytes()[half:]}} {
+		time.Sleep(time.Until(begin.Add(part.at)))
+		if _, err := conn.Write(part.text); err != nil {
+			return 0, err
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// Every request that an agent takes is answered before SIGKILL: those that it had at SIGTERM, and those that come while it
+// ends, where all servers hang. The bound of the platform on the deadline that counts (3 s) binds, whatever the settings say, and
+// the process may be held up when it is told to end and again right before it is killed.
+func TestRequestsAreAnsweredBeforeTheKill(t *testing.T) {
+	for _, deadline := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3825 * time.Millisecond, 20 * time.Second} {
+		for _, stalled := range []bool{false, true} {
+			t.Run(fmt.Sprintf("deadline %v, stalled %t", deadline, stalled), func(t *testing.T) {
+				t.Parallel()
+				testAnsweredBeforeKill(t, deadline, stalled)
+			})
+		}
+	}
+}
+
+func testAnsweredBeforeKill(t *testing.T, deadline time.Duration, stalled bool) {
+	config, listen := configureServers(t, shutdownSettings(deadline), hangingServer(t), hangingServer(t))
+	p := start(t, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+	awaitReady(t, listen)
+
+	kill := killAfter(deadline)
+	late := min(time.Second, kill-600*time.Millisecond)
+	begin := time.Now().Add(100 * time.Millisecond) // SIGTERM comes then
+	clients := []lateClient{
+		{"taken before", "form-check", -60 * time.Millisecond, -50 * time.Millisecond, -50 * time.Millisecond},
+		{"taken before, not repeatable", "refund-pay", -60 * time.Millisecond, -50 * time.Millisecond, -50 * time.Millisecond},
+		{"taken across the signal", "form-check", -60 * time.Millisecond, -50 * time.Millisecond, 20 * time.Millisecond},
+		{"newcomer", "refund-pay", 300 * time.Millisecond, 300 * time.Millisecond, 300 * time.Millisecond},
+		{"whole late", "form-check", 300 * time.Millisecond, 320 * time.Millisecond, late},
+		{"whole late, not repeatable", "refund-pay", 300 * time.Millisecond, 320 * time.Millisecond, late},
+	}
+	var wait sync.WaitGroup
+	for _, c := range clients {
+		wait.Go(func() {
+			status, err := c.answer(begin, listen, deadline)
+			took := time.Since(begin)
+			if err != nil {
+				t.Errorf("%s: no final answer %.3f s after SIGTERM: %v", c.name, took.Seconds(), err)
+				return
+			}
+			t.Logf("%s: %d after %.3f s", c.name, status, took.Seconds())
+		})
+	}
+	time.Sleep(time.Until(begin))
+	if stalled {
+		p.signals(t, syscall.SIGSTOP, syscall.SIGTERM)
+		time.Sleep(longestStall)
+		p.signals(t, syscall.SIGCONT)
+		time.Sleep(time.Until(begin.Add(kill - 2*longestStall)))
+		if p.alive() {
+			p.signals(t, syscall.SIGSTOP)
+			time.Sleep(longestStall)
+			p.signals(t, syscall.SIGCONT)
+		}
+	} else {
+		p.signals(t, syscall.SIGTERM)
+	}
+	time.Sleep(time.Until(begin.Add(kill)))
+	p.cmd.Process.Kill()
+	wait.Wait()
+	if t.Failed() {
+		t.Logf("%s", p.log)
+	}
+}
+
+// alive reports whether the process has not ended yet.
+func (p *process) alive() bool {
+	select {
+	case err := <-p.ended:
+		p.ended <- err
+		return false
+	default:
+		return true
+	}
+}
+
+// awaitReady waits until an agent says that clients may begin.
+func awaitReady(t *testing.T, listen string) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); ; time.Sleep(5 * time.Millisecond) {
+		resp, err := http.Get("http://" + listen + "/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				http.DefaultClient.CloseIdleConnections()
+				return
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not ready: %v", err)
+		}
+	}
+}
