Plan the end of a process against the kill: 3 s of a deadline at the most, room for stalls

Cause: the end was planned as the longest deadline of the settings and 0.6 s (agent.go, Run). The platform waits for 3 s of that deadline at the most, and 0.7 s. With 3.825 s the agent meant to be done 4.43 s after SIGTERM; SIGKILL came after 3.84 s. Two more faults of the same kind stood in the same lines: requests that were open at SIGTERM kept their own deadlines, as only later ones were cut, and the margin of 0.15 s had no room for a process that is held up for 0.15 s when it is told to end and again when it answers. Change: internal/decide/shutdown makes the plan in one place and is held against the terms by a property test; ledger.End and the module's Ending event cut the deadlines of all requests, those with bodies still coming too, and bound their attempts; what has not come whole shortly before the end is closed by its reader. The test of replacements now fails where a process outlives the kill of the platform (3.7 s), before 5.7 s.

--- a/choice/api.go
+++ b/choice/api.go
@@ -189,6 +189,8 @@
 		Took   time.Duration
 		Report Report
 	}
+	// Ending says that the process ends: every open request gets its final answer by then at the latest.
+	Ending struct{ By time.Duration }
 	// TimerFired says that a timer set by SetTimer is due.
 	TimerFired struct{ Token uint64 }
 )
@@ -200,6 +202,7 @@
 func (Streaming) event()  {}
 func (ClientGone) event() {}
 func (Probed) event()     {}
+func (Ending) event()     {}
 func (TimerFired) event() {}
 
 // ActionKind names what an Action does and which of its fields count.
@@ -276,6 +279,8 @@
 		}
 	case Probed:
 		b.probed(e)
+	case Ending:
+		b.endAll(e.By)
 	case TimerFired:
 		b.fired(e.Token)
 	}
--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -124,7 +124,7 @@
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case err := <-p.ended:
-		if took := time.Since(begin); err != nil || took > 5700*time.Millisecond {
+		if took := time.Since(begin); err != nil || took > killAfter(5*time.Second) {
 			s.t.Errorf("ended after %v with %v\n%s", took, err, p.log)
 		}
 	case <-time.After(time.Minute):
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/sharing"
+	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/keeper"
@@ -60,7 +61,7 @@
 // front takes the calls of one listener.
 type front interface {
 	Serve() error
-	Stop(accepting, idling, atMost time.Duration)
+	Stop(begin time.Time, plan shutdown.Schedule)
 }
 
 // New returns an Agent that is ready to Run. With a Thrift service, which may be nil, it takes calls in Thrift too.
@@ -143,14 +144,6 @@
 	}
 }
 
-const (
-	// lingering is how long an ending agent goes on accepting: clients hear of its end a little later. Where another
-	// process takes over, those that are idle are left open for as long.
-	lingering = 500 * time.Millisecond
-	// closing is what an ending agent may take beyond the longest deadline.
-	closing = 600 * time.Millisecond
-)
-
 // Listen opens the listeners and returns their addresses: the application's, then Thrift's if it is on. Clients that
 // connect wait until the agent runs.
 func (a *Agent) Listen() (addrs []string, err error) {
@@ -271,17 +264,14 @@
 		case <-ctx.Done():
 		}
 	}
-	accepting, idling := lingering, time.Duration(0)
-	if a.cfg.Ops != "" {
-		idling = lingering
-		if a.replaced() { // who connects waits in a queue that is the other's, too
-			accepting = 0
-		}
-	}
-	a.log.Info("ending", "replaced", a.replaced())
+	begin, now := time.Now(), shutdown.Situation{Replaceable: a.cfg.Ops != "", Replaced: a.replaced()}
+	plan := shutdown.Plan(a.cfg.LongestDeadline(), now)
+	a.core.End(begin, begin.Add(plan.AnswerBy))
+	a.log.Info("ending", "replaced", now.Replaced, "answers_in", plan.AnswerBy, "closes_in", plan.CloseBy,
+		"killed_after", shutdown.KillAfter(a.cfg.LongestDeadline()))
 	stopped := make(chan struct{}, len(fronts))
 	for _, f := range fronts {
-		go func() { f.Stop(accepting, idling, a.cfg.LongestDeadline()+closing); stopped <- struct{}{} }()
+		go func() { f.Stop(begin, plan); stopped <- struct{}{} }()
 	}
 	if a.keeper != nil {
 		a.keeper.End() // at once: what kills an agent that ends too slowly gives no further notice
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/http/httpmsg"
 	"ternbeam/internal/lab/testkit"
@@ -561,7 +562,7 @@
 	r.end()
 	go ask("after")
 	<-arrived
-	time.Sleep(lingering + 100*time.Millisecond) // both are to outlast the time of accepting
+	time.Sleep(shutdown.Plan(r.cfg.LongestDeadline(), shutdown.Situation{}).Accept + 100*time.Millisecond) // both are to outlast the time of accepting
 	close(release)
 	for range 2 {
 		if resp := <-answers; resp.StatusCode != 200 || !resp.Close {
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -222,6 +222,7 @@
 	past     *aging.Past    // what an earlier agent knew; nil for nothing
 	named    []aging.Listed // by the list, and not asked for in the past yet
 	due      time.Duration  // when a timer for the routes is set; 0 where none is
+	endBy    time.Duration  // by when all is answered, as the process ends; 0 before
 	reasons  map[Reason]int // how many requests ended for each, where they are observed
 }
 
@@ -262,7 +263,7 @@
 func (l *Ledger) Arrived(now time.Duration, call *Call) []Order {
 	l.begin(now)
 	l.stats.Requests++
-	call.taken = now
+	call.taken, call.Deadline = now, l.inTime(call.Deadline)
 	switch {
 	case call.Gone(): // already: the news of it may have come before, and nobody would end the call
 		call.over.Store(true)
--- a/internal/decide/ledger/long.go
+++ b/internal/decide/ledger/long.go
@@ -14,6 +14,7 @@
 	if l.calls[call.ID] != call || !call.Coming || call.Over() {
 		return nil
 	}
+	deadline = l.inTime(deadline)
 	call.Coming, call.Deadline = false, deadline
 	for _, at := range call.attempts {
 		if at != nil {
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -81,7 +81,6 @@
 	events    chan func()
 	urgent    chan func() // goes before events: the operators' word, which waits for no queue of calls
 	workers   workers
-	last      atomic.Int64           // by the module's clock, when all is to be answered as the agent ends; 0 before
 	abandoned atomic.Int64           // calls whose clients were gone before they could be taken
 	malformed atomic.Int64           // calls that no front could read, which the loop never sees
 	ready     chan struct{}          // closed when clients may begin
@@ -125,6 +124,9 @@
 // Now is the module's clock: monotonic, in Unix time.
 func (c *Core) Now() time.Duration { return c.origin + time.Since(c.started) }
 
+// when turns a time of the system's clock into one of the module's.
+func (c *Core) when(t time.Time) time.Duration { return c.origin + t.Sub(c.started) }
+
 // at turns a time of the module's clock into one of the system's.
 func (c *Core) at(t time.Duration) time.Time { return c.started.Add(t - c.origin) }
 
@@ -144,35 +146,23 @@
 // Ready is closed when clients may begin: the list has come, or was waited for long enough.
 func (c *Core) Ready() <-chan struct{} { return c.ready }
 
-// Ending says that the agent ends, and all that is taken from now on is to be answered in so long: what has more time of its own
-// has less then, as an answer must come before the process goes.
-func (c *Core) Ending(left time.Duration) {
-	now := c.Now()
-	c.last.Store(int64(now + left))
+// End says that the process was told to end at some time and has every request answered by another: those that are open, and
+// those that come from now on.
+func (c *Core) End(told, answerBy time.Time) {
 	c.post(func() {
-		if c.requests.endingAt == 0 {
-			c.requests.endingAt = now
-		}
+		c.requests.endingAt = c.when(told)
+		c.do(c.ledger.End(c.Now(), c.when(answerBy)))
 	})
 }
 
-// inTime is a deadline, or an earlier one where the agent ends.
-func (c *Core) inTime(deadline time.Duration) time.Duration {
-	if last := time.Duration(c.last.Load()); last > 0 {
-		return min(deadline, last)
-	}
-	return deadline
-}
-
 // Take takes a call from a front. It gets one final answer.
 func (c *Core) Take(call *Call) {
-	call.Deadline = c.inTime(call.Deadline)
 	c.post(func() { c.do(c.ledger.Arrived(c.Now(), call)) })
 }
 
 // Whole takes the news that the last byte of a call that was Coming is here, and when its client gives up.
 func (c *Core) Whole(call *Call, left time.Duration) {
-	deadline := c.inTime(c.Now() + left)
+	deadline := c.Now() + left
 	c.post(func() { c.do(c.ledger.Whole(c.Now(), call, deadline)) })
 }
 
--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -53,6 +53,7 @@
 	EndedIdle   int // told to end at the end of their listener, with no request begun on them
 	EndedSilent int // the same, before they had said anything
 	KeptBegun   int // left open then, as a request had begun to come
+	EndedBegun  int // told to end later, with a request that had not come whole
 }
 
 // Stats returns the counts so far.
@@ -286,6 +287,22 @@
 	l.dropLocked(l.door.fresh)
 }
 
+// DropBegun closes the listener's connections on which a request has begun to come and is not whole.
+func (l *Listener) DropBegun() {
+	l.door.mu.Lock()
+	defer l.door.mu.Unlock()
+	for _, from := range []*list.List{l.door.fresh, l.door.idle} {
+		for e := from.Front(); e != nil; {
+			next := e.Next()
+			if v := e.Value.(*visit); v.from == l {
+				l.door.stats.EndedBegun++
+				l.door.endLocked(v)
+			}
+			e = next
+		}
+	}
+}
+
 // DropIdle closes the listener's connections that are idle, and from now on those that become so.
 func (l *Listener) DropIdle() {
 	l.door.mu.Lock()
@@ -298,9 +315,14 @@
 	for e := from.Front(); e != nil; {
 		next := e.Next()
 		if v := e.Value.(*visit); v.from == l {
-			if v.begun() {
+			switch {
+			case v.begun():
 				l.door.stats.KeptBegun++
-			} else {
+			case from == l.door.fresh:
+				l.door.stats.EndedSilent++
+				l.door.endLocked(v)
+			default:
+				l.door.stats.EndedIdle++
 				l.door.endLocked(v)
 			}
 		}
@@ -433,11 +455,6 @@
 
 // endLocked is dropLocked at the end of a listener: nobody waits for the place.
 func (d *Door) endLocked(v *visit) {
-	if v.in == d.fresh {
-		d.stats.EndedSilent++
-	} else {
-		d.stats.EndedIdle++
-	}
 	if !v.from.gentle {
 		d.dropLocked(v)
 	} else if v.conn.quiet() {
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
@@ -104,6 +105,13 @@
 	return r
 }
 
+// stop ends the front as the agent does, without a time in which connections are accepted, and is over at some time after now.
+func (r *rig) stop(closeBy time.Duration) {
+	begin := time.Now()
+	r.core.End(begin, begin.Add(closeBy-door.LastAnswer))
+	r.Stop(begin, shutdown.Schedule{Accept: time.Nanosecond, AnswerBy: closeBy - door.LastAnswer, CloseBy: closeBy})
+}
+
 func (r *rig) serve() *rig { go r.Serve(); return r }
 
 func (r *rig) dial(t *testing.T) *net.TCPConn {
@@ -310,7 +318,7 @@
 				r := newRig(t, 10).serve()
 				c, rest := r.half(t, fresh, request("a"))
 				stopped := make(chan struct{})
-				go func() { r.Stop(time.Nanosecond, 0, testkit.Patience); close(stopped) }()
+				go func() { r.stop(testkit.Patience); close(stopped) }()
 				testkit.Eventually(t, "the agent accepts no more", func() bool {
 					other, err := net.Dial("tcp", r.addr)
 					if err == nil {
@@ -340,7 +348,7 @@
 	say(t, busy, kinds["unsafe"]("a"))
 	<-r.servers.begun
 	stopped := make(chan struct{})
-	go func() { r.Stop(time.Nanosecond, 0, testkit.Patience); close(stopped) }()
+	go func() { r.stop(testkit.Patience); close(stopped) }()
 	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the idle connection ends with %v", err)
 	}
@@ -463,7 +471,7 @@
 				r := newRig(t, 10).serve()
 				c, rest := r.half(t, fresh, request("a"))
 				stopped := make(chan struct{})
-				go func() { r.Stop(time.Nanosecond, 0, time.Second); close(stopped) }()
+				go func() { r.stop(time.Second); close(stopped) }()
 				testkit.Eventually(t, "it ends", r.ending.Load)
 				say(t, c, rest)
 				<-r.servers.begun // and its server hangs
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -18,6 +18,7 @@
 	"ternbeam/choice"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/decide/routes"
+	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/http/httpmsg"
@@ -146,43 +147,49 @@
 // all where another process accepts at the same socket. Those that wait for nothing are left open for some time, in which whoever asks once more is answered and told that the connection
 // ends; then they are closed, while a client that just wrote to one can still come anew. After that, what was taken is
 // answered, for so long as it may take; who has said nothing by then is not waited for.
-func (f *Front) Stop(accepting, idling, atMost time.Duration) {
-	end := time.Now().Add(atMost)
-	f.core.Ending(atMost - door.LastAnswer)
+func (f *Front) Stop(begin time.Time, plan shutdown.Schedule) {
+	end := begin.Add(plan.CloseBy)
 	f.ending.Store(true)
-	stage := f.stages(atMost)
+	stage := f.stages(begin)
 	closed := make(chan struct{})
-	go func() { f.listen.CloseAfter(accepting, end); close(closed) }()
-	time.Sleep(idling)
+	go func() { f.listen.CloseAfter(plan.Accept, end); close(closed) }()
+	time.Sleep(plan.Idle)
 	// Not http.Server's Shutdown: it closes a connection that it takes for idle while a request is being read there, which is
 	// then sent on all the same, and once more when its client, who heard nothing, asks again.
 	f.listen.DropIdle()
 	stage("idle connections told to end")
 	<-closed
 	stage("accepting ended")
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	silent := time.AfterFunc(min(idling+door.LastWords, time.Until(end)-door.LastAnswer), func() {
+	silent := time.AfterFunc(min(plan.Idle+door.LastWords, time.Until(end)-door.LastAnswer), func() {
 		f.listen.DropSilent()
 		stage("silent connections told to end")
 	})
 	defer silent.Stop()
-	if err := f.listen.Empty(ctx); err != nil {
-		f.log.Warn("connections were still open at the end", "error", err)
+	if !f.empty(end.Add(-door.LastAnswer)) {
+		f.listen.DropBegun() // nobody sends on in time what has not come whole by now
+		stage("unfinished requests told to end")
+		if !f.empty(end) {
+			f.log.Warn("connections were still open at the end", "connections", f.door.Count())
+		}
 	}
 	f.http.Close()
 	stage("closed")
 }
 
+// empty waits until no connection is left, or until some time. It reports whether none is.
+func (f *Front) empty(by time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), by)
+	defer cancel()
+	return f.listen.Empty(ctx) == nil
+}
+
 // stages begins the log of a shutdown and returns what logs its next stage.
-func (f *Front) stages(atMost time.Duration) (stage func(name string)) {
-	begin := time.Now()
-	f.log.Info("shutdown", "stage", "begun", "closes_in", atMost, "answers_in", atMost-door.LastAnswer,
-		"longest_deadline", f.cfg.LongestDeadline(), "connections", f.door.Count())
+func (f *Front) stages(begin time.Time) (stage func(name string)) {
+	f.log.Info("shutdown", "stage", "begun", "connections", f.door.Count())
 	return func(name string) {
 		s := f.door.Stats()
 		f.log.Info("shutdown", "stage", name, "after", time.Since(begin).Round(time.Millisecond), "connections", f.door.Count(), "accepted", s.Accepted,
-			"closed_for_room", s.ClosedFor, "ended_idle", s.EndedIdle, "ended_silent", s.EndedSilent, "kept_begun", s.KeptBegun)
+			"closed_for_room", s.ClosedFor, "ended_idle", s.EndedIdle, "ended_silent", s.EndedSilent, "kept_begun", s.KeptBegun, "ended_begun", s.EndedBegun)
 	}
 }
 
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -11,6 +11,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/routes"
+	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/protocol"
@@ -73,19 +74,18 @@
 
 // Stop ends the front gently, as for HTTP: connections are accepted for a while; those on which nothing is under way
 // are closed after a while, the others when everything on them is answered; who has said nothing is not waited for.
-func (f *Front) Stop(lingering, idling, atMost time.Duration) {
-	end := time.NewTimer(atMost)
+func (f *Front) Stop(begin time.Time, plan shutdown.Schedule) {
+	by := begin.Add(plan.CloseBy)
+	end := time.NewTimer(time.Until(by))
 	defer end.Stop()
-	by := time.Now().Add(atMost)
-	f.core.Ending(atMost - door.LastAnswer)
-	time.Sleep(idling) // in Thrift there is no word for a goodbye: who calls meanwhile is answered
+	time.Sleep(plan.Idle) // in Thrift there is no word for a goodbye: who calls meanwhile is answered
 	f.stopping.Store(true)
 	f.mu.Lock()
 	for c := range f.clients {
 		c.wake()
 	}
 	f.mu.Unlock()
-	f.listen.CloseAfter(lingering, by)
+	f.listen.CloseAfter(plan.Accept, by)
 	silent := time.AfterFunc(min(door.LastWords, time.Until(by)-door.LastAnswer), f.listen.DropSilent)
 	defer silent.Stop()
 	for f.count() > 0 {
