A failed accept ends neither the agent nor its queue

While the agent ended, each error counted as an empty queue (door.go, Accept), so that who waited there was reset. The offer to a replacing process ended for good at the first error. Change: internal/host/accept repeats accepts through every error but the listener's own close and deadline, with backoff and a log line a second; clients' listeners, the second address and the offer to the next process use it. Result: a test of 19 errnos, once and 100 times each; one of the listener with two of three accepts failing, while it serves and while it ends. Both fail on the code before (the first error is returned).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/sharing"
 	"ternbeam/internal/decide/shutdown"
+	"ternbeam/internal/host/accept"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/keeper"
@@ -160,10 +161,12 @@
 		addrs = append(addrs, listener.Addr().String())
 	}
 	if a.cfg.Ops != "" {
-		if a.ops, err = net.Listen("tcp", a.cfg.Ops); err != nil {
+		ops, err := net.Listen("tcp", a.cfg.Ops)
+		if err != nil {
 			a.unlisten()
 			return nil, fmt.Errorf("listening for those who run the agent: %w", err)
 		}
+		a.ops = accept.Wrap(ops, a.log)
 	}
 	return addrs, nil
 }
--- /dev/null
+++ b/internal/host/accept/accept.go
@@ -0,0 +1,97 @@
+// Package accept accepts connections in spite of errors of the system. accept(2) documents many that say nothing of the
+// listener: errors of the connection that was to be accepted, and a shortage of descriptors or memory that passes. None of them
+// may end a server.
+package accept
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	firstBackoff = time.Millisecond
+	mostBackoff  = 50 * time.Millisecond
+	logEvery     = time.Second
+)
+
+// Final reports whether an error of an accept says that nothing more will be accepted: the listener was closed here, or the
+// time that was set for it has passed.
+func Final(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Retrier repeats accepts that fail. It is safe for concurrent use.
+type Retrier struct {
+	log   *slog.Logger
+	sleep func(time.Duration)
+
+	mu       sync.Mutex
+	failures int // in a row
+	total    int
+	logged   time.Time
+}
+
+// NewRetrier returns a Retrier that logs failures, one line a second at most.
+func NewRetrier(log *slog.Logger) *Retrier { return &Retrier{log: log, sleep: time.Sleep} }
+
+// Failures is how many accepts have failed in all.
+func (r *Retrier) Failures() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total
+}
+
+// Do calls accept until it succeeds or fails with an error that is Final.
+func Do[C any](r *Retrier, accept func() (C, error)) (C, error) {
+	for {
+		conn, err := accept()
+		if err == nil {
+			r.succeeded()
+			return conn, nil
+		}
+		if Final(err) {
+			return conn, err
+		}
+		r.sleep(r.failed(err))
+	}
+}
+
+func (r *Retrier) succeeded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = 0
+}
+
+// failed counts a failure and returns how long to wait: nothing after a single one, which may be of one connection.
+func (r *Retrier) failed(err error) (backoff time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures++
+	r.total++
+	if now := time.Now(); now.Sub(r.logged) >= logEvery {
+		r.logged = now
+		r.log.Warn("accepting a connection failed, trying again", "error", err, "in_a_row", r.failures, "in_all", r.total)
+	}
+	if r.failures == 1 {
+		return 0
+	}
+	return min(firstBackoff<<min(r.failures-2, 10), mostBackoff)
+}
+
+// Listener is a net.Listener whose Accept fails only when nothing more can be accepted.
+type Listener struct {
+	net.Listener
+	retrier *Retrier
+}
+
+// Wrap returns a Listener over another one.
+func Wrap(l net.Listener, log *slog.Logger) *Listener {
+	return &Listener{Listener: l, retrier: NewRetrier(log)}
+}
+
+// Accept is net.Listener's.
+func (l *Listener) Accept() (net.Conn, error) { return Do(l.retrier, l.Listener.Accept) }
--- /dev/null
+++ b/internal/host/accept/accept_test.go
@@ -0,0 +1,67 @@
+package accept
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// documented are the errors that accept(2) names, but EAGAIN and EINTR, which the poller takes.
+var documented = []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM,
+	syscall.EPROTO, syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
+	syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.ECONNRESET, syscall.ENOSR, syscall.EINVAL, syscall.EBADF}
+
+func accepting(err error) error {
+	return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+}
+
+// Each error that is documented is survived, once and for a while.
+func TestDocumentedErrorsAreSurvived(t *testing.T) {
+	for _, errno := range documented {
+		for _, times := range []int{1, 100} {
+			t.Run(fmt.Sprint(errno, " ", times), func(t *testing.T) {
+				var text strings.Builder
+				r := NewRetrier(slog.New(slog.NewTextHandler(&text, nil)))
+				var waits []time.Duration
+				r.sleep = func(d time.Duration) { waits = append(waits, d) }
+				calls := 0
+				got, err := Do(r, func() (string, error) {
+					if calls++; calls <= times {
+						return "", accepting(errno)
+					}
+					return "connection", nil
+				})
+				if err != nil || got != "connection" || r.Failures() != times {
+					t.Errorf("%q, %v after %d failures", got, err, r.Failures())
+				}
+				if waits[0] != 0 {
+					t.Errorf("waits for %v after a single failure", waits[0])
+				}
+				for _, d := range waits {
+					if d > mostBackoff {
+						t.Errorf("waits for %v", d)
+					}
+				}
+				if n := strings.Count(text.String(), "\n"); n < 1 || n > 2 || !strings.Contains(text.String(), errno.Error()) {
+					t.Errorf("%d lines: %s", n, text.String())
+				}
+			})
+		}
+	}
+}
+
+// The listener's own end is not retried.
+func TestFinalErrors(t *testing.T) {
+	for _, final := range []error{net.ErrClosed, os.ErrDeadlineExceeded} {
+		r := NewRetrier(slog.New(slog.DiscardHandler))
+		if _, err := Do(r, func() (net.Conn, error) { return nil, &net.OpError{Op: "accept", Err: final} }); !errors.Is(err, final) {
+			t.Errorf("%v for %v", err, final)
+		}
+	}
+}
--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -5,12 +5,14 @@
 	"container/list"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"ternbeam/internal/host/accept"
 	"ternbeam/internal/host/peek"
 )
 
@@ -214,7 +216,9 @@
 	latest time.Time   // what by may be at the most, zero for any; set before ending is
 	left   atomic.Bool // to another process, which accepts what stands in the queue
 	closed chan struct{}
-	gentle bool // who reads a connection ends it, by its read deadline
+	retry  *accept.Retrier
+	accept func() (*net.TCPConn, error) // TCPListener's, or a test's
+	gentle bool                         // who reads a connection ends it, by its read deadline
 
 	// What follows is under the Door's lock.
 	count   int           // of its connections
@@ -223,8 +227,8 @@
 }
 
 // Listen lets the connections of a listener in through the Door.
-func (d *Door) Listen(l *net.TCPListener) *Listener {
-	return &Listener{TCPListener: l, door: d, closed: make(chan struct{})}
+func (d *Door) Listen(l *net.TCPListener, log *slog.Logger) *Listener {
+	return &Listener{TCPListener: l, door: d, closed: make(chan struct{}), retry: accept.NewRetrier(log), accept: l.AcceptTCP}
 }
 
 // Gentle has who reads a connection end it when it is dropped with others at the end, by its read deadline: for readers that
@@ -234,13 +238,16 @@
 	return l
 }
 
-// Accept is net.Listener's. At the end it takes what stands in the kernel's queue first.
+// Accept is net.Listener's. At the end it takes what stands in the kernel's queue first. An error of the system is no end, and
+// does not show that the queue is empty.
 func (l *Listener) Accept() (net.Conn, error) {
 	for queued := true; ; queued = false {
-		if !l.by.IsZero() && time.Now().After(l.by) {
-			return nil, l.end()
-		}
-		socket, err := l.AcceptTCP()
+		socket, err := accept.Do(l.retry, func() (*net.TCPConn, error) {
+			if !l.by.IsZero() && time.Now().After(l.by) {
+				return nil, net.ErrClosed
+			}
+			return l.accept()
+		})
 		switch {
 		case err == nil:
 			c := &Conn{TCPConn: socket}
@@ -248,7 +255,7 @@
 			return c, nil
 		case !l.ending.Load():
 			return nil, err
-		case !queued || l.left.Load():
+		case !queued || l.left.Load() || errors.Is(err, net.ErrClosed):
 			return nil, l.end()
 		}
 		if l.by.IsZero() {
--- a/internal/host/door/door_test.go
+++ b/internal/host/door/door_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,7 +21,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return New(most).Listen(l.(*net.TCPListener))
+	return New(most).Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler))
 }
 
 // visitor connects and says something, which has come before the connection is accepted.
@@ -34,7 +38,7 @@
 	return c
 }
 
-func accept(t *testing.T, d *Listener) net.Conn {
+func admit(t *testing.T, d *Listener) net.Conn {
 	t.Helper()
 	c, err := d.Accept()
 	if err != nil {
@@ -60,15 +64,15 @@
 func TestSilentConnectionsGiveWayFirst(t *testing.T) {
 	d := openDoor(t, 4)
 	idle := visitor(t, d, "")
-	accepted := accept(t, d)
+	accepted := admit(t, d)
 	d.door.Busy(accepted)
 	d.door.Idle(accepted)
 	begun := visitor(t, d, "GET /")
-	accept(t, d)
+	admit(t, d)
 	var mute []net.Conn
 	for range 10 {
 		mute = append(mute, visitor(t, d, ""))
-		accept(t, d)
+		admit(t, d)
 	}
 	if n := d.door.Count(); n != 4 {
 		t.Errorf("%d connections", n)
@@ -89,18 +93,18 @@
 	var clients, conns []net.Conn
 	for range 2 {
 		clients = append(clients, visitor(t, d, ""))
-		conns = append(conns, accept(t, d))
+		conns = append(conns, admit(t, d))
 		d.door.Busy(conns[len(conns)-1])
 	}
 	newcomer := visitor(t, d, "")
-	accept(t, d)
+	admit(t, d)
 	if !closed(newcomer, testkit.Patience) || d.door.Count() != 2 {
 		t.Errorf("%d connections with two busy ones", d.door.Count())
 	}
 	d.door.Idle(conns[1])
 	d.door.Idle(conns[0])
 	visitor(t, d, "")
-	accept(t, d)
+	admit(t, d)
 	if !closed(clients[1], testkit.Patience) || closed(clients[0], time.Millisecond) {
 		t.Error("not the one that was idle for longest was closed")
 	}
@@ -117,7 +121,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	for range 3 {
-		accept(t, d)
+		admit(t, d)
 	}
 	if _, err := d.Accept(); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("error %v", err)
@@ -129,8 +133,8 @@
 func TestSilentConnectionsAreDroppedAtTheEnd(t *testing.T) {
 	d := openDoor(t, 10)
 	mute, begun := visitor(t, d, ""), visitor(t, d, "GET /")
-	accept(t, d)
-	accept(t, d)
+	admit(t, d)
+	admit(t, d)
 	d.DropSilent()
 	if !closed(mute, testkit.Patience) || closed(begun, time.Millisecond) || d.door.Count() != 1 {
 		t.Errorf("%d connections", d.door.Count())
@@ -194,7 +198,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := openDoor(t, 10).Gentle()
 			client := visitor(t, d, "")
-			c := accept(t, d).(*Conn)
+			c := admit(t, d).(*Conn)
 			cross(c, client)
 			testkit.Eventually(t, "the bytes are there", func() bool { return !c.quiet() })
 			p := make([]byte, 10)
@@ -210,7 +214,7 @@
 	}
 	d := openDoor(t, 10).Gentle()
 	visitor(t, d, "")
-	c := accept(t, d).(*Conn)
+	c := admit(t, d).(*Conn)
 	d.DropSilent()
 	if _, err := c.Read(make([]byte, 1)); !isTimeout(err) {
 		t.Errorf("one on which nothing comes: %v", err)
@@ -219,3 +223,38 @@
 		t.Errorf("%d connections before the reader has closed it", n)
 	}
 }
+
+// An accept that fails for want of memory or descriptors, as Linux documents, ends nothing: who waits in the queue is let in, while
+// the agent serves and while it ends, and the agent's end is as it would have been.
+func TestFailedAcceptsEndNothing(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.ENFILE, syscall.EPERM, syscall.EPROTO, syscall.ENETDOWN} {
+		for _, ending := range []bool{false, true} {
+			t.Run(fmt.Sprint(errno, ", ending ", ending), func(t *testing.T) {
+				d := openDoor(t, 10)
+				real, calls := d.accept, 0
+				d.accept = func() (*net.TCPConn, error) {
+					if calls++; calls%3 != 0 {
+						return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)}
+					}
+					return real()
+				}
+				for range 4 {
+					visitor(t, d, "GET /")
+				}
+				if ending {
+					go d.CloseAfter(-time.Second, time.Time{})
+					testkit.Eventually(t, "it ends", d.ending.Load)
+				}
+				for range 4 {
+					admit(t, d)
+				}
+				if !ending {
+					go d.CloseAfter(0, time.Time{})
+				}
+				if c, err := d.Accept(); !errors.Is(err, net.ErrClosed) {
+					t.Errorf("accepts %v, %v after the end", c, err)
+				}
+			})
+		}
+	}
+}
--- a/internal/host/successor/successor.go
+++ b/internal/host/successor/successor.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"ternbeam/internal/decide/succession"
+	"ternbeam/internal/host/accept"
 )
 
 const (
@@ -231,8 +232,9 @@
 // Serve answers claims until Close. Leave returns what is left, and is told of the link from the moment of which that
 // holds; Linked runs the link and returns when it has ended.
 func (o *Offer) Serve(leave func(*Link) (succession.State, []*net.TCPListener, error), linked func(*Link)) {
+	retry := accept.NewRetrier(o.log)
 	for {
-		conn, err := o.listen.AcceptUnix()
+		conn, err := accept.Do(retry, o.listen.AcceptUnix)
 		if err != nil {
 			return
 		}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -63,7 +63,7 @@
 
 // New returns a Front that takes the connections of a listener through a door.
 func New(cfg *config.Config, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
-	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l).Gentle(), look: door.LookEvery}
+	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l, log).Gentle(), look: door.LookEvery}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
 		if !f.door.Busy(callerOf(in).conn) { // closed while this was being read: its client asks once more, and must not have its effect twice
--- a/internal/thrift/thriftfront/client_test.go
+++ b/internal/thrift/thriftfront/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"testing"
 
@@ -19,7 +20,7 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	d := door.New(most)
-	listener = d.Listen(l.(*net.TCPListener))
+	listener = d.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler))
 	c = &client{front: &Front{m: &thriftmap.Map{MaxCalls: 2}, door: d, clients: map[*client]bool{}, left: make(chan struct{}, 1)}, conn: connect(t, listener)}
 	c.room.L = &c.mu
 	return c, listener
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -57,7 +57,7 @@
 
 // New returns a Front that takes the connections of a listener through a door.
 func New(cfg *config.Config, m *thriftmap.Map, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
-	return &Front{cfg: cfg, m: m, core: c, log: log, door: d, listen: d.Listen(l),
+	return &Front{cfg: cfg, m: m, core: c, log: log, door: d, listen: d.Listen(l, log),
 		idOf: fmt.Sprintf("%s-%x-", cfg.Name, cfg.Seed), clients: map[*client]bool{}, left: make(chan struct{}, 1)}
 }
 
