A request that is read is not closed on to make room for another connection

Cause: where all places for clients were taken, the door closed connections from which a request had been read while nobody knew of it yet (door.go, makeRoomLocked looked at unread bytes only). Change: connections on which something has come give way last, and only once they have paused for 0.5 s; a connection gives way by its reader, so that what it has read goes before.

--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -17,6 +17,11 @@
 )
 
 const (
+	// staleAfter is how long a request that has begun to come may pause before its connection may give way to another.
+	staleAfter = 500 * time.Millisecond
+	// mostYielding is how many connections may be on their way out at a time, beyond the places that there are.
+	mostYielding = 8
+
 	drained     = 50 * time.Millisecond  // without a new connection, the kernel's queue is empty
 	mostDrained = 500 * time.Millisecond // how long that is waited for
 
@@ -46,6 +51,8 @@
 	all   map[net.Conn]*visit
 	fresh *list.List // of visits, the oldest first
 	idle  *list.List
+
+	yielding int // connections that are ended to make room, and not gone yet
 }
 
 // Stats counts connections since the start, by what became of them.
@@ -72,6 +79,8 @@
 	in   *list.List    // where it waits: fresh or idle; nil with a request
 	at   *list.Element // of in
 	read int64         // bytes that had been read from it when its waiting began
+
+	yielding bool // its reader is to end it, to make room
 }
 
 // begun reports whether something was read from a connection that waits: of a request, as it seems.
@@ -81,6 +90,7 @@
 type Conn struct {
 	*net.TCPConn
 	taken atomic.Int64 // bytes that were read in all
+	heard atomic.Int64 // when that was last, since the package's start
 
 	mu      sync.Mutex
 	reading bool   // somebody does, and gets what comes
@@ -173,7 +183,16 @@
 }
 
 // Heard says that bytes were read, past Read where somebody does that.
-func (c *Conn) Heard(n int) { c.taken.Add(int64(n)) }
+func (c *Conn) Heard(n int) {
+	c.heard.Store(int64(time.Since(started)))
+	c.taken.Add(int64(n))
+}
+
+// started is what times of connections count from.
+var started = time.Now()
+
+// lastHeard is when bytes were last read.
+func (c *Conn) lastHeard() time.Time { return started.Add(time.Duration(c.heard.Load())) }
 
 // parts are what Look reads into: one of its own for each request would be most of the garbage.
 var parts = sync.Pool{New: func() any { return new([4 << 10]byte) }}
@@ -381,6 +400,7 @@
 	if v == nil {
 		return false
 	}
+	d.yieldedLocked(v)
 	v.restLocked()
 	return true
 }
@@ -427,6 +447,7 @@
 }
 
 func (d *Door) forgetLocked(v *visit) {
+	d.yieldedLocked(v)
 	v.restLocked()
 	delete(d.all, v.conn)
 	if v.from.count--; v.from.count == 0 && v.from.emptied != nil {
@@ -435,13 +456,20 @@
 	}
 }
 
-// makeRoomLocked closes a connection on which nothing has come; the newest only if there is no other.
+// makeRoomLocked ends a connection on which nothing has come, or else one whose request does not go on; the newest only if
+// there is no other. A request that has been read, and that nobody knows of yet, is never cut off.
 func (d *Door) makeRoomLocked(newest *visit) {
-	for _, from := range []*list.List{d.fresh, d.idle} {
-		for e := from.Front(); e != nil; e = e.Next() {
-			if v := e.Value.(*visit); v != newest && d.dropLocked(v) {
-				d.stats.ClosedFor++
-				return
+	now := time.Now()
+	for _, may := range []func(v *visit) bool{
+		func(v *visit) bool { return !v.begun() },
+		func(v *visit) bool { return now.Sub(v.conn.lastHeard()) > staleAfter },
+	} {
+		for _, from := range []*list.List{d.fresh, d.idle} {
+			for e := from.Front(); e != nil; e = e.Next() {
+				if v := e.Value.(*visit); v != newest && may(v) && d.yieldLocked(v) {
+					d.stats.ClosedFor++
+					return
+				}
 			}
 		}
 	}
@@ -450,6 +478,29 @@
 	}
 }
 
+// yieldLocked ends a connection for another one. Where its reader can, that does it: what it has read by then goes before.
+func (d *Door) yieldLocked(v *visit) bool {
+	if !v.from.gentle || d.yielding >= mostYielding {
+		return !v.begun() && d.dropLocked(v)
+	}
+	if !v.conn.quiet() {
+		return false
+	}
+	v.restLocked()
+	v.yielding = true
+	d.yielding++
+	v.conn.end()
+	return true
+}
+
+// yieldedLocked says that a connection that was to yield is gone, or has a request after all.
+func (d *Door) yieldedLocked(v *visit) {
+	if v.yielding {
+		v.yielding = false
+		d.yielding--
+	}
+}
+
 // dropLocked closes a connection unless a request has begun to come on it that nobody has read.
 func (d *Door) dropLocked(v *visit) bool {
 	if !v.conn.quiet() {
