A client's end is asked for right before each attempt, and every 20 ms where nobody reads

Cause: a client that had sent more behind its request, so that net/http read no further, was looked at every 100 ms: its end was noticed after up to 101.6 ms, while no attempt may begin 0.1 s after it (front.go, request; door.LookEvery). Change: exchange.Begin asks the system for the end of the client's connection before the first byte of each attempt, in HTTP and Thrift; connections that nobody reads are looked at every 20 ms, and those that net/http reads not at all, where they cost a tick each 100 ms before.

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -27,6 +27,10 @@
 
 	Connection Connection // on which it came, for its Record
 
+	// Disconnected asks the system whether the client has closed its connection. Transports call it right before an attempt is
+	// written, from any goroutine; it must not wait. Nil where nobody can tell.
+	Disconnected func() bool
+
 	over     atomic.Bool // the final answer is given, or the client is gone
 	gone     atomic.Bool // the client is gone; the news of it may still be on its way
 	attempts []*Attempt  // by number; nil for one that has ended
@@ -45,6 +49,15 @@
 // long the news has to wait.
 func (c *Call) Leave() { c.gone.Store(true) }
 
+// Abandoned reports whether nothing may be sent for the call any more, as of this moment: the client's connection is looked at,
+// so that its end counts before anybody has told the Ledger.
+func (c *Call) Abandoned() bool {
+	if !c.Over() && c.Disconnected != nil && c.Disconnected() {
+		c.Leave()
+	}
+	return c.Over()
+}
+
 // Gone reports whether the client is gone.
 func (c *Call) Gone() bool { return c.gone.Load() }
 
--- a/internal/host/door/door.go
+++ b/internal/host/door/door.go
@@ -33,8 +33,8 @@
 	LastAnswer = 50 * time.Millisecond
 
 	// LookEvery is how often it is looked whether a client that waits is still there, where nobody reads what it sends. What its
-	// client does not want is not to be sent on from 0.3 s later.
-	LookEvery = 100 * time.Millisecond
+	// client does not want is not to be sent on from 0.1 s later.
+	LookEvery = 20 * time.Millisecond
 )
 
 // Door keeps account of the connections of all listeners that share it. They accept always: who waits in the
@@ -92,6 +92,8 @@
 	taken atomic.Int64 // bytes that were read in all
 	heard atomic.Int64 // when that was last, since the package's start
 
+	unwatched chan struct{} // told when something was read, and nobody may read on
+
 	mu      sync.Mutex
 	reading bool   // somebody does, and gets what comes
 	ahead   []byte // read by Look, and by nobody else yet
@@ -137,10 +139,27 @@
 	c.mu.Unlock()
 	if n > 0 {
 		c.Heard(n)
+		select {
+		case c.unwatched <- struct{}{}:
+		default: // one that waits to be taken stands for any number
+		}
 	}
 	return n, err
 }
 
+// Watched reports whether somebody reads the connection now, who sees its end at once. Where that changes Unwatched is told.
+func (c *Conn) Watched() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading
+}
+
+// Unwatched is told when a read of the connection has brought something: nobody may be reading any more.
+func (c *Conn) Unwatched() <-chan struct{} { return c.unwatched }
+
+// Disconnected reports whether the client has ended the connection, without waiting. What it sent before stays to be read.
+func (c *Conn) Disconnected() bool { return peek.HungUp(c.TCPConn) }
+
 // end has who reads the connection find that its time is over. What it has read, or finds now, goes before: the connection stays
 // then. So nothing is both read and left without an answer.
 func (c *Conn) end() {
@@ -269,7 +288,7 @@
 		})
 		switch {
 		case err == nil:
-			c := &Conn{TCPConn: socket}
+			c := &Conn{TCPConn: socket, unwatched: make(chan struct{}, 1)}
 			l.door.enter(&visit{conn: c, from: l})
 			return c, nil
 		case !l.ending.Load():
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -104,7 +104,7 @@
 // Begin asks whether an attempt that has a connection may still be sent.
 func Begin(ctx context.Context, at *core.Attempt, size int) bool {
 	send, err := at.Life.Begin(size, life.Now{Withdrawn: errors.Is(context.Cause(ctx), core.ErrWithdrawn),
-		Late: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), Over: at.Call.Over(), Retired: at.Server.Retired()})
+		Late: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), Over: at.Call.Abandoned(), Retired: at.Server.Retired()})
 	at.Heed(err)
 	return send
 }
--- a/internal/http/httpback/httpback_test.go
+++ b/internal/http/httpback/httpback_test.go
@@ -60,9 +60,12 @@
 		meanwhile func(u *exchange.Transport, a *core.Attempt, withdraw context.CancelCauseFunc)
 		want      choice.Result
 	}{
-		"nothing":        {func(*exchange.Transport, *core.Attempt, context.CancelCauseFunc) {}, choice.OK},
-		"answered":       {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.End() }, choice.NotSent},
-		"left just now":  {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.Leave() }, choice.NotSent},
+		"nothing":       {func(*exchange.Transport, *core.Attempt, context.CancelCauseFunc) {}, choice.OK},
+		"answered":      {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.End() }, choice.NotSent},
+		"left just now": {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.Call.Leave() }, choice.NotSent},
+		"closed, nobody told": {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) {
+			a.Call.Disconnected = func() bool { return true }
+		}, choice.NotSent},
 		"drains":         {func(u *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { u.Pool.Retire(a.Server) }, choice.ConnectFailed},
 		"withdrawn":      {func(_ *exchange.Transport, _ *core.Attempt, w context.CancelCauseFunc) { w(core.ErrWithdrawn) }, choice.Cancelled},
 		"window is over": {func(_ *exchange.Transport, a *core.Attempt, _ context.CancelCauseFunc) { a.WriteBy = time.Now() }, choice.NotSent},
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -397,7 +397,7 @@
 	}
 }
 
-// 200 clients leave at once, again and again, half of them behind bytes that nobody reads: from 0.3 s later nothing is sent on for any of
+// 200 clients leave at once, again and again, half of them behind bytes that nobody reads: from 0.1 s later nothing is sent on for any of
 // them, and all that they held is given back. What the machine itself stood still for is not the program's.
 func TestThousandLeavings(t *testing.T) {
 	r := newRig(t, 1000)
@@ -458,7 +458,7 @@
 			}
 			time.Sleep(time.Millisecond)
 		}
-		if longest = max(longest, largest); largest > 300*time.Millisecond+time.Duration(stood.Load()) {
+		if longest = max(longest, largest); largest > 100*time.Millisecond+time.Duration(stood.Load()) {
 			t.Errorf("noticed after %v; the machine stood still for %v at most", largest, time.Duration(stood.Load()))
 		}
 		testkit.Eventually(t, "all is given back", func() bool {
@@ -570,3 +570,29 @@
 		})
 	}
 }
+
+// A client closes its connection, and nobody has noticed yet: what asks right before an attempt is written learns of it, whether or
+// not the client had sent more, and a client that is there is not taken for one that left.
+func TestDisconnectedIsAskedBeforeEachAttempt(t *testing.T) {
+	for _, more := range []string{"", "G", strings.Repeat("GET / HTTP/1.1\r\n", 100)} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes more, reset %t", len(more), reset), func(t *testing.T) {
+				r := newRig(t, 10)
+				r.look = time.Hour
+				c := r.serve().dial(t)
+				say(t, c, kinds["unsafe"]("a"))
+				at := <-r.servers.begun
+				if more != "" {
+					say(t, c, more)
+					conn := <-r.conns
+					testkit.Eventually(t, "it is not watched any more", func() bool { return !conn.Watched() })
+				}
+				if at.Call.Abandoned() {
+					t.Fatal("the client is there")
+				}
+				leave(c, reset)
+				testkit.Eventually(t, "its end is seen", at.Call.Abandoned)
+			})
+		}
+	}
+}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -229,6 +229,7 @@
 	defer answers.clear()
 	call.Answer = answers.give
 	from.asked++
+	call.Disconnected = from.conn.Disconnected
 	call.Connection = ledger.Connection{Opened: from.opened, Requests: from.asked}
 	f.core.Take(call)
 	// Some clients ask once and keep their connection for good. Where places get short it ends with the answer; a
@@ -255,24 +256,36 @@
 			return
 		}
 	}
-	// net/http tells at once of a client that leaves, unless something has come behind its request: then it reads no further.
+	if ans, ok := f.await(in.Context(), from.conn, answers.one, gone); ok {
+		f.final(w, ans)
+		return
+	}
+	f.core.Left(call)
+	f.abandon(w)
+}
+
+// await waits for the answer to a call. It is false where the client leaves before. net/http reads the connection meanwhile and
+// tells at once of its end, unless something has come behind the request: then it reads no further, and the connection is looked at.
+func (f *Front) await(ctx context.Context, conn *door.Conn, answer <-chan core.Answer, gone func() bool) (core.Answer, bool) {
 	look := time.NewTicker(f.look)
 	defer look.Stop()
 	for {
 		select {
-		case ans := <-answers.one:
-			f.final(w, ans)
-			return
-		case <-in.Context().Done():
+		case ans := <-answer:
+			return ans, true
+		case <-ctx.Done():
+			return core.Answer{}, false
+		case <-conn.Unwatched():
+			look.Reset(f.look)
 		case <-look.C:
-			if !gone() {
-				continue
+			switch {
+			case conn.Watched():
+				look.Stop()
+			case gone():
+				return core.Answer{}, false
 			}
 		}
-		break
 	}
-	f.core.Left(call)
-	f.abandon(w)
 }
 
 // abandon answers a call whose client is gone. Nobody should be there to read this; whoever is must not take the silence for an
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -195,6 +195,9 @@
 		c.answered(c.enter(nil, h.Seq, false), read.Refused(nil, 0))
 		return nil
 	}
+	if !oneway { // whose client need not stay
+		call.Disconnected = c.conn.Disconnected
+	}
 	call.Answer = func(ans core.Answer) {
 		if oneway {
 			c.done()
