A call whose attempt notices that its client left ends as one that left

The call then ended as refused and not as one whose client left (ledger.go, Ended). Change: the ledger ends such a call as Left does, once, whichever news comes first.

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -299,15 +299,20 @@
 func (l *Ledger) Left(now time.Duration, call *Call) []Order {
 	l.begin(now)
 	if l.calls[call.ID] == call && !call.over.Load() {
-		l.stats.Gone++
-		l.end(call)
-		l.observe(call, Failed, ReasonDisconnected)
-		l.handle(choice.ClientGone{Request: call.ID})
+		l.left(call)
 		l.forget(call)
 	}
 	return l.orders
 }
 
+// left ends a call whose client is gone.
+func (l *Ledger) left(call *Call) {
+	l.stats.Gone++
+	l.end(call)
+	l.observe(call, Failed, ReasonDisconnected)
+	l.handle(choice.ClientGone{Request: call.ID})
+}
+
 // Ended takes the end of an attempt. The first that is served answers the client.
 func (l *Ledger) Ended(now time.Duration, at *Attempt, e Ending) []Order {
 	l.begin(now)
@@ -316,6 +321,9 @@
 	call.out--
 	l.attempted(at, e.Result)
 	l.stats.Results[e.Result]++
+	if call.Gone() && !call.over.Load() { // who made the attempt noticed before the front's news came
+		l.left(call)
+	}
 	if call.passing == at { // the module has its outcome, and the client the beginning of its answer
 		l.passed(call, e.Result == choice.OK)
 		l.forget(call)
--- a/internal/decide/ledger/record_test.go
+++ b/internal/decide/ledger/record_test.go
@@ -81,3 +81,26 @@
 		t.Errorf("%+v", *records)
 	}
 }
+
+// Who makes an attempt may notice first that the client is gone: the call ends as one whose client left, whichever news comes first,
+// and counts once.
+func TestAttemptNoticesThatTheClientLeft(t *testing.T) {
+	l, records := observed(scripted{
+		"request":     {{Kind: choice.Send, Request: "4f", Server: "s-1", Reason: choice.FirstAttempt}},
+		"first ended": {{Kind: choice.Refuse, Request: "4f", Reason: choice.AttemptNotSent}},
+	})
+	call := &Call{Request: choice.Request{ID: "4f", Deadline: 3 * time.Second}, Disconnected: func() bool { return true }}
+	orders := l.Arrived(0, call)
+	if !call.Abandoned() {
+		t.Fatal("its client is there")
+	}
+	for _, o := range l.Ended(time.Second, orders[0].Attempt, Ended(choice.NotSent)) {
+		if o.Kind == Reply {
+			t.Errorf("answered %+v", o.Answer)
+		}
+	}
+	l.Left(time.Second, call)
+	if s := l.Stats(); s.Gone != 1 || s.Refused != 0 || len(*records) != 1 || l.open != 0 || len(l.calls) != 0 {
+		t.Errorf("%+v, %d records, %d open, %d held", s, len(*records), l.open, len(l.calls))
+	}
+}
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -47,7 +47,7 @@
 	{"list's word undoes the operators'", "internal/decide/ledger/ledger.go", "\t\te.Server = l.word.Counts(e.Server)\n", "\t\tif len(entries) == 0 || !l.word.Out(e.ID) || full || e.Started != 0 {\n\t\t\te.Server = l.word.Counts(e.Server)\n\t\t}\n", "by-hand"},
 	{"answer that has begun comes after another", "internal/decide/ledger/long.go", "\tif call.Over() {", "\tif false {", "passing"},
 	{"answer that has begun is not counted to its end", "internal/decide/ledger/long.go", "\tl.passing--\n", "", "passing"},
-	{"answered after its client left", "internal/decide/ledger/ledger.go", "\t\tl.stats.Gone++\n\t\tl.end(call)\n", "\t\tl.stats.Gone++\n", "unsafe"},
+	{"answered after its client left", "internal/decide/ledger/ledger.go", "\tl.stats.Gone++\n\tl.end(call)\n", "\tl.stats.Gone++\n", "unsafe"},
 }
 
 // Each planted bug is found. The program is built from the sources with the one change laid over them.
