One monotonic clock for all spans; a step of the wall clock is logged and moves nothing

Cause: discovery.Now was the wall clock, and waits were taken from it (discovery.KeepWatching, members, peers): after a step back by an hour the next call to the list service came an hour late, and what a silent watch missed was told as late. The core had a clock of its own from another origin, so that both could differ by any step. The core looks for steps with each report and logs their size. No test steps the wall clock under a whole process: that needs rights that are not had here. A process that starts while its wall clock is wrong still takes starts of servers by it.

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,41 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+func TestNowIsUnixTimeAndTurnsBack(t *testing.T) {
+	if off := time.Duration(time.Now().UnixNano()) - Now(); off.Abs() > time.Minute {
+		t.Errorf("off by %v", off)
+	}
+	now := time.Now()
+	if back := At(Of(now)); !back.Equal(now) {
+		t.Errorf("%v became %v", now, back)
+	}
+}
+
+// A time whose wall reading was stepped by an hour, which its monotonic reading does not show, is the same time.
+func TestStepOfTheWallClockDoesNotMoveNow(t *testing.T) {
+	before := time.Now()
+	if later := Of(before.Add(time.Second)) - Of(before); later != time.Second {
+		t.Errorf("a second is %v", later)
+	}
+	if until := time.Until(At(Now() + time.Hour)); until > time.Hour || until < time.Hour-time.Second {
+		t.Errorf("an hour is %v", until)
+	}
+}
+
+func TestSteps(t *testing.T) {
+	var s Steps
+	for i, c := range []struct{ offset, want time.Duration }{
+		{0, 0}, {10 * time.Millisecond, 0}, {time.Hour, time.Hour - 10*time.Millisecond}, {time.Hour, 0}, {-time.Second, -time.Hour - time.Second},
+	} {
+		if got := s.read(c.offset); got != c.want {
+			t.Errorf("reading %d: %v, want %v", i, got, c.want)
+		}
+	}
+	if got := new(Steps).Read(); got != 0 {
+		t.Errorf("a step of %v", got)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/clock"
 	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/decide/ledger"
@@ -139,20 +140,17 @@
 	return ledger.Entry{Server: s, Addr: e.Addr, Addrs: e.Addrs, Multiplexed: e.Multiplexed, Shapes: e.Shapes}, err
 }
 
-// Now is the clock by which the list is asked for: Unix time, the same for all agents, as the starts of servers are given.
-func Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // KeepWatching watches until ctx ends, again and again from the last version, when the Asker says so. An agent goes on with
 // the list that it has while there is no watch; lost, if it is not nil, is called at each that ends.
 func (d *Client) KeepWatching(ctx context.Context, asker *asking.Asker, deliver func(List), lost func()) {
-	on := Events{Answered: func() { asker.Answered(Now()) }, Alive: func() {}, Deliver: func(l List) { asker.Delivered(); deliver(l) }}
-	for next := asker.Start(Now()); ; {
+	on := Events{Answered: func() { asker.Answered(clock.Now()) }, Alive: func() {}, Deliver: func(l List) { asker.Delivered(); deliver(l) }}
+	for next := asker.Start(clock.Now()); ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(next - Now()):
+		case <-time.After(next - clock.Now()):
 		}
-		asker.Asked(Now())
+		asker.Asked(clock.Now())
 		on.Whole, on.Within = asker.How()
 		silent := d.Watch(ctx, on)
 		if ctx.Err() != nil {
@@ -161,7 +159,7 @@
 		if lost != nil {
 			lost()
 		}
-		next = asker.Over(Now(), silent)
+		next = asker.Over(clock.Now(), silent)
 	}
 }
 
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/clock"
 	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/ledger"
@@ -87,8 +88,7 @@
 	begun     func(*Attempt, Ending) // one for all attempts
 	figures   atomic.Pointer[Figures]
 	forwards  atomic.Int64 // attempts that were written whole
-	started   time.Time
-	origin    time.Duration // module time at the start: Unix time, so that starts of servers need no mapping
+	steps     clock.Steps  // of the wall clock
 
 	// What follows belongs to the loop.
 	ledger    *ledger.Ledger
@@ -109,26 +109,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	now := time.Now()
 	requests := newRequestLog(set.Log, set.Module.Classes)
 	books := ledger.New(ledger.Settings{Classes: len(set.Module.Classes), Observe: func(r ledger.Record) { requests.observe(time.Now(), r) }, MaxAttempts: set.Module.MaxAttempts, MostHeld: set.MostHeld,
 		Carries: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, Illegal: set.Illegal, Routes: set.Routes,
 		Places: subset.New(subset.Settings{Agents: set.Module.Balancers, Me: set.Asking.Me, Seed: set.Seed})}, balancer)
 	c := &Core{set: set, log: set.Log, events: make(chan func(), 1024), urgent: make(chan func()), workers: newWorkers(), ready: make(chan struct{}),
-		started: now, origin: time.Duration(now.UnixNano()), ledger: books, requests: requests, others: map[*Other]bool{}}
+		ledger: books, requests: requests, others: map[*Other]bool{}}
 	c.begun = func(at *Attempt, e Ending) { c.post(func() { c.do(c.ledger.Begun(c.Now(), at, e)) }) }
 	c.publish() // so that there are figures from the start
 	return c, nil
 }
 
 // Now is the module's clock: monotonic, in Unix time.
-func (c *Core) Now() time.Duration { return c.origin + time.Since(c.started) }
-
-// when turns a time of the system's clock into one of the module's.
-func (c *Core) when(t time.Time) time.Duration { return c.origin + t.Sub(c.started) }
-
-// at turns a time of the module's clock into one of the system's.
-func (c *Core) at(t time.Duration) time.Time { return c.started.Add(t - c.origin) }
+func (c *Core) Now() time.Duration { return clock.Now() }
 
 // Reroute takes another table of shapes, once it is in use.
 func (c *Core) Reroute(ctx context.Context, t *routes.Table) error {
@@ -150,8 +143,8 @@
 // those that come from now on.
 func (c *Core) End(told, answerBy time.Time) {
 	c.post(func() {
-		c.requests.endingAt = c.when(told)
-		c.do(c.ledger.End(c.Now(), c.when(answerBy)))
+		c.requests.endingAt = clock.Of(told)
+		c.do(c.ledger.End(c.Now(), clock.Of(answerBy)))
 	})
 }
 
@@ -289,6 +282,9 @@
 }
 
 func (c *Core) report() {
+	if step := c.steps.Read(); step != 0 {
+		c.log.Warn("the wall clock was stepped", "by", step)
+	}
 	s := c.ledger.Stats()
 	open, held := c.ledger.Count()
 	connections, _, waiting := c.set.Pool.Count()
@@ -331,9 +327,9 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	at.Withdraw, at.Forwards, at.Begun = cancel, &c.forwards, c.begun
 	if at.SendBy != 0 {
-		at.WriteBy = c.at(at.SendBy)
+		at.WriteBy = clock.At(at.SendBy)
 	}
-	transport, end := c.set.Transports[at.Speaks], c.at(at.End)
+	transport, end := c.set.Transports[at.Speaks], clock.At(at.End)
 	c.workers.run(func() {
 		ctx, stop := context.WithDeadline(ctx, end)
 		ending := transport.Attempt(ctx, at)
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"ternbeam/internal/clock"
 	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/decide/membership"
@@ -75,7 +76,7 @@
 	}
 	for i, d := range h.set.DNS {
 		number := h.list + 1 + i
-		go dnssource.Run(ctx, dnssource.Settings{Settings: d.Resolve, Addrs: d.Servers, Seed: h.set.Seed + uint64(i), Log: h.set.Log, Now: discovery.Now},
+		go dnssource.Run(ctx, dnssource.Settings{Settings: d.Resolve, Addrs: d.Servers, Seed: h.set.Seed + uint64(i), Log: h.set.Log, Now: clock.Now},
 			func(w resolve.Word) {
 				h.post(ctx, func() {
 					h.report(membership.Report{Source: number, Full: true, Claims: w.Claims, Until: w.Until}, deliver)
@@ -83,7 +84,7 @@
 			}, func() {
 				h.set.Log.Warn("no name server answers", "name", d.Name)
 				h.post(ctx, func() {
-					h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(discovery.Now(), number) })
+					h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(clock.Now(), number) })
 				})
 			})
 	}
@@ -93,7 +94,7 @@
 		wait := time.Minute
 		h.mu.Lock()
 		if at, any := h.all.Next(); any {
-			wait = min(wait, max(0, at-discovery.Now()))
+			wait = min(wait, max(0, at-clock.Now()))
 		}
 		h.mu.Unlock()
 		timer.Reset(wait)
@@ -103,7 +104,7 @@
 		case event := <-h.events:
 			event()
 		case <-timer.C:
-			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Tick(discovery.Now()) })
+			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Tick(clock.Now()) })
 		}
 	}
 }
@@ -116,7 +117,7 @@
 }
 
 func (h *Host) report(r membership.Report, deliver func([]ledger.Entry)) {
-	h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Report(discovery.Now(), r) })
+	h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Report(clock.Now(), r) })
 }
 
 // change works on the membership and tells what came of it.
@@ -162,7 +163,7 @@
 		h.post(ctx, func() { h.report(r, deliver) })
 	}, func() {
 		h.post(ctx, func() {
-			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(discovery.Now(), h.list) })
+			h.change(deliver, func(s *membership.Set) []ledger.Entry { return s.Lost(clock.Now(), h.list) })
 		})
 	})
 }
--- a/internal/host/peers/peers.go
+++ b/internal/host/peers/peers.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"ternbeam/choice"
+	"ternbeam/internal/clock"
 	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/decide/company"
 	"ternbeam/internal/decide/ledger"
@@ -91,19 +92,19 @@
 		h.give(h.set.Known.Servers, false, deliver)
 	}
 	go h.receive(ctx, deliver)
-	h.do(ctx, h.node.Start(discovery.Now()), deliver)
+	h.do(ctx, h.node.Start(clock.Now()), deliver)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		timer.Reset(max(0, h.node.Next()-discovery.Now()))
+		timer.Reset(max(0, h.node.Next()-clock.Now()))
 		select {
 		case <-ctx.Done():
-			h.do(ctx, h.node.Leave(discovery.Now()), deliver)
+			h.do(ctx, h.node.Leave(clock.Now()), deliver)
 			return
 		case event := <-h.events:
 			event()
 		case <-timer.C:
-			h.do(ctx, h.node.Tick(discovery.Now()), deliver)
+			h.do(ctx, h.node.Tick(clock.Now()), deliver)
 		}
 	}
 }
@@ -127,7 +128,7 @@
 			continue
 		}
 		select {
-		case h.events <- func() { h.do(ctx, h.node.Heard(discovery.Now(), d), deliver) }:
+		case h.events <- func() { h.do(ctx, h.node.Heard(clock.Now(), d), deliver) }:
 		default:
 		}
 	}
@@ -216,17 +217,17 @@
 	go func() {
 		silent := d.Watch(ctx, discovery.Events{
 			Within:   asking.CallWait,
-			Answered: func() { post(func() []sharing.Action { return h.node.Answered(discovery.Now()) }) },
-			Alive:    func() { post(func() []sharing.Action { return h.node.Alive(discovery.Now()) }) },
+			Answered: func() { post(func() []sharing.Action { return h.node.Answered(clock.Now()) }) },
+			Alive:    func() { post(func() []sharing.Action { return h.node.Alive(clock.Now()) }) },
 			Deliver: func(l discovery.List) {
 				rows := make([]sharing.Row, 0, len(l.Servers))
 				for _, e := range l.Servers {
 					rows = append(rows, row(e))
 				}
-				post(func() []sharing.Action { return h.node.List(discovery.Now(), l.Version, l.Full, rows) })
+				post(func() []sharing.Action { return h.node.List(clock.Now(), l.Version, l.Full, rows) })
 			},
 		})
-		post(func() []sharing.Action { return h.node.Over(discovery.Now(), silent) })
+		post(func() []sharing.Action { return h.node.Over(clock.Now(), silent) })
 	}()
 }
 
