--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,8 +21,8 @@
 	"ternbeam/internal/decide/sharing"
 	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/host/accept"
+	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
-	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/keeper"
 	"ternbeam/internal/host/members"
 	"ternbeam/internal/host/peers"
@@ -42,12 +42,12 @@
 
 // Agent is one client-side balancer on real sockets.
 type Agent struct {
-	cfg    *config.Config
-	thrift *thriftmap.Map // nil where Thrift is off
-	log    *slog.Logger
-	core   *core.Core
-	pool   *pool.Pool
-	door   *door.Door
+	cfg     *config.Config
+	thrift  *thriftmap.Map // nil where Thrift is off
+	log     *slog.Logger
+	core    *core.Core
+	pool    *pool.Pool
+	tracker *conntrack.Tracker
 
 	keeper *keeper.Keeper // nil where nothing is kept
 	bridge *bridge.Bridge // nil where calls have no shapes
@@ -82,7 +82,7 @@
 // NewWith is New with more options.
 func NewWith(cfg *config.Config, opts Options, log *slog.Logger) (*Agent, error) {
 	service, sources := opts.Service, opts.Sources
-	a := &Agent{cfg: cfg, thrift: service, log: log, door: door.New(cfg.ClientSockets()), shapes: opts.Shapes}
+	a := &Agent{cfg: cfg, thrift: service, log: log, tracker: conntrack.New(cfg.ClientSockets()), shapes: opts.Shapes}
 	a.claim(opts.Shared)
 	pooled := pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleFor: cfg.IdleFor(), Most: cfg.BackendSockets(),
 		Illegal: a.noteIllegal, Addresses: addresses.Defaults}
@@ -288,7 +288,7 @@
 
 // fronts are those that take calls.
 func (a *Agent) fronts() []front {
-	inHTTP := httpfront.New(a.cfg, a.core, a.door, a.listeners[0], a.log)
+	inHTTP := httpfront.New(a.cfg, a.core, a.tracker, a.listeners[0], a.log)
 	if a.bridge != nil {
 		inHTTP.WithShapes(a.bridge)
 	}
@@ -296,7 +296,7 @@
 		return []front{inHTTP}
 	}
 	a.log.Info("taking Thrift", "listen", a.listeners[1].Addr().String())
-	inThrift := thriftfront.New(a.cfg, a.thrift, a.core, a.door, a.listeners[1], a.log)
+	inThrift := thriftfront.New(a.cfg, a.thrift, a.core, a.tracker, a.listeners[1], a.log)
 	if a.bridge != nil {
 		inThrift.WithShapes(a.bridge)
 	}
--- /dev/null
+++ b/internal/host/conntrack/conn.go
@@ -0,0 +1,166 @@
+package conntrack
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ternbeam/internal/host/peek"
+)
+
+// Conn is a client's connection.
+type Conn struct {
+	*net.TCPConn
+	receivedBytes atomic.Int64 // bytes that were read in all
+	received      atomic.Int64 // when that was last, since the package's start
+
+	unwatched chan struct{} // told when something was read, and nobody may read on
+
+	mu      sync.Mutex
+	reading bool   // somebody does, and gets what comes
+	ahead   []byte // read by Probe, and by nobody else yet
+	over    bool   // more came than is kept, so that what follows is of no use
+	ending  bool   // who reads is to end it, unless something has come
+	readBy  time.Time
+}
+
+// mostAhead is how many bytes Probe keeps: more than a usual request has.
+const mostAhead = 128 << 10
+
+// ReceivedBytes returns how many bytes were read from the connection.
+func (c *Conn) ReceivedBytes() int { return int(c.receivedBytes.Load()) }
+
+// Read reads from the connection, as net.Conn's does. Data already received takes precedence over the read deadline.
+func (c *Conn) Read(p []byte) (n int, err error) {
+	c.mu.Lock()
+	if n = copy(p, c.ahead); n > 0 || c.over {
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		c.goOnLocked()
+		c.mu.Unlock()
+		if n == 0 {
+			err = net.ErrClosed
+		}
+		return n, err
+	}
+	c.reading = true
+	c.mu.Unlock()
+	n, err = c.TCPConn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		// What has come goes before the time, which may have passed while the process stood still: a connection that is closed over a
+		// request that has come leaves that without an answer. Nobody gets more time by this, as nothing is waited for.
+		if n, _ = peek.Take(c.TCPConn, p); n > 0 {
+			err = nil
+		}
+	}
+	c.mu.Lock()
+	if c.reading = false; n > 0 {
+		c.goOnLocked()
+	}
+	c.mu.Unlock()
+	if n > 0 {
+		c.Received(n)
+		select {
+		case c.unwatched <- struct{}{}:
+		default: // one that waits to be read stands for any number
+		}
+	}
+	return n, err
+}
+
+// Watched reports whether somebody reads the connection now, who sees its end at once. Where that changes Unwatched is told.
+func (c *Conn) Watched() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading
+}
+
+// Unwatched is told when a read of the connection has brought something: nobody may be reading any more.
+func (c *Conn) Unwatched() <-chan struct{} { return c.unwatched }
+
+// Disconnected reports whether the client has ended the connection, without waiting. What it sent before stays to be read.
+func (c *Conn) Disconnected() bool { return peek.HungUp(c.TCPConn) }
+
+// end expires the read deadline, so that whoever reads the connection closes it. Data that has been received takes precedence, and
+// the connection stays open then: no request is both read and left without an answer.
+func (c *Conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// goOnLocked restores the read deadline that end has expired.
+func (c *Conn) goOnLocked() {
+	if c.ending {
+		c.ending = false
+		c.TCPConn.SetReadDeadline(c.readBy)
+	}
+}
+
+// SetReadDeadline is net.Conn's. A reader that waits for a request sets a time for that; one that takes it back has found a request
+// in what it had read before, which the end must not cut short.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readBy = t
+	if c.ending = c.ending && !t.IsZero(); c.ending {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline is net.Conn's.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// quiet reports whether there is no unread data.
+func (c *Conn) quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead) == 0 && !c.over && peek.Silent(c.TCPConn)
+}
+
+// Received records that bytes were read. Readers that bypass Read call it themselves.
+func (c *Conn) Received(n int) {
+	c.received.Store(int64(time.Since(started)))
+	c.receivedBytes.Add(int64(n))
+}
+
+// started is what times of connections count from.
+var started = time.Now()
+
+// lastReceived is when bytes were last read.
+func (c *Conn) lastReceived() time.Time { return started.Add(time.Duration(c.received.Load())) }
+
+// parts are what Probe reads into: one of its own for each request would be most of the garbage.
+var parts = sync.Pool{New: func() any { return new([4 << 10]byte) }}
+
+// Probe reports, without blocking, whether the client has closed the connection, also when the FIN is queued behind unread data that
+// fills the receive buffer. It reads up to mostAhead bytes of that and keeps them for Read. With more than that the connection
+// can't carry another request, as over says.
+func (c *Conn) Probe() (gone, over bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading { // who reads sees the end itself, unless it comes at this moment
+		return peek.HungUp(c.TCPConn), c.over
+	}
+	part := parts.Get().(*[4 << 10]byte)
+	defer parts.Put(part)
+	for most := 2 * mostAhead; most > 0; most -= len(part) {
+		n, err := peek.Take(c.TCPConn, part[:])
+		if n == 0 {
+			return !errors.Is(err, peek.ErrNothing), c.over
+		}
+		c.Received(n)
+		if c.over = c.over || len(c.ahead)+n > mostAhead; !c.over {
+			c.ahead = append(c.ahead, part[:n]...)
+		}
+	}
+	return peek.HungUp(c.TCPConn), c.over
+}
--- /dev/null
+++ b/internal/host/conntrack/listener.go
@@ -0,0 +1,162 @@
+package conntrack
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"ternbeam/internal/host/accept"
+)
+
+// Listener is a net.Listener that accepts through a Tracker.
+type Listener struct {
+	*net.TCPListener
+	tracker      *Tracker
+	ending       atomic.Bool
+	by           time.Time   // when the taking from the queue ends at the latest; who accepts sets it
+	latest       time.Time   // what by may be at the most, zero for any; set before ending is
+	left         atomic.Bool // to another process, which accepts what stands in the queue
+	closed       chan struct{}
+	retry        *accept.Retrier
+	accept       func() (*net.TCPConn, error) // TCPListener's, or a test's
+	readerCloses bool                         // who reads a connection ends it, by its read deadline
+
+	// What follows is under the Tracker's lock.
+	count   int           // of its connections
+	shut    bool          // none stays idle
+	emptied chan struct{} // closed when there are none; nil where nobody waits for that
+}
+
+// Listen returns a Listener whose connections are tracked.
+func (t *Tracker) Listen(l *net.TCPListener, log *slog.Logger) *Listener {
+	return &Listener{TCPListener: l, tracker: t, closed: make(chan struct{}), retry: accept.NewRetrier(log), accept: l.AcceptTCP}
+}
+
+// ReaderCloses leaves the closing of connections to their readers, whose read deadline is expired instead: for readers that close a
+// connection when its deadline passes without data. It must be called before the first Accept.
+func (l *Listener) ReaderCloses() *Listener {
+	l.readerCloses = true
+	return l
+}
+
+// Accept accepts the next connection. After CloseAfter it drains the accept queue of the kernel before it returns net.ErrClosed. Errors
+// of the system neither end it nor count as an empty queue.
+func (l *Listener) Accept() (net.Conn, error) {
+	for queued := true; ; queued = false {
+		socket, err := accept.Do(l.retry, func() (*net.TCPConn, error) {
+			if !l.by.IsZero() && time.Now().After(l.by) {
+				return nil, net.ErrClosed
+			}
+			return l.accept()
+		})
+		switch {
+		case err == nil:
+			c := &Conn{TCPConn: socket, unwatched: make(chan struct{}, 1)}
+			l.tracker.enter(&entry{conn: c, from: l})
+			return c, nil
+		case !l.ending.Load():
+			return nil, err
+		case !queued || l.left.Load() || errors.Is(err, net.ErrClosed):
+			return nil, l.end()
+		}
+		if l.by.IsZero() {
+			l.by = time.Now().Add(mostDrained) // a queue of two processes is never empty for long
+			if !l.latest.IsZero() && l.latest.Before(l.by) {
+				l.by = l.latest
+			}
+		}
+		l.SetDeadline(time.Now().Add(drained)) // one that has passed lets nothing in that waits already
+	}
+}
+
+func (l *Listener) end() error {
+	l.Close()
+	close(l.closed)
+	return net.ErrClosed
+}
+
+// CloseAfter stops accepting after a while, once the accept queue is empty or mostDrained later, and waits for that. With lingering 0
+// it stops at once: another process shares the listening socket and accepts what is queued. With an end, accepting stops early
+// enough for the last connection to be answered by then.
+func (l *Listener) CloseAfter(lingering time.Duration, end time.Time) {
+	if !end.IsZero() {
+		l.latest = end.Add(-AnswerWriteTime - SilentGrace)
+	}
+	l.left.Store(lingering == 0)
+	l.ending.Store(true)
+	l.SetDeadline(time.Now().Add(lingering))
+	<-l.closed
+}
+
+// CloseSilent closes the listener's connections on which nothing was received yet.
+func (l *Listener) CloseSilent() {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.closeLocked(l.tracker.fresh)
+}
+
+// CloseUnfinished closes the listener's connections that have no whole request, also those that have received a part of one.
+func (l *Listener) CloseUnfinished() {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	for _, from := range []*list.List{l.tracker.fresh, l.tracker.idle} {
+		for e := from.Front(); e != nil; {
+			next := e.Next()
+			if v := e.Value.(*entry); v.from == l {
+				l.tracker.stats.EndedBegun++
+				l.tracker.finishLocked(v)
+			}
+			e = next
+		}
+	}
+}
+
+// CloseIdle closes the listener's idle connections, and from now on each as it becomes idle. One that has received a part of a
+// request stays.
+func (l *Listener) CloseIdle() {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.shut = true
+	l.closeLocked(l.tracker.idle)
+}
+
+func (l *Listener) closeLocked(from *list.List) {
+	for e := from.Front(); e != nil; {
+		next := e.Next()
+		if v := e.Value.(*entry); v.from == l {
+			switch {
+			case v.begun():
+				l.tracker.stats.KeptBegun++
+			case from == l.tracker.fresh:
+				l.tracker.stats.EndedSilent++
+				l.tracker.finishLocked(v)
+			default:
+				l.tracker.stats.EndedIdle++
+				l.tracker.finishLocked(v)
+			}
+		}
+		e = next
+	}
+}
+
+// Empty waits until the listener, which has stopped accepting, has no connection left, or until ctx ends.
+func (l *Listener) Empty(ctx context.Context) error {
+	l.tracker.mu.Lock()
+	if l.count == 0 {
+		l.tracker.mu.Unlock()
+		return nil
+	}
+	emptied := make(chan struct{})
+	l.emptied = emptied
+	l.tracker.mu.Unlock()
+	select {
+	case <-emptied:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/host/conntrack/tracker.go
@@ -0,0 +1,246 @@
+// Package conntrack accepts the connections of clients, for every front, and tracks them: which have a request, which are idle, and
+// which give way when there are too many or when the agent ends.
+package conntrack
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// staleAfter is how long a request that has begun to come may pause before its connection may give way to another.
+	staleAfter = 500 * time.Millisecond
+	// mostYielding is how many connections may be on their way out at a time, beyond the places that there are.
+	mostYielding = 8
+
+	drained     = 50 * time.Millisecond  // without a new connection, the kernel's queue is empty
+	mostDrained = 500 * time.Millisecond // how long that is waited for
+
+	// SilentGrace is how long a connection that came just before the end has to send a request.
+	SilentGrace = 200 * time.Millisecond
+
+	// AnswerWriteTime is how long before an agent is gone at its end every request that it has taken is answered, and connections
+	// without a request are closed: the time to write answers.
+	AnswerWriteTime = 50 * time.Millisecond
+
+	// ProbeInterval is how often it is looked whether a client that waits is still there, where nobody reads what it sends. What its
+	// client does not want is not to be sent on from 0.1 s later.
+	ProbeInterval = 20 * time.Millisecond
+)
+
+// Tracker keeps account of the connections of all listeners that share it. They accept always: who waits in the
+// kernel's queue could neither be served nor turned away. When every place is taken, one that has no request gives
+// way: first the oldest of those that have not said anything yet, then the one that has been idle for longest.
+//
+// A request may come on a connection at the moment at which it is closed. Whoever reads one says so by Busy before it is
+// acted on, and does not act on it where the Tracker has closed the connection: its client asks once more elsewhere.
+type Tracker struct {
+	most int
+
+	mu    sync.Mutex
+	stats Stats
+	all   map[net.Conn]*entry
+	fresh *list.List // of entries on which nothing was received yet, the oldest first
+	idle  *list.List // of entries between requests
+
+	yielding int // connections that are ended to make room, and not gone yet
+}
+
+// Stats counts connections since the start, by what became of them.
+type Stats struct {
+	Accepted      int
+	ClosedForRoom int // closed unused, to make room for others
+	EndedIdle     int // told to end at the end of their listener, with no request begun on them
+	EndedSilent   int // the same, before they had said anything
+	KeptBegun     int // left open then, as a request had begun to come
+	EndedBegun    int // told to end later, with a request that had not come whole
+}
+
+// Stats returns the counts so far.
+func (t *Tracker) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
+}
+
+// entry is a tracked connection.
+type entry struct {
+	conn *Conn
+	from *Listener
+	in   *list.List    // the queue it is in: fresh or idle; nil while it has a request
+	at   *list.Element // of in
+	read int64         // bytes that had been read from it when its waiting began
+
+	yielding bool // its reader is to end it, to make room
+}
+
+// begun reports whether a part of a request was received since the connection was queued.
+func (v *entry) begun() bool { return v.conn.receivedBytes.Load() > v.read }
+
+// New returns a Tracker that keeps so many connections at most.
+func New(most int) *Tracker {
+	return &Tracker{most: most, all: map[net.Conn]*entry{}, fresh: list.New(), idle: list.New()}
+}
+
+func (t *Tracker) enter(v *entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all[v.conn] = v
+	t.stats.Accepted++
+	v.from.count++
+	t.waitLocked(v, t.fresh)
+	if len(t.all) > t.most {
+		t.makeRoomLocked(v)
+	}
+}
+
+// waitLocked puts a connection into a queue of those without a request.
+func (t *Tracker) waitLocked(v *entry, in *list.List) {
+	v.in, v.at, v.read = in, in.PushBack(v), v.conn.receivedBytes.Load()
+}
+
+// Busy records that a request was read from a connection. It returns false if the Tracker has closed the connection: the request must
+// not be acted on then.
+func (t *Tracker) Busy(c net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.all[c]
+	if v == nil {
+		return false
+	}
+	t.yieldedLocked(v)
+	v.unqueueLocked()
+	return true
+}
+
+// unqueueLocked takes a connection out of its queue.
+func (v *entry) unqueueLocked() {
+	if v.in != nil {
+		v.in.Remove(v.at)
+		v.in, v.at = nil, nil
+	}
+}
+
+// Idle records that a connection has no request any more.
+func (t *Tracker) Idle(c net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.all[c]
+	if v == nil || v.in != nil {
+		return
+	}
+	t.waitLocked(v, t.idle)
+	if v.from.shut {
+		t.finishLocked(v)
+	} else if len(t.all) > t.most {
+		t.makeRoomLocked(nil)
+	}
+}
+
+// Waits reports whether a connection has no request.
+func (t *Tracker) Waits(c net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.all[c]
+	return v != nil && v.in != nil
+}
+
+// Closed records that a connection was closed.
+func (t *Tracker) Closed(c net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v := t.all[c]; v != nil {
+		t.forgetLocked(v)
+	}
+}
+
+func (t *Tracker) forgetLocked(v *entry) {
+	t.yieldedLocked(v)
+	v.unqueueLocked()
+	delete(t.all, v.conn)
+	if v.from.count--; v.from.count == 0 && v.from.emptied != nil {
+		close(v.from.emptied)
+		v.from.emptied = nil
+	}
+}
+
+// makeRoomLocked closes a connection on which nothing was received, or else one whose request has stalled; the newest only if
+// there is no other. A request that was read, and that Busy was not called for yet, is never cut off.
+func (t *Tracker) makeRoomLocked(newest *entry) {
+	now := time.Now()
+	for _, may := range []func(v *entry) bool{
+		func(v *entry) bool { return !v.begun() },
+		func(v *entry) bool { return now.Sub(v.conn.lastReceived()) > staleAfter },
+	} {
+		for _, from := range []*list.List{t.fresh, t.idle} {
+			for e := from.Front(); e != nil; e = e.Next() {
+				if v := e.Value.(*entry); v != newest && may(v) && t.yieldLocked(v) {
+					t.stats.ClosedForRoom++
+					return
+				}
+			}
+		}
+	}
+	if newest != nil && t.closeLocked(newest) {
+		t.stats.ClosedForRoom++
+	}
+}
+
+// yieldLocked closes a connection to make room for another. Its reader does so where it can, so that data it has read by then takes
+// precedence.
+func (t *Tracker) yieldLocked(v *entry) bool {
+	if !v.from.readerCloses || t.yielding >= mostYielding {
+		return !v.begun() && t.closeLocked(v)
+	}
+	if !v.conn.quiet() {
+		return false
+	}
+	v.unqueueLocked()
+	v.yielding = true
+	t.yielding++
+	v.conn.end()
+	return true
+}
+
+// yieldedLocked ends the count of a connection as yielding: it is closed, or has a request after all.
+func (t *Tracker) yieldedLocked(v *entry) {
+	if v.yielding {
+		v.yielding = false
+		t.yielding--
+	}
+}
+
+// closeLocked closes a connection unless it has unread data.
+func (t *Tracker) closeLocked(v *entry) bool {
+	if !v.conn.quiet() {
+		return false
+	}
+	t.forgetLocked(v)
+	v.conn.Close()
+	return true
+}
+
+// finishLocked closes a connection at the end of its listener.
+func (t *Tracker) finishLocked(v *entry) {
+	if !v.from.readerCloses {
+		t.closeLocked(v)
+	} else if v.conn.quiet() {
+		v.conn.end()
+	}
+}
+
+// NearlyFull reports whether connections that have sent something hold five eighths of the places.
+func (t *Tracker) NearlyFull() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.all)-t.fresh.Len() >= t.most*5/8
+}
+
+// Count returns the number of connections.
+func (t *Tracker) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.all)
+}
--- a/internal/host/door/door_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -1,4 +1,4 @@
-package door
+package conntrack
 
 import (
 	"errors"
@@ -14,7 +14,7 @@
 	"ternbeam/internal/lab/testkit"
 )
 
-func openDoor(t *testing.T, most int) *Listener {
+func newListener(t *testing.T, most int) *Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -62,11 +62,11 @@
 
 // Clients that connect by hundreds and say nothing must not keep usual ones out, whose idle connections stay.
 func TestSilentConnectionsGiveWayFirst(t *testing.T) {
-	d := openDoor(t, 4)
+	d := newListener(t, 4)
 	idle := visitor(t, d, "")
 	accepted := admit(t, d)
-	d.door.Busy(accepted)
-	d.door.Idle(accepted)
+	d.tracker.Busy(accepted)
+	d.tracker.Idle(accepted)
 	begun := visitor(t, d, "GET /")
 	admit(t, d)
 	var mute []net.Conn
@@ -74,7 +74,7 @@
 		mute = append(mute, visitor(t, d, ""))
 		admit(t, d)
 	}
-	if n := d.door.Count(); n != 4 {
+	if n := d.tracker.Count(); n != 4 {
 		t.Errorf("%d connections", n)
 	}
 	for i, c := range mute {
@@ -89,20 +89,20 @@
 
 // Where nobody is silent the one that has been idle for longest goes, and a newcomer only if all are busy.
 func TestIdleConnectionsGiveWayInTurn(t *testing.T) {
-	d := openDoor(t, 2)
+	d := newListener(t, 2)
 	var clients, conns []net.Conn
 	for range 2 {
 		clients = append(clients, visitor(t, d, ""))
 		conns = append(conns, admit(t, d))
-		d.door.Busy(conns[len(conns)-1])
+		d.tracker.Busy(conns[len(conns)-1])
 	}
 	newcomer := visitor(t, d, "")
 	admit(t, d)
-	if !closed(newcomer, testkit.Patience) || d.door.Count() != 2 {
-		t.Errorf("%d connections with two busy ones", d.door.Count())
+	if !closed(newcomer, testkit.Patience) || d.tracker.Count() != 2 {
+		t.Errorf("%d connections with two busy ones", d.tracker.Count())
 	}
-	d.door.Idle(conns[1])
-	d.door.Idle(conns[0])
+	d.tracker.Idle(conns[1])
+	d.tracker.Idle(conns[0])
 	visitor(t, d, "")
 	admit(t, d)
 	if !closed(clients[1], testkit.Patience) || closed(clients[0], time.Millisecond) {
@@ -110,9 +110,9 @@
 	}
 }
 
-// What the kernel has accepted before the end is taken, however late the agent gets to it.
+// What the kernel has accepted before the end is receivedBytes, however late the agent gets to it.
 func TestQueueIsTakenAtTheEnd(t *testing.T) {
-	d := openDoor(t, 10)
+	d := newListener(t, 10)
 	for range 3 {
 		visitor(t, d, "GET /")
 	}
@@ -131,19 +131,19 @@
 
 // At the end those that say nothing are not waited for, but who has begun a request is.
 func TestSilentConnectionsAreDroppedAtTheEnd(t *testing.T) {
-	d := openDoor(t, 10)
+	d := newListener(t, 10)
 	mute, begun := visitor(t, d, ""), visitor(t, d, "GET /")
 	admit(t, d)
 	admit(t, d)
-	d.DropSilent()
-	if !closed(mute, testkit.Patience) || closed(begun, time.Millisecond) || d.door.Count() != 1 {
-		t.Errorf("%d connections", d.door.Count())
+	d.CloseSilent()
+	if !closed(mute, testkit.Patience) || closed(begun, time.Millisecond) || d.tracker.Count() != 1 {
+		t.Errorf("%d connections", d.tracker.Count())
 	}
 }
 
-// A queue that never gets empty, as two processes accept from it, does not keep the door open.
+// A queue that never gets empty, as two processes accept from it, does not keep the tracker open.
 func TestBusyQueueEnds(t *testing.T) {
-	d := openDoor(t, 1000)
+	d := newListener(t, 1000)
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
@@ -159,7 +159,7 @@
 			}
 		}
 	}()
-	end := time.Now().Add(LastAnswer + LastWords + mostDrained/2) // of the whole agent, before the queue's own time is over
+	end := time.Now().Add(AnswerWriteTime + SilentGrace + mostDrained/2) // of the whole agent, before the queue's own time is over
 	go d.CloseAfter(time.Millisecond, end)
 	for end := time.Now().Add(testkit.Patience); ; {
 		c, err := d.Accept()
@@ -167,13 +167,13 @@
 			break
 		}
 		c.Close()
-		d.door.Leave(c)
+		d.tracker.Closed(c)
 		if time.Now().After(end) {
 			t.Fatal("it accepts for ever")
 		}
 	}
 	<-d.closed
-	if left := time.Until(end); left < LastAnswer {
+	if left := time.Until(end); left < AnswerWriteTime {
 		t.Errorf("it accepted until %v before the end", left)
 	}
 }
@@ -196,7 +196,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := openDoor(t, 10).Gentle()
+			d := newListener(t, 10).ReaderCloses()
 			client := visitor(t, d, "")
 			c := admit(t, d).(*Conn)
 			cross(c, client)
@@ -212,14 +212,14 @@
 			}
 		})
 	}
-	d := openDoor(t, 10).Gentle()
+	d := newListener(t, 10).ReaderCloses()
 	visitor(t, d, "")
 	c := admit(t, d).(*Conn)
-	d.DropSilent()
+	d.CloseSilent()
 	if _, err := c.Read(make([]byte, 1)); !isTimeout(err) {
 		t.Errorf("one on which nothing comes: %v", err)
 	}
-	if n := d.door.Count(); n != 1 {
+	if n := d.tracker.Count(); n != 1 {
 		t.Errorf("%d connections before the reader has closed it", n)
 	}
 }
@@ -230,7 +230,7 @@
 	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.ENFILE, syscall.EPERM, syscall.EPROTO, syscall.ENETDOWN} {
 		for _, ending := range []bool{false, true} {
 			t.Run(fmt.Sprint(errno, ", ending ", ending), func(t *testing.T) {
-				d := openDoor(t, 10)
+				d := newListener(t, 10)
 				real, calls := d.accept, 0
 				d.accept = func() (*net.TCPConn, error) {
 					if calls++; calls%3 != 0 {
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -19,8 +19,8 @@
 	"ternbeam/choice"
 	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/discovery"
+	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
-	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/peek"
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/http/httpmsg"
@@ -78,7 +78,7 @@
 	*Front
 	servers *servers
 	addr    string
-	conns   chan *door.Conn // as they are accepted
+	conns   chan *conntrack.Conn // as they are accepted
 }
 
 // newRig returns one that does not serve yet; most bounds its clients.
@@ -88,7 +88,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{servers: &servers{begun: make(chan *core.Attempt, 1<<14), ends: make(chan core.Ending), seen: map[string]int{}}, conns: make(chan *door.Conn, 1<<14)} // more than any test makes: who waits here holds up the accepting
+	r := &rig{servers: &servers{begun: make(chan *core.Attempt, 1<<14), ends: make(chan core.Ending), seen: map[string]int{}}, conns: make(chan *conntrack.Conn, 1<<14)} // more than any test makes: who waits here holds up the accepting
 	known := discovery.List{Full: true}
 	for i := range 64 { // so many that none seems silent by what a test has it owe
 		known.Servers = append(known.Servers, discovery.Entry{ID: fmt.Sprint("s", i), Addr: "127.0.0.1:1", Zone: "z", State: "in_service"})
@@ -107,10 +107,10 @@
 		t.Fatal(err)
 	}
 	r.addr = l.Addr().String()
-	r.Front = New(cfg, c, door.New(most), l.(*net.TCPListener), slog.New(slog.DiscardHandler))
+	r.Front = New(cfg, c, conntrack.New(most), l.(*net.TCPListener), slog.New(slog.DiscardHandler))
 	r.look = time.Millisecond
 	r.http.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		r.conns <- conn.(*door.Conn)
+		r.conns <- conn.(*conntrack.Conn)
 		return r.withCaller(ctx, conn)
 	}
 	t.Cleanup(func() { r.http.Close() })
@@ -120,8 +120,8 @@
 // stop ends the front as the agent does, without a time in which connections are accepted, and is over at some time after now.
 func (r *rig) stop(closeBy time.Duration) {
 	begin := time.Now()
-	r.core.End(begin, begin.Add(closeBy-door.LastAnswer))
-	r.Stop(begin, shutdown.Schedule{Accept: time.Nanosecond, AnswerBy: closeBy - door.LastAnswer, CloseBy: closeBy})
+	r.core.End(begin, begin.Add(closeBy-conntrack.AnswerWriteTime))
+	r.Stop(begin, shutdown.Schedule{Accept: time.Nanosecond, AnswerBy: closeBy - conntrack.AnswerWriteTime, CloseBy: closeBy})
 }
 
 func (r *rig) serve() *rig { go r.Serve(); return r }
@@ -181,14 +181,14 @@
 					at := <-r.servers.begun
 					go io.WriteString(c, more) // it may not all be taken
 					served := <-r.conns
-					testkit.Eventually(t, "something has come behind the request", func() bool { return !peek.Silent(served) || served.Taken() > len(request("a")) })
+					testkit.Eventually(t, "something has come behind the request", func() bool { return !peek.Silent(served) || served.ReceivedBytes() > len(request("a")) })
 					leave(c, reset)
 					testkit.Eventually(t, "the leaving is noticed", at.Call.Over)
 					select {
 					case r.servers.ends <- never:
 					case <-time.After(10 * time.Millisecond): // it was withdrawn before
 					}
-					testkit.Eventually(t, "the connection is given back", func() bool { return r.door.Count() == 0 })
+					testkit.Eventually(t, "the connection is given back", func() bool { return r.tracker.Count() == 0 })
 					testkit.Eventually(t, "the call is given back", func() bool {
 						s := r.core.Snapshot()
 						return s.Open == 0 && s.Held == 0 && s.Stats.Gone == 1
@@ -213,7 +213,7 @@
 				leave(c, reset)
 				r.serve()
 				<-r.conns
-				testkit.Eventually(t, "the connection is given back", func() bool { return r.door.Count() == 0 })
+				testkit.Eventually(t, "the connection is given back", func() bool { return r.tracker.Count() == 0 })
 				if n, s := r.servers.of("a"), r.core.Snapshot(); n != 0 || s.Open != 0 || s.Stats.Requests != 0 {
 					t.Errorf("%d attempts; %d open of %d", n, s.Open, s.Stats.Requests)
 				}
@@ -270,7 +270,7 @@
 			var cross func()
 			var crossing atomic.Bool
 			over := make(chan net.Conn, 10)
-			newcomers := make(chan *door.Conn, 1)
+			newcomers := make(chan *conntrack.Conn, 1)
 			r.http.ConnState = func(c net.Conn, state http.ConnState) {
 				if state == http.StateActive && crossing.Load() { // the request has been read, and nobody knows yet
 					cross()
@@ -283,7 +283,7 @@
 			c := r.serve().dial(t)
 			r.served(t, c)
 			first := <-r.conns
-			testkit.Eventually(t, "it is idle", func() bool { return r.door.Waits(first) })
+			testkit.Eventually(t, "it is idle", func() bool { return r.tracker.Waits(first) })
 			for i := range 3 {
 				id := fmt.Sprint("other", i)
 				say(t, r.dial(t), kinds["safe"](id))
@@ -318,9 +318,9 @@
 		r.served(t, c)
 	}
 	conn := <-r.conns
-	half := conn.Taken() + 10
+	half := conn.ReceivedBytes() + 10
 	say(t, c, text[:10])
-	testkit.Eventually(t, "the first bytes are read", func() bool { return conn.Taken() >= half })
+	testkit.Eventually(t, "the first bytes are read", func() bool { return conn.ReceivedBytes() >= half })
 	return c, text[10:]
 }
 
@@ -341,8 +341,8 @@
 					}
 					return err != nil
 				})
-				r.listen.DropIdle()
-				r.listen.DropSilent() // as it is done a little later
+				r.listen.CloseIdle()
+				r.listen.CloseSilent() // as it is done a little later
 				say(t, c, rest)
 				<-r.servers.begun
 				r.servers.ends <- core.Ending{Result: choice.OK, Report: choice.NoReport, Reply: &httpmsg.Reply{Body: []byte("done")}}
@@ -401,7 +401,7 @@
 // them, and all that they held is given back. What the machine itself stood still for is not the program's.
 func TestThousandLeavings(t *testing.T) {
 	r := newRig(t, 1000)
-	r.look = door.LookEvery
+	r.look = conntrack.ProbeInterval
 	r.serve()
 	var stood atomic.Int64
 	ctx, cancel := context.WithCancel(context.Background())
@@ -470,7 +470,7 @@
 			}
 			s := r.core.Snapshot()
 			ended := s.Stats.Gone + s.Stats.Served + s.Stats.Refused + s.Stats.Failed // those that were gone before they were read are no requests
-			return s.Open == 0 && s.Held == 0 && ended == s.Stats.Requests && r.door.Count() == 0
+			return s.Open == 0 && s.Held == 0 && ended == s.Stats.Requests && r.tracker.Count() == 0
 		})
 	}
 	t.Logf("%d leavings, the longest noticed after %v", r.core.Snapshot().Stats.Gone, longest)
@@ -515,7 +515,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 10)
-			ending := sync.OnceFunc(func() { r.ending.Store(true); r.listen.DropIdle() })
+			ending := sync.OnceFunc(func() { r.ending.Store(true); r.listen.CloseIdle() })
 			r.http.ConnState = func(c net.Conn, state http.ConnState) {
 				if state == http.StateIdle { // the first answer is written
 					ending()
@@ -525,7 +525,7 @@
 			c := r.serve().dial(t)
 			say2(t, c, func() { <-r.servers.begun })
 			conn := <-r.conns
-			testkit.Eventually(t, "what follows is read ahead", func() bool { return conn.Taken() == 2*len(kinds["safe"]("a")) && peek.Silent(conn) })
+			testkit.Eventually(t, "what follows is read ahead", func() bool { return conn.ReceivedBytes() == 2*len(kinds["safe"]("a")) && peek.Silent(conn) })
 			in := bufio.NewReader(c)
 			c.SetReadDeadline(time.Now().Add(testkit.Patience))
 			for i := range 2 {
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -19,8 +19,8 @@
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/shutdown"
+	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
-	"ternbeam/internal/host/door"
 	"ternbeam/internal/http/httpmsg"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/settings/config"
@@ -38,17 +38,17 @@
 
 // Front is the HTTP/1.1 side of the agent towards its clients.
 type Front struct {
-	cfg    *config.Config
-	shapes Shapes // nil where calls have none
-	long   bool   // bodies may be long, and come in every form of HTTP/1.1
-	core   *core.Core
-	log    *slog.Logger
-	http   *http.Server
-	door   *door.Door
-	listen *door.Listener
-	ending atomic.Bool // answers say that their connection ends
-	look   time.Duration
-	budget httpmsg.Budget
+	cfg     *config.Config
+	shapes  Shapes // nil where calls have none
+	long    bool   // bodies may be long, and come in every form of HTTP/1.1
+	core    *core.Core
+	log     *slog.Logger
+	http    *http.Server
+	tracker *conntrack.Tracker
+	listen  *conntrack.Listener
+	ending  atomic.Bool // answers say that their connection ends
+	look    time.Duration
+	budget  httpmsg.Budget
 }
 
 // Shapes finds the shapes of requests.
@@ -61,12 +61,12 @@
 // WithShapes has the Front find the shapes of requests. It is called before Serve.
 func (f *Front) WithShapes(s Shapes) { f.shapes = s }
 
-// New returns a Front that takes the connections of a listener through a door.
-func New(cfg *config.Config, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
-	f := &Front{cfg: cfg, core: c, log: log, door: d, listen: d.Listen(l, log).Gentle(), look: door.LookEvery}
+// New returns a Front that takes the connections of a listener through a connection tracker.
+func New(cfg *config.Config, c *core.Core, d *conntrack.Tracker, l *net.TCPListener, log *slog.Logger) *Front {
+	f := &Front{cfg: cfg, core: c, log: log, tracker: d, listen: d.Listen(l, log).ReaderCloses(), look: conntrack.ProbeInterval}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
-		if !f.door.Busy(callerOf(in).conn) { // closed while this was being read: its client asks once more, and must not have its effect twice
+		if !f.tracker.Busy(callerOf(in).conn) { // closed while this was being read: its client asks once more, and must not have its effect twice
 			panic(http.ErrAbortHandler)
 		}
 		if in.URL.Path != "/ready" {
@@ -96,29 +96,29 @@
 
 // note follows a connection through the server, as its ConnState.
 func (f *Front) note(conn net.Conn, state http.ConnState) {
-	c := doorConn(conn)
+	c := trackedConn(conn)
 	switch state {
 	case http.StateIdle:
 		if t, ok := conn.(*tape); ok {
 			t.next()
 		}
-		f.door.Idle(c)
+		f.tracker.Idle(c)
 	case http.StateClosed, http.StateHijacked:
-		f.door.Leave(c)
+		f.tracker.Closed(c)
 	}
 }
 
-// doorConn is a connection as the door knows it.
-func doorConn(c net.Conn) *door.Conn {
+// trackedConn is a connection as the tracker knows it.
+func trackedConn(c net.Conn) *conntrack.Conn {
 	if t, ok := c.(*tape); ok {
 		return t.Conn
 	}
-	return c.(*door.Conn)
+	return c.(*conntrack.Conn)
 }
 
 // caller is a client's connection, as its requests find it.
 type caller struct {
-	conn  *door.Conn
+	conn  *conntrack.Conn
 	tape  *tape // nil where bodies are short
 	asked int   // requests so far
 
@@ -130,7 +130,7 @@
 // withCaller lets the requests on a connection find it.
 func (f *Front) withCaller(ctx context.Context, c net.Conn) context.Context {
 	t, _ := c.(*tape)
-	return context.WithValue(ctx, callerKey{}, &caller{conn: doorConn(c), tape: t, opened: f.core.Now()})
+	return context.WithValue(ctx, callerKey{}, &caller{conn: trackedConn(c), tape: t, opened: f.core.Now()})
 }
 
 func callerOf(in *http.Request) *caller { return in.Context().Value(callerKey{}).(*caller) }
@@ -156,20 +156,20 @@
 	time.Sleep(plan.Idle)
 	// Not http.Server's Shutdown: it closes a connection that it takes for idle while a request is being read there, which is
 	// then sent on all the same, and once more when its client, who heard nothing, asks again.
-	f.listen.DropIdle()
+	f.listen.CloseIdle()
 	stage("idle connections told to end")
 	<-closed
 	stage("accepting ended")
-	silent := time.AfterFunc(min(plan.Idle+door.LastWords, time.Until(end)-door.LastAnswer), func() {
-		f.listen.DropSilent()
+	silent := time.AfterFunc(min(plan.Idle+conntrack.SilentGrace, time.Until(end)-conntrack.AnswerWriteTime), func() {
+		f.listen.CloseSilent()
 		stage("silent connections told to end")
 	})
 	defer silent.Stop()
-	if !f.empty(end.Add(-door.LastAnswer)) {
-		f.listen.DropBegun() // nobody sends on in time what has not come whole by now
+	if !f.empty(end.Add(-conntrack.AnswerWriteTime)) {
+		f.listen.CloseUnfinished() // nobody sends on in time what has not come whole by now
 		stage("unfinished requests told to end")
 		if !f.empty(end) {
-			f.log.Warn("connections were still open at the end", "connections", f.door.Count())
+			f.log.Warn("connections were still open at the end", "connections", f.tracker.Count())
 		}
 	}
 	f.http.Close()
@@ -185,11 +185,11 @@
 
 // stages begins the log of a shutdown and returns what logs its next stage.
 func (f *Front) stages(begin time.Time) (stage func(name string)) {
-	f.log.Info("shutdown", "stage", "begun", "connections", f.door.Count())
+	f.log.Info("shutdown", "stage", "begun", "connections", f.tracker.Count())
 	return func(name string) {
-		s := f.door.Stats()
-		f.log.Info("shutdown", "stage", name, "after", time.Since(begin).Round(time.Millisecond), "connections", f.door.Count(), "accepted", s.Accepted,
-			"closed_for_room", s.ClosedFor, "ended_idle", s.EndedIdle, "ended_silent", s.EndedSilent, "kept_begun", s.KeptBegun, "ended_begun", s.EndedBegun)
+		s := f.tracker.Stats()
+		f.log.Info("shutdown", "stage", name, "after", time.Since(begin).Round(time.Millisecond), "connections", f.tracker.Count(), "accepted", s.Accepted,
+			"closed_for_room", s.ClosedForRoom, "ended_idle", s.EndedIdle, "ended_silent", s.EndedSilent, "kept_begun", s.KeptBegun, "ended_begun", s.EndedBegun)
 	}
 }
 
@@ -212,7 +212,7 @@
 	http.NewResponseController(w).SetReadDeadline(time.Time{}) // or waiting for the client to leave would end with it
 	from := callerOf(in)
 	gone := func() bool {
-		gone, over := from.conn.Look()
+		gone, over := from.conn.Probe()
 		if over { // no requests can be told apart in what is left of that
 			w.Header().Set("Connection", "close")
 		}
@@ -234,7 +234,7 @@
 	f.core.Take(call)
 	// Some clients ask once and keep their connection for good. Where places get short it ends with the answer; a
 	// client that does come back opens another.
-	if from.asked == 1 && f.door.Crowded() {
+	if from.asked == 1 && f.tracker.NearlyFull() {
 		w.Header().Set("Connection", "close")
 	}
 	if call.Coming {
@@ -266,7 +266,7 @@
 
 // await waits for the answer to a call. It is false where the client leaves before. net/http reads the connection meanwhile and
 // tells at once of its end, unless something has come behind the request: then it reads no further, and the connection is looked at.
-func (f *Front) await(ctx context.Context, conn *door.Conn, answer <-chan core.Answer, gone func() bool) (core.Answer, bool) {
+func (f *Front) await(ctx context.Context, conn *conntrack.Conn, answer <-chan core.Answer, gone func() bool) (core.Answer, bool) {
 	look := time.NewTicker(f.look)
 	defer look.Stop()
 	for {
--- a/internal/http/httpfront/long.go
+++ b/internal/http/httpfront/long.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
-	"ternbeam/internal/host/door"
 	"ternbeam/internal/http/httpmsg"
 )
 
@@ -231,14 +231,14 @@
 }
 
 // taped accepts connections that keep the bytes which were read last.
-type taped struct{ *door.Listener }
+type taped struct{ *conntrack.Listener }
 
 func (l taped) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &tape{Conn: c.(*door.Conn)}, nil
+	return &tape{Conn: c.(*conntrack.Conn)}, nil
 }
 
 const (
@@ -248,7 +248,7 @@
 
 // tape is a connection that keeps the bytes in which the head of the current request stands.
 type tape struct {
-	*door.Conn
+	*conntrack.Conn
 	bytes []byte
 	last  int // how many of them came last
 }
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"time"
 
+	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
-	"ternbeam/internal/host/door"
 	"ternbeam/internal/host/peek"
 	"ternbeam/internal/thrift/thriftmap"
 	"ternbeam/internal/thrift/thriftwire"
@@ -24,7 +24,7 @@
 // only as long as there is something to write.
 type client struct {
 	front *Front
-	conn  *door.Conn
+	conn  *conntrack.Conn
 
 	// What follows is the reader's.
 	raw        syscall.RawConn
@@ -41,7 +41,7 @@
 	unsent  []byte    // frames to be written
 	writing bool      // they are being written
 	asked   bool      // a frame has come
-	busy    bool      // so the door was told
+	busy    bool      // so the tracker was told
 	over    bool      // no more is read
 	dead    bool      // the connection is of no use any more
 }
@@ -59,13 +59,13 @@
 // errStopping is why one is closed on which nothing is under way when the agent ends.
 var errStopping = errors.New("the agent ends")
 
-func (f *Front) open(conn *door.Conn) {
+func (f *Front) open(conn *conntrack.Conn) {
 	c := &client{front: f, conn: conn}
 	c.room.L = &c.mu
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		conn.Close()
-		f.door.Leave(conn)
+		f.tracker.Closed(conn)
 		return
 	}
 	c.raw, c.fill = raw, c.read
@@ -91,7 +91,7 @@
 	c.over, c.dead = true, true
 	c.mu.Unlock()
 	c.conn.Close()
-	c.front.door.Leave(c.conn)
+	c.front.tracker.Closed(c.conn)
 	c.leave()
 }
 
@@ -141,7 +141,7 @@
 	}
 }
 
-// begin says that a call has come. It is false where the door has closed the connection while it was read: its client asks
+// begin says that a call has come. It is false where the tracker has closed the connection while it was read: its client asks
 // once more elsewhere, and it must not have its effect twice.
 func (c *client) begin() bool {
 	c.mu.Lock()
@@ -149,7 +149,7 @@
 	if c.asked = true; c.busy {
 		return true
 	}
-	c.busy = c.front.door.Busy(c.conn)
+	c.busy = c.front.tracker.Busy(c.conn)
 	return c.busy
 }
 
@@ -322,14 +322,14 @@
 	c.idleLocked()
 }
 
-// idleLocked says that nothing is under way any more, if so: the door may close the connection for another, and an
+// idleLocked says that nothing is under way any more, if so: the tracker may close the connection for another, and an
 // ending agent does.
 func (c *client) idleLocked() {
 	if !c.restsLocked() || c.dead || !c.busy {
 		return
 	}
 	c.busy = false
-	c.front.door.Idle(c.conn)
+	c.front.tracker.Idle(c.conn)
 	if c.front.stopping.Load() {
 		c.wake()
 	}
@@ -358,7 +358,7 @@
 	over := make(chan struct{})
 	defer close(over)
 	go func() {
-		look := time.NewTicker(door.LookEvery)
+		look := time.NewTicker(conntrack.ProbeInterval)
 		defer look.Stop()
 		for {
 			select {
@@ -409,7 +409,7 @@
 		ending := c.front.stopping.Load()
 		c.mu.Lock()
 		rests, fresh := c.restsLocked(), !c.asked
-		var by time.Time // the door closes the fresh ones at the end
+		var by time.Time // the tracker closes the fresh ones at the end
 		if rests && !ending {
 			by = time.Now().Add(c.front.m.IdleTimeout)
 		}
@@ -482,7 +482,7 @@
 		n, err = syscall.Read(int(fd), *chunk)
 	}
 	if n > 0 {
-		c.conn.Heard(n)
+		c.conn.Received(n)
 		c.chunk, c.start, c.end, c.filled = chunk, 0, n, nil
 		return true
 	}
--- a/internal/thrift/thriftfront/client_test.go
+++ b/internal/thrift/thriftfront/client_test.go
@@ -6,27 +6,27 @@
 	"net"
 	"testing"
 
-	"ternbeam/internal/host/door"
+	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/thrift/thriftmap"
 	"ternbeam/internal/thrift/thriftwire"
 )
 
 // visitor is a client's connection before a front without a core, and the listener that it came by.
-func visitor(t *testing.T, most int) (c *client, listener *door.Listener) {
+func visitor(t *testing.T, most int) (c *client, listener *conntrack.Listener) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	d := door.New(most)
+	d := conntrack.New(most)
 	listener = d.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler))
-	c = &client{front: &Front{m: &thriftmap.Map{MaxCalls: 2}, door: d, clients: map[*client]bool{}, left: make(chan struct{}, 1)}, conn: connect(t, listener)}
+	c = &client{front: &Front{m: &thriftmap.Map{MaxCalls: 2}, tracker: d, clients: map[*client]bool{}, left: make(chan struct{}, 1)}, conn: connect(t, listener)}
 	c.room.L = &c.mu
 	return c, listener
 }
 
-func connect(t *testing.T, l *door.Listener) *door.Conn {
+func connect(t *testing.T, l *conntrack.Listener) *conntrack.Conn {
 	t.Helper()
 	peer, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -38,12 +38,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	return conn.(*door.Conn)
+	return conn.(*conntrack.Conn)
 }
 
-// The door closes a connection for another client while a call has been read from it: the call is not taken, as its client, who hears
+// The tracker closes a connection for another client while a call has been read from it: the call is not taken, as its client, who hears
 // nothing, asks once more elsewhere. There is no core here that could take it.
-func TestDoorClosesAsACallIsRead(t *testing.T) {
+func TestConnectionClosesAsACallIsRead(t *testing.T) {
 	c, listener := visitor(t, 1)
 	connect(t, listener) // the only place
 	var w thriftwire.Writer
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -12,8 +12,8 @@
 	"ternbeam/choice"
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/shutdown"
+	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
-	"ternbeam/internal/host/door"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/settings/config"
 	"ternbeam/internal/thrift/thriftmap"
@@ -29,15 +29,15 @@
 
 // Front is the Thrift side of the agent towards its clients.
 type Front struct {
-	cfg    *config.Config
-	shapes Shapes // nil where calls have none
-	m      *thriftmap.Map
-	core   *core.Core
-	log    *slog.Logger
-	door   *door.Door
-	listen *door.Listener
-	idOf   string        // what the ids begin with that are given to calls without one
-	ids    atomic.Uint64 // how many were given
+	cfg     *config.Config
+	shapes  Shapes // nil where calls have none
+	m       *thriftmap.Map
+	core    *core.Core
+	log     *slog.Logger
+	tracker *conntrack.Tracker
+	listen  *conntrack.Listener
+	idOf    string        // what the ids begin with that are given to calls without one
+	ids     atomic.Uint64 // how many were given
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -55,9 +55,9 @@
 // WithShapes has the Front find the shapes of calls. It is called before Serve.
 func (f *Front) WithShapes(s Shapes) { f.shapes = s }
 
-// New returns a Front that takes the connections of a listener through a door.
-func New(cfg *config.Config, m *thriftmap.Map, c *core.Core, d *door.Door, l *net.TCPListener, log *slog.Logger) *Front {
-	return &Front{cfg: cfg, m: m, core: c, log: log, door: d, listen: d.Listen(l, log),
+// New returns a Front that takes the connections of a listener through a connection tracker.
+func New(cfg *config.Config, m *thriftmap.Map, c *core.Core, d *conntrack.Tracker, l *net.TCPListener, log *slog.Logger) *Front {
+	return &Front{cfg: cfg, m: m, core: c, log: log, tracker: d, listen: d.Listen(l, log),
 		idOf: fmt.Sprintf("%s-%x-", cfg.Name, cfg.Seed), clients: map[*client]bool{}, left: make(chan struct{}, 1)}
 }
 
@@ -68,7 +68,7 @@
 		if err != nil {
 			return err
 		}
-		f.open(c.(*door.Conn))
+		f.open(c.(*conntrack.Conn))
 	}
 }
 
@@ -86,7 +86,7 @@
 	}
 	f.mu.Unlock()
 	f.listen.CloseAfter(plan.Accept, by)
-	silent := time.AfterFunc(min(door.LastWords, time.Until(by)-door.LastAnswer), f.listen.DropSilent)
+	silent := time.AfterFunc(min(conntrack.SilentGrace, time.Until(by)-conntrack.AnswerWriteTime), f.listen.CloseSilent)
 	defer silent.Stop()
 	for f.count() > 0 {
 		select {
