Errors of the system that pass cost no answer, no new configuration and no start

Cause: seen while reading for the same kind of fault as in the incident, a promise that hangs on one attempt: a final answer whose write failed with ENOBUFS or ENOMEM was lost with its connection (net/http gives up at the first error); a SIGHUP whose file could not be read, or was half written, left the old discovery in place for good (agent.go, reload), so that its drains were never heard; a listener that could not be opened for a moment ended the start; a log that nobody reads any more ended the process by SIGPIPE. Change: internal/host/transient names the errors that pass and repeats reads, writes and whole steps; clients' connections read and write through it; reload.go reads again for 3 s, in the background, the latest signal first; listening is tried for 4 s; SIGPIPE is ignored. Result: tests of each, among them short writes that end in such an error, a reload with no file, half a file and a folder in its place, and a log pipe without a reader (with the line taken out that test does not end within 60 s). Tests of host, agent, the command and the root pass.

--- a/cmd/ternbeam/main.go
+++ b/cmd/ternbeam/main.go
@@ -86,6 +86,7 @@
 	defer stop()
 	reload := make(chan os.Signal, 1) // one that waits stands for any number
 	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // nobody may read the log any more, which is no reason to end
 	defer signal.Stop(reload)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -27,6 +27,17 @@
 
 // program starts the agent as the deploy file does, from what RUN_ROOT holds, or else one built here.
 func program(t *testing.T, env ...string) (*exec.Cmd, *testkit.Log) {
+	t.Helper()
+	cmd, log := command(t, env...), &testkit.Log{}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return cmd, log
+}
+
+// command is the agent's, not started yet.
+func command(t *testing.T, env ...string) *exec.Cmd {
 	t.Helper()
 	command, root := "", os.Getenv("RUN_ROOT")
 	if root != "" {
@@ -48,12 +59,7 @@
 	}
 	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Dir, cmd.Env = root, append(os.Environ(), env...)
-	var log testkit.Log
-	cmd.Stdout, cmd.Stderr = &log, &log
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	return cmd, &log
+	return cmd
 }
 
 // process is the program under test, which is killed after the test if it is still there.
--- a/cmd/ternbeam/signals_test.go
+++ b/cmd/ternbeam/signals_test.go
@@ -90,3 +90,32 @@
 		t.Errorf("it ended after %v", took)
 	}
 }
+
+// Whoever reads the log goes away: the agent serves on, and ends as usual.
+func TestNobodyReadsTheLog(t *testing.T) {
+	config, listen := configure(t, free(t), settings)
+	cmd := command(t, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Stdout, cmd.Stderr = writer, writer
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	writer.Close()
+	reader.Close()
+	t.Cleanup(func() { cmd.Process.Kill() })
+	awaitReady(t, listen)
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil { // which is logged
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	awaitReady(t, listen)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -27,6 +27,7 @@
 	"ternbeam/internal/host/members"
 	"ternbeam/internal/host/peers"
 	"ternbeam/internal/host/pool"
+	"ternbeam/internal/host/transient"
 	"ternbeam/internal/http/httpback"
 	"ternbeam/internal/http/httpfront"
 	"ternbeam/internal/http/httpops"
@@ -56,6 +57,7 @@
 	listeners []*net.TCPListener // the application's, then Thrift's if it is on
 	ops       net.Listener       // the second address; nil where there is none
 	line      line
+	reloads   reloads
 	illegal   atomic.Int64 // steps of attempts and connections that must not come
 }
 
@@ -161,7 +163,7 @@
 		addrs = append(addrs, listener.Addr().String())
 	}
 	if a.cfg.Ops != "" {
-		ops, err := net.Listen("tcp", a.cfg.Ops)
+		ops, err := a.listen(net.ListenConfig{}, a.cfg.Ops)
 		if err != nil {
 			a.unlisten()
 			return nil, fmt.Errorf("listening for those who run the agent: %w", err)
@@ -195,13 +197,33 @@
 			return err
 		}
 	}
-	l, err := how.Listen(context.Background(), "tcp", addr)
+	l, err := a.listen(how, addr)
 	if err != nil {
 		return nil, err
 	}
 	return l.(*net.TCPListener), nil
 }
 
+// listenWithin is how long a listener may fail to open for a reason that passes: an agent is to be ready in 10 s.
+const listenWithin = 4 * time.Second
+
+// listen opens a listener, in spite of errors that pass. An address that is still in use may be that of a process which is ending.
+func (a *Agent) listen(how net.ListenConfig, addr string) (l net.Listener, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), listenWithin)
+	defer cancel()
+	failures := 0
+	err = transient.Until(ctx, func() error {
+		l, err = how.Listen(ctx, "tcp", addr)
+		return err
+	}, func(err error) bool {
+		if failures++; failures == 1 {
+			a.log.Warn("listening failed", "address", addr, "error", err)
+		}
+		return transient.Is(err) || errors.Is(err, syscall.EADDRINUSE)
+	})
+	return l, err
+}
+
 // Ops returns the second address, empty where there is none.
 func (a *Agent) Ops() string {
 	if a.ops == nil {
@@ -302,25 +324,3 @@
 	}
 	return []front{inHTTP, inThrift}
 }
-
-// reload takes a changed configuration: discovery may have moved, and shapes may have changed. One that can't be read
-// changes nothing.
-func (a *Agent) reload(ctx context.Context) {
-	if a.bridge != nil {
-		set, err := a.shapes()
-		if err == nil {
-			err = a.bridge.Replace(set, func(t *routes.Table) error { return a.core.Reroute(ctx, t) })
-		}
-		if err != nil {
-			a.log.Error("keeping the old shapes", "error", err)
-		} else {
-			a.log.Info("new shapes", "shapes", len(set.Shapes), "mappings", len(set.Plans))
-		}
-	}
-	addr, err := a.cfg.NewDiscovery()
-	if err != nil {
-		a.log.Error("keeping the old configuration", "error", err)
-		return
-	}
-	a.core.Follow(ctx, addr)
-}
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -186,3 +186,39 @@
 		t.Errorf("the second was asked for %q, not %q", got, want)
 	}
 }
+
+// SIGHUP comes while the file can't be read, or is half written: it is read again, and no further signal is needed. What the new
+// discovery has to tell binds soon after the signal, whatever became of the first reading.
+func TestReloadReadsAgain(t *testing.T) {
+	for name, broken := range map[string]func(t *testing.T, path string){
+		"no file":      func(*testing.T, string) {},
+		"half written": func(t *testing.T, path string) { write(t, path, `{"discovery":"127.0`) },
+		"a folder": func(t *testing.T, path string) {
+			if err := os.Mkdir(path, 0o700); err != nil {
+				t.Fatal(err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entry := discovery.Entry{ID: "new", Addr: "127.0.0.1:1", State: "in_service"}
+			first, second := newRegistry(t, 40), newRegistry(t, 3, entry)
+			cfg := trial{}.config(t)
+			cfg.Discovery, cfg.Path = first.addr(), filepath.Join(t.TempDir(), "config.json")
+			var log testkit.Log
+			r := startKeeping(t, cfg, nil, slog.New(slog.NewTextHandler(&log, nil)), "")
+			broken(t, cfg.Path)
+			r.reload <- syscall.SIGHUP
+			testkit.Eventually(t, "it has failed once", func() bool { return log.Has("trying again") })
+			os.RemoveAll(cfg.Path)
+			rewrite(t, cfg.Path, second.addr())
+			testkit.Eventually(t, "the second's list is taken", func() bool { return slices.Equal(r.known(), []string{"new"}) })
+		})
+	}
+}
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ternbeam/internal/host/peek"
+	"ternbeam/internal/host/transient"
 )
 
 // Conn is a client's connection.
@@ -49,7 +50,7 @@
 	}
 	c.reading = true
 	c.mu.Unlock()
-	n, err = c.TCPConn.Read(p)
+	n, err = transient.Read(c.TCPConn.Read, p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		// What has come goes before the time, which may have passed while the process stood still: a connection that is closed over a
 		// request that has come leaves that without an answer. Nobody gets more time by this, as nothing is waited for.
@@ -72,6 +73,10 @@
 	return n, err
 }
 
+// Write writes to the connection, as net.Conn's does, through errors that pass: a final answer must not be lost to a moment without
+// buffers.
+func (c *Conn) Write(p []byte) (int, error) { return transient.Write(c.TCPConn.Write, p) }
+
 // Watched reports whether somebody reads the connection now, who sees its end at once. Where that changes Unwatched is told.
 func (c *Conn) Watched() bool {
 	c.mu.Lock()
--- a/internal/host/peek/peek.go
+++ b/internal/host/peek/peek.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"ternbeam/internal/host/transient"
 )
 
 // ErrNothing says that nothing has come on a connection, and that it is open.
@@ -32,7 +34,7 @@
 		return 0, err
 	}
 	switch {
-	case failed == unix.EAGAIN:
+	case failed == unix.EAGAIN, transient.Is(failed): // the next look may tell
 		return 0, ErrNothing
 	case failed != nil:
 		return 0, failed
