The test of the end of a process: second address, long bodies, void runs told apart

Change: the test counts runs in which the machine itself stood still as void and repeats them, ten times at the most, and fails if all are; cases with a second address and a body that is still coming at the kill are new; the program is built once for all tests of the command.

--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +26,28 @@
 	"Discovery":"automatic","Report":{"Fields":["util","qps","eps"]},"TickNs":5000000,"WeightKind":"silent",
 	"Tenants":[{"Name":"rosyth-port"}],"Zones":["z"]}`
 
+// built builds the program, once for all tests, and returns its folder.
+var built = sync.OnceValues(func() (folder string, err error) {
+	if folder, err = os.MkdirTemp("", "ternbeam"); err != nil {
+		return "", err
+	}
+	builds = folder
+	if out, err := exec.Command("go", "build", "-o", folder, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	return folder, nil
+})
+
+var builds string // the folder of built, to be removed
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if builds != "" {
+		os.RemoveAll(builds)
+	}
+	os.Exit(code)
+}
+
 // program starts the agent as the deploy file does, from what RUN_ROOT holds, or else one built here.
 func program(t *testing.T, env ...string) (*exec.Cmd, *testkit.Log) {
 	t.Helper()
@@ -51,9 +74,9 @@
 		}
 		command = string(run[1])
 	} else {
-		root = t.TempDir()
-		if out, err := exec.Command("go", "build", "-o", root, ".").CombinedOutput(); err != nil {
-			t.Fatalf("%v\n%s", err, out)
+		var err error
+		if root, err = built(); err != nil {
+			t.Fatal(err)
 		}
 		command = "exec ./ternbeam"
 	}
--- a/cmd/ternbeam/shutdown_test.go
+++ b/cmd/ternbeam/shutdown_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -83,12 +84,31 @@
 	first, whole time.Duration // when the first half and the last byte of the request are sent
 }
 
+// longBody names the client whose body is still coming when the process is killed.
+const longBody = "long body"
+
+// drip writes at a pace that a body may have, until the connection ends.
+func drip(conn net.Conn, text []byte) {
+	for len(text) > 0 {
+		part := min(len(text), 3000)
+		if _, err := conn.Write(text[:part]); err != nil {
+			return
+		}
+		text = text[part:]
+		time.Sleep(40 * time.Millisecond)
+	}
+}
+
 // answer sends the request and returns the status of its final answer, which has to come whole.
 func (c lateClient) answer(begin time.Time, listen string, deadline time.Duration) (status int, err error) {
 	method := map[string]string{"form-check": http.MethodGet, "refund-pay": http.MethodPost}[c.class]
 	var text bytes.Buffer
 	left := fmt.Sprintf("%.3f", deadline.Seconds())
-	if err := word(method, listen, "/"+c.class+"/1", c.class, c.name, left).Write(&text); err != nil {
+	request := word(method, listen, "/"+c.class+"/1", c.class, c.name, left)
+	if c.name == longBody {
+		request.Body, request.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 400_000))), 400_000
+	}
+	if err := request.Write(&text); err != nil {
 		return 0, err
 	}
 	time.Sleep(time.Until(begin.Add(c.connect)))
@@ -98,12 +118,15 @@
 	}
 	defer conn.Close()
 	half := text.Len() / 2
-	for _, part := range []struct {
-		at   time.Duration
-		text []byte
-	}{{c.first, text.Bytes()[:half]}, {c.whole, text.Bytes()[half:]}} {
-		time.Sleep(time.Until(begin.Add(part.at)))
-		if _, err := conn.Write(part.text); err != nil {
+	time.Sleep(time.Until(begin.Add(c.first)))
+	if _, err := conn.Write(text.Bytes()[:half]); err != nil {
+		return 0, err
+	}
+	if c.name == longBody {
+		go drip(conn, text.Bytes()[half:])
+	} else {
+		time.Sleep(time.Until(begin.Add(c.whole)))
+		if _, err := conn.Write(text.Bytes()[half:]); err != nil {
 			return 0, err
 		}
 	}
@@ -121,18 +144,44 @@
 // the process may be held up when it is told to end and again right before it is killed.
 func TestRequestsAreAnsweredBeforeTheKill(t *testing.T) {
 	for _, deadline := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3825 * time.Millisecond, 20 * time.Second} {
-		for _, stalled := range []bool{false, true} {
-			t.Run(fmt.Sprintf("deadline %v, stalled %t", deadline, stalled), func(t *testing.T) {
+		for _, c := range []shutdownCase{{}, {stalled: true}, {replaceable: true}, {stalled: true, replaceable: true}} {
+			c.deadline = deadline
+			t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
 				t.Parallel()
-				testAnsweredBeforeKill(t, deadline, stalled)
+				for range mostVoidRuns {
+					if failures, log, void := c.run(t); !void {
+						for _, f := range failures {
+							t.Error(f)
+						}
+						if len(failures) > 0 {
+							t.Log(log)
+						}
+						return
+					}
+				}
+				t.Fatalf("the machine stood still in each of %d runs: nothing can be said", mostVoidRuns)
 			})
 		}
 	}
 }
 
-func testAnsweredBeforeKill(t *testing.T, deadline time.Duration, stalled bool) {
+// shutdownCase is one way in which a process is ended.
+type shutdownCase struct {
+	deadline    time.Duration // of all classes
+	stalled     bool          // it is held up when it is told to end, and again before it is killed
+	replaceable bool          // it has a second address: bodies may be long, and idle connections stay open for a while
+}
+
+// run ends a process and returns what went wrong, and its log. The run is void where the machine itself stood still for longer than
+// the terms let a process be held up.
+func (s shutdownCase) run(t *testing.T) (failures []string, log string, void bool) {
+	deadline, stalled := s.deadline, s.stalled
 	config, listen := configureServers(t, shutdownSettings(deadline), hangingServer(t), hangingServer(t))
-	p := start(t, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+	env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
+	if s.replaceable {
+		env = append(env, "NODE_OPS="+free(t), "TMPDIR="+t.TempDir())
+	}
+	p := start(t, env...)
 	awaitReady(t, listen)
 
 	kill := killAfter(deadline)
@@ -146,13 +195,20 @@
 		{"whole late", "form-check", 300 * time.Millisecond, 320 * time.Millisecond, late},
 		{"whole late, not repeatable", "refund-pay", 300 * time.Millisecond, 320 * time.Millisecond, late},
 	}
+	if s.replaceable {
+		clients = append(clients, lateClient{longBody, "refund-pay", -60 * time.Millisecond, -50 * time.Millisecond, time.Minute})
+	}
+	watch := watchMachine()
+	var mu sync.Mutex
 	var wait sync.WaitGroup
 	for _, c := range clients {
 		wait.Go(func() {
 			status, err := c.answer(begin, listen, deadline)
 			took := time.Since(begin)
 			if err != nil {
-				t.Errorf("%s: no final answer %.3f s after SIGTERM: %v", c.name, took.Seconds(), err)
+				mu.Lock()
+				failures = append(failures, fmt.Sprintf("%s: no final answer %.3f s after SIGTERM: %v", c.name, took.Seconds(), err))
+				mu.Unlock()
 				return
 			}
 			t.Logf("%s: %d after %.3f s", c.name, status, took.Seconds())
@@ -175,9 +231,39 @@
 	time.Sleep(time.Until(begin.Add(kill)))
 	p.cmd.Process.Kill()
 	wait.Wait()
-	if t.Failed() {
-		t.Logf("%s", p.log)
+	bears := longestStall
+	if stalled { // which has been held up for as long as the terms say already
+		bears = longestStall / 3
 	}
+	if stood := watch(); stood > bears {
+		t.Logf("void: the machine stood still for %v", stood)
+		return nil, "", true
+	}
+	return failures, p.log.String(), false
+}
+
+// mostVoidRuns is how often a run is repeated in which the machine stood still.
+const mostVoidRuns = 10
+
+// watchMachine begins to look how late the machine wakes who sleeps, and returns what ends that and tells the longest.
+func watchMachine() (longest func() time.Duration) {
+	const nap = 2 * time.Millisecond
+	over, most := make(chan struct{}), make(chan time.Duration)
+	go func() {
+		late := time.Duration(0)
+		for {
+			select {
+			case <-over:
+				most <- late
+				return
+			default:
+			}
+			begin := time.Now()
+			time.Sleep(nap)
+			late = max(late, time.Since(begin)-nap)
+		}
+	}()
+	return func() time.Duration { close(over); return <-most }
 }
 
 // alive reports whether the process has not ended yet.
