Windows of repeats allow for a stall, deadlines for a wait in the accept queue

A keyed request was sent again up to the last tick of its window (choice.go, maySend and choose), so that a stall right before the write carried it beyond. And a connection that waited in the accept queue while accepts failed had its first request's time counted from when it was read: its server was told seconds more than the client had.

--- a/choice/api.go
+++ b/choice/api.go
@@ -58,6 +58,7 @@
 	CanCancel      bool          // attempts may be cancelled
 	MaxRetryAfter  time.Duration // the longest come-back time that clients heed; 0 where they are given none
 	ColdFrom       float64       // a server starts with this share of its capacity at least
+	Stall          time.Duration // by how much a send may be held up past its Within
 	ColdFor        time.Duration // and has all of it after this time at the latest
 }
 
@@ -74,6 +75,9 @@
 			return fmt.Errorf("choice: keyed class %q needs a window above 0", c.Name)
 		}
 	}
+	if set.Stall < 0 {
+		return errors.New("choice: the stall must not be below 0")
+	}
 	if set.MaxAttempts < 1 {
 		return errors.New("choice: settings allow no attempt")
 	}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -497,7 +497,7 @@
 		return false
 	case first == nil || c.Effect == Safe:
 		return true
-	case c.Effect == Unsafe || b.now+b.set.Tick-first.sent >= c.Window:
+	case c.Effect == Unsafe || b.now+b.margin()-first.sent >= c.Window:
 		return false
 	case c.Group == GroupZone:
 		return s.Zone == first.srv.Zone
@@ -507,6 +507,10 @@
 	return true
 }
 
+// margin is how long before the end of its window a keyed request is last sent again: by how much the clocks
+// may differ, and a send be held up.
+func (b *Balancer) margin() time.Duration { return b.set.Tick + b.set.Stall }
+
 // mayRefuse reports whether the client may be told that trying again does no harm.
 func (r *request) mayRefuse() bool {
 	return r.mayHaveRun() == nil || r.class.Effect == Safe ||
@@ -547,7 +551,7 @@
 	s.inFlight = append(s.inFlight, a)
 	send := Action{Kind: Send, Request: r.ID, Server: s.ID, Reason: reason}
 	if first != nil && r.class.Effect == Keyed { // maySend looks at the window too, but a connection takes time
-		send.Within = first.sent + r.class.Window - b.set.Tick - b.now
+		send.Within = first.sent + r.class.Window - b.margin() - b.now
 	}
 	b.act(send)
 }
--- a/choice/reason.go
+++ b/choice/reason.go
@@ -70,7 +70,7 @@
 // unsentReason says why a request that has no server to be sent to has none.
 func (b *Balancer) unsentReason(r *request) Reason {
 	first := r.mayHaveRun()
-	windowOver := first != nil && r.class.Effect == Keyed && b.now+b.set.Tick-first.sent >= r.class.Window
+	windowOver := first != nil && r.class.Effect == Keyed && b.now+b.margin()-first.sent >= r.class.Window
 	switch {
 	case b.now >= r.Deadline:
 		return DeadlinePassed
--- /dev/null
+++ b/choice/window_test.go
@@ -0,0 +1,43 @@
+package choice
+
+import (
+	"testing"
+	"time"
+)
+
+// A keyed request is sent again only while its server would still drop it, though the send is held up for as long as it may be.
+func TestWindowAllowsForAStall(t *testing.T) {
+	const window, tick, stall = time.Second, 5 * time.Millisecond, 150 * time.Millisecond
+	for _, c := range []struct {
+		after time.Duration
+		again bool
+	}{{window - tick - stall - time.Millisecond, true}, {window - tick - stall, false}, {window - tick, false}} {
+		b, err := New(Settings{Balancers: 1, MaxAttempts: 3, Tick: tick, Stall: stall,
+			Classes: []Class{{Name: "c", Effect: Keyed, Window: window, Aim: time.Second / 2, Deadline: time.Minute, Worth: 1}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(0)
+		b.Handle(0, ServerList{Full: true, Servers: []Server{{ID: "s-1"}, {ID: "s-2"}}})
+		sent := sends(b.Handle(0, Request{ID: "a", Deadline: time.Minute}))
+		if len(sent) != 1 {
+			t.Fatalf("%d sends", len(sent))
+		}
+		again := sends(b.Handle(c.after, Outcome{Request: "a", Server: sent[0].Server, Result: Reset, Report: NoReport}))
+		if (len(again) == 1) != c.again {
+			t.Errorf("sent again %d times after %v", len(again), c.after)
+		}
+		if len(again) == 1 && c.after+again[0].Within+stall+tick > window {
+			t.Errorf("it may be written %v after the first, and %v later yet", c.after+again[0].Within, stall)
+		}
+	}
+}
+
+func sends(actions []Action) (found []Action) {
+	for _, a := range actions {
+		if a.Kind == Send {
+			found = append(found, a)
+		}
+	}
+	return found
+}
--- a/internal/host/accept/accept.go
+++ b/internal/host/accept/accept.go
@@ -16,6 +16,8 @@
 	firstBackoff = time.Millisecond
 	mostBackoff  = 50 * time.Millisecond
 	logEvery     = time.Second
+	// backlog is how long after the last failure connections are accepted that waited for it in the queue.
+	backlog = 200 * time.Millisecond
 )
 
 // Final reports whether an error of an accept says that nothing more will be accepted: the listener was closed here, or the
@@ -33,6 +35,8 @@
 	failures int // in a row
 	total    int
 	logged   time.Time
+	since    time.Time // the first of the latest failures
+	last     time.Time // and the last of them
 }
 
 // NewRetrier returns a Retrier that logs failures, one line a second at most.
@@ -45,6 +49,17 @@
 	return r.total
 }
 
+// Delay is how long a connection that is accepted now may have waited at the most because accepts failed.
+func (r *Retrier) Delay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.last.IsZero() || now.Sub(r.last) >= backlog {
+		return 0
+	}
+	return now.Sub(r.since)
+}
+
 // Do calls accept until it succeeds or fails with an error that is Final.
 func Do[C any](r *Retrier, accept func() (C, error)) (C, error) {
 	for {
@@ -72,7 +87,12 @@
 	defer r.mu.Unlock()
 	r.failures++
 	r.total++
-	if now := time.Now(); now.Sub(r.logged) >= logEvery {
+	now := time.Now()
+	if now.Sub(r.last) >= backlog {
+		r.since = now
+	}
+	r.last = now
+	if now.Sub(r.logged) >= logEvery {
 		r.logged = now
 		r.log.Warn("accepting a connection failed, trying again", "error", err, "in_a_row", r.failures, "in_all", r.total)
 	}
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -18,6 +18,7 @@
 	receivedBytes atomic.Int64 // bytes that were read in all
 	received      atomic.Int64 // when that was last, since the package's start
 
+	queued    time.Duration // in the accept queue, while accepts failed
 	unwatched chan struct{} // told when something was read, and nobody may read on
 
 	mu      sync.Mutex
@@ -77,6 +78,10 @@
 // buffers.
 func (c *Conn) Write(p []byte) (int, error) { return transient.Write(c.TCPConn.Write, p) }
 
+// Queued is how long the connection may have waited in the accept queue because accepts failed; 0 where none did. A request that came
+// with it has waited as long.
+func (c *Conn) Queued() time.Duration { return c.queued }
+
 // Watched reports whether somebody reads the connection now, who sees its end at once. Where that changes Unwatched is told.
 func (c *Conn) Watched() bool {
 	c.mu.Lock()
--- a/internal/host/conntrack/listener.go
+++ b/internal/host/conntrack/listener.go
@@ -55,7 +55,7 @@
 		})
 		switch {
 		case err == nil:
-			c := &Conn{TCPConn: socket, unwatched: make(chan struct{}, 1)}
+			c := &Conn{TCPConn: socket, unwatched: make(chan struct{}, 1), queued: l.retry.Delay()}
 			l.tracker.enter(&entry{conn: c, from: l})
 			return c, nil
 		case !l.ending.Load():
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -246,7 +246,9 @@
 					testkit.Eventually(t, "it ends", d.ending.Load)
 				}
 				for range 4 {
-					admit(t, d)
+					if c := admit(t, d).(*Conn); c.Queued() == 0 {
+						t.Error("it is not known to have waited")
+					}
 				}
 				if !ending {
 					go d.CloseAfter(0, time.Time{})
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -13,6 +13,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/asking"
+	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/settings/wire"
 )
@@ -143,6 +144,7 @@
 		return nil, fmt.Errorf("%w: %w", errSettings, err)
 	}
 	cfg.Module, cfg.Fields, cfg.Asking = set.Module, set.Fields, asking.Settings(set.List)
+	cfg.Module.Stall = shutdown.Stall
 	if err := json.Unmarshal(file.Settings, &cfg.Host); err != nil {
 		return nil, fmt.Errorf("%w: %w", errSettings, err)
 	}
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -153,6 +153,13 @@
 	return c.busy
 }
 
+// hasAsked reports whether a call has come on the connection before.
+func (c *client) hasAsked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked
+}
+
 // message handles one. An error ends the reading.
 func (c *client) message(message []byte, arrival time.Duration) error {
 	if !c.begin() {
@@ -387,6 +394,9 @@
 		return nil, 0, err
 	}
 	arrival = c.front.core.Now()
+	if !c.hasAsked() { // its client counts from when it sent the call
+		arrival -= c.conn.Queued()
+	}
 	by := time.Now().Add(c.front.m.FrameTimeout)
 	c.conn.SetReadDeadline(by)
 	var prefix [4]byte
