Rescue withdraws no more from a silent server than can be sent again

The new log shows one burst: at 2.70 s all 28 requests in hand at one server were withdrawn as it had answered none for 1 s, and 18 of them were refused or failed at once with an empty retry budget. rescue (choice.go) asked for each whether one further attempt was saved up, while none was taken off before its outcome came, so that one served for any number. Change: a withdrawal takes its further attempt at once, and gives it back where it was needless; what can't be sent again waits on. The explorer's copies know of it. Result: TestRescueWithdrawsWhatItCanSendAgain; on the code before it says that 30 of 30 are withdrawn with 10 saved up. Tests of choice, explore and the root pass.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -401,11 +401,14 @@
 	b.weigh() // what is left of the others
 }
 
-// rescue withdraws what waits at a silent server and may go elsewhere; the outcome sends it again.
+// rescue withdraws what waits at a silent server and may go elsewhere, as far as further attempts are saved
+// up; the outcome sends it again.
 func (b *Balancer) rescue(s *server) {
 	for _, a := range s.inFlight {
 		a.req.out-- // as it will be then
 		if b.set.CanCancel && b.elsewhere(a) {
+			b.budget--
+			a.rescued = true
 			b.act(Action{Kind: Cancel, Request: a.req.ID, Attempt: a.n, Reason: ServerSilent})
 		}
 		a.req.out++
@@ -569,6 +572,9 @@
 	b.judge(a, o)
 	switch {
 	case r.closed || o.Closed:
+		if a.rescued { // needlessly
+			b.budget = min(b.budget+1, retrySaved)
+		}
 		for _, other := range r.attempts { // of two copies one is enough; the earlier one is late or lost
 			if other.out && o.Result == OK && b.set.CanCancel {
 				b.lost += learn * max(0, float64(a.n-other.n))
@@ -577,6 +583,8 @@
 		}
 		b.close(r)
 	case r.out > 0: // the other copy goes on
+	case a.rescued:
+		b.try(r)
 	case b.budget >= 1 && o.Result != NotSent:
 		b.budget--
 		b.try(r)
--- a/choice/explore.go
+++ b/choice/explore.go
@@ -68,7 +68,7 @@
 		for _, a := range r.attempts {
 			server(a.srv)
 			num(float64(a.sent))
-			flags(a.out, a.neverRan)
+			flags(a.out, a.neverRan, a.rescued)
 		}
 	}
 	return to
@@ -180,7 +180,7 @@
 		*same = *r
 		same.drawn, same.home, same.attempts = nil, nil, make([]*attempt, len(r.attempts), b.set.MaxAttempts)
 		for i, a := range r.attempts {
-			same.attempts[i] = &attempt{req: same, srv: of(a.srv), n: a.n, sent: a.sent, out: a.out, neverRan: a.neverRan}
+			same.attempts[i] = &attempt{req: same, srv: of(a.srv), n: a.n, sent: a.sent, out: a.out, neverRan: a.neverRan, rescued: a.rescued}
 		}
 		twin.requests[id] = same
 	}
--- /dev/null
+++ b/choice/rescue_test.go
@@ -0,0 +1,44 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A server that answers nobody has many requests in hand: those are withdrawn for which further attempts are saved up, and each of
+// them is sent again. The others wait on, and none is refused for want of an attempt that another one took.
+func TestRescueWithdrawsWhatItCanSendAgain(t *testing.T) {
+	b, err := New(Settings{Balancers: 1, MaxAttempts: 3, CanCancel: true, Tick: time.Millisecond,
+		Classes: []Class{{Name: "c", Effect: Safe, Aim: time.Second / 2, Deadline: time.Minute, Worth: 1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0)
+	b.Handle(0, ServerList{Full: true, Servers: []Server{{ID: "silent"}}})
+	const requests = 3 * retrySaved
+	for i := range requests {
+		if len(sends(b.Handle(0, Request{ID: fmt.Sprint(i), Deadline: time.Minute}))) != 1 {
+			t.Fatalf("request %d is not sent", i)
+		}
+	}
+	b.Handle(0, ServerList{Servers: []Server{{ID: "well"}}})
+	budget := int(b.budget)
+	var withdrawn []Action
+	for now := time.Duration(0); len(withdrawn) == 0 && now < 10*time.Second; now += 50 * time.Millisecond {
+		for _, a := range b.Handle(now, TimerFired{Token: tickToken}) {
+			if a.Kind == Cancel {
+				withdrawn = append(withdrawn, a)
+			}
+		}
+	}
+	if len(withdrawn) == 0 || len(withdrawn) > budget {
+		t.Fatalf("%d of %d are withdrawn, with %d further attempts saved up", len(withdrawn), requests, budget)
+	}
+	for _, c := range withdrawn {
+		again := b.Handle(b.now, Outcome{Request: c.Request, Attempt: c.Attempt, Server: "silent", Result: Cancelled, Report: NoReport})
+		if s := sends(again); len(s) != 1 || s[0].Server != "well" {
+			t.Errorf("request %s: %+v", c.Request, again)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -95,6 +95,7 @@
 	sent     time.Duration
 	out      bool
 	neverRan bool
+	rescued  bool // withdrawn from a silent server, and another attempt is paid for
 }
 
 // mayHaveRun is the first attempt that is not known to have had no effect.
