--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -310,6 +310,42 @@
 	}
 }
 
+// The tracker has closed a connection by the time at which a request that was read from it is to be acted on: the request is not sent on,
+// as its client, who hears nothing, asks once more elsewhere, and it must not have its effect twice.
+func TestConnectionIsClosedWhileARequestIsRead(t *testing.T) {
+	for kind, request := range kinds {
+		t.Run(kind, func(t *testing.T) {
+			r := newRig(t, 4)
+			var crossing atomic.Bool
+			over := make(chan net.Conn, 10)
+			r.http.ConnState = func(c net.Conn, state http.ConnState) {
+				if state == http.StateActive && crossing.Load() { // the request has been read, and nobody knows yet
+					r.tracker.Closed(c)
+				}
+				r.note(c, state)
+				if state == http.StateClosed && crossing.Load() {
+					over <- c
+				}
+			}
+			c := r.serve().dial(t)
+			r.served(t, c)
+			first := <-r.conns
+			testkit.Eventually(t, "it is idle", func() bool { return r.tracker.Waits(first) })
+			crossing.Store(true)
+			say(t, c, request("a"))
+			if conn := <-over; conn != net.Conn(first) { // nobody serves it any more
+				t.Fatal("another connection is closed")
+			}
+			if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("the client hears %v", err)
+			}
+			if n, s := r.servers.of("a"), r.core.Snapshot(); n != 0 || s.Open != 0 {
+				t.Errorf("%d attempts, %d open", n, s.Open)
+			}
+		})
+	}
+}
+
 // half has the first bytes of a request read, on a fresh connection or on one that was idle, and returns the rest of it.
 func (r *rig) half(t *testing.T, fresh bool, text string) (c net.Conn, rest string) {
 	t.Helper()
