Read again: one backoff, one walk over queues, one writer of test configurations

Cause: read as a whole, the change had the same three times over: accept's backoff beside transient's, two walks over the tracker's queues of connections, and a second writer of configurations in the command's tests. A constant for tables of reasons was used by nobody. Change: accept uses transient.Backoff; Listener.eachLocked walks for both; configure takes servers; reloads take plain functions; the constant went. Waits, counts and checks are as they were.

--- a/choice/api.go
+++ b/choice/api.go
@@ -58,8 +58,8 @@
 	CanCancel      bool          // attempts may be cancelled
 	MaxRetryAfter  time.Duration // the longest come-back time that clients heed; 0 where they are given none
 	ColdFrom       float64       // a server starts with this share of its capacity at least
-	Stall          time.Duration // by how much a send may be held up past its Within
 	ColdFor        time.Duration // and has all of it after this time at the latest
+	Stall          time.Duration // by how much a send may be held up past its Within
 }
 
 // check says in plain words what is wrong with the settings.
--- a/choice/reason.go
+++ b/choice/reason.go
@@ -53,9 +53,6 @@
 	return reasonNames[r]
 }
 
-// Reasons is how many values a Reason can have, for tables of counts.
-const Reasons = int(reasonCount)
-
 // sendReason says why another attempt of a request is made.
 func (r *request) sendReason() Reason {
 	switch {
--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -137,20 +137,19 @@
 	return req
 }
 
-// configure writes the configuration of an agent that knows no server, and returns its path and where the agent listens.
-func configure(t *testing.T, discovery, settings string) (config, listen string) {
+// configure writes the configuration of an agent that knows some servers, or none, and returns its path and where the agent listens.
+func configure(t *testing.T, discovery, settings string, servers ...net.Addr) (config, listen string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	listen = free(t)
+	known := []any{}
+	for i, addr := range servers {
+		known = append(known, map[string]any{"id": fmt.Sprint("s-", i), "addr": addr.String(), "zone": "z", "state": "in_service", "weight": 1})
 	}
-	listen = l.Addr().String()
-	l.Close()
 	config = filepath.Join(t.TempDir(), "config.json")
 	text, err := json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": "1f", "discovery": discovery,
 		"settings": json.RawMessage(settings),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known":    map[string]any{"version": 0, "full": true, "servers": []any{}}})
+		"known":    map[string]any{"version": min(1, len(known)), "full": true, "servers": known}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/ternbeam/shutdown_test.go
+++ b/cmd/ternbeam/shutdown_test.go
@@ -3,14 +3,11 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -40,27 +37,6 @@
 		"Tenants":[{"Name":"rosyth-port"}],"Zones":["z"]}`, deadline.Nanoseconds())
 }
 
-// configureServers writes the configuration of an agent whose list names some servers, and whose discovery is down.
-func configureServers(t *testing.T, settings string, servers ...net.Addr) (config, listen string) {
-	t.Helper()
-	var known []map[string]any
-	for i, addr := range servers {
-		known = append(known, map[string]any{"id": fmt.Sprint("s-", i), "addr": addr.String(), "zone": "z", "state": "in_service", "weight": 1})
-	}
-	listen = free(t)
-	text, err := json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": "1f", "discovery": free(t),
-		"settings": json.RawMessage(settings), "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known": map[string]any{"version": 1, "full": true, "servers": known}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	config = filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(config, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return config, listen
-}
-
 // hangingServer takes requests and answers none until the test ends.
 func hangingServer(t *testing.T) net.Addr {
 	t.Helper()
@@ -176,7 +152,7 @@
 // the terms let a process be held up.
 func (s shutdownCase) run(t *testing.T) (failures []string, log string, void bool) {
 	deadline, stalled := s.deadline, s.stalled
-	config, listen := configureServers(t, shutdownSettings(deadline), hangingServer(t), hangingServer(t))
+	config, listen := configure(t, free(t), shutdownSettings(deadline), hangingServer(t), hangingServer(t))
 	env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
 	if s.replaceable {
 		env = append(env, "NODE_OPS="+free(t), "TMPDIR="+t.TempDir())
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -29,13 +29,13 @@
 	ctx, cancel := context.WithTimeout(work, reloadWithin)
 	a.reloads.cancel = cancel
 	if a.bridge != nil {
-		go a.reloadPart(ctx, "keeping the old shapes", a.reloadShapes)
+		go a.reloadPart(ctx, "keeping the old shapes", func() error { return a.reloadShapes(ctx) })
 	}
-	go a.reloadPart(ctx, "keeping the old configuration", func(context.Context) error { return a.reloadDiscovery(work) })
+	go a.reloadPart(ctx, "keeping the old configuration", func() error { return a.reloadDiscovery(work) })
 }
 
 // reloadPart reloads one file until it succeeds, a later reload begins, or its time is over.
-func (a *Agent) reloadPart(ctx context.Context, failed string, read func(context.Context) error) {
+func (a *Agent) reloadPart(ctx context.Context, failed string, read func() error) {
 	failures := 0
 	err := transient.Until(ctx, func() error {
 		a.reloads.mu.Lock()
@@ -43,7 +43,7 @@
 		if ctx.Err() != nil {
 			return nil // a later reload is under way, or the agent ends
 		}
-		return read(ctx)
+		return read()
 	}, func(err error) bool {
 		if failures++; failures == 1 {
 			a.log.Warn("reading the configuration failed, trying again", "error", err)
--- a/internal/host/accept/accept.go
+++ b/internal/host/accept/accept.go
@@ -10,12 +10,12 @@
 	"os"
 	"sync"
 	"time"
+
+	"ternbeam/internal/host/transient"
 )
 
 const (
-	firstBackoff = time.Millisecond
-	mostBackoff  = 50 * time.Millisecond
-	logEvery     = time.Second
+	logEvery = time.Second
 	// backlog is how long after the last failure connections are accepted that waited for it in the queue.
 	backlog = 200 * time.Millisecond
 )
@@ -99,7 +99,7 @@
 	if r.failures == 1 {
 		return 0
 	}
-	return min(firstBackoff<<min(r.failures-2, 10), mostBackoff)
+	return transient.Backoff(r.failures - 1)
 }
 
 // Listener is a net.Listener whose Accept fails only when nothing more can be accepted.
--- a/internal/host/accept/accept_test.go
+++ b/internal/host/accept/accept_test.go
@@ -44,7 +44,7 @@
 					t.Errorf("waits for %v after a single failure", waits[0])
 				}
 				for _, d := range waits {
-					if d > mostBackoff {
+					if d > 50*time.Millisecond {
 						t.Errorf("waits for %v", d)
 					}
 				}
--- a/internal/host/conntrack/listener.go
+++ b/internal/host/conntrack/listener.go
@@ -96,7 +96,7 @@
 func (l *Listener) CloseSilent() {
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
-	l.closeLocked(l.tracker.fresh)
+	l.closeUnbegunLocked(l.tracker.fresh, &l.tracker.stats.EndedSilent)
 }
 
 // CloseUnfinished closes the listener's connections that have no whole request, also those that have received a part of one.
@@ -104,14 +104,10 @@
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
 	for _, from := range []*list.List{l.tracker.fresh, l.tracker.idle} {
-		for e := from.Front(); e != nil; {
-			next := e.Next()
-			if v := e.Value.(*entry); v.from == l {
-				l.tracker.stats.EndedBegun++
-				l.tracker.finishLocked(v)
-			}
-			e = next
-		}
+		l.eachLocked(from, func(v *entry) {
+			l.tracker.stats.EndedBegun++
+			l.tracker.finishLocked(v)
+		})
 	}
 }
 
@@ -121,23 +117,27 @@
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
 	l.shut = true
-	l.closeLocked(l.tracker.idle)
+	l.closeUnbegunLocked(l.tracker.idle, &l.tracker.stats.EndedIdle)
 }
 
-func (l *Listener) closeLocked(from *list.List) {
+// closeUnbegunLocked closes the listener's connections in a queue that have received nothing of a request, and counts them.
+func (l *Listener) closeUnbegunLocked(from *list.List, ended *int) {
+	l.eachLocked(from, func(v *entry) {
+		if v.begun() {
+			l.tracker.stats.KeptBegun++
+			return
+		}
+		*ended++
+		l.tracker.finishLocked(v)
+	})
+}
+
+// eachLocked calls do with each of the listener's connections in a queue. Do may take the connection out of it.
+func (l *Listener) eachLocked(from *list.List, do func(*entry)) {
 	for e := from.Front(); e != nil; {
 		next := e.Next()
 		if v := e.Value.(*entry); v.from == l {
-			switch {
-			case v.begun():
-				l.tracker.stats.KeptBegun++
-			case from == l.tracker.fresh:
-				l.tracker.stats.EndedSilent++
-				l.tracker.finishLocked(v)
-			default:
-				l.tracker.stats.EndedIdle++
-				l.tracker.finishLocked(v)
-			}
+			do(v)
 		}
 		e = next
 	}
