Log when discovery answers again, after how many calls, and which servers a list drains

'list' names them, 'discovery answers again' has the calls, the silence and what the last call took. Tests of discovery, core and agent pass.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -143,7 +143,9 @@
 // KeepWatching watches until ctx ends, again and again from the last version, when the Asker says so. An agent goes on with
 // the list that it has while there is no watch; lost, if it is not nil, is called at each that ends.
 func (d *Client) KeepWatching(ctx context.Context, asker *asking.Asker, deliver func(List), lost func()) {
-	on := Events{Answered: func() { asker.Answered(clock.Now()) }, Alive: func() {}, Deliver: func(l List) { asker.Delivered(); deliver(l) }}
+	contact := contactLog{log: d.log, last: clock.Now()}
+	on := Events{Answered: func() { contact.answered(clock.Now()); asker.Answered(clock.Now()) }, Alive: func() { contact.alive(clock.Now()) },
+		Deliver: func(l List) { asker.Delivered(); deliver(l) }}
 	for next := asker.Start(clock.Now()); ; {
 		select {
 		case <-ctx.Done():
@@ -151,6 +153,7 @@
 		case <-time.After(next - clock.Now()):
 		}
 		asker.Asked(clock.Now())
+		contact.called(clock.Now())
 		on.Whole, on.Within = asker.How()
 		silent := d.Watch(ctx, on)
 		if ctx.Err() != nil {
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"strings"
 
+	"ternbeam/choice"
 	"ternbeam/internal/decide/asking"
 	"ternbeam/internal/decide/ledger"
 	"ternbeam/internal/discovery"
 )
 
+// loggedServers bounds how many servers a line of the log names.
+const loggedServers = 20
+
 // Feed brings changes of the list from elsewhere than one discovery, until the context ends.
 type Feed func(ctx context.Context, deliver func([]ledger.Entry))
 
@@ -68,6 +73,7 @@
 // enter is apply for what no other process needs to be told.
 func (c *Core) enter(l discovery.List) {
 	entries := make([]ledger.Entry, 0, len(l.Servers))
+	var draining []string
 	for _, e := range l.Servers {
 		listed, err := e.Listed(c.set.Zones)
 		if err != nil {
@@ -75,8 +81,12 @@
 			continue
 		}
 		entries = append(entries, listed)
+		if listed.State == choice.Draining {
+			draining = append(draining, e.ID)
+		}
 	}
 	c.do(c.ledger.List(c.Now(), l.Full, entries))
 	c.recall()
-	c.log.Info("list", "version", l.Version, "full", l.Full, "entries", len(l.Servers), "backends", c.ledger.ServerCount())
+	c.log.Info("list", "version", l.Version, "full", l.Full, "entries", len(l.Servers), "backends", c.ledger.ServerCount(),
+		"draining", len(draining), "draining_ids", strings.Join(draining[:min(len(draining), loggedServers)], " "))
 }
