--- a/cmd/ternbeam/outage_test.go
+++ b/cmd/ternbeam/outage_test.go
@@ -327,7 +327,9 @@
 	if other.requests.Load() == 0 || got == 0 {
 		t.Fatalf("the servers had %d and %d requests: nothing is shown\n%s", got, other.requests.Load(), p.log)
 	}
-	return time.Unix(0, draining.latest.Load()).Sub(told), p.log.String(), false
+	latest := time.Unix(0, draining.latest.Load())
+	t.Logf("its latest request came at %s", latest.UTC().Format("15:04:05.000"))
+	return latest.Sub(told), p.log.String(), false
 }
 
 // awaitCall returns right after a call that discovery takes while it is down, or soon where it sees none.
