--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -129,7 +129,11 @@
 	}
 	f.book.Forget()
 	var err error
-	if f.list, err = NewList(ListOptions{Agents: f.Agents, Each: f.All / time.Duration(f.Agents), Patience: f.Patience, Book: f.book}, f.record); err != nil {
+	each, mustAsk := f.All/time.Duration(f.Agents), f.MustAsk
+	if f.Pushed {
+		each, mustAsk = 0, 0
+	}
+	if f.list, err = NewList(ListOptions{Agents: f.Agents, Each: each, Patience: f.Patience, Book: f.book}, f.record); err != nil {
 		return err
 	}
 	var talk []string
@@ -143,7 +147,7 @@
 	for i := range f.Agents {
 		me, number := places[f.Places](i, f.Agents)
 		p := standin.Platform{Name: fmt.Sprint("n", i), Listen: f.listenAt(i), Discovery: f.list.Addr(i), Known: known, Seed: f.Seed<<20 + uint64(i) + 1,
-			Balancers: number, Me: me, MustAsk: f.MustAsk, Deadline: f.Kiosks.Left, ColdFrom: f.Server.ColdFrom, ColdFor: f.Server.ColdFor,
+			Balancers: number, Me: me, MustAsk: mustAsk, Deadline: f.Kiosks.Left, ColdFrom: f.Server.ColdFrom, ColdFor: f.Server.ColdFor,
 			ConnectTimeout: 250 * time.Millisecond, Cancel: true, Peers: talk}
 		if f.Talk {
 			p.PeerListen = f.peerAt(i)
--- a/internal/lab/fleet/list.go
+++ b/internal/lab/fleet/list.go
@@ -39,6 +39,9 @@
 
 func (m Mode) takes() bool { return m <= Full }
 
+// tells reports whether an agent that asks now is told the list as it is.
+func (m Mode) tells() bool { return m == Up || m == Late }
+
 // modes are their names in a scenario.
 var modes = map[string]Mode{"late": Late, "breaks": Breaks, "old": Old, "full": Full, "refuses": Refuses, "resets": Resets, "silent": Silent, "hushes": Hushes}
 
@@ -134,6 +137,12 @@
 	}
 	hit := make(map[int]bool, len(agents))
 	for _, a := range agents {
+		switch was := l.modes[a]; {
+		case was.tells() && !m.tells():
+			l.record.Add(LostList, a, "")
+		case !was.tells() && m.tells():
+			l.record.Add(HasList, a, "")
+		}
 		l.modes[a], hit[a] = m, true
 	}
 	l.turnLocked()
--- a/internal/lab/fleet/record.go
+++ b/internal/lab/fleet/record.go
@@ -7,25 +7,27 @@
 
 // What is in a record.
 const (
-	Called  = "called"  // an agent asks the list service; how it ended is in Said
-	Began   = "began"   // a watch of an agent has delivered
-	Ended   = "ended"   // that watch is over
-	Hushed  = "hushed"  // that watch has fallen silent, and is over to the world
-	Fault   = "fault"   // something was done to the fleet
-	Mended  = "mended"  // and undone
-	Started = "started" // a process of an agent
-	Died    = "died"    // a process of an agent; by its own doing where Said is not empty
-	Stopped = "stopped" // a process of an agent is stopped
-	Resumed = "resumed" // and continued
-	Told    = "told"    // an agent is told that the server in Said drains or is gone, by the list service
-	Drains  = "drains"  // the list has it that the server in Said drains or is gone
-	Serves  = "serves"  // the list has it that the server in Said is to be sent to
-	Mutes   = "mutes"   // the server in Said falls silent
-	Speaks  = "speaks"  // and answers again
-	Got     = "got"     // the server in Said gets a call by an agent
-	Fell    = "fell"    // the server in Said was pushed over while it was cold
-	Answer  = "answer"  // a kiosk of an agent has its answer, after Took
-	Stall   = "stall"   // the machine itself stood still, for Took
+	Called   = "called"     // an agent asks the list service; how it ended is in Said
+	Began    = "began"      // a watch of an agent has delivered
+	Ended    = "ended"      // that watch is over
+	Hushed   = "hushed"     // that watch has fallen silent, and is over to the world
+	LostList = "list lost"  // an agent can't reach the list service
+	HasList  = "list there" // and can again
+	Fault    = "fault"      // something was done to the fleet
+	Mended   = "mended"     // and undone
+	Started  = "started"    // a process of an agent
+	Died     = "died"       // a process of an agent; by its own doing where Said is not empty
+	Stopped  = "stopped"    // a process of an agent is stopped
+	Resumed  = "resumed"    // and continued
+	Told     = "told"       // an agent is told that the server in Said drains or is gone, by the list service
+	Drains   = "drains"     // the list has it that the server in Said drains or is gone
+	Serves   = "serves"     // the list has it that the server in Said is to be sent to
+	Mutes    = "mutes"      // the server in Said falls silent
+	Speaks   = "speaks"     // and answers again
+	Got      = "got"        // the server in Said gets a call by an agent
+	Fell     = "fell"       // the server in Said was pushed over while it was cold
+	Answer   = "answer"     // a kiosk of an agent has its answer, after Took
+	Stall    = "stall"      // the machine itself stood still, for Took
 )
 
 // How a call to the list service ended.
--- a/internal/lab/fleet/report.go
+++ b/internal/lab/fleet/report.go
@@ -193,7 +193,7 @@
 		fault("rule 2: %s", t.story(r.Events))
 	}
 	agents := r.Scenario.Agents
-	for _, f := range drains(r.Events, agents, r.Scenario.MustAsk) {
+	for _, f := range drains(r.Events, agents, r.Scenario.MustAsk, r.Scenario.Pushed) {
 		fault("rule 3: %s", f)
 	}
 	var stale []string
--- a/internal/lab/fleet/rules.go
+++ b/internal/lab/fleet/rules.go
@@ -80,12 +80,15 @@
 	told     map[string]time.Duration // when each server was told to drain, or counts as told
 	hushed   bool                     // its latest watch fell silent, and it has no other one yet
 	since    time.Duration            // when that was
+	cutOff   bool                     // it can't reach the service
+	reached  time.Duration            // when its process began, or it could reach the service again
 }
 
 // drains checks that nothing new goes to a server longer than the grace after its agent was told that it drains. What the list
 // says counts as told to an agent that has neither watched nor asked for mustAsk, four times that after a call that failed, and to one
-// whose watch has fallen silent 6 s after that, however it asks.
-func drains(events []Event, agents int, mustAsk time.Duration) (faults []string) {
+// whose watch has fallen silent 6 s after that, however it asks. Where lists are pushed, what the list says counts as told as soon as the
+// agent can reach the service, whether or not it watches.
+func drains(events []Event, agents int, mustAsk time.Duration, pushed bool) (faults []string) {
 	draining := map[string]time.Duration{} // by server, since when the list says so
 	all := make([]heard, agents)
 	for i := range all {
@@ -102,7 +105,11 @@
 				delete(all[i].told, e.Said)
 			}
 		case Started:
-			all[e.Agent] = heard{told: map[string]time.Duration{}, contact: e.At, until: e.At + mustAsk}
+			all[e.Agent] = heard{told: map[string]time.Duration{}, contact: e.At, until: e.At + mustAsk, cutOff: all[e.Agent].cutOff, reached: e.At}
+		case LostList:
+			all[e.Agent].cutOff = true
+		case HasList:
+			all[e.Agent].cutOff, all[e.Agent].reached = false, e.At
 		case Began:
 			all[e.Agent].watching++
 			all[e.Agent].hushed = false
@@ -136,7 +143,12 @@
 			}
 			h := &all[e.Agent]
 			told, known := h.told[e.Said]
-			if !known && h.watching == 0 && e.At > h.until {
+			if pushed && !h.cutOff && !h.hushed {
+				if reached := max(since, h.reached); !known || reached < told {
+					told, known = reached, true
+				}
+			}
+			if !pushed && !known && h.watching == 0 && e.At > h.until {
 				told, known = max(since+mustAsk, h.until), e.At >= since+mustAsk
 			}
 			if heard := max(since, h.since+toldAfter); h.hushed && e.At >= heard && (!known || heard < told) {
--- a/internal/lab/fleet/rules_test.go
+++ b/internal/lab/fleet/rules_test.go
@@ -50,7 +50,32 @@
 		"silent, and another watch, not told":  {[]Event{{At: sec, Kind: Ended, Agent: 0}, {At: sec, Kind: Hushed, Agent: 0}, {At: 5 * sec, Kind: Called, Agent: 0, Said: Answered}, {At: 5 * sec, Kind: Began, Agent: 0}, send(9 * sec)}, 0},
 		"stopped, and just continued":          {[]Event{{At: 3 * sec, Kind: Ended, Agent: 0}, {At: 4 * sec, Kind: Stopped, Agent: 0}, {At: 30 * sec, Kind: Resumed, Agent: 0}, send(30*sec + 100*ms), send(32 * sec)}, 1},
 	} {
-		if got := drains(append(begin[:len(begin):len(begin)], c.events...), 1, must); len(got) != c.faults {
+		if got := drains(append(begin[:len(begin):len(begin)], c.events...), 1, must, false); len(got) != c.faults {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
+
+// Where lists are pushed, what the list has counts as told from the moment on in which the agent can reach the service, watching or not.
+func TestDrainsRuleWhereListsArePushed(t *testing.T) {
+	send := func(at time.Duration) Event { return Event{At: at, Kind: Got, Agent: 0, Said: "s"} }
+	drain := Event{At: 2 * sec, Kind: Drains, Agent: -1, Said: "s"}
+	begin := []Event{{At: 0, Kind: Started, Agent: 0}, {At: sec, Kind: Began, Agent: 0}}
+	for name, c := range map[string]struct {
+		events []Event
+		faults int
+	}{
+		"in the grace":                    {[]Event{drain, send(2*sec + 700*ms)}, 0},
+		"later":                           {[]Event{drain, send(2*sec + 800*ms)}, 1},
+		"without a watch":                 {[]Event{{At: sec, Kind: Ended, Agent: 0}, drain, send(2*sec + 800*ms)}, 1},
+		"while the service is down":       {[]Event{{At: sec, Kind: LostList, Agent: 0}, drain, send(30 * sec)}, 0},
+		"after its return, in the grace":  {[]Event{{At: sec, Kind: LostList, Agent: 0}, drain, {At: 9 * sec, Kind: HasList, Agent: 0}, send(9*sec + 700*ms)}, 0},
+		"after its return, later":         {[]Event{{At: sec, Kind: LostList, Agent: 0}, drain, {At: 9 * sec, Kind: HasList, Agent: 0}, send(9*sec + 800*ms)}, 1},
+		"a process that starts after it":  {[]Event{drain, {At: 3 * sec, Kind: Died, Agent: 0}, {At: 9 * sec, Kind: Started, Agent: 0}, send(9*sec + 700*ms), send(9*sec + 800*ms)}, 1},
+		"its watch fell silent before":    {[]Event{{At: sec, Kind: Ended, Agent: 0}, {At: sec, Kind: Hushed, Agent: 0}, drain, send(7*sec + 700*ms), send(7*sec + 800*ms)}, 1},
+		"the service is lost again after": {[]Event{{At: sec, Kind: LostList, Agent: 0}, drain, {At: 9 * sec, Kind: HasList, Agent: 0}, {At: 9*sec + ms, Kind: LostList, Agent: 0}, send(20 * sec)}, 0},
+	} {
+		if got := drains(append(begin[:len(begin):len(begin)], c.events...), 1, 10*sec, true); len(got) != c.faults {
 			t.Errorf("%s: %q", name, got)
 		}
 	}
--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -20,6 +20,7 @@
 	MustAsk  time.Duration // within which the list must be asked for
 	All      time.Duration // what the list service needs for all agents
 	Patience time.Duration // of that service
+	Pushed   bool          // it stands beside each agent: asking costs nothing, and what it has counts as told
 	Kiosks   KioskOptions
 	Server   ServerOptions
 	Cold     bool // the servers have just started
@@ -106,6 +107,7 @@
 	List     struct {
 		AllS      *float64 `toml:"all_s"`
 		PatienceS *float64 `toml:"patience_s"`
+		Pushed    bool     `toml:"pushed"`
 	} `toml:"list"`
 	Calls struct {
 		Rate   *float64 `toml:"rate"`
@@ -169,6 +171,9 @@
 	f.Span("must_ask_s", in.MustAskS, time.Second, 1, 3600, &s.MustAsk)
 	f.Span("list.all_s", in.List.AllS, time.Second, 0.001, 3600, &s.All)
 	f.Span("list.patience_s", in.List.PatienceS, time.Second, 0.01, 3600, &s.Patience)
+	if s.Pushed = in.List.Pushed; s.Pushed && (in.List.AllS != nil || in.MustAskS != nil) {
+		f.Problem("list.pushed", "a list that is pushed is not asked for: all_s and must_ask_s mean nothing")
+	}
 	if in.Known != "" {
 		if s.Known = in.Known; !slices.Contains([]string{KnownWhole, KnownOld, KnownNone, KnownWrong}, s.Known) {
 			f.Problem("known", "must be whole, old, none or wrong")
