The test of long bodies takes the least of three readings of the heap while bodies come

It failed once (80 MB, 80 allowed) in a whole run of the package. Traced: a heap profile at the reading has nothing but kept parts of bodies, and five readings right behind one another in one run vary from 34 to 57 and from 38 to 66 MB: parts that are allocated and let go while the collector runs count as in use. That only adds, so the least of three readings is held against the same 80 MB; what is really held is in all of them. The second reading, which is steady (26 MB), stays single. Cases of the outage test have readable names.

--- a/cmd/ternbeam/outage_test.go
+++ b/cmd/ternbeam/outage_test.go
@@ -285,6 +285,16 @@
 	stalled bool // the process is held up as discovery returns
 }
 
+func (c outageCase) String() string {
+	switch {
+	case c.atStart:
+		return string(c.how) + ", at the start"
+	case c.stalled:
+		return string(c.how) + ", held up"
+	}
+	return string(c.how)
+}
+
 // run plays the case and returns for how long the server that drains was sent to after the agent counts as told. The run is void
 // where the machine itself stood still for longer than the terms let a process be held up.
 func (c outageCase) run(t *testing.T) (late time.Duration, log string, void bool) {
@@ -350,7 +360,7 @@
 func TestDrainsOfAnOutageAreHeardInTime(t *testing.T) {
 	for _, how := range []outage{hangs, answersHead, breaksMidway, dripsSpace, unavailable, resets, refuses, notAccepting} {
 		for _, c := range []outageCase{{how: how}, {how: how, stalled: true}, {how: how, atStart: true}} {
-			t.Run(fmt.Sprintf("%s, at the start %t, held up %t", c.how, c.atStart, c.stalled), func(t *testing.T) {
+			t.Run(c.String(), func(t *testing.T) {
 				t.Parallel()
 				for range mostVoidRuns {
 					late, log, void := c.run(t)
--- a/internal/agent/long_test.go
+++ b/internal/agent/long_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -120,18 +121,23 @@
 	var before runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	most := func(what string) {
-		runtime.GC()
-		var now runtime.MemStats
-		runtime.ReadMemStats(&now)
+	most := func(what string, times int) {
+		// Parts of bodies that are allocated and let go while the collector runs count as in use in that reading, some tens of MB
+		// at this pace. They only add: of some readings the least is the nearest to what is held.
+		readings := make([]int64, times)
+		for i := range readings {
+			var now runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&now)
+			readings[i] = (int64(now.HeapAlloc) - int64(before.HeapAlloc)) >> 20
+		}
+		t.Logf("%s: %d MB more than before", what, readings)
 		// The bound on what is kept of bodies is a quarter of six tenths of 192 MB; the peers of the test are in the figure, too.
-		if grown := int64(now.HeapAlloc) - int64(before.HeapAlloc); grown > 80<<20 {
-			t.Errorf("%s: %d MB more than before", what, grown>>20)
-		} else {
-			t.Logf("%s: %d MB more than before", what, grown>>20)
+		if grown := slices.Min(readings); grown > 80 {
+			t.Errorf("%s: %d MB more than before", what, grown)
 		}
 	}
-	measured := sync.OnceFunc(func() { most("while 640 MB come") })
+	measured := sync.OnceFunc(func() { most("while 640 MB come", 3) })
 	var done sync.WaitGroup
 	for seed := range peers {
 		done.Go(func() {
@@ -161,7 +167,7 @@
 		})
 	}
 	<-down.all
-	most("while 640 MB go back")
+	most("while 640 MB go back", 1)
 	done.Wait()
 	for seed := range peers {
 		if n := counter.Of(fmt.Sprint("long-", seed)); n != 1 {
