Calls beside ones that are slow are made no closer than the service can bear

Seen on the rig (lab/fleet/outage.toml, 300 agents on one machine): at the return 7,265 calls, 46 of one agent, as each call took longer than the 0.1 s between two. The rig's list says the first line of a watch at once, as the platform's does. Discovery and asking pass with -race.

--- a/internal/decide/asking/local.go
+++ b/internal/decide/asking/local.go
@@ -18,6 +18,10 @@
 	intervalJitter = 0.25
 	// shortestInterval bounds the calls where the grace is very short.
 	shortestInterval = 20 * time.Millisecond
+	// deliveryParts is how many times longer than a list took to come the next call waits at the least: a service that is slow, or shares
+	// its machine with many agents, is not made slower by further calls. longestInterval bounds that.
+	deliveryParts   = 2
+	longestInterval = time.Second
 	// usualGrace is the grace of a drain where the settings do not say it.
 	usualGrace = 500 * time.Millisecond
 
@@ -36,13 +40,15 @@
 // on it, or has been opened behind a whole list. It does no I/O and reads no clock.
 type LocalSchedule struct {
 	rng      *rand.Rand
-	interval time.Duration // between two calls, but for its jitter
+	shortest time.Duration // between two calls, but for its jitter
+	interval time.Duration // the same at present
 	doubt    bool          // a watch fell silent, and none has been established since
 }
 
 // NewLocalSchedule returns a LocalSchedule for a grace of drains, 0 for the usual one. Its random numbers follow from the seed alone.
 func NewLocalSchedule(grace time.Duration, seed uint64) *LocalSchedule {
-	return &LocalSchedule{rng: rand.New(rand.NewPCG(seed, 2)), interval: max(shortestInterval, cmp.Or(grace, usualGrace)/intervalParts)}
+	shortest := max(shortestInterval, cmp.Or(grace, usualGrace)/intervalParts)
+	return &LocalSchedule{rng: rand.New(rand.NewPCG(seed, 2)), shortest: shortest, interval: shortest}
 }
 
 // Interval returns how long after a call, or after the end of a watch, the next call is made while no watch is established.
@@ -56,7 +62,13 @@
 }
 
 // Established notes that there is a watch.
-func (s *LocalSchedule) Established() { s.doubt = false }
+func (s *LocalSchedule) Established() { s.doubt, s.interval = false, s.shortest }
+
+// Delivered notes that a call has brought a list, and how long after it began. Until there is a watch the next calls are no closer
+// than the service can bear.
+func (s *LocalSchedule) Delivered(took time.Duration) {
+	s.interval = max(s.shortest, min(deliveryParts*took, longestInterval))
+}
 
 // Ended notes that a call or a watch has ended, and whether by silence.
 func (s *LocalSchedule) Ended(silent bool) { s.doubt = s.doubt || silent }
--- a/internal/decide/asking/local_test.go
+++ b/internal/decide/asking/local_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// A service that brings lists slowly is called less often until there is a watch; one that brings them at once as often as ever.
+func TestSlowDeliveriesSpaceCalls(t *testing.T) {
+	const usual = usualGrace / intervalParts
+	s := NewLocalSchedule(usualGrace, 1)
+	for _, c := range []struct{ took, want time.Duration }{
+		{time.Millisecond, usual}, {usual / 2, usual}, {200 * time.Millisecond, 400 * time.Millisecond}, {time.Minute, longestInterval}, {0, usual},
+	} {
+		s.Delivered(c.took)
+		if i := s.Interval(); i < c.want*3/4 || i > c.want*5/4 {
+			t.Errorf("an interval of %v behind a list that took %v", i, c.took)
+		}
+	}
+	s.Delivered(time.Second)
+	s.Established()
+	if i := s.Interval(); i > usual*5/4 {
+		t.Errorf("an interval of %v behind an established watch", i)
+	}
+}
+
 // A watch that fell silent is found out after Silence, and what it missed counts as told 6 s after it fell silent. The whole list
 // is asked for until there is a watch, also beside calls of which nothing was heard, and often enough by then.
 func TestWholeListIsAskedForBehindSilence(t *testing.T) {
--- a/internal/discovery/localwatch.go
+++ b/internal/discovery/localwatch.go
@@ -36,13 +36,23 @@
 	cancel context.CancelCauseFunc
 }
 
-// localSignal says that a call has established a watch, or has ended.
+// localSignal says what became of a call.
 type localSignal struct {
 	from   *localCall
-	ended  bool
-	silent bool // it ended as nothing came for too long
+	kind   signalKind
+	took   time.Duration // until it delivered
+	silent bool          // it ended as nothing came for too long
 }
 
+// signalKind names what became of a call.
+type signalKind int
+
+const (
+	callDelivered   signalKind = iota // its first list
+	callEstablished                   // a watch
+	callEnded
+)
+
 func newLocalWatch(client *Client, schedule *asking.LocalSchedule, deliver func(List), lost func()) *localWatch {
 	return &localWatch{client: client, schedule: schedule, deliver: deliver, lost: lost, contact: newContactLog(client.log),
 		signals: make(chan localSignal)}
@@ -87,18 +97,28 @@
 	w.pending = append(w.pending, c)
 	w.contact.called()
 	begun := clock.Now()
+	delivered := sync.OnceFunc(func() {
+		w.signal(ctx, localSignal{from: c, kind: callDelivered, took: clock.Now() - begun})
+	})
 	on := Events{
-		Answered:    func() {},
-		Alive:       w.contact.alive,
-		Established: func() { w.contact.answered(begun); w.signal(ctx, localSignal{from: c}) },
-		Deliver:     func(l List) { w.contact.answered(begun); w.deliver(l) },
-		Whole:       how.Whole,
-		Within:      how.Within,
+		Answered: func() {},
+		Alive:    w.contact.alive,
+		Established: func() {
+			w.contact.answered(begun)
+			w.signal(ctx, localSignal{from: c, kind: callEstablished})
+		},
+		Deliver: func(l List) {
+			w.contact.answered(begun)
+			w.deliver(l)
+			delivered()
+		},
+		Whole:  how.Whole,
+		Within: how.Within,
 	}
 	w.calls.Go(func() {
 		defer cancel(nil)
 		silent := w.client.Watch(ctx, on)
-		w.signal(ctx, localSignal{from: c, ended: true, silent: silent > 0})
+		w.signal(ctx, localSignal{from: c, kind: callEnded, silent: silent > 0})
 	})
 }
 
@@ -110,21 +130,25 @@
 	}
 }
 
-// take takes note of what a call says.
+// take takes note of what became of a call.
 func (w *localWatch) take(s localSignal) {
-	switch {
-	case s.ended && s.from == w.established:
-		w.established = nil
-	case s.ended:
+	switch s.kind {
+	case callDelivered:
+		if w.established == nil { // an established watch has all the time that it likes
+			w.schedule.Delivered(s.took)
+		}
+	case callEstablished:
+		if w.established == nil && slices.Contains(w.pending, s.from) {
+			w.establish(s.from)
+		}
+	case callEnded:
+		if s.from == w.established {
+			w.established = nil
+		}
 		w.pending = slices.DeleteFunc(w.pending, func(c *localCall) bool { return c == s.from })
-	case w.established == nil && slices.Contains(w.pending, s.from):
-		w.establish(s.from)
-		return
-	default:
-		return
+		w.schedule.Ended(s.silent)
+		w.lost()
 	}
-	w.schedule.Ended(s.silent)
-	w.lost()
 }
 
 // establish takes the watch of a call; all others end.
--- a/internal/discovery/localwatch_test.go
+++ b/internal/discovery/localwatch_test.go
@@ -76,6 +76,30 @@
 	}
 }
 
+// A list that took long to come, and established the watch, does not make calls rarer when that watch has ended.
+func TestSlowListDoesNotSlowLaterCalls(t *testing.T) {
+	var made atomic.Int32
+	ended := make(chan struct{})
+	addr, _ := calls(t, func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		time.Sleep(400 * time.Millisecond)
+		write(w, before)
+		close(ended)
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, r *http.Request) {
+		made.Add(1)
+		<-r.Context().Done()
+	})
+	lists := watchLocally(t, New(addr, List{Version: 7}, slog.New(slog.DiscardHandler)))
+	nextList(t, lists)
+	<-ended
+	from := made.Load()
+	time.Sleep(time.Second)
+	if n := made.Load() - from; n < 6 { // of ten
+		t.Errorf("%d calls in a second", n)
+	}
+}
+
 // A service that needs a second for each answer is heard: the oldest call is kept beside later ones.
 func TestSlowServiceIsHeard(t *testing.T) {
 	addr, _ := calls(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/lab/fleet/list.go
+++ b/internal/lab/fleet/list.go
@@ -265,13 +265,13 @@
 	}
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
-	for {
+	for first := true; ; first = false { // the first line of a watch comes at once, whether or not anything has changed
 		change, changed := l.opts.Book.Since(version)
 		hold(mode.takes() && mode != Old)
 		if mode == Silent || mode == Old { // the connection stays open
 			changed = nil
 			flush()
-		} else if change.Full || len(change.Servers) > 0 {
+		} else if first || change.Full || len(change.Servers) > 0 {
 			if lines.Encode(change) != nil || flush() != nil {
 				return
 			}
