--- /dev/null
+++ b/cmd/ternbeam/localdiscovery_test.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// outage is how discovery behaves while it is down. The calls that it took then are never answered, but for queued ones.
+type outage string
+
+const (
+	hangs        outage = "takes calls and says nothing"
+	answersHead  outage = "answers with a head and nothing behind it"
+	breaksMidway outage = "answers with half a list and nothing behind it"
+	dripsSpace   outage = "answers with a list that never ends"
+	unavailable  outage = "answers 503"
+	resets       outage = "resets who connects"
+	refuses      outage = "refuses connections"
+	notAccepting outage = "accepts no connection, its queue is full"
+)
+
+// localDiscovery is the discovery service beside one agent: it answers each call at once with what it has, and is down for a while.
+type localDiscovery struct {
+	addr string
+
+	mu      sync.Mutex
+	down    outage        // empty while it is up
+	list    string        // the whole list, one line
+	turn    chan struct{} // closed at the next change of anything here
+	resumes bool          // open watches go on when it is up again, where the outage did not end them; else they are silent for good
+	silence int           // how often all open watches have fallen silent for good
+	calls   chan struct{} // one for each call or connection
+	listen  net.Listener  // nil while it refuses connections
+	fill    []net.Conn    // which fill the queue while it accepts none
+}
+
+// newLocalDiscovery runs one until the test ends.
+func newLocalDiscovery(t *testing.T, list string) *localDiscovery {
+	t.Helper()
+	d := &localDiscovery{addr: free(t), list: list, turn: make(chan struct{}), calls: make(chan struct{}, 10_000)}
+	d.open(t)
+	t.Cleanup(func() { d.setDown(hangs); d.listen.Close() })
+	return d
+}
+
+// open listens, with a queue as short as there is.
+func (d *localDiscovery) open(t *testing.T) {
+	t.Helper()
+	at, err := net.ResolveTCPAddr("tcp", d.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "discovery")
+	defer file.Close()
+	address := &unix.SockaddrInet4{Port: at.Port, Addr: [4]byte(at.IP.To4())}
+	for _, step := range []func() error{
+		func() error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) },
+		func() error { return unix.Bind(fd, address) },
+		func() error { return unix.Listen(fd, 1) },
+	} {
+		if err := step(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	listen, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.mu.Lock()
+	d.listen = listen
+	d.mu.Unlock()
+	server := &http.Server{Handler: http.HandlerFunc(d.serve)}
+	go server.Serve(gate{listen, d})
+}
+
+// gate accepts no connection while discovery does not, and resets them while that is what it does.
+type gate struct {
+	net.Listener
+	d *localDiscovery
+}
+
+func (g gate) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		down, turn, _ := g.d.now()
+		switch down {
+		case notAccepting:
+			<-turn
+		case resets:
+			g.d.called()
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+			continue
+		}
+		return conn, nil
+	}
+}
+
+// now is how it behaves, what is closed when that changes, and the list.
+func (d *localDiscovery) now() (outage, <-chan struct{}, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.down, d.turn, d.list
+}
+
+func (d *localDiscovery) called() { d.calls <- struct{}{} }
+
+// setDown begins an outage.
+func (d *localDiscovery) setDown(how outage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = how
+	d.turnLocked()
+	switch how {
+	case refuses:
+		d.listen.Close()
+	case notAccepting:
+		for range 4 { // the queue, and the one that is accepted already
+			conn, err := (&net.Dialer{Timeout: 50 * time.Millisecond}).Dial("tcp", d.addr)
+			if err == nil {
+				d.fill = append(d.fill, conn)
+			}
+		}
+	}
+}
+
+// setUp ends the outage: from this moment on it has another list.
+func (d *localDiscovery) setUp(t *testing.T, list string) {
+	t.Helper()
+	down, _, _ := d.now()
+	if down == refuses {
+		d.open(t)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down, d.list = "", list
+	d.turnLocked()
+	for _, conn := range d.fill {
+		conn.Close()
+	}
+	d.fill = nil
+}
+
+// setList has another list, whether or not it is up.
+func (d *localDiscovery) setList(list string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list = list
+	d.turnLocked()
+}
+
+// silenceWatches has all open watches fall silent for good.
+func (d *localDiscovery) silenceWatches() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silence++
+	d.turnLocked()
+}
+
+func (d *localDiscovery) turnLocked() {
+	close(d.turn)
+	d.turn = make(chan struct{})
+}
+
+// serve answers one call, or falls silent on it. A watch ends or falls silent with the outage, by its kind.
+func (d *localDiscovery) serve(w http.ResponseWriter, r *http.Request) {
+	down, _, list := d.now()
+	d.called()
+	write := func(text string) {
+		fmt.Fprint(w, text)
+		w.(http.Flusher).Flush()
+	}
+	silent := func() { <-r.Context().Done() }
+	switch down {
+	case "", notAccepting:
+	case unavailable:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case answersHead:
+		write("")
+		silent()
+		return
+	case breaksMidway:
+		write(list[:len(list)/2])
+		silent()
+		return
+	case dripsSpace:
+		write(list[:1])
+		for r.Context().Err() == nil {
+			write(" ")
+			time.Sleep(20 * time.Millisecond)
+		}
+		return
+	default:
+		silent()
+		return
+	}
+	write(list)
+	if !r.URL.Query().Has("stream") {
+		return
+	}
+	d.watch(r.Context(), list, write)
+}
+
+// watch keeps a watch that has been told a list. It returns as the client ends it; an outage may end it, or silence it for good.
+func (d *localDiscovery) watch(ctx context.Context, told string, write func(string)) {
+	d.mu.Lock()
+	down, turn, list, silence := d.down, d.turn, d.list, d.silence
+	d.mu.Unlock()
+	first := silence
+	heartbeat := time.NewTicker(2 * time.Second)
+	defer heartbeat.Stop()
+	for {
+		switch {
+		case down == unavailable || down == resets || down == refuses:
+			panic(http.ErrAbortHandler)
+		case silence != first || down != "" && !d.resumes:
+			<-ctx.Done()
+			return
+		case down == "" && list != told:
+			write(list)
+			told = list
+		}
+		select {
+		case <-heartbeat.C:
+			if down == "" {
+				write("\n")
+			}
+		case <-turn:
+		case <-ctx.Done():
+			return
+		}
+		d.mu.Lock()
+		down, turn, list, silence = d.down, d.turn, d.list, d.silence
+		d.mu.Unlock()
+	}
+}
+
+// awaitCall returns right after a call that discovery takes while it is down, or soon where it sees none.
+func (d *localDiscovery) awaitCall() {
+	for len(d.calls) > 0 {
+		<-d.calls
+	}
+	select {
+	case <-d.calls:
+	case <-time.After(time.Second):
+	}
+	time.Sleep(5 * time.Millisecond)
+}
