A service that takes no watch is heard by whole lists; part of a large list is no watch

A discovery that answers calls for the whole list and refuses or resets watches was never heard of again: behind a call that failed at once only the watch was asked for. From the second end on the whole list is asked for first. A watch counted as established as 256 KiB of one list had come, though the list might never be whole, and before its list was judged; now an empty line or a list that is believed establishes it.

--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -163,6 +163,7 @@
 	first, second := newRegistry(t, 40, entry("old")), newRegistry(t, 3, entry("new"))
 	cfg := trial{}.config(t)
 	cfg.Discovery, cfg.Path = first.addr(), filepath.Join(t.TempDir(), "config.json")
+	cfg.Asking.Grace = 10 * time.Second // no call is made beside one that is answered, also on a machine that is busy
 	r := start(t, cfg)
 	testkit.Eventually(t, "the first is watched", func() bool { return len(first.asked()) == 1 })
 	first.changes <- discovery.List{Version: 41, Full: true, Servers: []discovery.Entry{entry("old")}}
--- a/internal/decide/asking/local.go
+++ b/internal/decide/asking/local.go
@@ -22,6 +22,9 @@
 	// its machine with many agents, is not made slower by further calls. longestInterval bounds that.
 	deliveryParts   = 2
 	longestInterval = time.Second
+	// wholeAfter is from how many ends on, of a watch and of calls behind it, the whole list is asked for: a service may take no watch, and
+	// still have drains to tell.
+	wholeAfter = 2
 	// usualGrace is the grace of a drain where the settings do not say it.
 	usualGrace = 500 * time.Millisecond
 
@@ -43,6 +46,7 @@
 	shortest time.Duration // between two calls, but for its jitter
 	interval time.Duration // the same at present
 	doubt    bool          // a watch fell silent, and none has been established since
+	failures int           // calls that have ended since there was a watch, its own end included
 }
 
 // NewLocalSchedule returns a LocalSchedule for a grace of drains, 0 for the usual one. Its random numbers follow from the seed alone.
@@ -58,11 +62,11 @@
 
 // Call returns how the next call is made beside those that are pending.
 func (s *LocalSchedule) Call(pending int) LocalCall {
-	return LocalCall{Whole: s.doubt || pending > 0, Within: CallWait}
+	return LocalCall{Whole: s.doubt || pending > 0 || s.failures >= wholeAfter, Within: CallWait}
 }
 
 // Established notes that there is a watch.
-func (s *LocalSchedule) Established() { s.doubt, s.interval = false, s.shortest }
+func (s *LocalSchedule) Established() { s.doubt, s.failures, s.interval = false, 0, s.shortest }
 
 // Delivered notes that a call has brought a list, and how long after it began. Until there is a watch the next calls are no closer
 // than the service can bear.
@@ -71,4 +75,7 @@
 }
 
 // Ended notes that a call or a watch has ended, and whether by silence.
-func (s *LocalSchedule) Ended(silent bool) { s.doubt = s.doubt || silent }
+func (s *LocalSchedule) Ended(silent bool) {
+	s.doubt = s.doubt || silent
+	s.failures++
+}
--- a/internal/decide/asking/local_test.go
+++ b/internal/decide/asking/local_test.go
@@ -94,8 +94,12 @@
 	if s.Call(0).Whole {
 		t.Error("the whole list behind a watch that was reset: a watch has what changed since")
 	}
-	s.Ended(true)
 	s.Ended(false)
+	if !s.Call(0).Whole {
+		t.Error("a watch alone behind two calls that have failed: the service may take none")
+	}
+	s.Established()
+	s.Ended(true)
 	calls := 0
 	for now := Silence; now < told; now += s.Interval() {
 		if call := s.Call(0); !call.Whole || call.Within != CallWait {
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -81,12 +81,12 @@
 	}
 	c := &call{begun: clock.Now(), on: on}
 	answered := func() { goesOn(d.silence); on.Answered() }
-	alive := func() { goesOn(d.silence); on.Alive() }
+	alive := func(sign) { goesOn(d.silence); on.Alive() }
 	wholeCame := false
 	if _, needed := d.version(); needed || on.Whole {
 		came, comes := answered, alive
 		if on.Whole {
-			came, comes = on.Answered, on.Alive // the whole list has as long as the call
+			came, comes = on.Answered, func(sign) { on.Alive() } // the whole list has as long as the call
 		}
 		if err := d.read(ctx, "", came, comes, func(l list) error {
 			goesOn(limit) // for the watch
@@ -110,7 +110,18 @@
 		if wholeCame {
 			established()
 		}
-	}, func() { alive(); established() }, func(l list) error { return d.take(ctx, c, l.whole(false)) })
+	}, func(of sign) {
+		alive(of)
+		if of == emptyLine {
+			established()
+		}
+	}, func(l list) error {
+		err := d.take(ctx, c, l.whole(false))
+		if err == nil {
+			established()
+		}
+		return err
+	})
 }
 
 // pause is a time in which nothing has come, and how long it may be.
@@ -203,8 +214,17 @@
 	c.on.Deliver(drains)
 }
 
+// sign is a sign of life of an answer.
+type sign int
+
+const (
+	emptyLine  sign = iota // nothing has changed
+	partOfList             // a good deal of a list has come
+	wholeList              // a list has come whole
+)
+
 // read takes the lists of one answer until it ends; it always ends with an error.
-func (d *Client) read(ctx context.Context, query string, answered, alive func(), take func(list) error) error {
+func (d *Client) read(ctx context.Context, query string, answered func(), alive func(sign), take func(list) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return err
@@ -230,9 +250,13 @@
 		got += int64(n)
 		empty := len(bytes.TrimSpace(p[:n])) == 0
 		within = within || !empty
-		if !within && bytes.IndexByte(p[:n], '\n') >= 0 || got-shown >= pace {
+		switch {
+		case !within && bytes.IndexByte(p[:n], '\n') >= 0:
+			shown = got
+			alive(emptyLine)
+		case got-shown >= pace:
 			shown = got
-			alive()
+			alive(partOfList)
 		}
 		return n, err
 	}))
@@ -246,7 +270,7 @@
 			return err
 		}
 		done, within, shown = lines.InputOffset(), len(bytes.TrimSpace(rest)) > 0, got
-		alive()
+		alive(wholeList)
 		if err := take(l); err != nil {
 			return err
 		}
