Behind a silent watch a failed call to the shared service is followed by one in time

At fault: that the watch had been silent was forgotten with that call (asking.Over), so that where this one brought no list the next came at the usual turn, up to 5 s later, and a list that stopped short was waited for for 3 s (discovery.watch).

Change: the Asker remembers when the watch fell silent until a list is delivered, and while there is time left the next turn is within it; a list that has begun has 1 s to come whole (the next call 3 s again, as the service may be slow). TestCallBehindASilentWatchFails fails without it; TestListThatStopsShort. Deciders and discovery pass.

--- a/internal/decide/asking/asking.go
+++ b/internal/decide/asking/asking.go
@@ -68,6 +68,7 @@
 	crowded   int           // calls in a row that were given up
 	hung      int           // calls in a row of which nothing was heard
 	waits     []time.Duration
+	silentAt  time.Duration  // when a watch fell silent, if no list has been delivered since; 0 otherwise
 	local     *LocalSchedule // of a service beside the agent
 }
 
@@ -114,7 +115,7 @@
 
 // Delivered says that the call has brought a list that is believed.
 func (a *Asker) Delivered() {
-	a.delivered, a.vain = true, 0
+	a.delivered, a.vain, a.silentAt = true, 0, 0
 	a.local.Established()
 }
 
@@ -124,6 +125,9 @@
 	if !a.set.Shared {
 		return now + a.local.Interval()
 	}
+	if silent > 0 && a.delivered {
+		a.silentAt = now - silent
+	}
 	hung := !a.answered && silent > 0
 	if hung {
 		a.hung++
@@ -146,6 +150,10 @@
 		}
 		return a.turn(max(now, a.asked+every/2), every)
 	}
+	// Behind a watch that fell silent a call that fails, in whatever way, leaves time for another by when the drains among it count.
+	if left := a.silentAt + told + a.set.Grace - answer - now; a.silentAt > 0 && left > 0 {
+		every = min(every, max(left, leastPeriod))
+	}
 	return a.turn(now, every)
 }
 
--- a/internal/decide/asking/asking_test.go
+++ b/internal/decide/asking/asking_test.go
@@ -323,6 +323,38 @@
 	}
 }
 
+// A watch falls silent, and the call behind it fails some time later: answered and broken off, stopped short, or refused. The next one is made in
+// time for what the watch missed, if any time is left, and the service that stays down is not asked faster for good.
+func TestCallBehindASilentWatchFails(t *testing.T) {
+	const agents = 80
+	for name, silent := range map[string]time.Duration{"broken off": 0, "stopped short": time.Second} {
+		for seed := range uint64(50) {
+			a := New(Settings{Shared: true, Agents: agents, Me: int(seed), MustAsk: mustAsk, Grace: usualGrace}, seed)
+			fell := time.Hour + time.Duration(seed)*1234*time.Millisecond
+			a.Asked(fell - time.Minute)
+			a.Answered(fell - time.Minute + 100*time.Millisecond)
+			a.Delivered()
+			now := a.Over(fell+Silence, Silence)
+			a.Asked(now)
+			a.Answered(now + 100*time.Millisecond)
+			now += 100*time.Millisecond + silent
+			by := max(fell+told+usualGrace-answer, now+leastPeriod)
+			next := a.Over(now, silent)
+			if left := fell + told + usualGrace - answer - now; left > 0 && next > by {
+				t.Errorf("%s: asked again %v after the silence began", name, next-fell)
+			}
+			calls := 0
+			for now = next; now < fell+time.Minute; now = a.Over(now+time.Millisecond, 0) {
+				a.Asked(now)
+				calls++
+			}
+			if calls > 30 {
+				t.Errorf("%s: %d calls in a minute to a service that is down", name, calls)
+			}
+		}
+	}
+}
+
 // A call to a service that all agents ask hangs while the service is down, also across its return. The next is made in time for what the
 // list says to be heard by when it counts as told, 6 s after the return, and the grace of a drain.
 func TestCallThatHangsAcrossTheReturn(t *testing.T) {
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -20,6 +20,9 @@
 	mostBytes = 8 << 20 // of one list: some 50,000 entries
 	// pace is how much of a list shows that it goes on: one that takes longer than a watch may be silent comes at some 57 KB/s.
 	pace = 256 << 10
+	// listStall is how long after a list has begun, or after pace of it, the rest may take. A service that breaks off without a word is asked
+	// again in time for what a silent watch missed; the next call has all the time that a watch may be silent, as the service may be slow.
+	listStall = time.Second
 	// standstill is by how much later than set a timer fires that shows that the process stood still, and what it takes then to
 	// read what has come.
 	standstill = 500 * time.Millisecond
@@ -81,12 +84,25 @@
 	}
 	c := &call{begun: clock.Now(), on: on}
 	answered := func() { goesOn(d.silence); on.Answered() }
-	alive := func(sign) { goesOn(d.silence); on.Alive() }
+	alive := func(of sign) {
+		if of == listBegun || of == partOfList {
+			goesOn(d.listStall())
+		} else {
+			goesOn(d.silence)
+		}
+		if of != listBegun {
+			on.Alive()
+		}
+	}
 	wholeCame := false
 	if _, needed := d.version(); needed || on.Whole {
 		came, comes := answered, alive
 		if on.Whole {
-			came, comes = on.Answered, func(sign) { on.Alive() } // the whole list has as long as the call
+			came, comes = on.Answered, func(of sign) { // the whole list has as long as the call
+				if of != listBegun {
+					on.Alive()
+				}
+			}
 		}
 		if err := d.read(ctx, "", came, comes, func(l list) error {
 			goesOn(limit) // for the watch
@@ -130,6 +146,16 @@
 	most  time.Duration
 }
 
+// listStall is how long the rest of a list may take.
+func (d *Client) listStall() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stalled {
+		return d.silence
+	}
+	return min(listStall, d.silence)
+}
+
 // list is a List as it comes: it may not say whether it is whole.
 type list struct {
 	Version int64   `json:"version"`
@@ -181,7 +207,7 @@
 		kept = append(kept, e)
 	}
 	l.Servers = kept
-	d.said, d.doubt = "", d.doubt && !l.Full
+	d.said, d.stalled, d.doubt = "", false, d.doubt && !l.Full
 	d.latest = delivery{c, clock.Now()}
 	c.on.Deliver(l)
 	return nil
@@ -219,6 +245,7 @@
 
 const (
 	emptyLine  sign = iota // nothing has changed
+	listBegun              // the first bytes of a list have come
 	partOfList             // a good deal of a list has come
 	wholeList              // a list has come whole
 )
@@ -249,8 +276,11 @@
 		n, err := resp.Body.Read(p)
 		got += int64(n)
 		empty := len(bytes.TrimSpace(p[:n])) == 0
+		begins := !within && !empty
 		within = within || !empty
 		switch {
+		case begins:
+			alive(listBegun)
 		case !within && bytes.IndexByte(p[:n], '\n') >= 0:
 			shown = got
 			alive(emptyLine)
--- a/internal/discovery/crossing_test.go
+++ b/internal/discovery/crossing_test.go
@@ -128,6 +128,37 @@
 	wait(t, heard)
 }
 
+// A service that all agents ask breaks off without a word in the midst of a list. It is asked again soon, and not after the time that a watch may
+// be silent; one whose lists take longer than that is heard at its next answer.
+func TestListThatStopsShort(t *testing.T) {
+	half := before[:len(before)/2]
+	stops := func(w http.ResponseWriter, r *http.Request) { write(w, half); <-r.Context().Done() }
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		write(w, half)
+		time.Sleep(1500 * time.Millisecond)
+		write(w, before[len(before)/2:])
+		<-r.Context().Done()
+	}
+	for name, c := range map[string]struct {
+		ways []func(http.ResponseWriter, *http.Request)
+		most time.Duration
+	}{
+		"once":        {[]func(http.ResponseWriter, *http.Request){stops, func(w http.ResponseWriter, r *http.Request) { write(w, before); <-r.Context().Done() }}, 2 * time.Second},
+		"slow always": {[]func(http.ResponseWriter, *http.Request){slow}, 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, _ := calls(t, c.ways...)
+			begin := time.Now()
+			// Of one agent alone the turns come at once.
+			nextList(t, watchWith(t, asking.Settings{Shared: true, Agents: 1}, New(addr, List{Version: 7}, slog.New(slog.DiscardHandler))))
+			if took := time.Since(begin); took > c.most {
+				t.Errorf("heard after %v", took)
+			}
+		})
+	}
+}
+
 // A watch that is reset between two lists, in the midst of one, or right after its beginning is begun anew from the last whole one.
 func TestWatchIsResetAnywhere(t *testing.T) {
 	next := `{"version":9,"servers":[{"id":"b","addr":"127.0.0.1:1","state":"terminating"}]}` + "\n"
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -22,11 +22,12 @@
 	client  *http.Client
 	log     *slog.Logger
 
-	mu     sync.Mutex      // held while a list is judged and delivered
-	lists  *listing.Keeper // which of them are believed
-	said   string          // how the latest watch ended, if none has delivered since
-	doubt  bool            // drains of a list that was not believed were delivered, and no whole list since
-	latest delivery        // of a list that is believed
+	mu      sync.Mutex      // held while a list is judged and delivered
+	lists   *listing.Keeper // which of them are believed
+	said    string          // how the latest watch ended, if none has delivered since
+	doubt   bool            // drains of a list that was not believed were delivered, and no whole list since
+	latest  delivery        // of a list that is believed
+	stalled bool            // the latest list that began did not come whole in time, and none has since
 }
 
 // delivery is when and by which call a list was delivered.
@@ -98,7 +99,11 @@
 		d.logEnd(err)
 	}
 	var silence silenceError
-	errors.As(err, &silence)
+	if errors.As(err, &silence) && time.Duration(silence) < d.silence { // of a list that had begun
+		d.mu.Lock()
+		d.stalled = true
+		d.mu.Unlock()
+	}
 	return time.Duration(silence)
 }
 
