The time for the rest of a list is set in tests as that of silence is

The test sets the silence aside for that very reason, and now the stall, too; the order of calls is held with the longer interval, but for the long list, beside which others for the whole list may all be made.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -86,7 +86,7 @@
 	answered := func() { goesOn(d.silence); on.Answered() }
 	alive := func(of sign) {
 		if of == listBegun || of == partOfList {
-			goesOn(d.listStall())
+			goesOn(d.stallNow())
 		} else {
 			goesOn(d.silence)
 		}
@@ -146,14 +146,14 @@
 	most  time.Duration
 }
 
-// listStall is how long the rest of a list may take.
-func (d *Client) listStall() time.Duration {
+// stallNow is how long the rest of a list may take.
+func (d *Client) stallNow() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.stalled {
 		return d.silence
 	}
-	return min(listStall, d.silence)
+	return min(d.stall, d.silence)
 }
 
 // list is a List as it comes: it may not say whether it is whole.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -19,6 +19,7 @@
 type Client struct {
 	addr    string
 	silence time.Duration // after which a watch is dead
+	stall   time.Duration // after which a list that has begun is, at the first time
 	client  *http.Client
 	log     *slog.Logger
 
@@ -46,7 +47,7 @@
 	if known.Version != Unknown {
 		lists.Judge(known.judged())
 	}
-	return &Client{addr: addr, lists: lists, silence: asking.Silence, log: log, client: &http.Client{
+	return &Client{addr: addr, lists: lists, silence: asking.Silence, stall: listStall, log: log, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
