--- a/cmd/ternbeam/drainfaults_test.go
+++ b/cmd/ternbeam/drainfaults_test.go
@@ -329,7 +329,9 @@
 				if len(late) > 0 {
 					t.Errorf("%s\n%s\n%s", strings.Join(w.story, "\n"), strings.Join(late, "\n"), w.process.log)
 				}
+				w.mu.Lock()
 				t.Logf("%d requests, %d drains, %d outages", len(w.requests), len(w.drains), len(w.outages))
+				w.mu.Unlock()
 				return
 			}
 			t.Fatalf("the machine stood still in each of %d runs: nothing can be said", mostVoidRuns)
