--- a/cmd/ternbeam/outage_test.go
+++ b/cmd/ternbeam/outage_test.go
@@ -127,6 +127,9 @@
 		d.setDown(c.how)
 		time.Sleep(4 * time.Second) // open watches have been found silent by then
 	}
+	for end := time.Now().Add(time.Minute); draining.requests.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // until there is something to stop
+	}
 	d.awaitCall()
 	watch := watchMachine()
 	got := draining.requests.Load()
