--- a/cmd/ternbeam/localdiscovery_test.go
+++ b/cmd/ternbeam/localdiscovery_test.go
@@ -84,7 +84,7 @@
 	address := &unix.SockaddrInet4{Port: at.Port, Addr: [4]byte(at.IP.To4())}
 	for _, step := range []func() error{
 		func() error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) },
-		func() error { return unix.Bind(fd, address) },
+		func() error { return bindPatiently(fd, address) },
 		func() error { return unix.Listen(fd, 1) },
 	} {
 		if err := step(); err != nil {
@@ -102,6 +102,17 @@
 	go server.Serve(gate{listen, d})
 }
 
+// bindPatiently binds a socket, also where the address is in use for a moment.
+func bindPatiently(fd int, address unix.Sockaddr) (err error) {
+	for range 200 {
+		if err = unix.Bind(fd, address); err != unix.EADDRINUSE {
+			return err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return err
+}
+
 // gate accepts no connection while discovery does not, and resets them while that is what it does.
 type gate struct {
 	net.Listener
