--- a/internal/decide/ledger/long.go
+++ b/internal/decide/ledger/long.go
@@ -55,6 +55,7 @@
 	kind := Served
 	if !whole {
 		kind = Failed
+		l.observe(call, kind, ReasonBrokenOff)
 	}
 	call.passing = nil
 	l.passing--
--- a/internal/decide/ledger/record.go
+++ b/internal/decide/ledger/record.go
@@ -16,6 +16,7 @@
 	ReasonDisconnected Reason = "client disconnected"
 	ReasonAnswered     Reason = "answered"
 	ReasonUnreadable   Reason = "answer not translatable"
+	ReasonBrokenOff    Reason = "answer broken off"
 )
 
 // Connection describes the client's connection on which a request came.
@@ -69,7 +70,8 @@
 	call.history = append(call.history, AttemptRecord{Server: act.Server, Reason: act.Reason, Sent: at, Over: at, Result: result})
 }
 
-// observe counts the end of a request and hands its Record to the host. A request is observed once.
+// observe counts the end of a request and hands its Record to the host. A request is observed once; one whose answer breaks off while it
+// is relayed, for which it had been observed as answered, a second time.
 func (l *Ledger) observe(call *Call, kind Kind, reason Reason) {
 	if l.set.Observe == nil {
 		return
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -27,6 +27,7 @@
 	over    bool   // more came than is kept, so that what follows is of no use
 	ending  bool   // who reads is to end it, unless something has come
 	readBy  time.Time
+	failure error // of the last Read that brought nothing
 }
 
 // mostAhead is how many bytes Probe keeps: more than a usual request has.
@@ -62,6 +63,8 @@
 	c.mu.Lock()
 	if c.reading = false; n > 0 {
 		c.goOnLocked()
+	} else {
+		c.failure = err
 	}
 	c.mu.Unlock()
 	if n > 0 {
@@ -78,6 +81,13 @@
 // buffers.
 func (c *Conn) Write(p []byte) (int, error) { return transient.Write(c.TCPConn.Write, p) }
 
+// lastError returns why the last Read brought nothing, or nil.
+func (c *Conn) lastError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure
+}
+
 // Queued is how long the connection may have waited in the accept queue because accepts failed; 0 where none did. A request that came
 // with it has waited as long.
 func (c *Conn) Queued() time.Duration { return c.queued }
--- a/internal/host/conntrack/listener.go
+++ b/internal/host/conntrack/listener.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"ternbeam/internal/host/accept"
 )
 
@@ -24,6 +26,8 @@
 	retry        *accept.Retrier
 	accept       func() (*net.TCPConn, error) // TCPListener's, or a test's
 	readerCloses bool                         // who reads a connection ends it, by its read deadline
+	log          *slog.Logger
+	unfinished   *rate.Limiter // of lines on unfinished requests
 
 	// What follows is under the Tracker's lock.
 	count   int           // of its connections
@@ -33,7 +37,21 @@
 
 // Listen returns a Listener whose connections are tracked.
 func (t *Tracker) Listen(l *net.TCPListener, log *slog.Logger) *Listener {
-	return &Listener{TCPListener: l, tracker: t, closed: make(chan struct{}), retry: accept.NewRetrier(log), accept: l.AcceptTCP}
+	return &Listener{TCPListener: l, tracker: t, closed: make(chan struct{}), retry: accept.NewRetrier(log), accept: l.AcceptTCP,
+		log: log, unfinished: rate.NewLimiter(unfinishedLinesPerSecond, 1)}
+}
+
+// unfinishedLinesPerSecond bounds the lines on unfinished requests: clients may leave them by the thousand.
+const unfinishedLinesPerSecond = 1
+
+// logUnfinished logs that a connection was closed before the request that had begun on it was read whole: by its client, or here as the
+// error says.
+func (l *Listener) logUnfinished(v *entry, total int) {
+	if !l.unfinished.Allow() {
+		return
+	}
+	l.log.Info("connection closed with an unfinished request", "received_bytes", v.conn.receivedBytes.Load()-v.read,
+		"last_received", time.Since(v.conn.lastReceived()).Round(time.Millisecond), "error", v.conn.lastError(), "in_all", total)
 }
 
 // ReaderCloses leaves the closing of connections to their readers, whose read deadline is expired instead: for readers that close a
--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -56,6 +56,8 @@
 	EndedSilent   int // the same, before they had said anything
 	KeptBegun     int // left open then, as a request had begun to come
 	EndedBegun    int // told to end later, with a request that had not come whole
+
+	ClosedUnfinished int // closed with a request begun that was never read whole
 }
 
 // Stats returns the counts so far.
@@ -151,9 +153,15 @@
 func (t *Tracker) Closed(c net.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if v := t.all[c]; v != nil {
-		t.forgetLocked(v)
+	v := t.all[c]
+	if v == nil {
+		return
+	}
+	if v.in != nil && v.begun() {
+		t.stats.ClosedUnfinished++
+		v.from.logUnfinished(v, t.stats.ClosedUnfinished)
 	}
+	t.forgetLocked(v)
 }
 
 func (t *Tracker) forgetLocked(v *entry) {
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -90,6 +90,8 @@
 	forwards  atomic.Int64 // attempts that were written whole
 	steps     clock.Steps  // of the wall clock
 
+	undelivered *undeliveredLog // answers that did not reach their clients
+
 	// What follows belongs to the loop.
 	ledger    *ledger.Ledger
 	requests  *requestLog
@@ -114,7 +116,7 @@
 		Carries: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, Illegal: set.Illegal, Routes: set.Routes,
 		Places: subset.New(subset.Settings{Agents: set.Module.Balancers, Me: set.Asking.Me, Seed: set.Seed})}, balancer)
 	c := &Core{set: set, log: set.Log, events: make(chan func(), 1024), urgent: make(chan func()), workers: newWorkers(), ready: make(chan struct{}),
-		ledger: books, requests: requests, others: map[*Other]bool{}}
+		ledger: books, requests: requests, undelivered: newUndeliveredLog(set.Log), others: map[*Other]bool{}}
 	c.begun = func(at *Attempt, e Ending) { c.post(func() { c.do(c.ledger.Begun(c.Now(), at, e)) }) }
 	c.publish() // so that there are figures from the start
 	return c, nil
@@ -296,7 +298,7 @@
 		c.log.Info("shapes", "translated", s.Translated, "unfit", s.Unfit, "unknown", s.Unknown, "untold", s.Untold)
 	}
 	c.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
-		"gone", s.Gone, "abandoned", c.abandoned.Load(), "malformed", c.malformed.Load(), "attempts", s.Attempts, "reports", s.Reports,
+		"gone", s.Gone, "abandoned", c.abandoned.Load(), "malformed", c.malformed.Load(), "undelivered", c.undelivered.count.Load(), "attempts", s.Attempts, "reports", s.Reports,
 		"results", resultsText(s.Results[:]), "reasons", reasonsText(c.ledger.Reasons()), "open", open, "held", held, "timers", len(c.timers),
 		"backends", c.ledger.ServerCount(), "connections", connections, "waiting", waiting)
 }
--- /dev/null
+++ b/internal/host/core/undelivered.go
@@ -0,0 +1,32 @@
+package core
+
+import (
+	"log/slog"
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
+
+	"ternbeam/internal/decide/ledger"
+)
+
+// undeliveredLog counts and logs final answers that did not reach their clients whole. It is safe for concurrent use.
+type undeliveredLog struct {
+	log     *slog.Logger
+	limiter *rate.Limiter
+	count   atomic.Int64
+}
+
+func newUndeliveredLog(log *slog.Logger) *undeliveredLog {
+	return &undeliveredLog{log: log, limiter: rate.NewLimiter(requestLinesPerSecond, requestLinesBurst)}
+}
+
+// Undelivered records that the final answer to a call did not reach its client whole: at which stage that was, and why. Most
+// often the client has disconnected.
+func (c *Core) Undelivered(call *Call, kind ledger.Kind, stage string, cause error) {
+	c.undelivered.count.Add(1)
+	if !c.undelivered.limiter.Allow() {
+		return
+	}
+	c.log.Warn("answer not delivered", "id", call.ID, "class", c.requests.class(call.Class), "outcome", kindNames[kind], "stage", stage, "error", cause,
+		"disconnected", call.Disconnected != nil && call.Disconnected(), "conn_requests", call.Connection.Requests)
+}
--- a/internal/http/httpback/long.go
+++ b/internal/http/httpback/long.go
@@ -146,10 +146,10 @@
 		return answer{head: h, body: first}.ending(t.fields), reusable, nil
 	}
 	if !whole {
-		out.CloseWithError(io.ErrUnexpectedEOF)
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
+		out.CloseWithError(err)
 		return core.Ending{}, false, err
 	}
 	out.Close()
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -245,7 +245,7 @@
 			if body.stop() {
 				w.Header().Set("Connection", "close") // what is left of the request is not read
 			}
-			f.final(w, ans)
+			f.final(w, call, ans)
 			return
 		case err = <-broken: // nil where it is whole
 		}
@@ -257,7 +257,7 @@
 		}
 	}
 	if ans, ok := f.await(in.Context(), from.conn, answers.one, gone); ok {
-		f.final(w, ans)
+		f.final(w, call, ans)
 		return
 	}
 	f.core.Left(call)
@@ -288,13 +288,6 @@
 	}
 }
 
-// abandon answers a call whose client is gone. Nobody should be there to read this; whoever is must not take the silence for an
-// empty answer.
-func (f *Front) abandon(w http.ResponseWriter) {
-	w.Header().Set("Connection", "close")
-	f.answer(w, core.Answer{Kind: core.Failed})
-}
-
 // handover brings one call its final answer. An answer may begin to come at the moment at which its client leaves: whoever
 // finds it last closes what it comes on, which would wait for a reader for good.
 type handover struct {
@@ -322,52 +315,6 @@
 	}
 }
 
-// final gives the final answer to a client that is there.
-func (f *Front) final(w http.ResponseWriter, ans core.Answer) {
-	if f.ending.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	f.answer(w, ans)
-}
-
-// statuses are those of the final answers.
-var statuses = [...]int{core.Served: http.StatusOK, core.Refused: http.StatusServiceUnavailable,
-	core.Failed: http.StatusBadGateway, core.Duplicate: http.StatusConflict, core.Unfit: http.StatusUnprocessableEntity}
-
-func (f *Front) answer(w http.ResponseWriter, ans core.Answer) {
-	h, body := w.Header(), []byte(nil)
-	h["Content-Type"] = nil // no guess from the body
-	if reply, ok := ans.Reply.(*httpmsg.Reply); ok {
-		if body = reply.Body; reply.ContentType != "" {
-			h["Content-Type"] = []string{reply.ContentType}
-		}
-		for _, more := range reply.Header {
-			h[more[0]] = append(h[more[0]], more[1])
-		}
-		if reply.Stream != nil {
-			passOn(w, http.NewResponseController(w), reply)
-			return
-		}
-	}
-	// From now on: the request may have taken long to come, and the agent may have stood still. A connection that is closed
-	// without a word has its client ask again, for what may have had its effect.
-	patience := lateWrite
-	if f.long {
-		patience = writePause
-	}
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(patience))
-	if ans.Cause != nil {
-		body = []byte(ans.Cause.Error())
-		h["Content-Type"] = []string{"text/plain; charset=utf-8"}
-	}
-	if ans.After > 0 {
-		h["Retry-After"] = []string{strconv.FormatFloat(ans.After.Seconds(), 'f', 3, 64)}
-	}
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
-	w.WriteHeader(statuses[ans.Kind])
-	w.Write(body) // a failed write means that the client has gone
-}
-
 // methods are those of the classes' effects.
 var methods = map[choice.Effect]string{choice.Safe: http.MethodGet, choice.Keyed: http.MethodPost,
 	choice.Unsafe: http.MethodPost}
--- a/internal/http/httpfront/long.go
+++ b/internal/http/httpfront/long.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -195,41 +194,6 @@
 	return !a.whole
 }
 
-// passOn gives a client an answer while it comes. Where that breaks off the connection does, too, before the end that was
-// promised.
-func passOn(w http.ResponseWriter, control *http.ResponseController, reply *httpmsg.Reply) {
-	defer reply.Close()
-	if reply.Length >= 0 {
-		w.Header()["Content-Length"] = []string{strconv.FormatInt(reply.Length, 10)}
-	}
-	write := func(part []byte) bool {
-		control.SetWriteDeadline(time.Now().Add(writePause))
-		if _, err := w.Write(part); err != nil {
-			return false // the client has gone
-		}
-		return control.Flush() == nil
-	}
-	control.SetWriteDeadline(time.Now().Add(writePause))
-	w.WriteHeader(http.StatusOK)
-	if !write(reply.Body) {
-		panic(http.ErrAbortHandler)
-	}
-	part := make([]byte, httpmsg.PartSize)
-	for {
-		n, err := reply.Stream.Read(part)
-		if n > 0 && !write(part[:n]) {
-			panic(http.ErrAbortHandler)
-		}
-		switch err {
-		case nil:
-		case io.EOF:
-			return
-		default:
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
 // taped accepts connections that keep the bytes which were read last.
 type taped struct{ *conntrack.Listener }
 
