--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -219,7 +219,7 @@
 		if failures++; failures == 1 {
 			a.log.Warn("listening failed", "address", addr, "error", err)
 		}
-		return transient.Is(err) || errors.Is(err, syscall.EADDRINUSE)
+		return transient.Is(err) || errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.ENOSPC) // of epoll_ctl(2): no watch left
 	})
 	return l, err
 }
--- a/internal/host/accept/accept.go
+++ b/internal/host/accept/accept.go
@@ -113,5 +113,11 @@
 	return &Listener{Listener: l, retrier: NewRetrier(log)}
 }
 
-// Accept is net.Listener's.
-func (l *Listener) Accept() (net.Conn, error) { return Do(l.retrier, l.Listener.Accept) }
+// Accept is net.Listener's. Reads and writes of the connection go on through errors of the system, too.
+func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := Do(l.retrier, l.Listener.Accept)
+	if err != nil {
+		return nil, err
+	}
+	return transient.Conn{Conn: conn}, nil
+}
--- /dev/null
+++ b/internal/host/accept/socket.go
@@ -0,0 +1,91 @@
+package accept
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ternbeam/internal/host/transient"
+)
+
+// Socket accepts the connections of a listener and holds each from the moment at which the kernel hands it over.
+//
+// net.TCPListener closes a connection that it has accepted where registering it with the poller fails, for want of memory or of watches
+// (epoll_ctl(2): ENOMEM, ENOSPC). A client's request may have arrived on it by then, which would be lost. A Socket repeats the
+// registration until it succeeds.
+type Socket struct {
+	file   *os.File // a descriptor of its own, of the same listening socket
+	raw    syscall.RawConn
+	closed atomic.Bool
+}
+
+// NewSocket returns a Socket over a listener, which stays open.
+func NewSocket(l *net.TCPListener) (*Socket, error) {
+	file, err := l.File()
+	if err != nil {
+		return nil, fmt.Errorf("another descriptor of the listener: %w", err)
+	}
+	raw, err := file.SyscallConn()
+	if err != nil {
+		file.Close()
+		return nil, err
+	}
+	return &Socket{file: file, raw: raw}, nil
+}
+
+// SetDeadline sets when Accept fails with os.ErrDeadlineExceeded; the zero time is never.
+func (s *Socket) SetDeadline(t time.Time) error { return s.file.SetReadDeadline(t) }
+
+// Close ends an Accept that waits, with net.ErrClosed, and those to come.
+func (s *Socket) Close() error {
+	s.closed.Store(true)
+	return s.file.Close()
+}
+
+// Accept accepts the next connection. Its errors are those of accept4(2), but for the ones that pass by themselves at once.
+func (s *Socket) Accept() (*net.TCPConn, error) {
+	accepted, failed := -1, error(nil)
+	err := s.raw.Read(func(listener uintptr) (done bool) {
+		accepted, _, failed = unix.Accept4(int(listener), unix.SOCK_CLOEXEC)
+		for failed == unix.EINTR {
+			accepted, _, failed = unix.Accept4(int(listener), unix.SOCK_CLOEXEC)
+		}
+		return failed != unix.EAGAIN
+	})
+	switch {
+	case s.closed.Load():
+		if err == nil && failed == nil {
+			unix.Close(accepted)
+		}
+		return nil, net.ErrClosed
+	case err != nil:
+		return nil, err
+	case failed != nil:
+		return nil, os.NewSyscallError("accept4", failed)
+	}
+	return register(accepted)
+}
+
+// mostRegistrations bounds the attempts to register one connection: with the backoff between them, some 4.8 s.
+const mostRegistrations = 100
+
+// register makes a connection of a descriptor, which is closed.
+func register(accepted int) (*net.TCPConn, error) {
+	file := os.NewFile(uintptr(accepted), "accepted")
+	defer file.Close() // the connection has a descriptor of its own
+	for failures := 1; ; failures++ {
+		conn, err := net.FileConn(file)
+		if err == nil {
+			return conn.(*net.TCPConn), nil
+		}
+		if failures == mostRegistrations {
+			return nil, err
+		}
+		time.Sleep(transient.Backoff(failures))
+	}
+}
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -56,7 +56,7 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		// What has come goes before the time, which may have passed while the process stood still: a connection that is closed over a
 		// request that has come leaves that without an answer. Nobody gets more time by this, as nothing is waited for.
-		if n, _ = peek.Take(c.TCPConn, p); n > 0 {
+		if n = c.takeUnread(p); n > 0 {
 			err = nil
 		}
 	}
@@ -77,8 +77,21 @@
 	return n, err
 }
 
-// Write writes to the connection, as net.Conn's does, through errors that pass: a final answer must not be lost to a moment without
-// buffers.
+// takeUnread reads what has come without waiting for more. Where the system does not tell whether something has, it is asked again: the
+// connection is about to be closed over that.
+func (c *Conn) takeUnread(p []byte) int {
+	const mostTries = 10
+	for failures := 1; ; failures++ {
+		n, err := peek.Take(c.TCPConn, p)
+		if n > 0 || !errors.Is(err, peek.ErrUnclear) || failures == mostTries {
+			return n
+		}
+		time.Sleep(transient.Backoff(failures))
+	}
+}
+
+// Write writes to the connection, as net.Conn's does. Only an error that says that the connection is over counts as the client's end: any
+// other would take the final answer from a client that waits for it.
 func (c *Conn) Write(p []byte) (int, error) { return transient.Write(c.TCPConn.Write, p) }
 
 // lastError returns why the last Read brought nothing, or nil.
@@ -175,7 +188,7 @@
 	for most := 2 * mostAhead; most > 0; most -= len(part) {
 		n, err := peek.Take(c.TCPConn, part[:])
 		if n == 0 {
-			return !errors.Is(err, peek.ErrNothing), c.over
+			return !errors.Is(err, peek.ErrNothing) && !errors.Is(err, peek.ErrUnclear), c.over
 		}
 		c.Received(n)
 		if c.over = c.over || len(c.ahead)+n > mostAhead; !c.over {
--- a/internal/host/conntrack/listener.go
+++ b/internal/host/conntrack/listener.go
@@ -24,7 +24,8 @@
 	left         atomic.Bool // to another process, which accepts what stands in the queue
 	closed       chan struct{}
 	retry        *accept.Retrier
-	accept       func() (*net.TCPConn, error) // TCPListener's, or a test's
+	socket       *accept.Socket               // accepts; nil where it could not be opened, and TCPListener does
+	accept       func() (*net.TCPConn, error) // of one of them, or a test's
 	readerCloses bool                         // who reads a connection ends it, by its read deadline
 	log          *slog.Logger
 	unfinished   *rate.Limiter // of lines on unfinished requests
@@ -37,8 +38,31 @@
 
 // Listen returns a Listener whose connections are tracked.
 func (t *Tracker) Listen(l *net.TCPListener, log *slog.Logger) *Listener {
-	return &Listener{TCPListener: l, tracker: t, closed: make(chan struct{}), retry: accept.NewRetrier(log), accept: l.AcceptTCP,
+	listener := &Listener{TCPListener: l, tracker: t, closed: make(chan struct{}), retry: accept.NewRetrier(log), accept: l.AcceptTCP,
 		log: log, unfinished: rate.NewLimiter(unfinishedLinesPerSecond, 1)}
+	socket, err := accept.NewSocket(l)
+	if err != nil {
+		log.Warn("connections are accepted without a descriptor of their own", "error", err)
+		return listener
+	}
+	listener.socket, listener.accept = socket, socket.Accept
+	return listener
+}
+
+// SetDeadline sets when Accept fails with os.ErrDeadlineExceeded.
+func (l *Listener) SetDeadline(t time.Time) error {
+	if l.socket != nil {
+		return l.socket.SetDeadline(t)
+	}
+	return l.TCPListener.SetDeadline(t)
+}
+
+// Close ends the listening.
+func (l *Listener) Close() error {
+	if l.socket != nil {
+		l.socket.Close()
+	}
+	return l.TCPListener.Close()
 }
 
 // unfinishedLinesPerSecond bounds the lines on unfinished requests: clients may leave them by the thousand.
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"ternbeam/internal/decide/life"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/pool"
+	"ternbeam/internal/host/transient"
 )
 
 const (
@@ -335,16 +336,16 @@
 func (f source) Read(p []byte) (int, error) {
 	if f.passing {
 		f.conn.SetReadDeadline(time.Now().Add(passStall))
-		return f.conn.Read(p)
+		return transient.Read(f.conn.Read, p)
 	}
-	n, err := f.conn.Read(p)
+	n, err := transient.Read(f.conn.Read, p)
 	if f.begun && errors.Is(err, os.ErrDeadlineExceeded) && f.ctx.Err() == nil {
 		if f.patience != nil && f.patience() { // it is passed on from here
 			return f.Read(p)
 		}
 		// The agent itself may have stood still, so that what is there was not read in time.
 		f.conn.SetReadDeadline(time.Now().Add(stallGrace))
-		if n, err = f.conn.Read(p); errors.Is(err, os.ErrDeadlineExceeded) {
+		if n, err = transient.Read(f.conn.Read, p); errors.Is(err, os.ErrDeadlineExceeded) {
 			err = fmt.Errorf("%w: it does not go on", ErrSpoilt)
 		}
 	}
--- a/internal/host/peek/peek.go
+++ b/internal/host/peek/peek.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -15,14 +16,17 @@
 // ErrNothing says that nothing has come on a connection, and that it is open.
 var ErrNothing = errors.New("nothing has come")
 
-// Silent reports whether nothing has come on a connection that nobody reads, not even its end. What has come stays there.
+// ErrUnclear says that the system did not tell whether something has come, or whether the connection is open.
+var ErrUnclear = errors.New("the system call failed")
+
+// Silent reports whether it is certain that nothing has come on a connection that nobody reads, not even its end. What has come stays there.
 func Silent(c net.Conn) bool {
 	var b [1]byte
 	_, err := receive(c, b[:], unix.MSG_PEEK)
 	return errors.Is(err, ErrNothing)
 }
 
-// Take reads what has come on a connection. At its end it reads nothing, with another error than ErrNothing.
+// Take reads what has come on a connection. At its end it reads nothing, with another error than ErrNothing and ErrUnclear.
 func Take(c net.Conn, p []byte) (n int, err error) { return receive(c, p, 0) }
 
 func receive(c net.Conn, p []byte, flags int) (n int, err error) {
@@ -34,8 +38,10 @@
 		return 0, err
 	}
 	switch {
-	case failed == unix.EAGAIN, transient.Is(failed): // the next look may tell
+	case failed == unix.EAGAIN:
 		return 0, ErrNothing
+	case failed != nil && !transient.ConnectionOver(failed): // the next look may tell
+		return 0, fmt.Errorf("%w: %w", ErrUnclear, failed)
 	case failed != nil:
 		return 0, failed
 	case n == 0:
@@ -44,17 +50,20 @@
 	return n, nil
 }
 
-// HungUp reports whether the other side of a connection has ended its sending or reset it, whatever lies unread before that.
+// HungUp reports whether the other side of a connection has ended its sending or reset it, whatever lies unread before that. It is false where
+// the system does not tell, and true for a connection that this side has closed.
 func HungUp(c net.Conn) bool {
 	ask := [1]unix.PollFd{{Events: unix.POLLRDHUP}}
-	n := 0
-	err := control(c, func(fd int) (err error) {
+	ready := 0
+	err := control(c, func(fd int) (failed error) {
 		ask[0].Fd = int32(fd)
-		n, err = unix.Poll(ask[:], 0)
-		return err
+		ready, failed = unix.Poll(ask[:], 0)
+		return failed
 	})
-	// A connection that this side has closed is one, too.
-	return err != nil || n > 0 && ask[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	if err != nil {
+		return true
+	}
+	return ready > 0 && ask[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // control makes a system call on a connection's descriptor, once more where a signal came between. An error says that it has
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -13,6 +13,7 @@
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/peek"
+	"ternbeam/internal/host/transient"
 	"ternbeam/internal/thrift/thriftmap"
 	"ternbeam/internal/thrift/thriftwire"
 )
@@ -476,12 +477,16 @@
 	c.chunk, c.start, c.end = nil, 0, 0
 }
 
-// more waits for bytes and reads them into a chunk, which is empty.
+// more waits for bytes and reads them into a chunk, which is empty. Only an error that says that the connection is over ends that: a client
+// that is there is owed its answers.
 func (c *client) more() error {
-	if err := c.raw.Read(c.fill); err != nil {
-		return err
-	}
-	return c.filled
+	_, err := transient.Read(func([]byte) (int, error) {
+		if err := c.raw.Read(c.fill); err != nil {
+			return 0, err
+		}
+		return 0, c.filled
+	}, nil)
+	return err
 }
 
 // read is called when there may be something to read. It holds no chunk while there is not.
