--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"ternbeam/internal/host/peek"
@@ -156,10 +157,39 @@
 func (c *Conn) quiet() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.ahead) == 0 && !c.over && peek.Silent(c.TCPConn)
+	return c.quietLocked()
 }
 
-// Received records that bytes were read. Readers that bypass Read call it themselves.
+func (c *Conn) quietLocked() bool { return len(c.ahead) == 0 && !c.over && peek.Silent(c.TCPConn) }
+
+// closeUnread closes the connection if no more than some number of bytes was ever received. It reports whether it did.
+func (c *Conn) closeUnread(received int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receivedBytes.Load() > received || !c.quietLocked() {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// ReadNow reads what has come on the connection's descriptor without waiting, for readers that poll it themselves. The connection is not
+// closed for want of data between the reading and its record.
+func (c *Conn) ReadNow(fd uintptr, p []byte) (n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		if n, err = syscall.Read(int(fd), p); err != syscall.EINTR {
+			break
+		}
+	}
+	if n > 0 {
+		c.Received(n)
+	}
+	return max(n, 0), err
+}
+
+// Received records that bytes were read.
 func (c *Conn) Received(n int) {
 	c.received.Store(int64(time.Since(started)))
 	c.receivedBytes.Add(int64(n))
--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -12,8 +12,10 @@
 const (
 	// staleAfter is how long a request that has begun to come may pause before its connection may give way to another.
 	staleAfter = 500 * time.Millisecond
-	// mostYielding is how many connections may be on their way out at a time, beyond the places that there are.
+	// mostYielding is how many connections may be on their way out at a time, beyond the places that there are. Accepting waits for some of
+	// them then, for yieldWait at the most: a reader that is to end a connection needs no longer, unless it is suspended.
 	mostYielding = 8
+	yieldWait    = 20 * time.Millisecond
 
 	drained     = 50 * time.Millisecond  // without a new connection, the kernel's queue is empty
 	mostDrained = 500 * time.Millisecond // how long that is waited for
@@ -45,7 +47,8 @@
 	fresh *list.List // of entries on which nothing was received yet, the oldest first
 	idle  *list.List // of entries between requests
 
-	yielding int // connections that are ended to make room, and not gone yet
+	yielding int           // connections that are ended to make room, and not gone yet
+	yielded  chan struct{} // told when one of them is gone, or has a request after all
 }
 
 // Stats counts connections since the start, by what became of them.
@@ -83,10 +86,12 @@
 
 // New returns a Tracker that keeps so many connections at most.
 func New(most int) *Tracker {
-	return &Tracker{most: most, all: map[net.Conn]*entry{}, fresh: list.New(), idle: list.New()}
+	return &Tracker{most: most, all: map[net.Conn]*entry{}, fresh: list.New(), idle: list.New(), yielded: make(chan struct{}, 1)}
 }
 
+// enter takes a connection that was accepted.
 func (t *Tracker) enter(v *entry) {
+	t.awaitYielding()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all[v.conn] = v
@@ -98,6 +103,29 @@
 	}
 }
 
+// awaitYielding waits until few connections are on their way out.
+func (t *Tracker) awaitYielding() {
+	var expired <-chan time.Time
+	for t.yieldingCount() >= mostYielding {
+		if expired == nil {
+			timer := time.NewTimer(yieldWait)
+			defer timer.Stop()
+			expired = timer.C
+		}
+		select {
+		case <-t.yielded:
+		case <-expired:
+			return
+		}
+	}
+}
+
+func (t *Tracker) yieldingCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.yielding
+}
+
 // waitLocked puts a connection into a queue of those without a request.
 func (t *Tracker) waitLocked(v *entry, in *list.List) {
 	v.in, v.at, v.read = in, in.PushBack(v), v.conn.receivedBytes.Load()
@@ -196,10 +224,10 @@
 	}
 }
 
-// yieldLocked closes a connection to make room for another. Its reader does so where it can, so that data it has read by then takes
-// precedence.
+// yieldLocked closes a connection to make room for another. Its reader does so where it can: only the reader knows whether it has taken a
+// request from the kernel that is not recorded yet.
 func (t *Tracker) yieldLocked(v *entry) bool {
-	if !v.from.readerCloses || t.yielding >= mostYielding {
+	if !v.from.readerCloses {
 		return !v.begun() && t.closeLocked(v)
 	}
 	if !v.conn.quiet() {
@@ -214,19 +242,23 @@
 
 // yieldedLocked ends the count of a connection as yielding: it is closed, or has a request after all.
 func (t *Tracker) yieldedLocked(v *entry) {
-	if v.yielding {
-		v.yielding = false
-		t.yielding--
+	if !v.yielding {
+		return
+	}
+	v.yielding = false
+	t.yielding--
+	select {
+	case t.yielded <- struct{}{}:
+	default: // who waits looks at the count
 	}
 }
 
-// closeLocked closes a connection unless it has unread data.
+// closeLocked closes a connection unless something has come on it. Nobody may be reading it, but by ReadNow.
 func (t *Tracker) closeLocked(v *entry) bool {
-	if !v.conn.quiet() {
+	if !v.conn.closeUnread(v.read) {
 		return false
 	}
 	t.forgetLocked(v)
-	v.conn.Close()
 	return true
 }
 
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -170,9 +170,9 @@
 // LeastSockets is the smallest limit on descriptors under which an agent can work.
 const LeastSockets = 64
 
-// Descriptors that are neither clients' nor backends': the listener, calls to discovery (asking.MostPending), the poller, standard
-// streams and one connection more while another closes.
-const spareSockets = 24 + asking.MostPending
+// Descriptors that are neither clients' nor backends': the listener's two, calls to discovery (asking.MostPending), the poller, standard
+// streams, the second one of a connection that is being accepted and one connection more while another closes.
+const spareSockets = 26 + asking.MostPending
 
 // ClientSockets and BackendSockets share out the descriptors. Clients hold a third at most for requests; the rest
 // of theirs is for those that are idle or have said nothing yet.
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -492,12 +492,8 @@
 // read is called when there may be something to read. It holds no chunk while there is not.
 func (c *client) read(fd uintptr) bool {
 	chunk := chunks.Get().(*[]byte)
-	n, err := syscall.Read(int(fd), *chunk)
-	for err == syscall.EINTR {
-		n, err = syscall.Read(int(fd), *chunk)
-	}
+	n, err := c.conn.ReadNow(fd, *chunk)
 	if n > 0 {
-		c.conn.Received(n)
 		c.chunk, c.start, c.end, c.filled = chunk, 0, n, nil
 		return true
 	}
