--- a/cmd/ternbeam/systemcalls_test.go
+++ b/cmd/ternbeam/systemcalls_test.go
@@ -199,6 +199,8 @@
 	errPart      = errors.New("a part of an answer")
 )
 
+func isNotServed(err error) bool { return errors.Is(err, errNotServed) }
+
 // ask sends one request and returns the body of its answer.
 func (c *patientClient) ask(path, id string) (body string, err error) {
 	const patience = 1500 * time.Millisecond
--- a/internal/lab/sysfault/sysfault.go
+++ b/internal/lab/sysfault/sysfault.go
@@ -45,7 +45,7 @@
 // Event is a system call that the process is about to make.
 type Event struct {
 	Call  Call
-	Local netip.AddrPort // of the socket that the call is about; the zero one where it is about none
+	Local netip.AddrPort // of the socket that the call is about; the zero one where it is about none, or about one that has none yet
 }
 
 // Outcome says what becomes of a system call. The zero Outcome lets it happen.
