--- a/cmd/ternbeam/randomfaults_test.go
+++ b/cmd/ternbeam/randomfaults_test.go
@@ -164,14 +164,33 @@
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			playRandomFaults(t, uint64(seed))
+			playRandomFaults(t, uint64(seed), false)
 		})
 	}
 }
 
-// playRandomFaults plays one seed.
-func playRandomFaults(t *testing.T, seed uint64) {
-	const span = 2 * time.Second
+// The same at the end of a process: signals come in series, clients go on sending on the connections that stay open, open new ones for 0.4 s,
+// and SIGKILL comes as early as the platform may send it. A client whose connection ends before anything of its answer has come asks once more on
+// another, as the agent may close a connection between two requests; none whose request a server has seen goes without an answer.
+func TestAnswersUnderRandomFaultsAtTheEnd(t *testing.T) {
+	first, seeds := fromEnvironment(t, firstSeedVariable, 1), fromEnvironment(t, seedsVariable, usualSeeds)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			playRandomFaults(t, uint64(seed), true)
+		})
+	}
+}
+
+// randomDeadline is that of all classes.
+const randomDeadline = 1509 * time.Millisecond
+
+// playRandomFaults plays one seed. The process may be told to end in the midst of it.
+func playRandomFaults(t *testing.T, seed uint64, ending bool) {
+	span := 2 * time.Second
+	if ending {
+		span += killAfter(randomDeadline)
+	}
 	random := rand.New(rand.NewPCG(seed, 1))
 	done := &effects{times: map[string]int{}}
 	var servers []net.Addr
@@ -181,7 +200,7 @@
 		t.Cleanup(server.CloseClientConnections)
 		servers = append(servers, server.Listener.Addr())
 	}
-	config, listen := configure(t, free(t), shutdownSettings(1509*time.Millisecond), servers...)
+	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), servers...)
 	env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
 	if random.IntN(2) == 0 {
 		env = append(env, "NODE_OPS="+free(t), "TMPDIR="+t.TempDir())
@@ -192,7 +211,7 @@
 		chosen = append(chosen, call)
 	}
 	var mu sync.Mutex // faults begin once the agent is ready
-	log := startUnderFaults(t, chosen, func(e sysfault.Event) sysfault.Outcome {
+	p, log := startUnderFaults(t, chosen, func(e sysfault.Event) sysfault.Outcome {
 		mu.Lock()
 		defer mu.Unlock()
 		return faults.decide(e)
@@ -200,7 +219,11 @@
 	eventuallyReady(t, listen)
 	mu.Lock()
 	faults.begin = time.Now()
-	end := faults.begin.Add(span)
+	play := &randomPlay{end: faults.begin.Add(span), effects: done}
+	if ending {
+		play.told = faults.begin.Add(time.Duration(random.Int64N(int64(time.Second))))
+		play.end = play.told.Add(killAfter(randomDeadline))
+	}
 	mu.Unlock()
 	watch := watchMachine()
 	var wait sync.WaitGroup
@@ -210,7 +233,10 @@
 		if number%2 == 0 {
 			c.class = "refund-pay"
 		}
-		wait.Go(func() { c.runUntil(end, problems) })
+		wait.Go(func() { c.play(play, problems) })
+	}
+	if ending {
+		play.signal(p, random)
 	}
 	wait.Wait()
 	if stood := watch(); stood > longestStall {
@@ -264,21 +290,69 @@
 	l.once[id] = once
 }
 
-// runUntil sends requests one after the other until some time. Each has to be answered whole and in time, by a server or by an error.
-func (c *patientClient) runUntil(end time.Time, problems *problemList) {
-	const late = 1500*time.Millisecond + 500*time.Millisecond // after which an answer counts as none
+// randomPlay is what clients know of a play.
+type randomPlay struct {
+	end     time.Time // of the sending; the process is killed then if it was told to end
+	told    time.Time // when it is told to end; zero for never
+	effects *effects
+}
+
+// newcomersFor is how long after a process was told to end clients open new connections.
+const newcomersFor = 400 * time.Millisecond
+
+// closing reports whether the process was told to end, and whether new connections are still opened.
+func (p *randomPlay) closing() (told, newcomers bool) {
+	if p.told.IsZero() || time.Now().Before(p.told) {
+		return false, true
+	}
+	return true, time.Since(p.told) < newcomersFor
+}
+
+// signal tells the process to end, with further signals behind it, and kills it at the end of the play.
+func (p *randomPlay) signal(process *sysfault.Process, random *rand.Rand) {
+	time.Sleep(time.Until(p.told))
+	process.Signal(syscall.SIGTERM)
+	for range random.IntN(4) {
+		time.Sleep(time.Duration(random.Int64N(int64(200 * time.Millisecond))))
+		process.Signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[random.IntN(2)])
+	}
+	select {
+	case <-process.Ended():
+	case <-time.After(time.Until(p.end)):
+		process.Kill()
+	}
+}
+
+// seen reports whether a server has got a request.
+func (e *effects) seen(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.times[id] > 0
+}
+
+// play sends requests one after the other until the end. Each has to be answered whole and in time, by a server or by an error.
+func (c *patientClient) play(p *randomPlay, problems *problemList) {
+	const late = randomDeadline + 500*time.Millisecond // after which an answer counts as none
 	defer c.close()
-	for number := 0; time.Now().Before(end); number++ {
+	for number := 0; time.Now().Before(p.end); number++ {
+		told, newcomers := p.closing()
+		if c.conn == nil && !newcomers {
+			return
+		}
 		id := fmt.Sprintf("%s-%d", c.name, number)
 		path := "/" + c.class + "/" + id
 		problems.asked(id, c.class == "refund-pay")
-		begin := time.Now()
+		kept, begin := c.conn != nil, time.Now()
 		body, err := c.ask(path, id)
 		took := time.Since(begin)
+		toldBy, _ := p.closing()
+		crossed := kept && toldBy && err != nil && !isPart(err) && !p.effects.seen(id)
 		switch {
 		case isNotServed(err):
+		case crossed, told && isRefused(err): // the connection was closed between two requests; the listener is closed
+			c.close()
 		case err != nil:
-			problems.add("%s: %v", path, err)
+			problems.add("%s: %v (told to end: %t, on a kept connection: %t)", path, err, toldBy, kept)
 			c.close()
 		case body != "checked "+path:
 			problems.add("%s: the answer is %.60q", path, body)
--- a/cmd/ternbeam/systemcalls_test.go
+++ b/cmd/ternbeam/systemcalls_test.go
@@ -94,7 +94,7 @@
 			t.Parallel()
 			servers := []net.Addr{slowServer(t), slowServer(t)}
 			config, listen := configure(t, free(t), shutdownSettings(1509*time.Millisecond), servers...)
-			log := startUnderFaults(t, []sysfault.Call{fault.call}, fault.decider(listen), "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+			_, log := startUnderFaults(t, []sysfault.Call{fault.call}, fault.decider(listen), "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
 			eventuallyReady(t, listen)
 			var wait sync.WaitGroup
 			for number := range 6 {
@@ -124,7 +124,7 @@
 }
 
 // startUnderFaults starts the program with some of its system calls failing, until the test ends.
-func startUnderFaults(t *testing.T, chosen []sysfault.Call, decide sysfault.Decider, env ...string) *testkit.Log {
+func startUnderFaults(t *testing.T, chosen []sysfault.Call, decide sysfault.Decider, env ...string) (*sysfault.Process, *testkit.Log) {
 	t.Helper()
 	read, write, err := os.Pipe()
 	if err != nil {
@@ -142,7 +142,7 @@
 		<-p.Ended()
 		read.Close()
 	})
-	return log
+	return p, log
 }
 
 // eventuallyReady waits until an agent says that clients may begin, through failures.
@@ -200,6 +200,8 @@
 )
 
 func isNotServed(err error) bool { return errors.Is(err, errNotServed) }
+func isPart(err error) bool      { return errors.Is(err, errPart) }
+func isRefused(err error) bool   { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // ask sends one request and returns the body of its answer.
 func (c *patientClient) ask(path, id string) (body string, err error) {
