--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -141,6 +141,12 @@
 
 // configure writes the configuration of an agent that knows some servers, or none, and returns its path and where the agent listens.
 func configure(t *testing.T, discovery, settings string, servers ...net.Addr) (config, listen string) {
+	t.Helper()
+	return configureLimited(t, discovery, settings, 1024, servers...)
+}
+
+// configureLimited is configure with a limit on descriptors.
+func configureLimited(t *testing.T, discovery, settings string, sockets int, servers ...net.Addr) (config, listen string) {
 	t.Helper()
 	listen = free(t)
 	known := []any{}
@@ -150,7 +156,7 @@
 	config = filepath.Join(t.TempDir(), "config.json")
 	text, err := json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": "1f", "discovery": discovery,
 		"settings": json.RawMessage(settings),
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": sockets},
 		"known":    map[string]any{"version": min(1, len(known)), "full": true, "servers": known}})
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/ternbeam/randomfaults_test.go
+++ b/cmd/ternbeam/randomfaults_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"strconv"
@@ -22,7 +20,7 @@
 const (
 	seedsVariable     = "TERNBEAM_FAULT_SEEDS"
 	firstSeedVariable = "TERNBEAM_FAULT_FIRST_SEED"
-	usualSeeds        = 8
+	usualSeeds        = 20
 )
 
 // fromEnvironment returns the number that a variable holds, or another where it is not set.
@@ -104,59 +102,6 @@
 	return sysfault.Outcome{}
 }
 
-// faultyServer answers after a time of its own, or goes wrong, by a seed, and remembers what it has done.
-type faultyServer struct {
-	mu      sync.Mutex
-	random  *rand.Rand
-	effects *effects
-}
-
-// effects counts what servers have done, over all of them.
-type effects struct {
-	mu    sync.Mutex
-	times map[string]int // by request
-}
-
-func (e *effects) add(id string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.times[id]++
-}
-
-func (s *faultyServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	wait, fate := time.Duration(s.random.Int64N(int64(60*time.Millisecond))), s.random.IntN(40)
-	s.mu.Unlock()
-	io.Copy(io.Discard, r.Body)
-	s.effects.add(r.Header.Get("X-Correlation-Id"))
-	time.Sleep(wait)
-	body := "checked " + r.URL.Path
-	switch fate {
-	case 0:
-		panic(http.ErrAbortHandler)
-	case 1:
-		time.Sleep(2 * time.Second)
-	case 2:
-		http.Error(w, "no", http.StatusInternalServerError)
-		return
-	case 3, 4: // the length is not said
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", body[:len(body)/2])
-		time.Sleep(wait)
-		if fate == 3 {
-			conn.(*net.TCPConn).SetLinger(0)
-			return
-		}
-		io.WriteString(conn, body[len(body)/2:])
-		return
-	}
-	fmt.Fprint(w, body)
-}
-
 // Under system calls that fail at random on all of its sockets, before servers that go wrong, an agent gives each request one final answer, whole
 // and in time, never another's, and no request that may not be repeated has its effect twice.
 func TestAnswersUnderRandomFaults(t *testing.T) {
@@ -187,20 +132,36 @@
 
 // playRandomFaults plays one seed. The process may be told to end in the midst of it.
 func playRandomFaults(t *testing.T, seed uint64, ending bool) {
+	for range mostVoidRuns {
+		if !playedRandomFaults(t, seed, ending) {
+			continue
+		}
+		return
+	}
+	t.Fatalf("the machine stood still in each of %d runs: nothing can be said", mostVoidRuns)
+}
+
+// playedRandomFaults is false where the machine itself stood still for longer than the terms let a process be held up.
+func playedRandomFaults(t *testing.T, seed uint64, ending bool) (valid bool) {
 	span := 2 * time.Second
 	if ending {
 		span += killAfter(randomDeadline)
 	}
 	random := rand.New(rand.NewPCG(seed, 1))
-	done := &effects{times: map[string]int{}}
+	world := newWorldRecord()
 	var servers []net.Addr
 	for range 4 {
-		server := httptest.NewServer(&faultyServer{random: rand.New(rand.NewPCG(random.Uint64(), 2)), effects: done})
-		t.Cleanup(server.Close)
-		t.Cleanup(server.CloseClientConnections)
+		server := httptest.NewServer(&faultyServer{random: rand.New(rand.NewPCG(random.Uint64(), 2)), world: world})
+		defer server.Close()
+		defer server.CloseClientConnections()
 		servers = append(servers, server.Listener.Addr())
 	}
-	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), servers...)
+	crowd := random.IntN(3) == 0
+	sockets := 1024
+	if crowd {
+		sockets = 160
+	}
+	config, listen := configureLimited(t, free(t), shutdownSettings(randomDeadline), sockets, servers...)
 	env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
 	if random.IntN(2) == 0 {
 		env = append(env, "NODE_OPS="+free(t), "TMPDIR="+t.TempDir())
@@ -216,10 +177,11 @@
 		defer mu.Unlock()
 		return faults.decide(e)
 	}, env...)
+	defer p.Kill()
 	eventuallyReady(t, listen)
 	mu.Lock()
 	faults.begin = time.Now()
-	play := &randomPlay{end: faults.begin.Add(span), effects: done}
+	play := &randomPlay{end: faults.begin.Add(span), world: world, crowd: crowd}
 	if ending {
 		play.told = faults.begin.Add(time.Duration(random.Int64N(int64(time.Second))))
 		play.end = play.told.Add(killAfter(randomDeadline))
@@ -227,74 +189,45 @@
 	mu.Unlock()
 	watch := watchMachine()
 	var wait sync.WaitGroup
-	problems := &problemList{}
 	for number := range 8 {
 		c := patientClient{listen: listen, name: fmt.Sprint("client-", number), class: "form-check", keep: number%3 != 0}
 		if number%2 == 0 {
 			c.class = "refund-pay"
 		}
-		wait.Go(func() { c.play(play, problems) })
+		own := rand.New(rand.NewPCG(random.Uint64(), 3))
+		wait.Go(func() { c.play(play, own) })
+	}
+	if crowd {
+		at := time.Duration(random.Int64N(int64(time.Second)))
+		wait.Go(func() { idleCrowd(listen, faults.begin.Add(at)) })
 	}
 	if ending {
 		play.signal(p, random)
 	}
 	wait.Wait()
-	if stood := watch(); stood > longestStall {
-		t.Logf("the machine stood still for %v", stood)
-	}
-	done.mu.Lock()
-	defer done.mu.Unlock()
-	for id, times := range done.times {
-		if times > 1 && problems.notRepeatable(id) {
-			problems.add("%s had its effect %d times", id, times)
-		}
+	if stood := watch(); stood > longestStall/3 {
+		t.Logf("void: the machine stood still for %v", stood)
+		return false
 	}
+	problems, requests, served := world.judge()
 	mu.Lock()
 	defer mu.Unlock()
-	t.Logf("%d requests, %d served; failed calls: %v", problems.requests, problems.served, faults.counts)
-	for _, p := range problems.all {
+	t.Logf("%d requests, %d served, crowd %t; failed calls: %v", requests, served, crowd, faults.counts)
+	for _, p := range problems {
 		t.Error(p)
 	}
 	if t.Failed() {
 		t.Log(log)
 	}
-}
-
-// problemList is what clients have seen go wrong, and what they have asked for.
-type problemList struct {
-	mu               sync.Mutex
-	all              []string
-	requests, served int
-	once             map[string]bool // requests that may not be repeated
-}
-
-func (l *problemList) add(format string, values ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.all = append(l.all, fmt.Sprintf(format, values...))
-}
-
-func (l *problemList) notRepeatable(id string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.once[id]
-}
-
-func (l *problemList) asked(id string, once bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.once == nil {
-		l.once = map[string]bool{}
-	}
-	l.requests++
-	l.once[id] = once
+	return true
 }
 
 // randomPlay is what clients know of a play.
 type randomPlay struct {
-	end     time.Time // of the sending; the process is killed then if it was told to end
-	told    time.Time // when it is told to end; zero for never
-	effects *effects
+	end   time.Time // of the sending; the process is killed then if it was told to end
+	told  time.Time // when it is told to end; zero for never
+	crowd bool      // connections may be closed to make room for others
+	world *worldRecord
 }
 
 // newcomersFor is how long after a process was told to end clients open new connections.
@@ -323,49 +256,59 @@
 	}
 }
 
-// seen reports whether a server has got a request.
-func (e *effects) seen(id string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.times[id] > 0
+// idleCrowd opens 200 connections at some time, says nothing on them, and closes them all a little later.
+func idleCrowd(listen string, at time.Time) {
+	time.Sleep(time.Until(at))
+	var all []net.Conn
+	for range 200 {
+		if conn, err := net.DialTimeout("tcp", listen, 50*time.Millisecond); err == nil {
+			all = append(all, conn)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	for _, conn := range all {
+		conn.Close()
+	}
 }
 
-// play sends requests one after the other until the end. Each has to be answered whole and in time, by a server or by an error.
-func (c *patientClient) play(p *randomPlay, problems *problemList) {
-	const late = randomDeadline + 500*time.Millisecond // after which an answer counts as none
+// play sends requests one after the other until the end and records what comes of each.
+func (c *patientClient) play(p *randomPlay, random *rand.Rand) {
 	defer c.close()
 	for number := 0; time.Now().Before(p.end); number++ {
-		told, newcomers := p.closing()
-		if c.conn == nil && !newcomers {
+		if _, newcomers := p.closing(); c.conn == nil && !newcomers {
 			return
 		}
-		id := fmt.Sprintf("%s-%d", c.name, number)
-		path := "/" + c.class + "/" + id
-		problems.asked(id, c.class == "refund-pay")
-		kept, begin := c.conn != nil, time.Now()
-		body, err := c.ask(path, id)
-		took := time.Since(begin)
-		toldBy, _ := p.closing()
-		crossed := kept && toldBy && err != nil && !isPart(err) && !p.effects.seen(id)
-		switch {
-		case isNotServed(err):
-		case crossed, told && isRefused(err): // the connection was closed between two requests; the listener is closed
-			c.close()
-		case err != nil:
-			problems.add("%s: %v (told to end: %t, on a kept connection: %t)", path, err, toldBy, kept)
-			c.close()
-		case body != "checked "+path:
-			problems.add("%s: the answer is %.60q", path, body)
-		default:
-			problems.mu.Lock()
-			problems.served++
-			problems.mu.Unlock()
-		}
-		if took > late {
-			problems.add("%s: answered after %v", path, took)
+		r := p.world.request(fmt.Sprintf("%s-%d", c.name, number), c.class)
+		if random.IntN(10) == 0 {
+			c.leave(r, time.Duration(random.Int64N(int64(60*time.Millisecond))))
+			continue
 		}
-		if !c.keep {
+		kept := c.conn != nil
+		r.begin = time.Now()
+		r.body, r.err = c.ask(r.path, r.id)
+		r.took = time.Since(r.begin)
+		told, _ := p.closing()
+		r.mayBeUnread = kept && (told || p.crowd) || !kept && p.crowd || told && isRefused(r.err)
+		if r.err != nil && !isNotServed(r.err) || !c.keep {
 			c.close()
 		}
 	}
 }
+
+// leave sends a request and closes the connection after some time, without waiting for the answer.
+func (c *patientClient) leave(r *requestRecord, after time.Duration) {
+	defer c.close()
+	if c.conn == nil {
+		conn, err := net.Dial("tcp", c.listen)
+		if err != nil {
+			r.begin, r.left = time.Now(), time.Now()
+			return
+		}
+		c.conn = conn
+	}
+	r.begin = time.Now()
+	c.write(r.path, r.id)
+	time.Sleep(after)
+	c.close()
+	r.left = time.Now()
+}
--- /dev/null
+++ b/cmd/ternbeam/randomworld_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// worldRecord is what clients and servers have seen of all requests of a play.
+type worldRecord struct {
+	mu       sync.Mutex
+	requests map[string]*requestRecord
+}
+
+// requestRecord is what the client of one request and the servers have seen of it. The client's fields belong to the client until the play is over.
+type requestRecord struct {
+	id, class, path string
+	begin           time.Time // it was sent
+	left            time.Time // its client closed the connection without waiting; zero where it waited
+	took            time.Duration
+	body            string
+	err             error
+	mayBeUnread     bool // its connection may have been closed before it was read, or not let in
+
+	arrivals []arrival // under the lock of the worldRecord
+}
+
+// arrival is an attempt as a server got it.
+type arrival struct {
+	at   time.Time
+	left time.Duration // as X-Time-Left says
+}
+
+func newWorldRecord() *worldRecord { return &worldRecord{requests: map[string]*requestRecord{}} }
+
+// request begins the record of a request.
+func (w *worldRecord) request(id, class string) *requestRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := &requestRecord{id: id, class: class, path: "/" + class + "/" + id}
+	w.requests[id] = r
+	return r
+}
+
+// arrived records an attempt.
+func (w *worldRecord) arrived(req *http.Request) {
+	left, err := strconv.ParseFloat(req.Header.Get("X-Time-Left"), 64)
+	if err != nil {
+		left = patience.Seconds() * 100 // which the judge sees
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.requests[req.Header.Get("X-Correlation-Id")]; r != nil {
+		r.arrivals = append(r.arrivals, arrival{time.Now(), time.Duration(left * float64(time.Second))})
+	}
+}
+
+// The terms by which a play is judged.
+const (
+	answerLate    = 500 * time.Millisecond // after a client's time an answer counts as none
+	leftSlack     = 100 * time.Millisecond // after a client has left no attempt begins
+	deadlineSlack = 150 * time.Millisecond // by which the deadline passed on may exceed what the client has left
+	serverSlack   = 50 * time.Millisecond  // between an attempt's first byte and its record here
+)
+
+// judge returns what goes against the rules, and how many requests there were and how many of them were served.
+func (w *worldRecord) judge() (problems []string, requests, served int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.requests {
+		requests++
+		if r.err == nil && r.left.IsZero() {
+			served++
+		}
+		for _, problem := range r.problems() {
+			problems = append(problems, r.path+": "+problem)
+		}
+	}
+	return problems, requests, served
+}
+
+// problems returns what goes against the rules with one request.
+func (r *requestRecord) problems() (all []string) {
+	add := func(format string, values ...any) { all = append(all, fmt.Sprintf(format, values...)) }
+	if len(r.arrivals) > 1 && r.class == "refund-pay" {
+		add("it had its effect %d times", len(r.arrivals))
+	}
+	for _, a := range r.arrivals {
+		if over := a.left - (patience - a.at.Sub(r.begin)); over > deadlineSlack+serverSlack {
+			add("an attempt has %v more than its client", over)
+		}
+		if !r.left.IsZero() && a.at.Sub(r.left) > leftSlack+serverSlack {
+			add("an attempt began %v after its client had left", a.at.Sub(r.left))
+		}
+	}
+	if !r.left.IsZero() {
+		return all
+	}
+	unread := r.mayBeUnread && len(r.arrivals) == 0 && !isPart(r.err)
+	switch {
+	case r.err == nil && r.body != "checked "+r.path:
+		add("the answer is %.60q", r.body)
+	case r.err != nil && !isNotServed(r.err) && !unread:
+		add("%v, %d attempts", r.err, len(r.arrivals))
+	}
+	if r.took > patience+answerLate {
+		add("answered after %v", r.took)
+	}
+	return all
+}
+
+// Each rule is seen to be broken.
+func TestJudgeOfRandomFaultsSees(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	good := func() *requestRecord {
+		return &requestRecord{class: "refund-pay", path: "/refund-pay/1", body: "checked /refund-pay/1", begin: begin, took: time.Second,
+			arrivals: []arrival{{begin.Add(100 * time.Millisecond), patience - 100*time.Millisecond}}}
+	}
+	if all := good().problems(); len(all) > 0 {
+		t.Errorf("a good one: %v", all)
+	}
+	for name, spoil := range map[string]func(r *requestRecord){
+		"effect twice":        func(r *requestRecord) { r.arrivals = append(r.arrivals, r.arrivals[0]) },
+		"deadline too long":   func(r *requestRecord) { r.arrivals[0].left = patience + 200*time.Millisecond },
+		"sent on for nobody":  func(r *requestRecord) { r.left = begin.Add(-200 * time.Millisecond) },
+		"another's answer":    func(r *requestRecord) { r.body = "checked /refund-pay/2" },
+		"no answer":           func(r *requestRecord) { r.err = io.EOF },
+		"no answer, was read": func(r *requestRecord) { r.err, r.mayBeUnread = io.EOF, true },
+		"a part of an answer": func(r *requestRecord) { r.err, r.mayBeUnread, r.arrivals = errPart, true, nil },
+		"too late":            func(r *requestRecord) { r.took = patience + time.Second },
+	} {
+		r := good()
+		if spoil(r); len(r.problems()) != 1 {
+			t.Errorf("%s: %v", name, r.problems())
+		}
+	}
+}
+
+// faultyServer answers after a time of its own, or goes wrong, by a seed.
+type faultyServer struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	world  *worldRecord
+}
+
+// The ways in which one answer in faultyKinds goes wrong.
+const (
+	faultAbort = iota
+	faultHang
+	faultError
+	faultUnknownLengthReset
+	faultUnknownLength // which is in order
+	faultyKinds        = 40
+)
+
+func (s *faultyServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.world.arrived(r)
+	s.mu.Lock()
+	wait, fault := time.Duration(s.random.Int64N(int64(60*time.Millisecond))), s.random.IntN(faultyKinds)
+	s.mu.Unlock()
+	io.Copy(io.Discard, r.Body)
+	time.Sleep(wait)
+	body := "checked " + r.URL.Path
+	switch fault {
+	case faultAbort:
+		panic(http.ErrAbortHandler)
+	case faultHang:
+		time.Sleep(2 * time.Second)
+	case faultError:
+		http.Error(w, "no", http.StatusInternalServerError)
+		return
+	case faultUnknownLengthReset, faultUnknownLength:
+		answerWithoutLength(w, body, wait, fault == faultUnknownLengthReset)
+		return
+	}
+	fmt.Fprint(w, body)
+}
+
+// answerWithoutLength sends an answer in two parts whose end is that of the connection, or resets that in between.
+func answerWithoutLength(w http.ResponseWriter, body string, pause time.Duration, reset bool) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", body[:len(body)/2])
+	time.Sleep(pause)
+	if reset {
+		conn.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	io.WriteString(conn, body[len(body)/2:])
+}
--- a/cmd/ternbeam/systemcalls_test.go
+++ b/cmd/ternbeam/systemcalls_test.go
@@ -203,20 +203,27 @@
 func isPart(err error) bool      { return errors.Is(err, errPart) }
 func isRefused(err error) bool   { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// patience is how long clients wait.
+const patience = 1500 * time.Millisecond
+
+// write sends one request on the client's connection.
+func (c *patientClient) write(path, id string) error {
+	method := http.MethodGet
+	if c.class == "refund-pay" {
+		method = http.MethodPost
+	}
+	return word(method, c.listen, path, c.class, id, fmt.Sprintf("%.3f", patience.Seconds())).Write(c.conn)
+}
+
 // ask sends one request and returns the body of its answer.
 func (c *patientClient) ask(path, id string) (body string, err error) {
-	const patience = 1500 * time.Millisecond
 	if c.conn == nil {
 		if c.conn, err = net.Dial("tcp", c.listen); err != nil {
 			return "", err
 		}
 	}
-	method := http.MethodGet
-	if c.class == "refund-pay" {
-		method = http.MethodPost
-	}
 	begin := time.Now()
-	if err := word(method, c.listen, path, c.class, id, fmt.Sprintf("%.3f", patience.Seconds())).Write(c.conn); err != nil {
+	if err := c.write(path, id); err != nil {
 		return "", err
 	}
 	c.conn.SetReadDeadline(begin.Add(patience + time.Second))
