--- a/cmd/ternbeam/randomfaults_test.go
+++ b/cmd/ternbeam/randomfaults_test.go
@@ -105,24 +105,23 @@
 // Under system calls that fail at random on all of its sockets, before servers that go wrong, an agent gives each request one final answer, whole
 // and in time, never another's, and no request that may not be repeated has its effect twice.
 func TestAnswersUnderRandomFaults(t *testing.T) {
-	first, seeds := fromEnvironment(t, firstSeedVariable, 1), fromEnvironment(t, seedsVariable, usualSeeds)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			playRandomFaults(t, uint64(seed), false)
-		})
-	}
+	forEachSeed(t, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, false) })
 }
 
 // The same at the end of a process: signals come in series, clients go on sending on the connections that stay open, open new ones for 0.4 s,
 // and SIGKILL comes as early as the platform may send it. A client whose connection ends before anything of its answer has come asks once more on
 // another, as the agent may close a connection between two requests; none whose request a server has seen goes without an answer.
 func TestAnswersUnderRandomFaultsAtTheEnd(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, true) })
+}
+
+// forEachSeed plays seeds beside one another, each as a test of its own.
+func forEachSeed(t *testing.T, play func(t *testing.T, seed uint64)) {
 	first, seeds := fromEnvironment(t, firstSeedVariable, 1), fromEnvironment(t, seedsVariable, usualSeeds)
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			playRandomFaults(t, uint64(seed), true)
+			play(t, uint64(seed))
 		})
 	}
 }
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -28,8 +28,8 @@
 	inlineSend = 8 << 10 // more than this is written while the answer is awaited: it may come before all is taken
 	stallGrace = 10 * time.Millisecond
 
-	// passStall is how long an answer may pause that is being passed on: nobody could be asked for it instead.
-	passStall = 10 * time.Second
+	// relayStall is how long an answer may pause that is being relayed: nobody could be asked for it instead.
+	relayStall = 10 * time.Second
 )
 
 // ErrSpoilt is why an answer counts as an error of the server's: nobody can tell what it is.
@@ -146,7 +146,7 @@
 	in.pieces, in.undisturbed = t.Pieces, undisturbed
 	in.send(message, rest)
 	e, reusable, err := talk.Answer(in)
-	reuse = (in.passing || undisturbed()) && err == nil && reusable && in.Buffered() == 0
+	reuse = (in.relaying || undisturbed()) && err == nil && reusable && in.Buffered() == 0
 	if n := in.sent(false); !reuse || n < 0 || n != in.size {
 		reuse = false
 		if rest != nil {
@@ -192,7 +192,7 @@
 
 	pieces      bool        // each may come so long after the one before
 	undisturbed func() bool // ends the attempt's deadline
-	passing     bool        // the answer is being passed on
+	relaying    bool        // the answer is being relayed
 	late        func() bool // what is done where the answer is held and not whole in time; nil where it is not held
 }
 
@@ -266,13 +266,13 @@
 	return nil
 }
 
-// Pass hands an answer on that has begun and is still coming: the attempt's deadline does not end it any more. It is false
+// Relay begins to relay an answer that is still being received: the attempt's deadline does not end it any more. It is false
 // where that has passed. From here on it may pause for longer.
-func (f *Inflow) Pass(e core.Ending) bool {
+func (f *Inflow) Relay(e core.Ending) bool {
 	if !f.undisturbed() {
 		return false
 	}
-	f.passing = true
+	f.relaying = true
 	f.at.Begun(f.at, e)
 	return true
 }
@@ -339,8 +339,8 @@
 type source struct{ *Inflow }
 
 func (f source) Read(p []byte) (int, error) {
-	if f.passing {
-		f.conn.SetReadDeadline(time.Now().Add(passStall))
+	if f.relaying {
+		f.conn.SetReadDeadline(time.Now().Add(relayStall))
 		return transient.Read(f.conn.Read, p)
 	}
 	n, err := transient.Read(f.conn.Read, p)
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -111,7 +111,7 @@
 		return core.Ending{}, false, err
 	}
 	if h.long() && !t.whole {
-		return t.pass(in, h)
+		return t.receiveLong(in, h)
 	}
 	ans, err := readBody(in.Reader, h)
 	if err != nil {
--- a/internal/http/httpback/long.go
+++ b/internal/http/httpback/long.go
@@ -86,8 +86,8 @@
 	out   *io.PipeWriter // nil while it is held
 }
 
-// pass reads an answer that may be long. Where it is whole before it has to be relayed, it is as any other.
-func (t *talk) pass(in *exchange.Inflow, h head) (core.Ending, bool, error) {
+// receiveLong reads an answer that may be long. Where it is whole before it has to be relayed, it is as any other.
+func (t *talk) receiveLong(in *exchange.Inflow, h head) (core.Ending, bool, error) {
 	r := &relayed{talk: t, in: in, head: h, held: relay.Begin(clock.Now(), in.Left(), httpmsg.MaxBody, t.first)}
 	if h.length >= 0 {
 		r.held = relay.BeginLong(clock.Now(), in.Left(), httpmsg.MaxBody)
@@ -173,7 +173,7 @@
 	reply := e.Reply.(*httpmsg.Reply)
 	reply.Length, reply.Body = r.head.length, r.first
 	reply.Stream, r.out = io.Pipe()
-	if !r.in.Pass(e) {
+	if !r.in.Relay(e) {
 		r.out = nil
 		return false
 	}
