--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -106,6 +106,10 @@
 // with it has waited as long.
 func (c *Conn) Queued() time.Duration { return c.queued }
 
+// SinceLastData is how long ago the last bytes arrived in the kernel, whoever has read them by now and however late; 0 where the system does
+// not tell.
+func (c *Conn) SinceLastData() time.Duration { return peek.SinceLastData(c.TCPConn) }
+
 // Watched reports whether somebody reads the connection now, who sees its end at once. Where that changes Unwatched is told.
 func (c *Conn) Watched() bool {
 	c.mu.Lock()
--- a/internal/host/peek/peek.go
+++ b/internal/host/peek/peek.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -50,6 +51,20 @@
 	return n, nil
 }
 
+// SinceLastData is how long ago the last bytes arrived on a connection, by the kernel's account (tcp(7), TCP_INFO), to some milliseconds; 0 where
+// the system does not tell.
+func SinceLastData(c net.Conn) time.Duration {
+	var info *unix.TCPInfo
+	err := control(c, func(fd int) (failed error) {
+		info, failed = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return failed
+	})
+	if err != nil || info == nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // HungUp reports whether the other side of a connection has ended its sending or reset it, whatever lies unread before that. It is false where
 // the system does not tell, and true for a connection that this side has closed.
 func HungUp(c net.Conn) bool {
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -394,10 +394,11 @@
 	if err := c.await(); err != nil {
 		return nil, 0, err
 	}
-	arrival = c.front.core.Now()
-	if !c.hasAsked() { // its client counts from when it sent the call
-		arrival -= c.conn.Queued()
+	waited := c.conn.SinceLastData() // its client counts from when it sent the call
+	if !c.hasAsked() {
+		waited = max(waited, c.conn.Queued())
 	}
+	arrival = c.front.core.Now() - waited
 	by := time.Now().Add(c.front.m.FrameTimeout)
 	c.conn.SetReadDeadline(by)
 	var prefix [4]byte
