Failing test: a connection that has been idle is closed over the request just sent on it

Cause: the report's clients lose requests 0.07 to 0.29 s after they were sent, when the machine has just been late, and the logs of the processes have no line about it.

Change: a reproduction on the program with internal/lab/sysfault.

--- /dev/null
+++ b/cmd/ternbeam/keptconnection_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"ternbeam/internal/lab/sysfault"
+)
+
+// heldClose holds up the first close(2) of a client's connection for as long as a process may be held up.
+type heldClose struct {
+	listen string
+	held   chan struct{} // closed as the hold begins
+
+	mu    sync.Mutex
+	armed bool
+}
+
+func (h *heldClose) arm() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.armed = true
+}
+
+// decide is a sysfault.Decider.
+func (h *heldClose) decide(e sysfault.Event) sysfault.Outcome {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.armed || e.Call != sysfault.Close || !e.Remote.IsValid() || e.Local.String() != h.listen {
+		return sysfault.Outcome{}
+	}
+	h.armed = false
+	close(h.held)
+	return sysfault.Outcome{Hold: longestStall}
+}
+
+// Guards against a connection that is closed as idle over a request that its client has just sent.
+func TestKeptConnectionsAreNotClosedUnderRequests(t *testing.T) {
+	const rest, afterHold = 2300 * time.Millisecond, 20 * time.Millisecond
+	for _, class := range []string{"form-check", "refund-pay"} {
+		for _, second := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, second address %t", class, second), func(t *testing.T) {
+				t.Parallel()
+				config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
+				env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
+				if second {
+					env = append(env, "NODE_OPS="+free(t), "TMPDIR="+shortTempDir(t))
+				}
+				hold := &heldClose{listen: listen, held: make(chan struct{})}
+				_, log := startUnderFaults(t, []sysfault.Call{sysfault.Close}, hold.decide, env...)
+				eventuallyReady(t, listen)
+				c := patientClient{listen: listen, name: "client", class: class, keep: true}
+				defer c.close()
+				if _, err := c.ask("/"+class+"/first", "first"); err != nil {
+					t.Fatal(err)
+				}
+				hold.arm()
+				select {
+				case <-hold.held:
+					time.Sleep(afterHold)
+				case <-time.After(rest):
+				}
+				path := "/" + class + "/second"
+				if body, err := c.ask(path, "second"); err != nil || body != "checked "+path {
+					t.Errorf("%q, %v\n%s", body, err, log)
+				}
+			})
+		}
+	}
+}
