The end of each client connection is counted by its cause, and logged where it is ours

Need: the log has a line for each way in which a request is knowingly left without an answer, and none for a connection that the agent closes between two requests.

Thrift's connections count too.

--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -32,8 +32,8 @@
 	over    bool   // more came than is kept, so that what follows is of no use
 	ending  bool   // who reads is to end it, unless something has come
 	readBy  time.Time
-	failure error     // of the last Read that brought nothing
-	why     endReason // the reader was told last to end it
+	failure error    // of the last Read that brought nothing
+	told    EndCause // why its reader was told last to end it; 0 where it was not
 }
 
 // newConn returns a Conn over a connection that was accepted.
@@ -49,15 +49,6 @@
 	return c, nil
 }
 
-// endReason is why a connection is ended that has no request.
-type endReason string
-
-// The reasons, as the log has them.
-const (
-	endForRoom     endReason = "room"     // for another connection
-	endForShutdown endReason = "shutdown" // of the listener
-)
-
 // mostAhead is how many bytes Probe keeps: more than a usual request has.
 const mostAhead = 128 << 10
 
@@ -134,11 +125,18 @@
 	return c.TCPConn.Close()
 }
 
-// lastError returns why the last Read brought nothing, or nil, and why the reader was told to end the connection, empty if it was not.
-func (c *Conn) lastError() (failure error, why endReason) {
+// lastError returns why the last Read brought nothing, or nil, and why the reader was told to end the connection, 0 if it was not.
+func (c *Conn) lastError() (failure error, told EndCause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure, c.told
+}
+
+// Failed records why a reader that uses ReadNow reads no more, and what it was told to end the connection for, 0 for nothing.
+func (c *Conn) Failed(err error, told EndCause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.failure, c.why
+	c.failure, c.told = err, told
 }
 
 // SinceLastData is how long ago the last bytes arrived in the kernel, whoever has read them by now and however late. Where the system does not tell
@@ -169,17 +167,17 @@
 
 // end expires the read deadline, so that whoever reads the connection closes it. Data that has been received takes precedence, and
 // the connection stays open then: no request is both read and left without an answer.
-func (c *Conn) end(why endReason) {
+func (c *Conn) end(cause EndCause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending, c.why = true, why
+	c.ending, c.told = true, cause
 	c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // goOnLocked restores the read deadline that end has expired.
 func (c *Conn) goOnLocked() {
 	if c.ending {
-		c.ending, c.why = false, ""
+		c.ending, c.told = false, 0
 		c.TCPConn.SetReadDeadline(c.readBy)
 	}
 }
@@ -193,6 +191,7 @@
 	if c.ending = c.ending && !t.IsZero(); c.ending {
 		return nil
 	}
+	c.told = 0
 	return c.TCPConn.SetReadDeadline(t)
 }
 
--- a/internal/host/conntrack/listener.go
+++ b/internal/host/conntrack/listener.go
@@ -28,6 +28,7 @@
 	unfinished   *countedLog                  // connections that ended with an unfinished request
 	unread       *countedLog                  // connections that are closed over unread data
 	failures     *countedLog                  // calls that failed on connections that stand
+	endings      *countedLog                  // connections that the agent ends without a request
 
 	// What follows is under the Tracker's lock.
 	count   int           // of its connections
@@ -38,9 +39,10 @@
 // Listen returns a Listener whose connections are tracked.
 func (t *Tracker) Listen(l *net.TCPListener, log *slog.Logger) *Listener {
 	listener := &Listener{TCPListener: l, tracker: t, closed: make(chan struct{}), retry: accept.NewRetrier(log), accept: l.AcceptTCP,
-		unfinished: newCountedLog(log, "connection closed with an unfinished request", &t.unfinished),
-		unread:     newCountedLog(log, "connection closed over unread data", &t.unread),
-		failures:   newCountedLog(log, "a call failed on a client's connection that stands, trying again", &t.failures)}
+		unfinished: newCountedLog(log, "connection closed with an unfinished request", countedLinesPerSecond, &t.unfinished),
+		unread:     newCountedLog(log, "connection closed over unread data", countedLinesPerSecond, &t.unread),
+		failures:   newCountedLog(log, "a call failed on a client's connection that stands, trying again", countedLinesPerSecond, &t.failures),
+		endings:    newCountedLog(log, "client connection ended without a request", endLinesPerSecond, &t.endings)}
 	socket, err := accept.NewSocket(l)
 	if err != nil {
 		log.Warn("connections are accepted without a descriptor of their own", "error", err)
--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -43,7 +43,7 @@
 	most int
 
 	// Counts of the listeners' logs.
-	unfinished, unread, failures atomic.Int64
+	unfinished, unread, failures, endings atomic.Int64
 
 	mu    sync.Mutex
 	stats Stats
@@ -64,6 +64,8 @@
 	KeptBegun     int // left open then, as a request had begun to come
 	EndedBegun    int // told to end later, with a request that had not come whole
 
+	Ended EndCounts // closed, by cause
+
 	ClosedUnfinished int // closed with a request begun that was never read whole
 	ClosedUnread     int // closed over data that had come and was not read
 	CallsFailed      int // on connections that stand, and tried again
@@ -87,6 +89,8 @@
 	at   *list.Element // of in
 	read int64         // bytes that had been read from it when its waiting began
 
+	opened, since time.Time // when it was accepted, and when its waiting began
+
 	yielding bool // its reader is to end it, to make room
 }
 
@@ -104,6 +108,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all[v.conn] = v
+	v.opened = time.Now()
 	t.stats.Accepted++
 	v.from.count++
 	t.waitLocked(v, t.fresh)
@@ -137,7 +142,7 @@
 
 // waitLocked puts a connection into a queue of those without a request.
 func (t *Tracker) waitLocked(v *entry, in *list.List) {
-	v.in, v.at, v.read = in, in.PushBack(v), v.conn.receivedBytes.Load()
+	v.in, v.at, v.read, v.since = in, in.PushBack(v), v.conn.receivedBytes.Load(), time.Now()
 }
 
 // Busy records that a request was read from a connection. It returns false if the Tracker has closed the connection: the request must
@@ -195,9 +200,7 @@
 	if v == nil {
 		return
 	}
-	if v.in != nil && v.begun() {
-		v.from.unfinished.ended(v.conn, v.conn.receivedBytes.Load()-v.read)
-	}
+	t.recordEndLocked(v, v.endCause())
 	t.forgetLocked(v)
 }
 
@@ -228,7 +231,7 @@
 			}
 		}
 	}
-	if newest != nil && t.closeLocked(newest) {
+	if newest != nil && t.closeLocked(newest, EndedForRoom) {
 		t.stats.ClosedForRoom++
 	}
 }
@@ -237,7 +240,7 @@
 // request from the kernel that is not recorded yet.
 func (t *Tracker) yieldLocked(v *entry) bool {
 	if !v.from.readerCloses {
-		return !v.begun() && t.closeLocked(v)
+		return !v.begun() && t.closeLocked(v, EndedForRoom)
 	}
 	if !v.conn.Quiet() {
 		return false
@@ -245,7 +248,7 @@
 	v.unqueueLocked()
 	v.yielding = true
 	t.yielding++
-	v.conn.end(endForRoom)
+	v.conn.end(EndedForRoom)
 	return true
 }
 
@@ -263,10 +266,11 @@
 }
 
 // closeLocked closes a connection unless something has come on it. Nobody may be reading it, but by ReadNow.
-func (t *Tracker) closeLocked(v *entry) bool {
+func (t *Tracker) closeLocked(v *entry, cause EndCause) bool {
 	if !v.conn.closeUnread(v.read) {
 		return false
 	}
+	t.recordEndLocked(v, cause)
 	t.forgetLocked(v)
 	return true
 }
@@ -274,9 +278,9 @@
 // finishLocked closes a connection at the end of its listener.
 func (t *Tracker) finishLocked(v *entry) {
 	if !v.from.readerCloses {
-		t.closeLocked(v)
+		t.closeLocked(v, EndedForShutdown)
 	} else if v.conn.Quiet() {
-		v.conn.end(endForShutdown)
+		v.conn.end(EndedForShutdown)
 	}
 }
 
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -15,13 +15,18 @@
 )
 
 func newListener(t *testing.T, most int) *Listener {
+	t.Helper()
+	return newLoggedListener(t, most, slog.New(slog.DiscardHandler))
+}
+
+func newLoggedListener(t *testing.T, most int, log *slog.Logger) *Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return New(most).Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler))
+	return New(most).Listen(l.(*net.TCPListener), log)
 }
 
 // visitor connects and says something, which has come before the connection is accepted.
@@ -182,10 +187,10 @@
 // connection goes on with the time to read that it was set.
 func TestBytesComeAsAnIdleConnectionEnds(t *testing.T) {
 	for name, cross := range map[string]func(c *Conn, client net.Conn){
-		"the end, then bytes": func(c *Conn, client net.Conn) { c.end(endForRoom); io.WriteString(client, "GET") },
-		"bytes, then the end": func(c *Conn, client net.Conn) { io.WriteString(client, "GET"); c.end(endForRoom) },
+		"the end, then bytes": func(c *Conn, client net.Conn) { c.end(EndedForRoom); io.WriteString(client, "GET") },
+		"bytes, then the end": func(c *Conn, client net.Conn) { io.WriteString(client, "GET"); c.end(EndedForRoom) },
 		"a time to read between": func(c *Conn, client net.Conn) {
-			c.end(endForRoom)
+			c.end(EndedForRoom)
 			io.WriteString(client, "GET")
 			c.SetReadDeadline(time.Now().Add(testkit.Patience))
 		},
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -302,7 +302,7 @@
 	if c.set.Clients != nil {
 		s := c.set.Clients()
 		c.log.Info("client connections", "accepted", s.Accepted, "closed_for_room", s.ClosedForRoom, "closed_unfinished", s.ClosedUnfinished,
-			"closed_unread", s.ClosedUnread, "requests_dropped", s.Dropped, "calls_failed", s.CallsFailed)
+			"closed_unread", s.ClosedUnread, "requests_dropped", s.Dropped, "calls_failed", s.CallsFailed, "ended", s.Ended.String())
 	}
 	c.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
 		"gone", s.Gone, "abandoned", c.abandoned.Load(), "malformed", c.malformed.Load(), "undelivered", c.undelivered.count.Load(), "attempts", s.Attempts, "reports", s.Reports,
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -81,7 +81,13 @@
 
 // serve reads calls until the client leaves or may not go on.
 func (c *client) serve() {
-	if err := c.take(); !errors.Is(err, errProtocol) && !errors.Is(err, errStopping) {
+	err := c.take()
+	if errors.Is(err, errStopping) {
+		c.conn.Failed(os.ErrDeadlineExceeded, conntrack.EndedForShutdown)
+	} else {
+		c.conn.Failed(err, 0)
+	}
+	if !errors.Is(err, errProtocol) && !errors.Is(err, errStopping) {
 		c.die()
 	}
 	c.mu.Lock()
