Idle connections of clients stay open while there is room for them

What callers saw: a connection ended 0.07 to 0.29 s after a request was sent on it, with no byte of an answer, in moments in which the machine was late.

Cause: each client connection was closed 2.05 s after its last answer, used or not. No server can close an idle connection in HTTP/1.1 without a request crossing that; on a machine that is late the client sees the end 0.1 to 0.3 s after it has sent. Clients that ask each 0.7 s on the mean leave one gap in twenty that is longer than 2.05 s.

Change: connections stay idle for as long as their clients keep them (10 minutes at the most), while idle ones hold a quarter of the places for clients; beyond that those that were idle for 2.05 s give way, the longest first. A request that begins on an idle connection and stops is still ended in 2 s. Why it works: what is not closed can't be crossed, and a close for want of room is rare.

TestIdleConnectionsStayWhileThereIsRoom, TestConnectionsThatWereUsedLatelyStay and TestNextRequestsThatStopAreEnded pass (the last fails for 1 and 3 bytes without the new limit); conntrack and httpfront pass with -race, agent, lab and thrift pass.

--- a/cmd/ternbeam/keptconnection_test.go
+++ b/cmd/ternbeam/keptconnection_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -70,3 +72,28 @@
 		}
 	}
 }
+
+// Guards against a connection that is held for good by a client that has begun its next request and stopped.
+func TestNextRequestsThatStopAreEnded(t *testing.T) {
+	const owedWithin = 3 * time.Second
+	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
+	startReady(t, config, listen, false)
+	for _, size := range []int{1, 3, 4, 60} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			t.Parallel()
+			c := patientClient{listen: listen, name: "client", class: "form-check", keep: true}
+			defer c.close()
+			if _, err := c.ask("/form-check/first", fmt.Sprint("first-", size)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if _, err := c.conn.Write(c.text("/form-check/second", fmt.Sprint("second-", size))[:size]); err != nil {
+				t.Fatal(err)
+			}
+			c.conn.SetReadDeadline(time.Now().Add(owedWithin))
+			if _, err := c.conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("neither an error nor an end in %v", owedWithin)
+			}
+		})
+	}
+}
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -195,6 +195,20 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// LimitReading brings the read deadline forward to some time from now, unless there is none or an earlier one.
+func (c *Conn) LimitReading(within time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	by := time.Now().Add(within)
+	if c.readBy.IsZero() || c.readBy.Before(by) {
+		return
+	}
+	c.readBy = by
+	if !c.ending {
+		c.TCPConn.SetReadDeadline(by)
+	}
+}
+
 // SetDeadline is net.Conn's.
 func (c *Conn) SetDeadline(t time.Time) error {
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
--- a/internal/host/conntrack/ends_test.go
+++ b/internal/host/conntrack/ends_test.go
@@ -29,7 +29,7 @@
 		{EndedForRoom, answered, func(d *Listener, _, conn net.Conn) {
 			d.tracker.mu.Lock()
 			defer d.tracker.mu.Unlock()
-			d.tracker.yieldLocked(d.tracker.all[conn])
+			d.tracker.yieldLocked(d.tracker.all[conn], EndedForRoom)
 		}},
 		{EndedForShutdown, answered, func(d *Listener, _, _ net.Conn) { d.CloseIdle() }},
 	}
--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -18,6 +18,11 @@
 	mostYielding = 8
 	yieldWait    = 20 * time.Millisecond
 
+	// keptPart is the part of the places, inverted, that idle connections may hold for as long as their clients keep them. Beyond that, ones that
+	// have been idle for idleAfter give way: a request may be on its way on each that is closed.
+	keptPart  = 4
+	idleAfter = 2050 * time.Millisecond
+
 	drained     = 50 * time.Millisecond  // without a new connection, the kernel's queue is empty
 	mostDrained = 500 * time.Millisecond // how long that is waited for
 
@@ -41,6 +46,7 @@
 // acted on, and does not act on it where the Tracker has closed the connection: its client asks once more elsewhere.
 type Tracker struct {
 	most int
+	now  func() time.Time
 
 	// Counts of the listeners' logs.
 	unfinished, unread, failures, endings atomic.Int64
@@ -99,7 +105,7 @@
 
 // New returns a Tracker that keeps so many connections at most.
 func New(most int) *Tracker {
-	return &Tracker{most: most, all: map[net.Conn]*entry{}, fresh: list.New(), idle: list.New(), yielded: make(chan struct{}, 1)}
+	return &Tracker{most: most, now: time.Now, all: map[net.Conn]*entry{}, fresh: list.New(), idle: list.New(), yielded: make(chan struct{}, 1)}
 }
 
 // enter takes a connection that was accepted.
@@ -108,10 +114,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all[v.conn] = v
-	v.opened = time.Now()
+	v.opened = t.now()
 	t.stats.Accepted++
 	v.from.count++
 	t.waitLocked(v, t.fresh)
+	t.endSurplusIdleLocked()
 	if len(t.all) > t.most {
 		t.makeRoomLocked(v)
 	}
@@ -142,7 +149,7 @@
 
 // waitLocked puts a connection into a queue of those without a request.
 func (t *Tracker) waitLocked(v *entry, in *list.List) {
-	v.in, v.at, v.read, v.since = in, in.PushBack(v), v.conn.receivedBytes.Load(), time.Now()
+	v.in, v.at, v.read, v.since = in, in.PushBack(v), v.conn.receivedBytes.Load(), t.now()
 }
 
 // Busy records that a request was read from a connection. It returns false if the Tracker has closed the connection: the request must
@@ -179,11 +186,30 @@
 	t.waitLocked(v, t.idle)
 	if v.from.shut {
 		t.finishLocked(v)
-	} else if len(t.all) > t.most {
+		return
+	}
+	t.endSurplusIdleLocked()
+	if len(t.all) > t.most {
 		t.makeRoomLocked(nil)
 	}
 }
 
+// endSurplusIdleLocked ends connections that have been idle for idleAfter, the longest first, while idle ones hold more than their part of the
+// places and few connections are on their way out.
+func (t *Tracker) endSurplusIdleLocked() {
+	next := t.idle.Front()
+	for surplus := t.idle.Len() - t.most/keptPart; surplus > 0 && next != nil && t.yielding < mostYielding; surplus-- {
+		v := next.Value.(*entry)
+		if t.now().Sub(v.since) < idleAfter {
+			return
+		}
+		next = next.Next()
+		if !v.begun() {
+			t.yieldLocked(v, EndedIdle)
+		}
+	}
+}
+
 // Waits reports whether a connection has no request.
 func (t *Tracker) Waits(c net.Conn) bool {
 	t.mu.Lock()
@@ -217,14 +243,14 @@
 // makeRoomLocked closes a connection on which nothing was received, or else one whose request has stalled; the newest only if
 // there is no other. A request that was read, and that Busy was not called for yet, is never cut off.
 func (t *Tracker) makeRoomLocked(newest *entry) {
-	now := time.Now()
+	now := t.now()
 	for _, may := range []func(v *entry) bool{
 		func(v *entry) bool { return !v.begun() },
 		func(v *entry) bool { return now.Sub(v.conn.lastReceived()) > staleAfter },
 	} {
 		for _, from := range []*list.List{t.fresh, t.idle} {
 			for e := from.Front(); e != nil; e = e.Next() {
-				if v := e.Value.(*entry); v != newest && may(v) && t.yieldLocked(v) {
+				if v := e.Value.(*entry); v != newest && may(v) && t.yieldLocked(v, EndedForRoom) {
 					t.stats.ClosedForRoom++
 					return
 				}
@@ -236,11 +262,11 @@
 	}
 }
 
-// yieldLocked closes a connection to make room for another. Its reader does so where it can: only the reader knows whether it has taken a
+// yieldLocked closes a connection without a request whose place is needed. Its reader does so where it can: only the reader knows whether it has taken a
 // request from the kernel that is not recorded yet.
-func (t *Tracker) yieldLocked(v *entry) bool {
+func (t *Tracker) yieldLocked(v *entry, cause EndCause) bool {
 	if !v.from.readerCloses {
-		return !v.begun() && t.closeLocked(v, EndedForRoom)
+		return !v.begun() && t.closeLocked(v, cause)
 	}
 	if !v.conn.Quiet() {
 		return false
@@ -248,7 +274,7 @@
 	v.unqueueLocked()
 	v.yielding = true
 	t.yielding++
-	v.conn.end(EndedForRoom)
+	v.conn.end(cause)
 	return true
 }
 
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -286,3 +286,54 @@
 		}
 	}
 }
+
+// Connections that are idle stay as their clients keep them, while they hold no more than their part of the places.
+func TestIdleConnectionsStayWhileThereIsRoom(t *testing.T) {
+	const most, kept, surplus = 16, 16 / keptPart, 3
+	d := newListener(t, most)
+	now := time.Now()
+	d.tracker.now = func() time.Time { return now }
+	var clients []net.Conn
+	add := func() {
+		clients = append(clients, visitor(t, d, ""))
+		conn := admit(t, d)
+		d.tracker.Busy(conn)
+		d.tracker.Idle(conn)
+	}
+	for range kept {
+		add()
+	}
+	now = now.Add(time.Hour)
+	add()
+	for range surplus - 1 {
+		add()
+	}
+	if ended := d.tracker.Stats().Ended; ended != (EndCounts{EndedIdle: surplus}) {
+		t.Errorf("%q with %d idle connections of %d places", ended, kept+surplus, most)
+	}
+	for i, client := range clients {
+		if wait := time.Millisecond; i < surplus != closed(client, wait) {
+			t.Errorf("connection %d closed: %t", i, i >= surplus)
+		}
+	}
+}
+
+// Those that have not been idle for long stay beyond that.
+func TestConnectionsThatWereUsedLatelyStay(t *testing.T) {
+	const most = 16
+	d := newListener(t, most)
+	now := time.Now()
+	d.tracker.now = func() time.Time { return now }
+	for range most {
+		visitor(t, d, "")
+		conn := admit(t, d)
+		d.tracker.Busy(conn)
+		d.tracker.Idle(conn)
+	}
+	now = now.Add(idleAfter - time.Millisecond)
+	visitor(t, d, "GET /")
+	admit(t, d)
+	if ended, want := d.tracker.Stats().Ended, (EndCounts{EndedForRoom: 1}); ended != want {
+		t.Errorf("%q, want %q", ended, want)
+	}
+}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -30,9 +30,9 @@
 	// An error or a close is owed within 3 s of connecting to whoever sends nothing or not all.
 	headTimeout = 2 * time.Second
 	readTimeout = 2500 * time.Millisecond // for head and body
-	// From 2 s on an idle connection may be closed. Clients that ask once keep theirs for good, and all clients
-	// together hold a third of the descriptors at most: each that stays longer keeps another client out.
-	idleTimeout = 2050 * time.Millisecond
+	// idleTimeout is how long the connection of a client that never returns is kept. Where idle ones hold too many places the tracker ends them
+	// long before.
+	idleTimeout = 10 * time.Minute
 	lateWrite   = time.Second            // how long a client may take nothing of its answer, at the least
 	answerGrace = 500 * time.Millisecond // after a client's time an answer to it still counts as one
 )
@@ -130,7 +130,7 @@
 
 // Serve takes calls until Stop; it always ends with an error.
 func (f *Front) Serve() error {
-	return f.http.Serve(taped{f.listen})
+	return f.http.Serve(taped{f.listen, f.http.ReadHeaderTimeout})
 }
 
 // Stop ends the front gently. Clients hear of it a little later, so new connections are accepted for a while, or not at
--- a/internal/http/httpfront/tape.go
+++ b/internal/http/httpfront/tape.go
@@ -6,20 +6,24 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/http/httpmsg"
 )
 
 // taped accepts connections that keep the bytes which were read last.
-type taped struct{ *conntrack.Listener }
+type taped struct {
+	*conntrack.Listener
+	headWithin time.Duration // for a request that has begun on an idle connection
+}
 
 func (l taped) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &tape{Conn: c.(*conntrack.Conn)}, nil
+	return &tape{Conn: c.(*conntrack.Conn), headWithin: l.headWithin}, nil
 }
 
 const (
@@ -31,9 +35,11 @@
 // read behind the request.
 type tape struct {
 	*conntrack.Conn
+	headWithin time.Duration
 
 	mu       sync.Mutex // net/http may read on while a request is answered
 	bytes    []byte
+	idle     bool  // nothing has come since the last request was over
 	received int64 // bytes in all
 	end      int64 // so many of them are there up to the end of the current request, or unknownEnd
 }
@@ -43,16 +49,18 @@
 
 func (t *tape) Read(p []byte) (int, error) {
 	n, err := t.Conn.Read(p)
-	if n > 0 {
-		t.keep(p[:n])
+	if n > 0 && t.keep(p[:n]) {
+		t.LimitReading(t.headWithin) // net/http waits for the first bytes of a request for as long as a connection may be idle
 	}
 	return n, err
 }
 
-// keep keeps what was read, but for the body of the current request where its end is known.
-func (t *tape) keep(got []byte) {
+// keep keeps what was read, but for the body of the current request where its end is known. It reports whether a request has begun on an idle
+// connection.
+func (t *tape) keep(got []byte) (begun bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	begun, t.idle = t.idle, false
 	ofBody := max(0, min(t.end-t.received, int64(len(got))))
 	t.received += int64(len(got))
 	got = got[ofBody:]
@@ -63,6 +71,7 @@
 		t.bytes = t.bytes[:copy(t.bytes, t.bytes[min(over, len(t.bytes)):])]
 	}
 	t.bytes = append(t.bytes, got...)
+	return begun
 }
 
 // next says that a request is over. The next one may have begun in what was read beyond it.
@@ -75,13 +84,14 @@
 	}
 	first := max(0, int64(len(t.bytes))-beyond)
 	t.bytes = t.bytes[:copy(t.bytes, t.bytes[first:])]
+	t.idle = true
 }
 
 // begin says that the head of a request was read, and nothing of its body.
 func (t *tape) begin(in *http.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.end = unknownEnd
+	t.end, t.idle = unknownEnd, false
 	if in.ContentLength < 0 {
 		return
 	}
--- a/internal/http/httpfront/tape_test.go
+++ b/internal/http/httpfront/tape_test.go
@@ -66,7 +66,7 @@
 		<-sent
 		look(on)
 	})}
-	go server.Serve(taped{front.tracker.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler)).ReaderCloses()})
+	go server.Serve(taped{front.tracker.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler)).ReaderCloses(), headTimeout})
 	t.Cleanup(func() { server.Close() })
 	client, err = net.Dial("tcp", l.Addr().String())
 	if err != nil {
