An error on a connection waits for the kernel to tell its state; poll faults are played

What callers saw: the end of the connection with no answer, or 502 "client disconnected", where a call on it fails while poll(2) fails too.

And no test saw it: the shim made poll(2) fail, but golang.org/x/sys makes ppoll(2) of it, so that this fault was never played in any test or soak before.

Evidence: with ppoll(2) and one other call failing for 40 of each 200 ms all six cases of the new TestAnswersSurviveFailuresOfAnUnknownState fail: no answer, parts, 502.

Change: the shim fails ppoll(2); after an error the kernel is asked until it tells, for 4.8 s at the most, and the call is not made meanwhile. transient.ConnectionOver is gone. TestChosenCallsAreMade holds that the program makes each call that faults are drawn for.

--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -99,14 +99,13 @@
 // takeUnread reads what has come without waiting for more. Where the system does not tell whether something has, it is asked again: the
 // connection is about to be closed over that.
 func (c *Conn) takeUnread(p []byte) int {
-	const mostTries = 10
 	for failures := 1; ; failures++ {
 		n, err := peek.Take(c.TCPConn, p)
 		if n > 0 {
 			c.stream.Reads().Begin()
 			c.stream.Reads().Took()
 		}
-		if n > 0 || !errors.Is(err, peek.ErrUnclear) || failures == mostTries {
+		if n > 0 || !errors.Is(err, peek.ErrUnclear) || failures == transient.MostFailures {
 			return n
 		}
 		time.Sleep(transient.Backoff(failures))
--- a/internal/lab/sysfault/sysfault.go
+++ b/internal/lab/sysfault/sysfault.go
@@ -33,7 +33,7 @@
 	Accept    Call = unix.SYS_ACCEPT4
 	Connect   Call = unix.SYS_CONNECT
 	NewSocket Call = unix.SYS_SOCKET
-	Poll      Call = unix.SYS_POLL
+	Poll      Call = unix.SYS_PPOLL // which golang.org/x/sys makes for poll(2)
 	EpollAdd  Call = unix.SYS_EPOLL_CTL
 	GetOption Call = unix.SYS_GETSOCKOPT
 	SetOption Call = unix.SYS_SETSOCKOPT
@@ -50,7 +50,7 @@
 )
 
 var callNames = map[Call]string{Read: "read", Write: "write", Receive: "recvfrom", Accept: "accept4", Connect: "connect", NewSocket: "socket",
-	Poll: "poll", EpollAdd: "epoll_ctl", GetOption: "getsockopt", SetOption: "setsockopt", LocalName: "getsockname", PeerName: "getpeername",
+	Poll: "ppoll", EpollAdd: "epoll_ctl", GetOption: "getsockopt", SetOption: "setsockopt", LocalName: "getsockname", PeerName: "getpeername",
 	Control: "fcntl", Shutdown: "shutdown", Close: "close", Bind: "bind", SendWith: "sendmsg", RecvWith: "recvmsg", Rename: "renameat", OpenFile: "openat"}
 
 func (c Call) String() string { return callNames[c] }
--- a/internal/sysio/peek/peek.go
+++ b/internal/sysio/peek/peek.go
@@ -48,7 +48,7 @@
 	switch {
 	case failed == unix.EAGAIN:
 		return 0, ErrNothing
-	case failed != nil && (!transient.ConnectionOver(failed) || StateOf(c) == Open): // the next look may tell
+	case failed != nil && StateOf(c) != Ended: // the next look may tell
 		return 0, fmt.Errorf("%w: %w", ErrUnclear, failed)
 	case failed != nil:
 		return 0, failed
--- a/internal/sysio/socketio/socketio.go
+++ b/internal/sysio/socketio/socketio.go
@@ -1,7 +1,8 @@
 // Package socketio reads and writes stream connections in spite of system calls that fail.
 //
 // An error of a system call speaks of that call. Whether the connection is over is asked of the kernel, by poll(2), before an error ends
-// anything: a peer that is still connected is owed what it waits for. Only where poll(2) fails too does the error's number decide.
+// anything: a peer that is still connected is owed what it waits for. Where poll(2) fails it is asked again, and the call is not made meanwhile: a
+// reset is told once, and looks like an orderly end after that.
 package socketio
 
 import (
@@ -170,18 +171,16 @@
 	return ready > 0 || err != nil
 }
 
-// mostAsked is how often the kernel is asked about a connection where it does not tell.
-const mostAsked = 3
-
-// Over reports whether a connection is over, after a call on it has failed with err.
+// Over reports whether a connection is over, after a call on it has failed with err. It waits for the kernel to tell, for some seconds at the most.
 func Over(conn net.Conn, err error) bool {
 	if errno := syscall.Errno(0); !errors.As(err, &errno) { // it was closed here, or its deadline has passed
 		return true
 	}
-	for range mostAsked {
+	for failures := 1; failures <= transient.MostFailures; failures++ {
 		if state := peek.StateOf(conn); state != peek.Unclear {
 			return state == peek.Ended
 		}
+		time.Sleep(transient.Backoff(failures))
 	}
-	return transient.ConnectionOver(err)
+	return true
 }
--- a/internal/sysio/transient/transient.go
+++ b/internal/sysio/transient/transient.go
@@ -5,9 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net"
-	"os"
 	"slices"
 	"syscall"
 	"time"
@@ -20,22 +17,6 @@
 	MostFailures = 100
 )
 
-// endings are the errors that say that a connection is over: its peer has ended or reset it, this side has closed it, the deadline has
-// passed, or the descriptor is no connection at all.
-var endings = []error{io.EOF, net.ErrClosed, os.ErrDeadlineExceeded, syscall.EPIPE, syscall.ECONNRESET, syscall.ENOTCONN, syscall.ESHUTDOWN,
-	syscall.EBADF, syscall.ENOTSOCK, syscall.EINVAL, syscall.EFAULT}
-
-// ConnectionOver reports whether an error of a read or a write is one that says that the connection is over. It is to be asked only where the
-// kernel does not tell the connection's state.
-func ConnectionOver(err error) bool {
-	for _, ending := range endings {
-		if errors.Is(err, ending) {
-			return true
-		}
-	}
-	return false
-}
-
 // Backoff is how long to wait after so many failures in a row, of which there is at least one.
 func Backoff(failures int) time.Duration {
 	return min(firstBackoff<<min(failures-1, 10), mostBackoff)
