An answer that can be sent at once is sent, though its time to be written has passed

What callers saw: the end of the connection with no answer, where the process stands still between setting the time to write an answer (1 s at the least) and the write.

Cause: the runtime refuses a write whose deadline has passed before it tries it.

Change: after the deadline what fits into the socket's buffer is written without waiting. A client that takes nothing gains no time by it.

Result: TestAnswersAreSentThoughTheirTimeHasPassed fails without the change (an i/o timeout, by reading of net.Conn's contract; not seen on a whole process) and passes with it.

--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -113,8 +113,16 @@
 }
 
 // Write writes to the connection, as net.Conn's does. It goes on through errors for as long as the connection stands: the client waits for
-// its final answer.
-func (c *Conn) Write(p []byte) (int, error) { return c.stream.Write(p) }
+// its final answer. What can be sent at once takes precedence over the write deadline, which may have passed while the process was suspended.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.stream.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if n += c.stream.WriteNow(p[n:]); n == len(p) {
+			return n, nil
+		}
+	}
+	return n, err
+}
 
 // Close closes the connection. Data that has come and is unread is lost with it, which is logged: a client may wait for an answer to that.
 func (c *Conn) Close() error {
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -318,6 +318,25 @@
 	}
 }
 
+// Guards against an answer that is not sent as the time to write it passes before the first byte is tried.
+func TestAnswersAreSentThoughTheirTimeHasPassed(t *testing.T) {
+	d := newListener(t, 10)
+	client := visitor(t, d, "GET /")
+	conn := admit(t, d)
+	conn.SetWriteDeadline(time.Unix(1, 0))
+	const answer = "an answer"
+	if n, err := conn.Write([]byte(answer)); n != len(answer) || err != nil {
+		t.Fatalf("%d, %v", n, err)
+	}
+	got := make([]byte, len(answer))
+	if _, err := io.ReadFull(client, got); err != nil || string(got) != answer {
+		t.Errorf("%q, %v", got, err)
+	}
+	if n, err := conn.Write(make([]byte, 64<<20)); n == 64<<20 || !isTimeout(err) {
+		t.Errorf("a client that takes nothing: %d, %v", n, err)
+	}
+}
+
 // Those that have not been idle for long stay beyond that.
 func TestConnectionsThatWereUsedLatelyStay(t *testing.T) {
 	const most = 16
--- a/internal/sysio/socketio/socketio.go
+++ b/internal/sysio/socketio/socketio.go
@@ -92,6 +92,21 @@
 	return written, err
 }
 
+// WriteNow writes what can be written without waiting, whatever the write deadline, and returns how many bytes that were.
+func (c *Conn) WriteNow(p []byte) (written int) {
+	c.raw.Control(func(fd uintptr) {
+		transient.Uninterrupted(func() (failed error) {
+			for written < len(p) && failed == nil {
+				var n int
+				n, failed = syscall.Write(int(fd), p[written:])
+				written += max(n, 0)
+			}
+			return failed
+		})
+	})
+	return written
+}
+
 // operation is reading or writing. Its fields are reused by all calls, so that a call allocates nothing.
 type operation struct {
 	name  string
