A request whose handling panics is answered

What callers saw: the end of the connection with no answer. Not seen in any log of the operators; found by listing the ways in which net/http ends a connection.

Cause: net/http recovers a handler's panic, logs it and closes the connection.

Change: where the answer has not begun the client gets 502 and the end of the connection, and the log has "the handling of a request panicked" with id, cause and stack.

--- a/internal/http/httpfront/answer.go
+++ b/internal/http/httpfront/answer.go
@@ -31,7 +31,7 @@
 	if f.ending.Load() {
 		endConnection(w, in)
 	}
-	err := f.answer(w, ans, f.patience(call))
+	err := f.answer(w, in, ans, f.patience(call))
 	if err == nil {
 		return
 	}
@@ -41,9 +41,9 @@
 
 // abandon answers a request whose client has disconnected. Nobody should be there to read this; whoever is must not take the
 // end of the connection for an empty answer.
-func (f *Front) abandon(w http.ResponseWriter) {
+func (f *Front) abandon(w http.ResponseWriter, in *http.Request) {
 	w.Header().Set("Connection", "close")
-	f.answer(w, core.Answer{Kind: core.Failed}, lateWrite)
+	f.answer(w, in, core.Answer{Kind: core.Failed}, lateWrite)
 }
 
 // patience is how long a client may take nothing of its answer. An answer is of use until answerGrace after the client's time: a client that
@@ -56,7 +56,8 @@
 }
 
 // answer writes an answer whole and returns why it could not be, or nil.
-func (f *Front) answer(w http.ResponseWriter, ans core.Answer, patience time.Duration) *deliveryError {
+func (f *Front) answer(w http.ResponseWriter, in *http.Request, ans core.Answer, patience time.Duration) *deliveryError {
+	callerOf(in).answering = true
 	header := w.Header()
 	header["Content-Type"] = nil // no guess from the body
 	control := http.NewResponseController(w)
--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/host/conntrack"
@@ -117,6 +118,34 @@
 	return r
 }
 
+// panickingShapes panics at some requests.
+type panickingShapes struct{}
+
+func (panickingShapes) HTTP(_ string, r *httpmsg.Request) (tag routes.Tag, keyLast bool, err error) {
+	if strings.Contains(r.URL.Path, "panic") {
+		panic("planted")
+	}
+	return routes.Tag{}, true, nil
+}
+
+// Guards against a connection that ends with no answer as the handling of its request panics.
+func TestRequestsWhoseHandlingPanicsAreAnswered(t *testing.T) {
+	r := newRig(t, 10)
+	r.WithShapes(panickingShapes{})
+	r.serve()
+	client := r.dial(t)
+	client.SetDeadline(time.Now().Add(testkit.Patience))
+	say(t, client, strings.Replace(kinds["safe"]("panics"), "/form-check/k", "/form-check/panic", 1))
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusBadGateway || !resp.Close {
+		t.Errorf("%d, close %t, %v", resp.StatusCode, resp.Close, err)
+	}
+}
+
 // stop ends the front as the agent does, without a time in which connections are accepted, and is over at some time after now.
 func (r *rig) stop(closeBy time.Duration) {
 	begin := time.Now()
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -67,10 +68,12 @@
 	f := &Front{cfg: cfg, core: c, log: log, tracker: d, listen: d.Listen(l, log).ReaderCloses(), look: conntrack.ProbeInterval}
 	// No http.ServeMux: it would redirect where a path is not in its plainest form.
 	handler := func(w http.ResponseWriter, in *http.Request) {
+		defer f.answerPanic(w, in)
 		if !f.tracker.Busy(callerOf(in).conn) { // closed while this was being read: its client asks once more, and must not have its effect twice
 			f.log.Warn("request dropped as its connection had been closed", "id", in.Header.Get("X-Correlation-Id"))
 			panic(http.ErrAbortHandler)
 		}
+		callerOf(in).answering = false
 		callerOf(in).tape.begin(in)
 		if in.URL.Path != "/ready" {
 			f.request(w, in)
@@ -97,6 +100,19 @@
 	return f
 }
 
+// answerPanic answers a request whose handling has panicked, where its answer has not begun: net/http would end the connection without one.
+func (f *Front) answerPanic(w http.ResponseWriter, in *http.Request) {
+	cause := recover()
+	switch {
+	case cause == nil:
+		return
+	case cause == http.ErrAbortHandler, callerOf(in).answering:
+		panic(cause)
+	}
+	f.log.Error("the handling of a request panicked", "id", in.Header.Get("X-Correlation-Id"), "cause", cause, "stack", string(debug.Stack()))
+	f.abandon(w, in)
+}
+
 // note follows a connection through the server, as its ConnState.
 func (f *Front) note(conn net.Conn, state http.ConnState) {
 	c := conn.(*tape).Conn
@@ -115,6 +131,8 @@
 	tape  *tape // over conn
 	asked int   // requests so far
 
+	answering bool // the final answer to the current request has begun
+
 	opened time.Duration // on the module's clock
 }
 
@@ -220,7 +238,7 @@
 	// send this on for.
 	if !call.Coming && gone() {
 		f.core.Abandoned()
-		f.abandon(w)
+		f.abandon(w, in)
 		return
 	}
 	answers := newHandover(call)
@@ -259,7 +277,7 @@
 		return
 	}
 	f.core.Left(call)
-	f.abandon(w)
+	f.abandon(w, in)
 }
 
 // await waits for the answer to a call. It is false where the client leaves before. net/http reads the connection meanwhile and
