No connection in use is closed for room while others can't be judged, or have been left

Cause: room is made by the first connection on which certainly nothing is unread, those that have said nothing first. Where a crowd has left again its ends are unread, and where recvfrom(2) fails nothing is certain; both were passed over, down to an idle connection of a client that uses it.

Evidence: the random tests excused kept connections in a crowd.

Change: a connection that its client has left counts as on its way out, and while it is unknown of one that has said nothing no idle one goes. peek tells data, an end, nothing and unknown apart.

Result: TestClientsThatHaveLeftGiveWayFirst failed before for both kinds of readers.

--- a/cmd/ternbeam/randomfaults_test.go
+++ b/cmd/ternbeam/randomfaults_test.go
@@ -24,6 +24,7 @@
 	firstSeedVariable = "TERNBEAM_FAULT_FIRST_SEED"
 	usualSeeds        = 20
 	usualReplacements = 8 // seeds, each of two processes
+	usualIdlePlays    = 12
 )
 
 // fromEnvironment returns the number that a variable holds, or another where it is not set.
@@ -148,6 +149,11 @@
 	forEachSeed(t, usualSeeds, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, ending) })
 }
 
+// The same on connections that are idle for about as long as one may be closed for, in between.
+func TestAnswersOnIdleConnectionsUnderRandomFaults(t *testing.T) {
+	forEachSeed(t, usualIdlePlays, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, idling) })
+}
+
 // The same where another process replaces the first, which is told to end as the second says yes: clients go on with the one or the other.
 func TestAnswersUnderRandomFaultsAcrossAReplacement(t *testing.T) {
 	forEachSeed(t, usualReplacements, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, replaced) })
@@ -179,6 +185,7 @@
 	steady   fate = iota // it lives on
 	ending               // it is told to end
 	replaced             // another one replaces it
+	idling               // it lives on, and clients are idle between requests
 )
 
 // playRandomFaults plays one seed.
@@ -217,7 +224,7 @@
 // newRandomPlay draws a play that has not begun.
 func newRandomPlay(t *testing.T, fate fate, random *rand.Rand) *randomPlay {
 	play := &randomPlay{t: t, fate: fate, span: 2 * time.Second, world: newWorldRecord()}
-	if fate != steady {
+	if fate != steady { // as long for clients that are idle
 		play.span += killAfter(randomDeadline)
 	}
 	for range 4 {
@@ -438,9 +445,18 @@
 			requests = append(requests, request())
 		}
 		c.askAll(p, requests)
+		if p.fate == idling && random.IntN(2) == 0 {
+			time.Sleep(shortestIdle + time.Duration(random.Int64N(int64(longestIdle-shortestIdle))))
+		}
 	}
 }
 
+// For how long clients are idle between requests where they are: from 2 s on the platform lets a server close a connection.
+const (
+	shortestIdle = 1900 * time.Millisecond
+	longestIdle  = 2300 * time.Millisecond
+)
+
 // askAll sends requests at once and reads their answers in turn.
 func (c *patientClient) askAll(p *randomPlay, requests []*requestRecord) {
 	kept := c.conn != nil
@@ -456,9 +472,9 @@
 		}
 		r.begin, r.took = c.sent, time.Since(c.sent)
 		told, _ := p.closing()
-		r.mayBeUnread = kept && (told || p.crowd) || !kept && p.crowd || told && isRefused(r.err)
+		r.mayBeUnread = kept && told || !kept && p.crowd || told && isRefused(r.err)
 		if number > 0 && requests[number-1].answered() { // or else it came behind an answer that said that the connection ends
-			r.mayBeUnread = c.pause > 0 && (told || p.crowd)
+			r.mayBeUnread = c.pause > 0 && told
 		}
 		if !r.answered() {
 			failed = r.err
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -228,7 +228,21 @@
 	return c.quietLocked()
 }
 
-func (c *Conn) quietLocked() bool { return len(c.ahead) == 0 && !c.over && peek.Silent(c.TCPConn) }
+func (c *Conn) quietLocked() bool { return c.unreadLocked() == peek.UnreadNothing }
+
+// unread is what has come and was not read, by Probe neither.
+func (c *Conn) unread() peek.Unread {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unreadLocked()
+}
+
+func (c *Conn) unreadLocked() peek.Unread {
+	if len(c.ahead) > 0 || c.over {
+		return peek.UnreadData
+	}
+	return peek.UnreadOf(c.TCPConn)
+}
 
 // closeUnread closes the connection if no more than some number of bytes was ever received. It reports whether it did.
 func (c *Conn) closeUnread(received int64) bool {
--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ternbeam/internal/sysio/peek"
 )
 
 const (
@@ -57,7 +59,7 @@
 	fresh *list.List // of entries on which nothing was received yet, the oldest first
 	idle  *list.List // of entries between requests
 
-	yielding int           // connections that are ended to make room, and not gone yet
+	yielding int           // connections that are on their way out
 	yielded  chan struct{} // told when one of them is gone, or has a request after all
 }
 
@@ -97,7 +99,7 @@
 
 	opened, since time.Time // when it was accepted, and when its waiting began
 
-	yielding bool // its reader is to end it, to make room
+	yielding bool // its reader is to end it, and its place counts as free
 }
 
 // begun reports whether a part of a request was received since the connection was queued.
@@ -249,11 +251,8 @@
 		func(v *entry) bool { return now.Sub(v.conn.lastReceived()) > staleAfter },
 	} {
 		for _, from := range []*list.List{t.fresh, t.idle} {
-			for e := from.Front(); e != nil; e = e.Next() {
-				if v := e.Value.(*entry); v != newest && may(v) && t.yieldLocked(v, EndedForRoom) {
-					t.stats.ClosedForRoom++
-					return
-				}
+			if t.yieldOneLocked(from, func(v *entry) bool { return v != newest && may(v) }) {
+				return
 			}
 		}
 	}
@@ -262,6 +261,31 @@
 	}
 }
 
+// yieldOneLocked has the first connection of a queue give way that may and on which nothing is unread. It reports whether no other has to: one that
+// its client has left does as well, and one of which the system does not tell may be such a one.
+func (t *Tracker) yieldOneLocked(from *list.List, may func(v *entry) bool) (done bool) {
+	unknown := false
+	for e := from.Front(); e != nil; e = e.Next() {
+		v := e.Value.(*entry)
+		if v.yielding || !may(v) {
+			continue
+		}
+		switch v.conn.unread() {
+		case peek.UnreadEnd:
+			t.startYieldingLocked(v)
+			return true
+		case peek.UnreadUnknown:
+			unknown = true
+		case peek.UnreadNothing:
+			if t.yieldLocked(v, EndedForRoom) {
+				t.stats.ClosedForRoom++
+				return true
+			}
+		}
+	}
+	return unknown
+}
+
 // yieldLocked closes a connection without a request whose place is needed. Its reader does so where it can: only the reader knows whether it has taken a
 // request from the kernel that is not recorded yet.
 func (t *Tracker) yieldLocked(v *entry, cause EndCause) bool {
@@ -272,12 +296,17 @@
 		return false
 	}
 	v.unqueueLocked()
-	v.yielding = true
-	t.yielding++
+	t.startYieldingLocked(v)
 	v.conn.end(cause)
 	return true
 }
 
+// startYieldingLocked counts a connection as on its way out.
+func (t *Tracker) startYieldingLocked(v *entry) {
+	v.yielding = true
+	t.yielding++
+}
+
 // yieldedLocked ends the count of a connection as yielding: it is closed, or has a request after all.
 func (t *Tracker) yieldedLocked(v *entry) {
 	if !v.yielding {
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -318,6 +318,29 @@
 	}
 }
 
+// Guards against an idle connection that is closed for room while clients that have left hold places, as their readers are late.
+func TestClientsThatHaveLeftGiveWayFirst(t *testing.T) {
+	for _, readerCloses := range []bool{false, true} {
+		d := newListener(t, 4)
+		d.readerCloses = readerCloses
+		kept := visitor(t, d, "")
+		conn := admit(t, d)
+		d.tracker.Busy(conn)
+		d.tracker.Idle(conn)
+		const crowd = 12
+		for range crowd {
+			visitor(t, d, "").Close()
+		}
+		for range crowd {
+			admit(t, d)
+		}
+		_, told := conn.(*Conn).lastError()
+		if ended := d.tracker.Stats().Ended; ended != (EndCounts{}) || told != 0 || closed(kept, time.Millisecond) {
+			t.Errorf("reader closes %t: %q, told to end for %v", readerCloses, ended, told)
+		}
+	}
+}
+
 // Guards against an answer that is not sent as the time to write it passes before the first byte is tried.
 func TestAnswersAreSentThoughTheirTimeHasPassed(t *testing.T) {
 	d := newListener(t, 10)
--- a/internal/sysio/peek/peek.go
+++ b/internal/sysio/peek/peek.go
@@ -20,19 +20,37 @@
 // ErrUnclear says that the system did not tell whether something has come, or whether the connection is open.
 var ErrUnclear = errors.New("the system call failed")
 
-// Silent reports whether it is certain that nothing has come on a connection that nobody reads, not even its end. What has come stays there.
-func Silent(c net.Conn) bool {
+// Unread is what has come on a connection and was not read.
+type Unread int
+
+// What may have come.
+const (
+	UnreadUnknown Unread = iota // the system does not tell
+	UnreadNothing
+	UnreadData
+	UnreadEnd // of the connection, or of the other side's sending, and nothing before that
+)
+
+// UnreadOf asks the kernel what is unread on a connection, and leaves it there.
+func UnreadOf(c net.Conn) Unread {
 	var b [1]byte
-	_, err := receive(c, b[:], unix.MSG_PEEK)
-	return errors.Is(err, ErrNothing)
+	n, err := receive(c, b[:], unix.MSG_PEEK)
+	switch {
+	case n > 0:
+		return UnreadData
+	case errors.Is(err, ErrNothing):
+		return UnreadNothing
+	case errors.Is(err, ErrUnclear):
+		return UnreadUnknown
+	}
+	return UnreadEnd
 }
 
+// Silent reports whether it is certain that nothing has come on a connection that nobody reads, not even its end. What has come stays there.
+func Silent(c net.Conn) bool { return UnreadOf(c) == UnreadNothing }
+
 // HasData reports whether it is certain that data has come on a connection that nobody has read.
-func HasData(c net.Conn) bool {
-	var b [1]byte
-	n, _ := receive(c, b[:], unix.MSG_PEEK)
-	return n > 0
-}
+func HasData(c net.Conn) bool { return UnreadOf(c) == UnreadData }
 
 // Take reads what has come on a connection. At its end it reads nothing, with another error than ErrNothing and ErrUnclear.
 func Take(c net.Conn, p []byte) (n int, err error) { return receive(c, p, 0) }
