A request is worded anew where the process was held up between wording and writing it

What servers saw: a deadline 0.28 s over what the client had left, where the process is held up for 0.14 s behind the wording of a request and again as it is written.

Cause: the deadline is worded first; then the client's connection is asked about (poll(2)) and the server's (recvfrom(2)), and only failures to write had it worded anew.

--- a/cmd/ternbeam/kernelwait_test.go
+++ b/cmd/ternbeam/kernelwait_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -90,3 +91,51 @@
 		t.Errorf("not served: %v\n%s", r.err, log)
 	}
 }
+
+// Guards against a deadline that was worded before the process was held up, and is held up again as its request is written.
+func TestHoldUpsBeforeAWriteCountForTheDeadline(t *testing.T) {
+	const mostPolls = 5 // on the way of a request
+	for poll := range mostPolls {
+		t.Run(fmt.Sprint("poll ", poll), func(t *testing.T) {
+			t.Parallel()
+			heldUpBeforeAWrite(t, poll)
+		})
+	}
+}
+
+// heldUpBeforeAWrite holds one poll(2) up, of those after a request is sent, and the writing of the request to its server.
+func heldUpBeforeAWrite(t *testing.T, poll int) {
+	const hold = longestStall - 10*time.Millisecond
+	world := newWorldRecord()
+	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), recordingServer(t, world))
+	var armed atomic.Bool
+	polls, held := 0, false
+	_, log := startUnderFaults(t, []sysfault.Call{sysfault.Poll, sysfault.Write}, func(e sysfault.Event) (o sysfault.Outcome) {
+		switch {
+		case !armed.Load():
+		case e.Call == sysfault.Poll:
+			if polls++; polls == poll+1 {
+				o.Hold = hold
+			}
+		case dialled(e.Local) && !held:
+			held = true
+			o.Hold = hold
+		}
+		return o
+	}, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+	eventuallyReady(t, listen)
+	c := patientClient{listen: listen, name: "client", class: "refund-pay", keep: true}
+	defer c.close()
+	armed.Store(true)
+	r := world.request("only", c.class)
+	r.begin = time.Now()
+	r.body, r.err = c.ask(r.path, r.id)
+	r.took = time.Since(r.begin)
+	problems, _, served := world.judge()
+	for _, problem := range problems {
+		t.Error(problem)
+	}
+	if served != 1 {
+		t.Errorf("not served: %v\n%s", r.err, log)
+	}
+}
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -27,6 +27,9 @@
 	// mostUnsent is how long a message may not be written before it is worded anew: its deadline may be 0.15 s too late.
 	mostUnsent = 50 * time.Millisecond
 
+	// mostUnsentWording is how old the wording of a message may be as its writing begins: the process may have been held up since.
+	mostUnsentWording = 5 * time.Millisecond
+
 	// reservedPart is the part of an attempt's time, inverted, that is left for another one by the end of an answer that goes on and on.
 	reservedPart = 4
 
@@ -76,7 +79,7 @@
 	}
 	talk := t.Begin(at)
 	end, _ := ctx.Deadline()
-	message := talk.Message(end)
+	message, worded := talk.Message(end), time.Now()
 	if message == nil { // it can't be said any more, which is as if it came too late
 		t.Pool.Release(c, true)
 		return Fail(at, life.Late)
@@ -102,11 +105,26 @@
 		t.Pool.Release(c, fit)
 		return core.Ended(at.Life.Result())
 	}
+	if rest == nil && time.Since(worded) > mostUnsentWording {
+		message = reworded(at, talk, message, end)
+	}
 	e, reuse := t.exchange(ctx, c, at, talk, message, rest, end)
 	t.Pool.Release(c, reuse)
 	return e
 }
 
+// reworded words a message anew that is about to be written, as its deadline has come nearer.
+func reworded(at *core.Attempt, talk Talk, message []byte, end time.Time) []byte {
+	again := talk.Message(end)
+	if again == nil {
+		return message
+	}
+	if len(again) != len(message) {
+		at.Heed(at.Life.Sized(len(again)))
+	}
+	return again
+}
+
 // Begin asks whether an attempt that has a connection may still be sent.
 func Begin(ctx context.Context, at *core.Attempt, size int) bool {
 	send, err := at.Life.Begin(size, life.Now{Withdrawn: errors.Is(context.Cause(ctx), core.ErrWithdrawn),
