In a crowd a new connection keeps its place for 0.3 s, and newcomers wait up to 0.2 s

What callers saw: the end of a connection right as they send the first request on it, in a crowd of idle clients, where they or the machine are 0.1 s late between connecting and sending.

Cause: where every place is taken the oldest connection that has said nothing was closed for each newcomer: 200 of them in 50 ms left a new connection 16 ms at 64 places.

Change: that one has 0.3 s to send; a newcomer that has sent nothing itself waits for it, 0.2 s in the kernel's queue and here together at the most, so that a crowd of any size holds nobody up for longer.

--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -20,6 +20,12 @@
 	mostYielding = 8
 	yieldWait    = 20 * time.Millisecond
 
+	// freshGrace is for how long a new connection has its place to send a request, where that does not have a newcomer wait for over
+	// mostQueued, in the kernel's queue and here.
+	freshGrace = 300 * time.Millisecond
+	mostQueued = 200 * time.Millisecond
+	roomLook   = 5 * time.Millisecond // how often it is looked whether a newcomer that waits has sent a request
+
 	// keptPart is the part of the places, inverted, that idle connections may hold for as long as their clients keep them. Beyond that, ones that
 	// have been idle for idleAfter give way: a request may be on its way on each that is closed.
 	keptPart  = 4
@@ -113,6 +119,7 @@
 // enter takes a connection that was accepted.
 func (t *Tracker) enter(v *entry) {
 	t.awaitYielding()
+	t.awaitFreshGrace(v.conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all[v.conn] = v
@@ -143,6 +150,33 @@
 	}
 }
 
+// awaitFreshGrace has a newcomer wait, where every place is taken, until the connection that would give way to it has had its time to send a
+// request, unless the newcomer has sent one itself or has waited for long.
+func (t *Tracker) awaitFreshGrace(newcomer *Conn) {
+	for wait := t.freshGraceLeft(); wait > 0; wait = t.freshGraceLeft() {
+		mostWait := mostQueued - newcomer.SinceLastData()
+		if mostWait <= 0 || newcomer.unread() != peek.UnreadNothing {
+			return
+		}
+		time.Sleep(min(wait, mostWait, roomLook))
+	}
+}
+
+// freshGraceLeft is for how long the connection that would give way first has its place yet; 0 where there is room, or none that said nothing.
+func (t *Tracker) freshGraceLeft() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.all) < t.most+t.yielding {
+		return 0
+	}
+	for e := t.fresh.Front(); e != nil; e = e.Next() {
+		if v := e.Value.(*entry); !v.yielding && !v.begun() {
+			return freshGrace - t.now().Sub(v.opened)
+		}
+	}
+	return 0
+}
+
 func (t *Tracker) yieldingCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -379,3 +379,32 @@
 		t.Errorf("%q, want %q", ended, want)
 	}
 }
+
+// A newcomer waits for the place of one that has just come only while it has sent nothing itself, and not for long.
+func TestNewcomersWaitForThoseThatHaveJustCome(t *testing.T) {
+	const slack = 100 * time.Millisecond // of a busy machine, below mostQueued
+	d := newListener(t, 2)
+	for range 2 {
+		visitor(t, d, "")
+		admit(t, d)
+	}
+	begin := time.Now()
+	visitor(t, d, "GET /")
+	admit(t, d)
+	if took := time.Since(begin); took > slack {
+		t.Errorf("a newcomer with a request waited for %v", took)
+	}
+	begin = time.Now()
+	visitor(t, d, "")
+	admit(t, d)
+	if took := time.Since(begin); took < mostQueued/2 || took > mostQueued+slack {
+		t.Errorf("a silent newcomer waited for %v", took)
+	}
+	time.Sleep(freshGrace)
+	begin = time.Now()
+	visitor(t, d, "")
+	admit(t, d)
+	if took := time.Since(begin); took > slack {
+		t.Errorf("a newcomer waited for %v before connections that have had their time", took)
+	}
+}
