--- a/cmd/ternbeam/randomfaults_test.go
+++ b/cmd/ternbeam/randomfaults_test.go
@@ -472,7 +472,7 @@
 		}
 		r.begin, r.took = c.sent, time.Since(c.sent)
 		told, _ := p.closing()
-		r.mayBeUnread = kept && told || !kept && p.crowd || told && isRefused(r.err)
+		r.mayBeUnread = told && (kept || p.crowd || isRefused(r.err))
 		if number > 0 && requests[number-1].answered() { // or else it came behind an answer that said that the connection ends
 			r.mayBeUnread = c.pause > 0 && told
 		}
