A next request that begins with the last one and stops is ended in 2 s again

What callers saw: nothing on what landed; since a client that sends one to three bytes behind a request, and stops, kept its connection for 10 minutes, as net/http waits for four bytes for as long as a connection may be idle, and had read these before.

Change: where the next request has begun in what was read with the last one, the time for an idle connection is that for a head.

--- a/cmd/ternbeam/keptconnection_test.go
+++ b/cmd/ternbeam/keptconnection_test.go
@@ -79,21 +79,35 @@
 	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
 	startReady(t, config, listen, false)
 	for _, size := range []int{1, 3, 4, 60} {
-		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
-			t.Parallel()
-			c := patientClient{listen: listen, name: "client", class: "form-check", keep: true}
-			defer c.close()
-			if _, err := c.ask("/form-check/first", fmt.Sprint("first-", size)); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(100 * time.Millisecond)
-			if _, err := c.conn.Write(c.text("/form-check/second", fmt.Sprint("second-", size))[:size]); err != nil {
-				t.Fatal(err)
-			}
-			c.conn.SetReadDeadline(time.Now().Add(owedWithin))
-			if _, err := c.conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
-				t.Errorf("neither an error nor an end in %v", owedWithin)
-			}
-		})
+		for _, together := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes, with the first request %t", size, together), func(t *testing.T) {
+				t.Parallel()
+				c := patientClient{listen: listen, name: "client", class: "form-check", keep: true}
+				defer c.close()
+				id := fmt.Sprintf("%d-%t", size, together)
+				begun := c.text("/form-check/second", "second-"+id)[:size]
+				first := c.text("/form-check/first", "first-"+id)
+				if together {
+					first = append(first, begun...)
+				}
+				in, err := c.send(first)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := c.receive(in, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				if !together {
+					time.Sleep(100 * time.Millisecond)
+					if err := c.write(begun); err != nil {
+						t.Fatal(err)
+					}
+				}
+				c.conn.SetReadDeadline(time.Now().Add(owedWithin))
+				if _, err := c.conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("neither an error nor an end in %v", owedWithin)
+				}
+			})
+		}
 	}
 }
--- a/internal/http/httpfront/tape.go
+++ b/internal/http/httpfront/tape.go
@@ -55,6 +55,22 @@
 	return n, err
 }
 
+// SetReadDeadline is net.Conn's. Where the next request has begun in what was read with the last one, net/http's time for an idle connection is
+// no longer than that for a head.
+func (t *tape) SetReadDeadline(by time.Time) error {
+	if limit := time.Now().Add(t.headWithin); t.nextBegun() && by.After(limit) {
+		by = limit
+	}
+	return t.Conn.SetReadDeadline(by)
+}
+
+// nextBegun reports whether a request has begun behind the last one, which is over.
+func (t *tape) nextBegun() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.idle && t.end != unknownEnd && t.received > t.end
+}
+
 // keep keeps what was read, but for the body of the current request where its end is known. It reports whether a request has begun on an idle
 // connection.
 func (t *tape) keep(got []byte) (begun bool) {
