--- a/cmd/ternbeam/kernelwait_test.go
+++ b/cmd/ternbeam/kernelwait_test.go
@@ -79,17 +79,7 @@
 	eventuallyReady(t, listen)
 	c := patientClient{listen: listen, name: "client", class: "refund-pay"}
 	defer c.close()
-	r := world.request("only", c.class)
-	r.begin = time.Now()
-	r.body, r.err = c.ask(r.path, r.id)
-	r.took = time.Since(r.begin)
-	problems, _, served := world.judge()
-	for _, problem := range problems {
-		t.Error(problem)
-	}
-	if served != 1 {
-		t.Errorf("not served: %v\n%s", r.err, log)
-	}
+	c.askOnly(t, world, log)
 }
 
 // Guards against a deadline that was worded before the process was held up, and is held up again as its request is written.
@@ -127,6 +117,12 @@
 	c := patientClient{listen: listen, name: "client", class: "refund-pay", keep: true}
 	defer c.close()
 	armed.Store(true)
+	c.askOnly(t, world, log)
+}
+
+// askOnly sends the only request of a world, which has to be served and to keep all rules.
+func (c *patientClient) askOnly(t *testing.T, world *worldRecord, log *testkit.Log) {
+	t.Helper()
 	r := world.request("only", c.class)
 	r.begin = time.Now()
 	r.body, r.err = c.ask(r.path, r.id)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -224,19 +224,15 @@
 func (a *Agent) listen(how net.ListenConfig, addr string) (l net.Listener, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), listenWithin)
 	defer cancel()
-	failures := 0
 	err = transient.Until(ctx, func() error {
 		if l, err = how.Listen(ctx, "tcp", addr); err == nil && l.Addr() == nil { // getsockname(2) has failed
 			l.Close()
 			err = errNoLocalAddress
 		}
 		return err
-	}, func(err error) bool {
-		if failures++; failures == 1 {
-			a.log.Warn("listening failed", "address", addr, "error", err)
-		}
-		return errors.Is(err, errNoLocalAddress) || listeningFailed(err)
-	})
+	}, transient.TellingFirst(func(err error) {
+		a.log.Warn("listening failed", "address", addr, "error", err)
+	}, func(err error) bool { return errors.Is(err, errNoLocalAddress) || listeningFailed(err) }))
 	return l, err
 }
 
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -44,12 +44,9 @@
 			return nil // a later reload is under way, or the agent ends
 		}
 		return read()
-	}, func(err error) bool {
-		if failures++; failures == 1 {
-			a.log.Warn("reading the configuration failed, trying again", "error", err)
-		}
-		return true
-	})
+	}, transient.TellingFirst(func(err error) {
+		a.log.Warn("reading the configuration failed, trying again", "error", err)
+	}, func(error) bool { failures++; return true }))
 	if err != nil && ctx.Err() != context.Canceled {
 		a.log.Error(failed, "error", err, "failures", failures)
 	}
--- a/internal/agent/succession.go
+++ b/internal/agent/succession.go
@@ -152,16 +152,12 @@
 
 // offer lets the next process claim, as soon as the shared folder allows. It returns nil where ctx ends before.
 func (a *Agent) offer(ctx context.Context) (offer *successor.Offer) {
-	failures := 0
 	transient.Until(ctx, func() (err error) {
 		offer, err = successor.NewOffer(a.line.path, a.cfg.Name, a.log)
 		return err
-	}, func(err error) bool {
-		if failures++; failures == 1 {
-			a.log.Warn("until this succeeds a replacement begins from nothing, trying again", "error", err)
-		}
-		return true
-	})
+	}, transient.TellingFirst(func(err error) {
+		a.log.Warn("until this succeeds a replacement begins from nothing, trying again", "error", err)
+	}, transient.Always))
 	return offer
 }
 
--- a/internal/sysio/transient/transient.go
+++ b/internal/sysio/transient/transient.go
@@ -30,6 +30,21 @@
 	}
 }
 
+// Always is a retry function for Until that goes on through every error.
+func Always(error) bool { return true }
+
+// TellingFirst returns a retry function for Until that decides as another does, and tells of the first failure.
+func TellingFirst(tell func(error), retry func(error) bool) func(error) bool {
+	told := false
+	return func(err error) bool {
+		if !told {
+			told = true
+			tell(err)
+		}
+		return retry(err)
+	}
+}
+
 // Uninterrupted makes a system call, again for as long as a signal comes between.
 func Uninterrupted(call func() error) error {
 	for {
--- a/internal/sysio/transient/transient_test.go
+++ b/internal/sysio/transient/transient_test.go
@@ -35,3 +35,12 @@
 		t.Error(err)
 	}
 }
+
+func TestTellingFirst(t *testing.T) {
+	var told []error
+	retry := TellingFirst(func(err error) { told = append(told, err) }, isENFILE)
+	first, second := failure(syscall.ENFILE), failure(syscall.EMFILE)
+	if !retry(first) || retry(second) || len(told) != 1 || told[0] != first {
+		t.Errorf("told %v", told)
+	}
+}
