The walk of routes knows that a server's word against a shape counts once while it holds

Traced: the oracle took 1 s for how long a server's word is remembered, where the module doubles that from the second word on; a word that came in the second half of 2 s counted anew in the oracle, and as one of calls that were on their way in the module, as its comment says.

Change: the oracle has the exact times (doubled up to the most, kept while a server's entry stays the same, forgotten where it is known again). It asks for no less: before it was 1 s at the least, now it is the whole wait.

--- a/internal/decide/routes/routes_test.go
+++ b/internal/decide/routes/routes_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -32,7 +33,7 @@
 }
 
 func routes(t interface{ Fatal(...any) }, tab *Table) *Routes {
-	r, err := New(Settings{Forget: time.Second, MostForget: 4 * time.Second}, tab)
+	r, err := New(Settings{Forget: firstForget, MostForget: mostForget}, tab)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -215,6 +216,24 @@
 	}
 }
 
+// denial is until when a server that has said not to know a version is not sent it, and for how long where it says so again after that.
+type denial struct{ until, wait time.Duration }
+
+// again is the denial after the server has said so once more. While it holds that is of calls that were on their way.
+func (d denial) again(now time.Duration) denial {
+	if d.until > now {
+		return d
+	}
+	wait := max(d.wait, firstForget)
+	return denial{now + wait, min(2*wait, mostForget)}
+}
+
+// How long shapes that a server does not know are remembered in these tests, at first and at the most.
+const (
+	firstForget = time.Second
+	mostForget  = 4 * time.Second
+)
+
 // Whatever happens, the module is told what the ways are: a server has the bit of a shape if and only if there is a way to
 // it, it is told of each change, and no way goes to what a server has said not to know, unless that is forgotten.
 func TestWalk(t *testing.T) {
@@ -223,8 +242,12 @@
 		r := routes(t, tab)
 		told := map[string]choice.Server{}
 		type word struct{ id, version string }
-		unknown := map[word]time.Duration{}
+		unknown := map[word]denial{}
 		speaks := map[string]choice.Protocols{}
+		listed := map[string][]string{}
+		forgetServer := func(id string) {
+			maps.DeleteFunc(unknown, func(w word, _ denial) bool { return w.id == id })
+		}
 		now := time.Duration(0)
 		tell := func(changed []choice.Server) {
 			for _, s := range changed {
@@ -238,34 +261,30 @@
 			case 0:
 				s := choice.Server{ID: id, Speaks: rapid.SampledFrom([]choice.Protocols{http, thrift, compact}).Draw(t, "speaks"), Started: now}
 				takes := rapid.SliceOfNDistinct(rapid.SampledFrom(versions), 0, 3, rapid.ID).Draw(t, "versions")
-				told[id], speaks[id] = r.Listed(s, takes), s.Speaks
-				for w := range unknown {
-					if w.id == id {
-						delete(unknown, w)
-					}
+				if before, known := told[id]; !known || before.Started != now || speaks[id] != s.Speaks || !slices.Equal(listed[id], takes) {
+					forgetServer(id)
 				}
+				told[id], speaks[id], listed[id] = r.Listed(s, takes), s.Speaks, takes
 			case 1:
 				r.Gone(id)
 				delete(told, id)
+				forgetServer(id)
 			case 2:
 				s, known := r.servers[id]
 				version := rapid.SampledFrom(versions).Draw(t, "version")
 				if known {
-					if _, said := unknown[word{id, version}]; !said {
-						unknown[word{id, version}] = now + time.Second // at the least
-					}
+					unknown[word{id, version}] = unknown[word{id, version}].again(now)
 					tell(r.Unknown(now, id, s.listed.Started, version))
 				}
 			case 3:
 				now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
 				tell(r.Expire(now))
-				for w, until := range unknown {
-					if until <= now {
-						delete(unknown, w)
-					}
-				}
 			case 4:
-				r.Knew(id, rapid.SampledFrom(versions).Draw(t, "version"))
+				version := rapid.SampledFrom(versions).Draw(t, "version")
+				r.Knew(id, version)
+				if unknown[word{id, version}].until <= now {
+					delete(unknown, word{id, version})
+				}
 			}
 			for i := range tab.shapes {
 				for _, spoken := range protocols(tab.shapes[i].Speaks) {
@@ -282,7 +301,7 @@
 						if way.Protocol&speaks[id] == 0 || way.Protocol&(way.Protocol-1) != 0 {
 							t.Fatalf("%s to %s over %b, which it does not speak", tab.shapes[i].Name, id, way.Protocol)
 						}
-						if until, said := unknown[word{id, way.To.Version}]; said && until > now {
+						if unknown[word{id, way.To.Version}].until > now {
 							t.Fatalf("%s goes to %s as %s, which it does not know", tab.shapes[i].Name, id, way.To.Name)
 						}
 					}
