--- a/internal/decide/routes/routes_test.go
+++ b/internal/decide/routes/routes_test.go
@@ -237,78 +237,84 @@
 // Whatever happens, the module is told what the ways are: a server has the bit of a shape if and only if there is a way to
 // it, it is told of each change, and no way goes to what a server has said not to know, unless that is forgotten.
 func TestWalk(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		tab := table(t)
-		r := routes(t, tab)
-		told := map[string]choice.Server{}
-		type word struct{ id, version string }
-		unknown := map[word]denial{}
-		speaks := map[string]choice.Protocols{}
-		listed := map[string][]string{}
-		forgetServer := func(id string) {
-			maps.DeleteFunc(unknown, func(w word, _ denial) bool { return w.id == id })
-		}
-		now := time.Duration(0)
-		tell := func(changed []choice.Server) {
-			for _, s := range changed {
-				told[s.ID] = s
-			}
+	const rounds = 40 // few walks come to the end of a wait that has been doubled
+	for range rounds {
+		rapid.Check(t, walk)
+	}
+}
+
+// walk is one walk of TestWalk.
+func walk(t *rapid.T) {
+	tab := table(t)
+	r := routes(t, tab)
+	told := map[string]choice.Server{}
+	type word struct{ id, version string }
+	unknown := map[word]denial{}
+	speaks := map[string]choice.Protocols{}
+	listed := map[string][]string{}
+	forgetServer := func(id string) {
+		maps.DeleteFunc(unknown, func(w word, _ denial) bool { return w.id == id })
+	}
+	now := time.Duration(0)
+	tell := func(changed []choice.Server) {
+		for _, s := range changed {
+			told[s.ID] = s
 		}
-		ids, versions := []string{"s", "t"}, []string{"a/1", "a/2", "b/1", "z/9"}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			id := rapid.SampledFrom(ids).Draw(t, "server")
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
-			case 0:
-				s := choice.Server{ID: id, Speaks: rapid.SampledFrom([]choice.Protocols{http, thrift, compact}).Draw(t, "speaks"), Started: now}
-				takes := rapid.SliceOfNDistinct(rapid.SampledFrom(versions), 0, 3, rapid.ID).Draw(t, "versions")
-				if before, known := told[id]; !known || before.Started != now || speaks[id] != s.Speaks || !slices.Equal(listed[id], takes) {
-					forgetServer(id)
-				}
-				told[id], speaks[id], listed[id] = r.Listed(s, takes), s.Speaks, takes
-			case 1:
-				r.Gone(id)
-				delete(told, id)
+	}
+	ids, versions := []string{"s", "t"}, []string{"a/1", "a/2", "b/1", "z/9"}
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		id := rapid.SampledFrom(ids).Draw(t, "server")
+		switch rapid.IntRange(0, 4).Draw(t, "step") {
+		case 0:
+			s := choice.Server{ID: id, Speaks: rapid.SampledFrom([]choice.Protocols{http, thrift, compact}).Draw(t, "speaks"), Started: now}
+			takes := rapid.SliceOfNDistinct(rapid.SampledFrom(versions), 0, 3, rapid.ID).Draw(t, "versions")
+			if before, known := told[id]; !known || before.Started != now || speaks[id] != s.Speaks || !slices.Equal(listed[id], takes) {
 				forgetServer(id)
-			case 2:
-				s, known := r.servers[id]
-				version := rapid.SampledFrom(versions).Draw(t, "version")
-				if known {
-					unknown[word{id, version}] = unknown[word{id, version}].again(now)
-					tell(r.Unknown(now, id, s.listed.Started, version))
-				}
-			case 3:
-				now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
-				tell(r.Expire(now))
-			case 4:
-				version := rapid.SampledFrom(versions).Draw(t, "version")
-				r.Knew(id, version)
-				if unknown[word{id, version}].until <= now {
-					delete(unknown, word{id, version})
-				}
 			}
-			for i := range tab.shapes {
-				for _, spoken := range protocols(tab.shapes[i].Speaks) {
-					tag := Tag{tab, i, spoken}
-					for _, id := range ids {
-						way, ok := r.Way(tag, id)
-						s, known := told[id]
-						if bit := known && r.Needs(tag, false)&^s.Speaks == 0; bit != ok {
-							t.Fatalf("%s to %s: the module is told %t, there is a way: %t", tab.shapes[i].Name, id, bit, ok)
-						}
-						if !ok {
-							continue
-						}
-						if way.Protocol&speaks[id] == 0 || way.Protocol&(way.Protocol-1) != 0 {
-							t.Fatalf("%s to %s over %b, which it does not speak", tab.shapes[i].Name, id, way.Protocol)
-						}
-						if unknown[word{id, way.To.Version}].until > now {
-							t.Fatalf("%s goes to %s as %s, which it does not know", tab.shapes[i].Name, id, way.To.Name)
-						}
+			told[id], speaks[id], listed[id] = r.Listed(s, takes), s.Speaks, takes
+		case 1:
+			r.Gone(id)
+			delete(told, id)
+			forgetServer(id)
+		case 2:
+			s, known := r.servers[id]
+			version := rapid.SampledFrom(versions).Draw(t, "version")
+			if known {
+				unknown[word{id, version}] = unknown[word{id, version}].again(now)
+				tell(r.Unknown(now, id, s.listed.Started, version))
+			}
+		case 3:
+			now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+			tell(r.Expire(now))
+		case 4:
+			version := rapid.SampledFrom(versions).Draw(t, "version")
+			r.Knew(id, version)
+			if unknown[word{id, version}].until <= now {
+				delete(unknown, word{id, version})
+			}
+		}
+		for i := range tab.shapes {
+			for _, spoken := range protocols(tab.shapes[i].Speaks) {
+				tag := Tag{tab, i, spoken}
+				for _, id := range ids {
+					way, ok := r.Way(tag, id)
+					s, known := told[id]
+					if bit := known && r.Needs(tag, false)&^s.Speaks == 0; bit != ok {
+						t.Fatalf("%s to %s: the module is told %t, there is a way: %t", tab.shapes[i].Name, id, bit, ok)
+					}
+					if !ok {
+						continue
+					}
+					if way.Protocol&speaks[id] == 0 || way.Protocol&(way.Protocol-1) != 0 {
+						t.Fatalf("%s to %s over %b, which it does not speak", tab.shapes[i].Name, id, way.Protocol)
+					}
+					if unknown[word{id, way.To.Version}].until > now {
+						t.Fatalf("%s goes to %s as %s, which it does not know", tab.shapes[i].Name, id, way.To.Name)
 					}
 				}
 			}
 		}
-	})
+	}
 }
 
 // BenchmarkWay is what a call asks of the routes.
