The connection tracker no longer waits, under its lock, for the reader of what it closes

What callers saw: an agent with a Thrift listener stopped for good. No request of any client, HTTP ones too, was answered any more, none was accepted, and the log fell silent.

Cause: closeUnread held Conn.mu over close. Closing a descriptor in Go waits for whoever makes a call on it. A Thrift reader that had just begun (RawRead) waited for Conn.mu in ReadNow, and the tracker's lock was held all the while.

Change: under the locks a connection is only marked, so that nothing more is read of it; Tracker.unlock closes it when they are released. Why it works: the reader needs neither lock any more to let go of the descriptor.

--- a/connectionends_test.go
+++ b/connectionends_test.go
@@ -28,7 +28,7 @@
 		return f.Name == "panic"
 	case *ast.SelectorExpr:
 		switch f.Sel.Name {
-		case "Close", "CloseWrite", "CloseRead", "SetLinger", "end", "yieldLocked", "closeLocked", "closeUnread":
+		case "Close", "CloseWrite", "CloseRead", "SetLinger", "end", "yieldLocked", "closeLocked", "stopReading":
 			return true
 		case "Set":
 			return len(call.Args) == 2 && isText(call.Args[0], "Connection")
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -31,6 +31,7 @@
 	ahead   []byte // read by Probe, and by nobody else yet
 	over    bool   // more came than is kept, so that what follows is of no use
 	ending  bool   // who reads is to end it, unless something has come
+	stopped bool   // it is being closed, and nothing more is read
 	readBy  time.Time
 	failure error    // of the last Read that brought nothing
 	told    EndCause // why its reader was told last to end it; 0 where it was not
@@ -244,14 +245,15 @@
 	return peek.UnreadOf(c.TCPConn)
 }
 
-// closeUnread closes the connection if no more than some number of bytes was ever received. It reports whether it did.
-func (c *Conn) closeUnread(received int64) bool {
+// stopReading ends the reading of the connection, which is to be closed, if no more than some number of bytes was ever received. It reports
+// whether it did.
+func (c *Conn) stopReading(received int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.receivedBytes.Load() > received || !c.quietLocked() {
 		return false
 	}
-	c.TCPConn.Close()
+	c.stopped = true
 	return true
 }
 
@@ -260,6 +262,9 @@
 func (c *Conn) ReadNow(fd uintptr, p []byte) (n int, done bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.stopped {
+		return 0, true, net.ErrClosed
+	}
 	reads := c.stream.Reads()
 	reads.Begin()
 	err = transient.Uninterrupted(func() (failed error) {
--- a/internal/host/conntrack/listener.go
+++ b/internal/host/conntrack/listener.go
@@ -130,14 +130,14 @@
 // CloseSilent closes the listener's connections on which nothing was received yet.
 func (l *Listener) CloseSilent() {
 	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
+	defer l.tracker.unlock()
 	l.closeUnbegunLocked(l.tracker.fresh, &l.tracker.stats.EndedSilent)
 }
 
 // CloseUnfinished closes the listener's connections that have no whole request, also those that have received a part of one.
 func (l *Listener) CloseUnfinished() {
 	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
+	defer l.tracker.unlock()
 	for _, from := range []*list.List{l.tracker.fresh, l.tracker.idle} {
 		l.eachLocked(from, func(v *entry) {
 			l.tracker.stats.EndedBegun++
@@ -150,7 +150,7 @@
 // request stays.
 func (l *Listener) CloseIdle() {
 	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
+	defer l.tracker.unlock()
 	l.shut = true
 	l.closeUnbegunLocked(l.tracker.idle, &l.tracker.stats.EndedIdle)
 }
--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -67,6 +67,18 @@
 
 	yielding int           // connections that are on their way out
 	yielded  chan struct{} // told when one of them is gone, or has a request after all
+	closing  []*Conn       // forgotten, to be closed by unlock
+}
+
+// unlock releases the lock and closes the connections that were forgotten under it. Closing waits for whoever makes a system call on the
+// connection, which may take as long as a thread is suspended.
+func (t *Tracker) unlock() {
+	closing := t.closing
+	t.closing = nil
+	t.mu.Unlock()
+	for _, conn := range closing {
+		conn.TCPConn.Close()
+	}
 }
 
 // Stats counts connections since the start, by what became of them.
@@ -89,7 +101,7 @@
 // Stats returns the counts so far.
 func (t *Tracker) Stats() Stats {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	stats := t.stats
 	stats.ClosedUnfinished, stats.ClosedUnread, stats.CallsFailed = int(t.unfinished.Load()), int(t.unread.Load()), int(t.failures.Load())
 	return stats
@@ -121,7 +133,7 @@
 	t.awaitYielding()
 	t.awaitFreshGrace(v.conn)
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	t.all[v.conn] = v
 	v.opened = t.now()
 	t.stats.Accepted++
@@ -165,7 +177,7 @@
 // freshGraceLeft is for how long the connection that would give way first has its place yet; 0 where there is room, or none that said nothing.
 func (t *Tracker) freshGraceLeft() time.Duration {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	if len(t.all) < t.most+t.yielding {
 		return 0
 	}
@@ -179,7 +191,7 @@
 
 func (t *Tracker) yieldingCount() int {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	return t.yielding
 }
 
@@ -192,7 +204,7 @@
 // not be acted on then.
 func (t *Tracker) Busy(c net.Conn) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	v := t.all[c]
 	if v == nil {
 		t.stats.Dropped++
@@ -214,7 +226,7 @@
 // Idle records that a connection has no request any more.
 func (t *Tracker) Idle(c net.Conn) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	v := t.all[c]
 	if v == nil || v.in != nil {
 		return
@@ -249,7 +261,7 @@
 // Waits reports whether a connection has no request.
 func (t *Tracker) Waits(c net.Conn) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	v := t.all[c]
 	return v != nil && v.in != nil
 }
@@ -257,7 +269,7 @@
 // Closed records that a connection was closed.
 func (t *Tracker) Closed(c net.Conn) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	v := t.all[c]
 	if v == nil {
 		return
@@ -354,11 +366,12 @@
 	}
 }
 
-// closeLocked closes a connection unless something has come on it. Nobody may be reading it, but by ReadNow.
+// closeLocked has unlock close a connection unless something has come on it. Nobody may be reading it, but by ReadNow.
 func (t *Tracker) closeLocked(v *entry, cause EndCause) bool {
-	if !v.conn.closeUnread(v.read) {
+	if !v.conn.stopReading(v.read) {
 		return false
 	}
+	t.closing = append(t.closing, v.conn)
 	t.recordEndLocked(v, cause)
 	t.forgetLocked(v)
 	return true
@@ -376,13 +389,13 @@
 // NearlyFull reports whether connections that have sent something hold five eighths of the places.
 func (t *Tracker) NearlyFull() bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	return len(t.all)-t.fresh.Len() >= t.most*5/8
 }
 
 // Count returns the number of connections.
 func (t *Tracker) Count() int {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	return len(t.all)
 }
