At SIGTERM idle connections stay open for 0.4 s, by when clients have heard of the end

What callers saw: a request that was sent as the agent was told to end, on a kept connection, ended 0.13 s later by a reset or an end with no byte of an answer.

Cause: without a second address every idle connection was closed at SIGTERM, at once. Clients hear of the end up to 0.4 s later, and where the machine is late by 0.15 s the request is on its way before its client can see the close. It is the class of the incident: a connection closed though nobody needs its place, while its client may use it.

Evidence: TestKeptConnectionsAreNotClosedAsTheEndBegins, a close held up by 0.15 s: reset 0.130 s after the request. A client that sends behind the close gets an end of the stream, not a reset, which looks as if its request had been read.

Change: idle connections stay open for 0.4 s for all, as they did for 0.5 s with a second address; a request on one is answered, with Connection: close. New ones are accepted for 0.5 s as before, which leaves a crossing request 0.1 s to come anew. The plan has one parameter less. A client that asks only after the 0.4 s can still cross the close.

Result: the test passes (4 cases; 2 fail before); the tests of ends, kept connections and signals of cmd/ternbeam, agent, httpfront and thrift pass.

--- a/cmd/ternbeam/keptconnection_test.go
+++ b/cmd/ternbeam/keptconnection_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -111,3 +112,36 @@
 		}
 	}
 }
+
+// Guards against a connection that is closed, as the process is told to end, over a request of a client that has not heard of that yet.
+func TestKeptConnectionsAreNotClosedAsTheEndBegins(t *testing.T) {
+	const heardWithin = 400 * time.Millisecond // by the platform's page
+	for _, asks := range []time.Duration{20 * time.Millisecond, heardWithin - longestStall} {
+		for _, second := range []bool{false, true} {
+			t.Run(fmt.Sprintf("a request after %v, second address %t", asks, second), func(t *testing.T) {
+				t.Parallel()
+				config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
+				env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
+				if second {
+					env = append(env, "NODE_OPS="+free(t), "TMPDIR="+shortTempDir(t))
+				}
+				hold := &heldClose{listen: listen, held: make(chan struct{})}
+				p, log := startUnderFaults(t, []sysfault.Call{sysfault.Close}, hold.decide, env...)
+				eventuallyReady(t, listen)
+				c := patientClient{listen: listen, name: "client", class: "form-check", keep: true}
+				defer c.close()
+				if _, err := c.ask("/form-check/first", "first"); err != nil {
+					t.Fatal(err)
+				}
+				hold.arm()
+				if err := p.Signal(syscall.SIGTERM); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(asks)
+				if body, err := c.ask("/form-check/second", "second"); err != nil || body != "checked /form-check/second" {
+					t.Errorf("%q, %v\n%s", body, err, log)
+				}
+			})
+		}
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -301,10 +301,10 @@
 		case <-ctx.Done():
 		}
 	}
-	begin, now := time.Now(), shutdown.Situation{Replaceable: a.cfg.Ops != "", Replaced: a.replaced()}
-	plan := shutdown.Plan(a.cfg.LongestDeadline(), now)
+	begin, replaced := time.Now(), a.replaced()
+	plan := shutdown.Plan(a.cfg.LongestDeadline(), replaced)
 	a.core.End(begin, begin.Add(plan.AnswerBy))
-	a.log.Info("ending", "replaced", now.Replaced, "answers_in", plan.AnswerBy, "closes_in", plan.CloseBy,
+	a.log.Info("ending", "replaced", replaced, "answers_in", plan.AnswerBy, "closes_in", plan.CloseBy,
 		"killed_after", shutdown.KillAfter(a.cfg.LongestDeadline()))
 	stopped := make(chan struct{}, len(fronts))
 	for _, f := range fronts {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -574,7 +574,7 @@
 	r.end()
 	go ask("after")
 	<-arrived
-	time.Sleep(shutdown.Plan(r.cfg.LongestDeadline(), shutdown.Situation{}).Accept + 100*time.Millisecond) // both are to outlast the time of accepting
+	time.Sleep(shutdown.Plan(r.cfg.LongestDeadline(), false).Accept + 100*time.Millisecond) // both are to outlast the time of accepting
 	close(release)
 	for range 2 {
 		if resp := <-answers; resp.StatusCode != 200 || !resp.Close {
--- a/internal/agent/parity_test.go
+++ b/internal/agent/parity_test.go
@@ -195,7 +195,7 @@
 			if got := make(chan standin.Answer, 1); true {
 				go func() { got <- w.kiosk.Ask(ask(standin.Pay, "after")) }()
 				testkit.Eventually(t, "one more is under way", func() bool { return w.deliveries("after") == 1 })
-				time.Sleep(shutdown.Plan(w.cfg.LongestDeadline(), shutdown.Situation{}).Accept + 50*time.Millisecond) // all are to outlast the time of accepting
+				time.Sleep(shutdown.Plan(w.cfg.LongestDeadline(), false).Accept + 50*time.Millisecond) // all are to outlast the time of accepting
 				close(release)
 				if ans := <-got; ans.Kind != standin.Served {
 					t.Errorf("one that came while the agent ends was %s: %v", ans.Kind, ans.Err)
--- a/internal/decide/shutdown/shutdown.go
+++ b/internal/decide/shutdown/shutdown.go
@@ -19,17 +19,12 @@
 	writeTime = 50 * time.Millisecond
 	// closeTime is what is left before the kill when the last connections are closed.
 	closeTime = 100 * time.Millisecond
-	// lingering is how long new connections are accepted, and idle ones left open where another process takes over: clients
-	// hear of the end up to 0.4 s late.
-	lingering = 500 * time.Millisecond
+	// idleFor is how long idle connections are left open: clients hear of the end so late. New ones are accepted for longer, also for clients
+	// whose request has crossed the end of an idle connection.
+	idleFor   = 400 * time.Millisecond
+	acceptFor = 500 * time.Millisecond
 )
 
-// Situation is what the plan depends on beside the settings.
-type Situation struct {
-	Replaceable bool // another process may take this one's place: idle connections stay open for a while
-	Replaced    bool // one has, and accepts at the same socket
-}
-
 // Schedule says when each stage of the end is over. Times count from SIGTERM.
 type Schedule struct {
 	Accept   time.Duration // new connections are accepted for so long
@@ -43,15 +38,12 @@
 	return min(longestDeadline, LongestDeadline) + KillMargin
 }
 
-// Plan makes the schedule for settings with a longest deadline.
-func Plan(longestDeadline time.Duration, now Situation) Schedule {
+// Plan makes the schedule for settings with a longest deadline. Where the process is replaced, another accepts at the same socket.
+func Plan(longestDeadline time.Duration, replaced bool) Schedule {
 	kill := KillAfter(longestDeadline)
-	plan := Schedule{Accept: lingering, AnswerBy: kill - 2*Stall - writeTime, CloseBy: kill - closeTime}
-	if now.Replaceable {
-		plan.Idle = lingering
-	}
-	if now.Replaced {
-		plan.Accept = 0
+	plan := Schedule{Idle: idleFor, AnswerBy: kill - 2*Stall - writeTime, CloseBy: kill - closeTime}
+	if !replaced {
+		plan.Accept = acceptFor
 	}
 	return plan
 }
--- a/internal/decide/shutdown/shutdown_test.go
+++ b/internal/decide/shutdown/shutdown_test.go
@@ -25,8 +25,8 @@
 func TestPlanHoldsBeforeTheKill(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		deadline := time.Duration(rapid.Int64Range(int64(10*time.Millisecond), int64(time.Hour)).Draw(t, "deadline"))
-		now := Situation{Replaceable: rapid.Bool().Draw(t, "replaceable"), Replaced: rapid.Bool().Draw(t, "replaced")}
-		plan, kill := Plan(deadline, now), KillAfter(deadline)
+		replaced := rapid.Bool().Draw(t, "replaced")
+		plan, kill := Plan(deadline, replaced), KillAfter(deadline)
 		if last := Stall + plan.AnswerBy + Stall + writeTime; last > kill {
 			t.Fatalf("the last answer may come after %v, the kill after %v", last, kill)
 		}
@@ -36,8 +36,11 @@
 		if plan.CloseBy <= plan.AnswerBy || plan.CloseBy >= kill {
 			t.Fatalf("closes after %v, answers after %v, kill after %v", plan.CloseBy, plan.AnswerBy, kill)
 		}
-		if now.Replaced != (plan.Accept == 0) {
-			t.Fatalf("accepts for %v in %+v", plan.Accept, now)
+		if replaced != (plan.Accept == 0) {
+			t.Fatalf("accepts for %v, replaced %t", plan.Accept, replaced)
+		}
+		if !replaced && plan.Accept <= plan.Idle || plan.Idle >= plan.CloseBy {
+			t.Fatalf("accepts for %v, where idle connections end after %v and all after %v", plan.Accept, plan.Idle, plan.CloseBy)
 		}
 	})
 }
--- a/internal/thrift/thriftfront/front.go
+++ b/internal/thrift/thriftfront/front.go
@@ -85,7 +85,7 @@
 		c.wake()
 	}
 	f.mu.Unlock()
-	f.listen.CloseAfter(plan.Accept, by)
+	f.listen.CloseAfter(max(0, plan.Accept-plan.Idle), by)
 	silent := time.AfterFunc(min(conntrack.SilentGrace, time.Until(by)-conntrack.AnswerWriteTime), f.listen.CloseSilent)
 	defer silent.Stop()
 	for f.count() > 0 {
