--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -115,8 +115,18 @@
 
 func start(t *testing.T, env ...string) *process {
 	t.Helper()
-	p := &process{ended: make(chan error, 1)}
-	p.cmd, p.log = program(t, env...)
+	return startWith(t, "", env...)
+}
+
+// startWith is start with further arguments of the program.
+func startWith(t *testing.T, arguments string, env ...string) *process {
+	t.Helper()
+	p := &process{cmd: command(t, env...), log: &testkit.Log{}, ended: make(chan error, 1)}
+	p.cmd.Args[len(p.cmd.Args)-1] += " " + arguments
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
 	go func() { p.ended <- p.cmd.Wait() }()
 	t.Cleanup(func() { p.cmd.Process.Kill() })
 	return p
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -27,6 +27,7 @@
 	"ternbeam/internal/host/members"
 	"ternbeam/internal/host/peers"
 	"ternbeam/internal/host/pool"
+	"ternbeam/internal/host/stallwatch"
 	"ternbeam/internal/http/httpback"
 	"ternbeam/internal/http/httpfront"
 	"ternbeam/internal/http/httpops"
@@ -278,6 +279,7 @@
 		}
 	}
 	go a.core.Run(work)
+	a.watchStalls(work)
 	endLine := a.succeed(work)
 	defer endLine()
 	failed := make(chan error, len(fronts)+1)
@@ -320,6 +322,14 @@
 	return nil
 }
 
+// watchStalls has parts of the agent logged that no longer go on: all others wait for them before long.
+func (a *Agent) watchStalls(ctx context.Context) {
+	watch := stallwatch.Watch{Log: a.log, Interval: stallwatch.Interval, Limit: stallwatch.Limit}
+	watch.Run(ctx,
+		stallwatch.Check{Part: "event loop", Run: a.core.Respond},
+		stallwatch.Check{Part: "connections of clients", Run: func(context.Context) { a.tracker.Count() }})
+}
+
 // fronts are those that take calls.
 func (a *Agent) fronts() []front {
 	inHTTP := httpfront.New(a.cfg, a.core, a.tracker, a.listeners[0], a.log)
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -144,6 +144,11 @@
 // within a time, however many calls wait.
 func (c *Core) postUrgent(ctx context.Context, event func()) { postOn(ctx, c.urgent, event) }
 
+// Respond returns once the loop has handled an event behind those that are queued, or ctx has ended.
+func (c *Core) Respond(ctx context.Context) {
+	ask(ctx, c, func() struct{} { return struct{}{} })
+}
+
 // Ready is closed when clients may begin: the list has come, or was waited for long enough.
 func (c *Core) Ready() <-chan struct{} { return c.ready }
 
--- /dev/null
+++ b/internal/host/stallwatch/stallwatch_test.go
@@ -0,0 +1,29 @@
+package stallwatch
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"ternbeam/internal/lab/testkit"
+)
+
+func TestStallsAreLogged(t *testing.T) {
+	const limit = 20 * time.Millisecond
+	log, release := &testkit.Log{}, make(chan struct{})
+	w := Watch{Log: slog.New(slog.NewTextHandler(log, nil)), Interval: limit / 4, Limit: limit}
+	w.Run(t.Context(),
+		Check{"stuck", func(context.Context) { <-release }},
+		Check{"well", func(context.Context) {}})
+	testkit.Eventually(t, "the stall is logged", func() bool { return log.Has(`msg="a part of the process has stalled" part=stuck`) })
+	if !log.Has("TestStallsAreLogged") {
+		t.Errorf("no stacks: %s", log)
+	}
+	close(release)
+	testkit.Eventually(t, "its end is logged", func() bool { return log.Has(`msg="a stall is over" part=stuck`) })
+	if strings.Contains(log.String(), "part=well") {
+		t.Errorf("what goes on has a line: %s", log)
+	}
+}
