A connection that was not ended by the agent has a cause of its own

The zero EndCause meant both "by the client" and "not by the agent, so far": NotEnded is the second now, and the field of a connection is named for what it holds.

--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -35,7 +35,7 @@
 	stopped bool   // it is being closed, and nothing more is read
 	readBy  time.Time
 	failure error    // of the last Read that brought nothing
-	told    EndCause // why its reader was told last to end it; 0 where it was not
+	cause   EndCause // for which its reader is to end it
 }
 
 // newConn returns a Conn over a connection that was accepted.
@@ -134,18 +134,18 @@
 	return c.TCPConn.Close()
 }
 
-// lastError returns why the last Read brought nothing, or nil, and why the reader was told to end the connection, 0 if it was not.
-func (c *Conn) lastError() (failure error, told EndCause) {
+// lastError returns why the last Read brought nothing, or nil, and for what its reader is to end the connection.
+func (c *Conn) lastError() (failure error, cause EndCause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.failure, c.told
+	return c.failure, c.cause
 }
 
-// Failed records why a reader that uses ReadNow reads no more, and what it was told to end the connection for, 0 for nothing.
-func (c *Conn) Failed(err error, told EndCause) {
+// Failed records why a reader that uses ReadNow reads no more, and for what it ends the connection; NotEnded where the client has.
+func (c *Conn) Failed(err error, cause EndCause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.failure, c.told = err, told
+	c.failure, c.cause = err, cause
 }
 
 // SinceLastData is how long ago the last bytes arrived in the kernel, whoever has read them by now and however late. Where the system does not tell
@@ -179,14 +179,14 @@
 func (c *Conn) end(cause EndCause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending, c.told = true, cause
+	c.ending, c.cause = true, cause
 	c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // goOnLocked restores the read deadline that end has expired.
 func (c *Conn) goOnLocked() {
 	if c.ending {
-		c.ending, c.told = false, 0
+		c.ending, c.cause = false, NotEnded
 		c.TCPConn.SetReadDeadline(c.readBy)
 	}
 }
@@ -200,7 +200,7 @@
 	if c.ending = c.ending && !t.IsZero(); c.ending {
 		return nil
 	}
-	c.told = 0
+	c.cause = NotEnded
 	return c.TCPConn.SetReadDeadline(t)
 }
 
--- a/internal/host/conntrack/ends.go
+++ b/internal/host/conntrack/ends.go
@@ -14,7 +14,8 @@
 
 // The causes. Those from EndedIdle on are the agent's own, on connections without a request: a request that is on its way then is not read.
 const (
-	EndedByClient    EndCause = iota // it closed or reset the connection
+	NotEnded         EndCause = iota // by the agent, so far
+	EndedByClient                    // it closed or reset the connection
 	EndedWithRequest                 // behind the answer to a request, or without one, which has a line of its own in the log
 	EndedIdle                        // nothing came on it for long after an answer
 	EndedSilent                      // no request came on it whole in time
@@ -23,7 +24,7 @@
 	endCauses
 )
 
-var endCauseNames = [endCauses]string{"client", "request", "idle", "silent", "room", "shutdown"}
+var endCauseNames = [endCauses]string{"", "client", "request", "idle", "silent", "room", "shutdown"}
 
 // String returns the cause as the log has it.
 func (c EndCause) String() string { return endCauseNames[c] }
@@ -44,11 +45,11 @@
 
 // endCause is why a connection was closed.
 func (v *entry) endCause() EndCause {
-	failure, told := v.conn.lastError()
+	failure, cause := v.conn.lastError()
 	expired := errors.Is(failure, os.ErrDeadlineExceeded)
 	switch {
-	case expired && told != 0:
-		return told
+	case expired && cause != NotEnded:
+		return cause
 	case v.in == nil:
 		return EndedWithRequest
 	case !expired:
--- a/internal/host/conntrack/log.go
+++ b/internal/host/conntrack/log.go
@@ -40,12 +40,8 @@
 // ended records a connection that ended, and how much had been received on it of what matters.
 func (l *countedLog) ended(c *Conn, received int64) {
 	l.add(slog.LevelInfo, func() []any {
-		failure, told := c.lastError()
-		endedFor := ""
-		if told != 0 {
-			endedFor = told.String()
-		}
-		return []any{"received_bytes", received, "last_received", time.Since(c.lastReceived()).Round(time.Millisecond), "error", failure, "ended_for", endedFor}
+		failure, cause := c.lastError()
+		return []any{"received_bytes", received, "last_received", time.Since(c.lastReceived()).Round(time.Millisecond), "error", failure, "ended_for", cause.String()}
 	})
 }
 
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -334,9 +334,9 @@
 		for range crowd {
 			admit(t, d)
 		}
-		_, told := conn.(*Conn).lastError()
-		if ended := d.tracker.Stats().Ended; ended != (EndCounts{}) || told != 0 || closed(kept, time.Millisecond) {
-			t.Errorf("reader closes %t: %q, told to end for %v", readerCloses, ended, told)
+		_, cause := conn.(*Conn).lastError()
+		if ended := d.tracker.Stats().Ended; ended != (EndCounts{}) || cause != NotEnded || closed(kept, time.Millisecond) {
+			t.Errorf("reader closes %t: %q, told to end for %v", readerCloses, ended, cause)
 		}
 	}
 }
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -85,7 +85,7 @@
 	if errors.Is(err, errStopping) {
 		c.conn.Failed(os.ErrDeadlineExceeded, conntrack.EndedForShutdown)
 	} else {
-		c.conn.Failed(err, 0)
+		c.conn.Failed(err, conntrack.NotEnded)
 	}
 	if !errors.Is(err, errProtocol) && !errors.Is(err, errStopping) {
 		c.die()
