Thrift clients under failing system calls; the log tells of their failed reads too

Cause: the tests that make system calls fail had HTTP clients only. A Thrift connection goes on through the same errors, by code of its own, and its failed reads were neither counted in calls_failed nor logged.

Reads by ReadNow are tried by the connection's own socketio.Tries, which logs.

--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -103,6 +103,9 @@
 	return cmd
 }
 
+// addArguments adds to the arguments of the program that a command starts by a shell.
+func addArguments(cmd *exec.Cmd, arguments string) { cmd.Args[len(cmd.Args)-1] += " " + arguments }
+
 // process is the program under test, which is killed after the test if it is still there.
 type process struct {
 	cmd   *exec.Cmd
@@ -122,7 +125,7 @@
 func startWith(t *testing.T, arguments string, env ...string) *process {
 	t.Helper()
 	p := &process{cmd: command(t, env...), log: &testkit.Log{}, ended: make(chan error, 1)}
-	p.cmd.Args[len(p.cmd.Args)-1] += " " + arguments
+	addArguments(p.cmd, arguments)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/cmd/ternbeam/systemcalls_test.go
+++ b/cmd/ternbeam/systemcalls_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -171,12 +172,18 @@
 
 // startUnderFaults starts the program with some of its system calls failing, until the test ends.
 func startUnderFaults(t *testing.T, chosen []sysfault.Call, decide sysfault.Decider, env ...string) (*sysfault.Process, *testkit.Log) {
+	t.Helper()
+	return startCommandUnderFaults(t, chosen, decide, command(t, env...))
+}
+
+// startCommandUnderFaults is startUnderFaults for a command of its own.
+func startCommandUnderFaults(t *testing.T, chosen []sysfault.Call, decide sysfault.Decider, program *exec.Cmd) (*sysfault.Process, *testkit.Log) {
 	t.Helper()
 	read, write, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	p, err := sysfault.Start(command(t, env...), write, chosen, decide)
+	p, err := sysfault.Start(program, write, chosen, decide)
 	write.Close()
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/ternbeam/thriftclients_test.go
+++ b/cmd/ternbeam/thriftclients_test.go
@@ -15,11 +15,19 @@
 
 	"ternbeam/deploy"
 	"ternbeam/internal/lab/standin"
+	"ternbeam/internal/lab/sysfault"
 	"ternbeam/internal/lab/testkit"
 )
 
-// thriftAgent starts the program with a Thrift listener, few descriptors and one server, and returns where clients connect.
-func thriftAgent(t *testing.T, sockets int, deadline time.Duration) (p *process, listen string) {
+// thriftAgent is an agent with a Thrift listener and one server.
+type thriftAgent struct {
+	inHTTP, inThrift string // where it listens
+	arguments        string // of the program
+	env              []string
+}
+
+// newThriftAgent configures an agent that is not started yet.
+func newThriftAgent(t *testing.T, sockets int, deadline time.Duration) *thriftAgent {
 	t.Helper()
 	list, err := standin.NewList()
 	if err != nil {
@@ -32,18 +40,18 @@
 	}
 	t.Cleanup(server.Close)
 	list.Tell(server.Entry())
-	inHTTP, listen := free(t), free(t)
+	agent := &thriftAgent{inHTTP: free(t), inThrift: free(t)}
 	folder := t.TempDir()
 	config, service := filepath.Join(folder, "config.json"), filepath.Join(folder, "thrift.toml")
-	platform := standin.Platform{Listen: inHTTP, Discovery: list.Addr(), Known: list.Full(), Deadline: deadline, Sockets: sockets}
-	for path, text := range map[string]string{config: string(platform.Config()), service: strings.Replace(deploy.Thrift, "127.0.0.1:9090", listen, 1)} {
+	platform := standin.Platform{Listen: agent.inHTTP, Discovery: list.Addr(), Known: list.Full(), Deadline: deadline, Sockets: sockets}
+	for path, text := range map[string]string{config: string(platform.Config()), service: strings.Replace(deploy.Thrift, "127.0.0.1:9090", agent.inThrift, 1)} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
-	p = startWith(t, "run --thrift "+service, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+inHTTP)
-	awaitReady(t, inHTTP)
-	return p, listen
+	agent.arguments = "run --thrift " + service
+	agent.env = []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + agent.inHTTP}
+	return agent
 }
 
 // askAgain asks a kiosk of one connection, and once more on a new one where that ended before anything of an answer had come.
@@ -91,13 +99,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p, listen := thriftAgent(t, sockets, deadline)
+			agent := newThriftAgent(t, sockets, deadline)
+			p := startWith(t, agent.arguments, agent.env...)
+			awaitReady(t, agent.inHTTP)
 			var all sync.WaitGroup
 			for i := range crowd.clients {
-				all.Go(func() { askFor(t, listen, fmt.Sprint("crowd-", i), length, crowd.rests, deadline) })
+				all.Go(func() { askFor(t, agent.inThrift, fmt.Sprint("crowd-", i), length, crowd.rests, deadline) })
 			}
 			all.Wait()
-			if askFor(t, listen, "afterwards", length/4, length/16, deadline) > 0 || p.log.Has("has stalled") {
+			if askFor(t, agent.inThrift, "afterwards", length/4, length/16, deadline) > 0 || p.log.Has("has stalled") {
 				t.Error("the agent does not answer")
 			}
 			p.signals(t, syscall.SIGTERM)
@@ -108,3 +118,51 @@
 		})
 	}
 }
+
+// Guards against a Thrift client's connection that ends as one system call on it fails.
+func TestThriftAnswersSurviveFailingSystemCalls(t *testing.T) {
+	const clients, calls, sockets = 6, 15, 1024
+	for _, fault := range clientFaults() {
+		t.Run(fault.String(), func(t *testing.T) {
+			t.Parallel()
+			agent := newThriftAgent(t, sockets, randomDeadline)
+			program := command(t, agent.env...)
+			addArguments(program, agent.arguments)
+			_, log := startCommandUnderFaults(t, []sysfault.Call{fault.call}, fault.decider(onAddress(agent.inThrift)), program)
+			eventuallyReady(t, agent.inHTTP)
+			var all sync.WaitGroup
+			for i := range clients {
+				all.Go(func() { askInOrder(t, agent.inThrift, fmt.Sprint("client-", i), calls) })
+			}
+			all.Wait()
+			if fault.isLogged() && !log.Has("a call failed on a client's connection") {
+				t.Error("no failure is logged")
+			}
+			if t.Failed() {
+				t.Log(log)
+			}
+		})
+	}
+}
+
+// isLogged reports whether a fault surely comes and the log has to tell of it: not of calls that are made once more at once.
+func (f callFault) isLogged() bool {
+	return (f.call == sysfault.Read || f.call == sysfault.Write) && f.every > 0 && f.errno != 0 && f.errno != syscall.EINTR
+}
+
+// askInOrder makes calls on one connection, each of which has to be served.
+func askInOrder(t *testing.T, listen, name string, calls int) {
+	kiosk, err := standin.NewKiosk("thrift-binary", listen)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer kiosk.Close()
+	for call := range calls {
+		id := fmt.Sprintf("%s-%d", name, call)
+		answer := kiosk.Ask(standin.Ask{Method: standin.Check, ID: id, Tenant: standin.Tenants[0], Key: id, Left: randomDeadline})
+		if answer.Kind != standin.Served {
+			t.Errorf("%s: %v after %v, %v", id, answer.Kind, answer.Took, answer.Err)
+		}
+	}
+}
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -278,6 +278,11 @@
 	return max(n, 0), reads.End(fd, unix.POLLIN, err), err
 }
 
+// ReadTries decides how often a reader that uses ReadNow tries one read.
+func (c *Conn) ReadTries() socketio.Tries {
+	return socketio.NewTries("read", c.listener.failures.failed)
+}
+
 // Received records that bytes were read.
 func (c *Conn) Received(n int) {
 	c.received.Store(int64(time.Since(started)))
--- a/internal/sysio/socketio/socketio.go
+++ b/internal/sysio/socketio/socketio.go
@@ -143,7 +143,7 @@
 
 // do makes one call, again for as long as it fails and the connection stands.
 func (c *Conn) do(o *operation, p []byte) (n int, err error) {
-	tries := Tries{observe: c.observe, name: o.name}
+	tries := NewTries(o.name, c.observe)
 	for {
 		n, err = o.run(p)
 		if err == nil || !tries.Again(c, err) {
@@ -156,13 +156,16 @@
 	return n, err
 }
 
-// Tries decides how often a call on a connection is made. The zero Tries is for one call.
+// Tries decides how often a call on a connection is made. A Tries is for one call.
 type Tries struct {
 	name     string
 	observe  func(Failure)
 	failures int // in a row
 }
 
+// NewTries returns Tries for calls of some name. Each failure that they go on through is told to observe.
+func NewTries(name string, observe func(Failure)) Tries { return Tries{name: name, observe: observe} }
+
 // Again reports whether a call that has failed with err is to be made once more, and waits until it is.
 func (t *Tries) Again(conn net.Conn, err error) bool {
 	t.failures++
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -13,7 +13,6 @@
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/sysio/peek"
-	"ternbeam/internal/sysio/socketio"
 	"ternbeam/internal/thrift/thriftmap"
 	"ternbeam/internal/thrift/thriftwire"
 )
@@ -477,7 +476,7 @@
 // more waits for bytes and reads them into a chunk, which is empty. Errors end that only where the connection is over: a client that is there
 // is owed its answers.
 func (c *client) more() error {
-	var tries socketio.Tries
+	tries := c.conn.ReadTries()
 	for {
 		err := c.raw.Read(c.fill)
 		if err == nil {
