Silent connections do not hold up the end for longer since idle ones stay open

The sum was for nothing: idle connections have had their time when the accepting is over.

TestSilentConnectionsDoNotHoldUpTheEnd fails before (2.00 s, 1.7 s allowed) and passes.

--- a/internal/http/httpfront/crossing_test.go
+++ b/internal/http/httpfront/crossing_test.go
@@ -153,6 +153,20 @@
 	r.Stop(begin, shutdown.Schedule{Accept: time.Nanosecond, AnswerBy: closeBy - conntrack.AnswerWriteTime, CloseBy: closeBy})
 }
 
+// Guards against an end that waits for a silent client once more for as long as idle connections stay open.
+func TestSilentConnectionsDoNotHoldUpTheEnd(t *testing.T) {
+	const idle, slack, closeBy = time.Second, 500 * time.Millisecond, 10 * time.Second
+	r := newRig(t, 10)
+	r.serve()
+	r.dial(t)
+	testkit.Eventually(t, "it is let in", func() bool { return r.tracker.Count() == 1 })
+	begin := time.Now()
+	r.Stop(begin, shutdown.Schedule{Accept: idle, Idle: idle, AnswerBy: closeBy - conntrack.AnswerWriteTime, CloseBy: closeBy})
+	if took := time.Since(begin); took > idle+conntrack.SilentGrace+slack {
+		t.Errorf("the end takes %v", took)
+	}
+}
+
 func (r *rig) serve() *rig { go r.Serve(); return r }
 
 func (r *rig) dial(t *testing.T) *net.TCPConn {
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -168,7 +168,7 @@
 	stage("idle connections told to end")
 	<-closed
 	stage("accepting ended")
-	silent := time.AfterFunc(min(plan.Idle+conntrack.SilentGrace, time.Until(end)-conntrack.AnswerWriteTime), func() {
+	silent := time.AfterFunc(min(conntrack.SilentGrace, time.Until(end)-conntrack.AnswerWriteTime), func() {
 		f.listen.CloseSilent()
 		stage("silent connections told to end")
 	})
