--- a/cmd/ternbeam/keptconnection_test.go
+++ b/cmd/ternbeam/keptconnection_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ternbeam/internal/lab/sysfault"
+	"ternbeam/internal/lab/testkit"
 )
 
 // heldClose holds up the first close(2) of a client's connection for as long as a process may be held up.
@@ -39,6 +40,27 @@
 	return sysfault.Outcome{Hold: longestStall}
 }
 
+// startHoldingCloses starts the program, with a second address or without, and a client of some class with a connection that has carried a request. The
+// next close of that is held up.
+func startHoldingCloses(t *testing.T, class string, second bool) (*sysfault.Process, *testkit.Log, *patientClient, *heldClose) {
+	t.Helper()
+	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
+	env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
+	if second {
+		env = append(env, "NODE_OPS="+free(t), "TMPDIR="+shortTempDir(t))
+	}
+	hold := &heldClose{listen: listen, held: make(chan struct{})}
+	p, log := startUnderFaults(t, []sysfault.Call{sysfault.Close}, hold.decide, env...)
+	eventuallyReady(t, listen)
+	c := &patientClient{listen: listen, name: "client", class: class, keep: true}
+	t.Cleanup(c.close)
+	if _, err := c.ask("/"+class+"/first", "first"); err != nil {
+		t.Fatal(err)
+	}
+	hold.arm()
+	return p, log, c, hold
+}
+
 // Guards against a connection that is closed as idle over a request that its client has just sent.
 func TestKeptConnectionsAreNotClosedUnderRequests(t *testing.T) {
 	const rest, afterHold = 2300 * time.Millisecond, 20 * time.Millisecond
@@ -46,20 +68,7 @@
 		for _, second := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, second address %t", class, second), func(t *testing.T) {
 				t.Parallel()
-				config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
-				env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
-				if second {
-					env = append(env, "NODE_OPS="+free(t), "TMPDIR="+shortTempDir(t))
-				}
-				hold := &heldClose{listen: listen, held: make(chan struct{})}
-				_, log := startUnderFaults(t, []sysfault.Call{sysfault.Close}, hold.decide, env...)
-				eventuallyReady(t, listen)
-				c := patientClient{listen: listen, name: "client", class: class, keep: true}
-				defer c.close()
-				if _, err := c.ask("/"+class+"/first", "first"); err != nil {
-					t.Fatal(err)
-				}
-				hold.arm()
+				_, log, c, hold := startHoldingCloses(t, class, second)
 				select {
 				case <-hold.held:
 					time.Sleep(afterHold)
@@ -120,20 +129,7 @@
 		for _, second := range []bool{false, true} {
 			t.Run(fmt.Sprintf("a request after %v, second address %t", asks, second), func(t *testing.T) {
 				t.Parallel()
-				config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
-				env := []string{"NODE_CONFIG=" + config, "NODE_NAME=n1", "NODE_LISTEN=" + listen}
-				if second {
-					env = append(env, "NODE_OPS="+free(t), "TMPDIR="+shortTempDir(t))
-				}
-				hold := &heldClose{listen: listen, held: make(chan struct{})}
-				p, log := startUnderFaults(t, []sysfault.Call{sysfault.Close}, hold.decide, env...)
-				eventuallyReady(t, listen)
-				c := patientClient{listen: listen, name: "client", class: "form-check", keep: true}
-				defer c.close()
-				if _, err := c.ask("/form-check/first", "first"); err != nil {
-					t.Fatal(err)
-				}
-				hold.arm()
+				p, log, c, _ := startHoldingCloses(t, "form-check", second)
 				if err := p.Signal(syscall.SIGTERM); err != nil {
 					t.Fatal(err)
 				}
