A held answer that was broken off during a hold-up is replaced, not relayed

Behind the deadline Go's Read does not ask the kernel: where the agent had been held up while the server broke the answer off, the reset was in the kernel as the agent went on, but the part was relayed first and the client's connection ended behind it: taken, and closed without a whole answer.

What has been received, or the connection's end, is read before an answer is relayed for its time.

--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"ternbeam/internal/decide/life"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/pool"
+	"ternbeam/internal/sysio/peek"
 )
 
 const (
@@ -421,17 +422,36 @@
 	}
 	n, err := f.conn.Read(p)
 	if f.begun && errors.Is(err, os.ErrDeadlineExceeded) && f.ctx.Err() == nil {
-		if f.late != nil && f.late() {
-			return f.Read(p)
-		}
-		// The agent itself may have stood still, so that what is there was not read in time.
-		f.conn.SetReadDeadline(time.Now().Add(stallGrace))
-		if n, err = f.conn.Read(p); errors.Is(err, os.ErrDeadlineExceeded) {
-			err = fmt.Errorf("%w: it does not go on", ErrSpoilt)
-		}
+		return f.readLate(p)
 	}
 	if n > 0 && f.begun && f.late == nil {
 		f.pauseBy(f.stall) // pieces may come slowly, if they come
 	}
 	return n, err
 }
+
+// readLate reads where the time for it has passed: what has been received by then, as the agent itself may have stood still, or what has the answer
+// relayed from here, or held on. A read whose deadline has passed does not ask the system for the first.
+func (f source) readLate(p []byte) (n int, err error) {
+	if f.late != nil {
+		if n, err = peek.Take(f.conn, p); n > 0 || isEnd(err) {
+			return n, err
+		}
+		if f.late() {
+			return f.Read(p)
+		}
+	}
+	f.conn.SetReadDeadline(time.Now().Add(stallGrace))
+	if n, err = f.conn.Read(p); errors.Is(err, os.ErrDeadlineExceeded) {
+		err = fmt.Errorf("%w: it does not go on", ErrSpoilt)
+	}
+	if n > 0 && f.late == nil {
+		f.pauseBy(f.stall)
+	}
+	return n, err
+}
+
+// isEnd reports whether an error of peek.Take is the end of the connection.
+func isEnd(err error) bool {
+	return !errors.Is(err, peek.ErrNothing) && !errors.Is(err, peek.ErrUnclear) && !errors.Is(err, errors.ErrUnsupported)
+}
