Time in which the agent was held up does not count as a queue at its servers

An agent that had just begun and was held up for 0.15 s took that time for the servers': requests were refused as overloaded while they were idle (the known red TestServerConnectionsOutliveFailedCalls; a hard case of the issue on a slow service). The module finds a stall by a tick that is overdue by a whole tick; the time out of what is in flight, and what silent servers owe, leave it out.

TestLostAttemptIsNoJam passes its time with ticks, as a process that runs does: time without any is a stall now.

--- a/choice/api.go
+++ b/choice/api.go
@@ -255,7 +255,7 @@
 // Start returns what a new Balancer wants done before its first event.
 func (b *Balancer) Start(now time.Duration) []Action {
 	b.now, b.actions = now, b.actions[:0]
-	b.timer(tickToken, b.horizon/ticks)
+	b.startTick()
 	return b.actions
 }
 
@@ -264,6 +264,7 @@
 // all balancers and servers have, to a small part of an aim; a rule is never broken by one that is off.
 func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
 	b.now, b.actions = now, b.actions[:0]
+	b.findStall()
 	switch e := ev.(type) {
 	case ServerList:
 		b.list(e)
@@ -315,6 +316,12 @@
 	b.act(Action{Kind: SetTimer, Token: token, After: after})
 }
 
+// startTick sets the timer of the next look at health.
+func (b *Balancer) startTick() {
+	b.tickBy = b.now + b.horizon/ticks
+	b.timer(tickToken, b.horizon/ticks)
+}
+
 // timerFor sets a timer for a request and returns its token.
 func (b *Balancer) timerFor(r *request, after time.Duration) uint64 {
 	b.token++
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,7 +49,7 @@
 )
 
 func (b *Balancer) tick() {
-	b.timer(tickToken, b.horizon/ticks)
+	b.startTick()
 	b.served *= math.Exp(-1.0 / ticks / shareTime)
 	b.jamWeight = min(jamWeight, 1/(1+b.served*jamTime*b.horizon.Seconds()))
 	if b.now-b.judged > b.horizon { // where all is refused nothing could show that the jam is over
@@ -439,7 +439,7 @@
 func (b *Balancer) missed(s *server) (n float64) {
 	for _, a := range s.inFlight {
 		if !a.req.Coming { // of others it owes nothing yet
-			n += float64(b.now-max(a.sent, s.heard)) / b.usual[a.req.Class]
+			n += float64(b.ranSince(max(a.sent, s.heard))) / b.usual[a.req.Class]
 		}
 	}
 	return n
@@ -634,7 +634,7 @@
 	for i, c := range b.set.Classes {
 		slack = min(slack, max(float64(c.Aim)-b.least[i], float64(c.Aim)/2))
 	}
-	if used := (float64(b.now-a.sent) - b.least[a.req.Class]) / slack; used < 1 && !late {
+	if used := (float64(b.ranSince(a.sent)) - b.least[a.req.Class]) / slack; used < 1 && !late {
 		return max(0, used)
 	}
 	return 1
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -913,13 +913,45 @@
 	}
 }
 
+// Guards against refusing work for times that are those of this process: while it
+// was held up nobody could see what servers did. The same time counts where the process ran.
+func TestStallsAreNoJam(t *testing.T) {
+	for name, c := range map[string]struct {
+		pass func(h *bench, d time.Duration)
+		want bool
+	}{
+		"ran":     {func(h *bench, d time.Duration) { h.tick(d) }, true},
+		"held up": {func(h *bench, d time.Duration) { h.at += d }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newBench(t, testSettings(), 1, 1, 1)
+			var ids, servers []string
+			for range 4 {
+				id, to := h.ask(0)
+				ids, servers = append(ids, id), append(servers, to)
+			}
+			c.pass(h, h.horizon)
+			if jam := h.jamNow() > shedFrom; jam != c.want {
+				t.Errorf("a jam while all are out: %t", jam)
+			}
+			h.tick(h.horizon / ticks)
+			for i, id := range ids {
+				h.end(id, servers[i], 0, OK, NoReport)
+			}
+			if jam := h.jam > shedFrom; jam != c.want {
+				t.Errorf("a jam as all are answered: %t (%.2f)", jam, h.jam)
+			}
+		})
+	}
+}
+
 // Guards against refusing work for a jam where there is none: an attempt that its server has passed over, as it
 // answered one sent much later, is lost or costly and counts neither while it is out nor when its time is up.
 func TestLostAttemptIsNoJam(t *testing.T) {
 	for _, answers := range []bool{true, false} {
 		h := newBench(t, testSettings(), 1) // one server, so that all go there
 		early, to := h.ask(0)
-		h.at += h.horizon
+		h.tick(h.horizon)
 		later, _ := h.ask(0)
 		if answers {
 			h.end(later, to, 0, OK, NoReport)
--- a/choice/explore.go
+++ b/choice/explore.go
@@ -46,7 +46,7 @@
 	num(b.usual...)
 	num(b.least...)
 	num(b.budget, b.jam, b.use, b.known, b.jamWeight, b.total, b.well, b.lost, b.served, b.worth, b.coldBad, b.coldSeen,
-		float64(min(b.judged, 1)), float64(b.checked), float64(b.wrong))
+		float64(min(b.judged, 1)), float64(b.checked), float64(b.wrong), float64(b.tickBy), float64(b.stallEnd), float64(b.stalled))
 	server := func(s *server) {
 		text(s.ID)
 		num(float64(s.State), float64(s.Started), s.rate, s.trust, s.capacity, s.done, s.util, s.used, float64(s.reported),
--- a/choice/state.go
+++ b/choice/state.go
@@ -37,6 +37,9 @@
 	coldBad   float64       // share of failures among attempts at cold servers
 	coldSeen  float64       // how many attempts that rests on, up to 1 / learn
 	judged    time.Duration // the latest outcome
+	tickBy    time.Duration // when the next tick is due
+	stallEnd  time.Duration // when the latest stall of this process was found to be over
+	stalled   time.Duration // for how long that lasted at least
 	prompt    time.Duration // when the latest sent of those that were answered in good time was sent
 	news      uint64        // reports, outcomes and ejections so far
 	checked   int           // remembered capacities that servers have spoken on since
@@ -149,8 +152,26 @@
 	return float64(max(a.srv.passed, b.prompt)-a.sent) > b.usual[a.req.Class]
 }
 
+// findStall looks whether a tick is overdue: then this process was held up, and what servers did meanwhile
+// could not be seen.
+func (b *Balancer) findStall() {
+	if overdue := b.now - b.tickBy; b.tickBy > 0 && overdue > b.horizon/ticks {
+		b.stallEnd, b.stalled = b.now, overdue
+		b.tickBy = b.now
+	}
+}
+
+// ranSince is how long this process has run since some time: less than has passed where it was held up. Of
+// several stalls the latest counts.
+func (b *Balancer) ranSince(t time.Duration) time.Duration {
+	stood := max(0, min(b.stalled, b.stallEnd-t))
+	return b.now - t - stood
+}
+
 // waited is the time since an attempt was sent, in usual times to an answer.
-func (a *attempt) waited(b *Balancer) float64 { return float64(b.now-a.sent) / b.usual[a.req.Class] }
+func (a *attempt) waited(b *Balancer) float64 {
+	return float64(b.ranSince(a.sent)) / b.usual[a.req.Class]
+}
 
 // patience is the time that the client gave, as a part of that from which an answer is late, 1 at most. The
 // less it is, the less it says of a server that no answer came in it.
--- a/cmd/ternbeam/randomholds_test.go
+++ b/cmd/ternbeam/randomholds_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,3 +62,47 @@
 		p.cmd.Process.Signal(syscall.SIGCONT)
 	}
 }
+
+// Guards against requests refused as too much for the servers because their agent was held up: its own standstill is no queue. It matters most to an
+// agent that has just begun, to which each answer is a large part of what it knows.
+func TestHoldUpsRefuseNothing(t *testing.T) {
+	for number := range 8 {
+		t.Run(fmt.Sprint("play ", number), func(t *testing.T) {
+			t.Parallel()
+			untilValid(t, func() bool { return playedHoldUpsAtTheBeginning(t) })
+		})
+	}
+}
+
+// playedHoldUpsAtTheBeginning is false where the machine stood still.
+func playedHoldUpsAtTheBeginning(t *testing.T) (valid bool) {
+	const clients, requests, holdUps, between = 6, 20, 2, 30 * time.Millisecond
+	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t), slowServer(t))
+	p := startReady(t, config, listen, false)
+	watch := watchMachine()
+	var wait sync.WaitGroup
+	var refused atomic.Int64
+	for number := range clients {
+		c := patientClient{listen: listen, name: fmt.Sprint("client-", number), class: "form-check", keep: true}
+		wait.Go(func() {
+			c.runAllowing(t, requests, func(err error) bool {
+				refused.Add(1)
+				return isNotServed(err)
+			})
+		})
+	}
+	for range holdUps {
+		time.Sleep(between)
+		p.signals(t, syscall.SIGSTOP)
+		time.Sleep(longestStall)
+		p.signals(t, syscall.SIGCONT)
+	}
+	wait.Wait()
+	if watch() > longestStall/3 {
+		return false
+	}
+	if n := refused.Load(); n > 0 {
+		t.Errorf("%d of %d requests were refused\n%s", n, clients*requests, p.log)
+	}
+	return true
+}
