--- a/cmd/ternbeam/shutdown_test.go
+++ b/cmd/ternbeam/shutdown_test.go
@@ -37,6 +37,12 @@
 		"Tenants":[{"Name":"rosyth-port"}],"Zones":["z"]}`, deadline.Nanoseconds())
 }
 
+// unhurriedSettings are shutdownSettings whose aims are the deadline, for tests that ask for an answer of a server to each request: with shorter ones
+// a request is refused where answers are slow, as on a machine with too few processors.
+func unhurriedSettings(deadline time.Duration) string {
+	return strings.ReplaceAll(shutdownSettings(deadline), `"AimNs":300000000`, fmt.Sprintf(`"AimNs":%d`, deadline.Nanoseconds()))
+}
+
 // everyEffectSettings are settings with a class of each effect, all with one deadline, and requests with a key that may be repeated within a window.
 func everyEffectSettings(deadline, window time.Duration) string {
 	const before = `{"Name":"refund-pay"`
