A process that is denied a socket for a moment goes on to listen

EACCES of socket(2) ended the agent as it began, like that of bind(2), which says that an address can't be listened at. Where the process replaces another nobody takes over.

--- a/cmd/ternbeam/startfaults_test.go
+++ b/cmd/ternbeam/startfaults_test.go
@@ -42,3 +42,31 @@
 		})
 	}
 }
+
+// Guards against a process that refuses to start as the system denies it sockets for a moment.
+func TestProcessStartsThoughSocketsAreDeniedAtFirst(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EACCES, syscall.EPERM, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		t.Run(fmt.Sprint(errno), func(t *testing.T) {
+			t.Parallel()
+			const denied = 500 * time.Millisecond // from the first call on; what is not retried for so long is not tried again
+			config, listen := configure(t, free(t), shutdownSettings(1509*time.Millisecond), slowServer(t))
+			var first time.Time
+			decide := func(sysfault.Event) sysfault.Outcome {
+				if first.IsZero() {
+					first = time.Now()
+				}
+				if time.Since(first) > denied {
+					return sysfault.Outcome{}
+				}
+				return sysfault.Outcome{Errno: errno}
+			}
+			_, log := startUnderFaults(t, []sysfault.Call{sysfault.NewSocket}, decide, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+			defer func() {
+				if t.Failed() {
+					t.Log(log)
+				}
+			}()
+			eventuallyReady(t, listen)
+		})
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -217,9 +217,16 @@
 // errNoLocalAddress is why a listener is opened anew of which the system does not tell the address.
 var errNoLocalAddress = errors.New("the system does not tell its address")
 
+// passingErrno reports whether an error of listening is none of those that last: such an address can't be listened at.
+var passingErrno = transient.Passing(syscall.EACCES, syscall.EADDRNOTAVAIL, syscall.EAFNOSUPPORT)
+
 // listeningFailed reports whether listening failed in a way that may pass: an address that is still in use may be that of a process which is
-// ending, and others can't be listened at.
-var listeningFailed = transient.Passing(syscall.EACCES, syscall.EADDRNOTAVAIL, syscall.EAFNOSUPPORT)
+// ending, and a system that denies a socket (socket(2), EACCES), as it may for any address, may grant one soon.
+func listeningFailed(err error) bool {
+	var call *os.SyscallError
+	denied := errors.As(err, &call) && call.Syscall == "socket" && call.Err == syscall.EACCES
+	return denied || errors.Is(err, errNoLocalAddress) || passingErrno(err)
+}
 
 // listen opens a listener, in spite of errors that may pass.
 func (a *Agent) listen(how net.ListenConfig, addr string) (l net.Listener, err error) {
@@ -233,7 +240,7 @@
 		return err
 	}, transient.TellingFirst(func(err error) {
 		a.log.Warn("listening failed", "address", addr, "error", err)
-	}, func(err error) bool { return errors.Is(err, errNoLocalAddress) || listeningFailed(err) }))
+	}, listeningFailed))
 	return l, err
 }
 
