A request of which nothing can be written is worded anew after 5 ms, not 50

A request that could be written after 31 ms and was then held up in the write for 0.15 s told its server 182 ms more than its client had; 150 are allowed. What is unsent for 5 ms is worded anew now, by the constant that already bounds the age of a wording.

--- a/cmd/ternbeam/unknownstate_test.go
+++ b/cmd/ternbeam/unknownstate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -117,3 +118,27 @@
 		}
 	}
 }
+
+// Guards against a judge that does not learn for how long a test itself holds its process up.
+func TestHoldsAreStandstills(t *testing.T) {
+	const hold = 100 * time.Millisecond
+	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
+	var armed, held atomic.Bool
+	p, _ := startUnderFaults(t, []sysfault.Call{sysfault.Write}, func(sysfault.Event) sysfault.Outcome {
+		if armed.Load() && held.CompareAndSwap(false, true) {
+			return sysfault.Outcome{Hold: hold}
+		}
+		return sysfault.Outcome{}
+	}, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+	eventuallyReady(t, listen)
+	begin := time.Now()
+	armed.Store(true)
+	c := patientClient{listen: listen, name: "client", class: "form-check"}
+	c.run(t, 2)
+	for _, period := range p.Standstills(hold) {
+		if period.From.After(begin) && period.To.Before(time.Now()) {
+			return
+		}
+	}
+	t.Errorf("the hold of %v is not among %v", hold, p.Standstills(0))
+}
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -25,11 +25,9 @@
 	// would be too late for another attempt.
 	Stall = 300 * time.Millisecond
 
-	// mostUnsent is how long a message may not be written before it is worded anew: its deadline may be 0.15 s too late.
-	mostUnsent = 50 * time.Millisecond
-
-	// mostUnsentWording is how old the wording of a message may be as its writing begins: the process may have been held up since.
-	mostUnsentWording = 5 * time.Millisecond
+	// mostUnsent is how old the wording of a message may be as nothing of it is written yet: its deadline may be 0.15 s too late, and the process
+	// may be held up for as long in the write itself.
+	mostUnsent = 5 * time.Millisecond
 
 	// reservedPart is the part of an attempt's time, inverted, that is left for another one by the end of an answer that goes on and on.
 	reservedPart = 4
@@ -106,7 +104,7 @@
 		t.Pool.Release(c, fit)
 		return core.Ended(at.Life.Result())
 	}
-	if rest == nil && time.Since(worded) > mostUnsentWording {
+	if rest == nil && time.Since(worded) > mostUnsent {
 		message = reworded(at, talk, message, end)
 	}
 	e, reuse := t.exchange(ctx, c, at, talk, message, rest, end)
--- a/internal/lab/sysfault/sysfault.go
+++ b/internal/lab/sysfault/sysfault.go
@@ -89,8 +89,13 @@
 	Pid    int
 	handle *os.File // a pidfd: no other process can be meant, even if the number is used again
 	ended  chan struct{}
+	busy   *busyPeriods
 }
 
+// Standstills returns the times in which chosen calls of the process waited for the tracer, for so long at least: held, or as the tracer itself was
+// late on a busy machine.
+func (p *Process) Standstills(least time.Duration) []Period { return p.busy.atLeast(least) }
+
 // Ended is closed when the process has ended and all of its threads are gone.
 func (p *Process) Ended() <-chan struct{} { return p.ended }
 
@@ -173,15 +178,22 @@
 		numbers[i] = strconv.FormatUint(uint64(call), 10)
 	}
 	started := make(chan error, 1)
-	p := &Process{ended: make(chan struct{})}
+	p := &Process{ended: make(chan struct{}), busy: &busyPeriods{}}
 	go func() {
 		// ptrace(2) belongs to a thread, which ends with this goroutine.
 		runtime.LockOSThread()
+		err := p.busy.attach()
+		if err != nil {
+			started <- err
+			return
+		}
+		defer p.busy.account.Close()
 		t, err := begin(command, launchVariable+"="+strings.Join(numbers, ","), output)
 		if err != nil {
 			started <- err
 			return
 		}
+		t.busy = p.busy
 		t.decide, p.Pid, p.handle = decide, t.leader, os.NewFile(uintptr(t.pidfd), "pidfd")
 		started <- nil
 		t.follow()
@@ -200,6 +212,7 @@
 	pidfd  int
 	known  map[int]bool // threads that have stopped before
 	queued []stop       // that wait for the end of a hold
+	busy   *busyPeriods
 }
 
 // stop is a stop of a thread.
@@ -251,7 +264,7 @@
 			t.stopped(next)
 			continue
 		}
-		next, err := t.wait(0)
+		next, err := t.next()
 		switch {
 		case err == unix.EINTR:
 		case err != nil: // ECHILD: no thread is left
@@ -262,6 +275,17 @@
 	}
 }
 
+// next waits for a thread to stop or to end. While none has, the tracer is idle.
+func (t *tracer) next() (stop, error) {
+	if next, err := t.wait(unix.WNOHANG); err != nil || next.tid != 0 {
+		return next, err
+	}
+	t.busy.end()
+	next, err := t.wait(0)
+	t.busy.begin()
+	return next, err
+}
+
 // wait waits for a thread to stop or to end, as wait4(2) does with some options.
 func (t *tracer) wait(options int) (next stop, err error) {
 	next.tid, err = unix.Wait4(-1, &next.status, unix.WALL|unix.WNOTHREAD|options, nil)
