--- a/cmd/ternbeam/brokenanswer_test.go
+++ b/cmd/ternbeam/brokenanswer_test.go
@@ -77,6 +77,7 @@
 // another server, any other with an error, and the client's connection carries each answer whole. An answer that says that it is over 64 KiB long
 // is relayed soon, as its client counts the time to the first byte; there the client can tell that it is not whole.
 func TestAnswersThatBreakOffAreReplaced(t *testing.T) {
+	t.Parallel()
 	for _, broken := range brokenAnswers() {
 		for _, second := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, second address %t", broken.name, second), func(t *testing.T) {
@@ -129,6 +130,7 @@
 
 // Guards against a part of an answer in place of an error where another attempt's answer is not whole as the client's time ends.
 func TestAnswersThatBreakOffTooLateAreErrors(t *testing.T) {
+	t.Parallel()
 	servers := lateServers{attempts: map[string]int{}}
 	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), serveConnections(t, servers.serve), serveConnections(t, servers.serve))
 	p := startReady(t, config, listen, true)
--- a/cmd/ternbeam/drainfaults_test.go
+++ b/cmd/ternbeam/drainfaults_test.go
@@ -277,6 +277,7 @@
 // Faults of discovery and of the process follow one another by chance, and servers drain in the midst of them. Nothing goes to one that
 // drains longer than the grace after its agent counts as told, by what the servers got.
 func TestDrainsUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	seeds, err := strconv.Atoi(cmp.Or(os.Getenv(faultSeedsEnv), fmt.Sprint(defaultFaultSeeds)))
 	if err != nil {
 		t.Fatalf("%s: %v", faultSeedsEnv, err)
--- a/cmd/ternbeam/drainreads_test.go
+++ b/cmd/ternbeam/drainreads_test.go
@@ -13,6 +13,7 @@
 
 // Guards against requests to a server whose drain was written to the agent, and not read as a call on the connection to discovery failed.
 func TestDrainsAreReadThoughCallsFail(t *testing.T) {
+	t.Parallel()
 	for _, errno := range []syscall.Errno{syscall.EAGAIN, syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EIO, syscall.EBADF} {
 		for _, every := range []int64{2, 3} {
 			t.Run(fmt.Sprintf("%v, each %d.", errno, every), func(t *testing.T) {
--- a/cmd/ternbeam/fulllog_test.go
+++ b/cmd/ternbeam/fulllog_test.go
@@ -30,6 +30,7 @@
 
 // Guards against requests that are never answered as the process waits for a reader of its log.
 func TestRequestsAreAnsweredWhenNobodyReadsTheLog(t *testing.T) {
+	t.Parallel()
 	config, listen := configure(t, free(t), shutdownSettings(1509*time.Millisecond), hangingServer(t), slowServer(t))
 	cmd := command(t, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
 	cmd.Stderr = fullPipe(t)
--- a/cmd/ternbeam/keptconnection_test.go
+++ b/cmd/ternbeam/keptconnection_test.go
@@ -85,6 +85,7 @@
 
 // Guards against a connection that is held for good by a client that has begun its next request and stopped.
 func TestNextRequestsThatStopAreEnded(t *testing.T) {
+	t.Parallel()
 	const owedWithin = 3 * time.Second
 	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), slowServer(t))
 	startReady(t, config, listen, false)
--- a/cmd/ternbeam/longfailure_test.go
+++ b/cmd/ternbeam/longfailure_test.go
@@ -46,6 +46,7 @@
 
 // Guards against answers that are given up while calls on their client's connection fail, though the client still waits.
 func TestAnswersOutliveFailuresOfASecond(t *testing.T) {
+	t.Parallel()
 	const failing = 1200 * time.Millisecond // of the 1.5 s for which clients wait
 	for _, call := range []sysfault.Call{sysfault.Write, sysfault.Read, sysfault.Accept} {
 		for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.EAGAIN, syscall.ECONNRESET} {
--- a/cmd/ternbeam/openconnection_test.go
+++ b/cmd/ternbeam/openconnection_test.go
@@ -33,6 +33,7 @@
 
 // Guards against client connections that end with no whole answer as a failed call is taken for the end of a connection that stands.
 func TestOpenConnectionsOutliveFailedCalls(t *testing.T) {
+	t.Parallel()
 	for _, fault := range openConnectionFaults() {
 		answerUnderFault(t, fault, onAddress)
 	}
@@ -40,6 +41,7 @@
 
 // Guards against requests that fail as a failed call is taken for the end of a connection to a server that stands.
 func TestServerConnectionsOutliveFailedCalls(t *testing.T) {
+	t.Parallel()
 	for _, fault := range openConnectionFaults() {
 		if fault.call != sysfault.Read && fault.call != sysfault.Write && fault.call != sysfault.Receive {
 			continue
--- a/cmd/ternbeam/outage_test.go
+++ b/cmd/ternbeam/outage_test.go
@@ -160,6 +160,7 @@
 // moment. Nothing goes to the server that drains by the grace after the return, whatever the outage is like, and also where the
 // process is held up just then.
 func TestDrainsOfAnOutageAreHeardInTime(t *testing.T) {
+	t.Parallel()
 	for _, how := range []outage{hangs, answersHead, breaksMidway, dripsSpace, unavailable, resets, refuses, notAccepting} {
 		for _, c := range []outageCase{{how: how}, {how: how, stalled: true}, {how: how, atStart: true}} {
 			t.Run(c.String(), func(t *testing.T) {
--- a/cmd/ternbeam/randomfaults_test.go
+++ b/cmd/ternbeam/randomfaults_test.go
@@ -139,6 +139,7 @@
 // Under system calls that fail at random on all of its sockets, before servers that go wrong, an agent gives each request one final answer, whole
 // and in time, never another's, and no request that may not be repeated has its effect twice.
 func TestAnswersUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, usualSeeds, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, steady) })
 }
 
@@ -146,16 +147,19 @@
 // and SIGKILL comes as early as the platform may send it. A client whose connection ends before anything of its answer has come asks once more on
 // another, as the agent may close a connection between two requests; none whose request a server has seen goes without an answer.
 func TestAnswersUnderRandomFaultsAtTheEnd(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, usualSeeds, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, ending) })
 }
 
 // The same on connections that are idle for about as long as one may be closed for, in between.
 func TestAnswersOnIdleConnectionsUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, usualIdlePlays, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, idling) })
 }
 
 // The same where another process replaces the first, which is told to end as the second says yes: clients go on with the one or the other.
 func TestAnswersUnderRandomFaultsAcrossAReplacement(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, usualReplacements, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, replaced) })
 }
 
--- a/cmd/ternbeam/randomholds_test.go
+++ b/cmd/ternbeam/randomholds_test.go
@@ -16,6 +16,7 @@
 // A process that is stopped for up to 0.15 s again and again, and told to end in the midst of it, gives each request one final answer, before servers
 // that go wrong and die, to clients that pause, leave and crowd. Unlike a hold of system calls, a stop hits every thread.
 func TestAnswersUnderRandomHoldUps(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, usualHoldUps, func(t *testing.T, seed uint64) {
 		untilValid(t, func() bool { return playedHoldUps(t, seed) })
 	})
--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -204,6 +204,7 @@
 // Twenty replacements under load, with discovery down: no call is lost at the door and none runs twice, each process ends
 // by itself, and a backend that was taken out before stays out until it is put back.
 func TestReplacementsUnderLoad(t *testing.T) {
+	t.Parallel()
 	s := newSuccession(t, 4)
 	now := s.begin()
 	s.ready(now)
--- a/cmd/ternbeam/replacefaults_test.go
+++ b/cmd/ternbeam/replacefaults_test.go
@@ -61,6 +61,7 @@
 
 // Guards against a server that operators took out being used again as a failed call keeps a process from what the one before leaves.
 func TestReplacementHasWhatWasLeftThoughCallsFail(t *testing.T) {
+	t.Parallel()
 	const failures = 3
 	for _, fault := range handoverFaults() {
 		for _, errno := range fault.errnos {
--- a/cmd/ternbeam/shutdown_test.go
+++ b/cmd/ternbeam/shutdown_test.go
@@ -133,6 +133,7 @@
 // ends, where all servers hang. The bound of the platform on the deadline that counts (3 s) binds, whatever the settings say, and
 // the process may be held up when it is told to end and again right before it is killed.
 func TestRequestsAreAnsweredBeforeTheKill(t *testing.T) {
+	t.Parallel()
 	for _, deadline := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3825 * time.Millisecond, 20 * time.Second} {
 		for _, c := range []shutdownCase{{}, {stalled: true}, {replaceable: true}, {stalled: true, replaceable: true}} {
 			c.deadline = deadline
--- a/cmd/ternbeam/steadyanswer_test.go
+++ b/cmd/ternbeam/steadyanswer_test.go
@@ -75,6 +75,7 @@
 
 // Guards against steady answers that are never served as they take long, and against ones without an end that take all of a client's time.
 func TestSteadyAnswersAreServed(t *testing.T) {
+	t.Parallel()
 	var answers []steadyAnswer
 	for _, framing := range []string{"length", "chunked", "none"} {
 		for _, takes := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond, time.Second} {
--- a/cmd/ternbeam/systemcalls_test.go
+++ b/cmd/ternbeam/systemcalls_test.go
@@ -108,6 +108,7 @@
 
 // Each request is answered, whatever error a system call on its client's connection returns for a moment: with the server's answer, whole.
 func TestAnswersSurviveFailingSystemCalls(t *testing.T) {
+	t.Parallel()
 	for _, fault := range clientFaults() {
 		answerUnderFault(t, fault, onAddress)
 	}
--- a/cmd/ternbeam/thriftclients_test.go
+++ b/cmd/ternbeam/thriftclients_test.go
@@ -85,6 +85,7 @@
 
 // Guards against an agent that stops for good as it ends connections that its Thrift clients are about to use.
 func TestThriftClientsAreAnsweredAsConnectionsEnd(t *testing.T) {
+	t.Parallel()
 	const (
 		sockets  = 200 // of which clients have 80 places
 		length   = 4 * time.Second
@@ -121,6 +122,7 @@
 
 // Guards against a Thrift client's connection that ends as one system call on it fails.
 func TestThriftAnswersSurviveFailingSystemCalls(t *testing.T) {
+	t.Parallel()
 	const clients, calls, sockets = 6, 15, 1024
 	for _, fault := range clientFaults() {
 		t.Run(fault.String(), func(t *testing.T) {
