The tracer of the fault shim waits for its own process only

A traced process has a process group now, and is waited for by that. No test provokes it: which thread Go gives a tracer can't be chosen.

--- a/internal/lab/sysfault/sysfault.go
+++ b/internal/lab/sysfault/sysfault.go
@@ -230,7 +230,7 @@
 func begin(command *exec.Cmd, chosen string, output *os.File) (*tracer, error) {
 	arguments := append([]string{"sysfault", command.Path}, command.Args[1:]...)
 	pid, err := syscall.ForkExec("/proc/self/exe", arguments, &syscall.ProcAttr{Dir: command.Dir, Env: append(command.Env, chosen),
-		Files: []uintptr{0, output.Fd(), output.Fd()}, Sys: &syscall.SysProcAttr{Ptrace: true}})
+		Files: []uintptr{0, output.Fd(), output.Fd()}, Sys: &syscall.SysProcAttr{Ptrace: true, Setpgid: true}})
 	if err != nil {
 		return nil, err
 	}
@@ -286,9 +286,10 @@
 	return next, err
 }
 
-// wait waits for a thread to stop or to end, as wait4(2) does with some options.
+// wait waits for a thread to stop or to end, as wait4(2) does with some options. The process has a process group of its own: other children of this
+// thread, from before it became the tracer's, are not waited for here.
 func (t *tracer) wait(options int) (next stop, err error) {
-	next.tid, err = unix.Wait4(-1, &next.status, unix.WALL|unix.WNOTHREAD|options, nil)
+	next.tid, err = unix.Wait4(-t.leader, &next.status, unix.WALL|unix.WNOTHREAD|options, nil)
 	return next, err
 }
 
