A late read leaves the pause that an answer may make to its caller

Read and readLate set it alike, one right behind the other. Read does it for both now; nothing else changes. The tests of exchange's callers (http, thrift, host) and those of answers that break off pass.

--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -420,7 +420,7 @@
 	}
 	n, err := f.conn.Read(p)
 	if f.begun && errors.Is(err, os.ErrDeadlineExceeded) && f.ctx.Err() == nil {
-		return f.readLate(p)
+		n, err = f.readLate(p)
 	}
 	if n > 0 && f.begun && f.late == nil {
 		f.pauseBy(f.stall) // pieces may come slowly, if they come
@@ -443,9 +443,6 @@
 	if n, err = f.conn.Read(p); errors.Is(err, os.ErrDeadlineExceeded) {
 		err = fmt.Errorf("%w: it does not go on", ErrSpoilt)
 	}
-	if n > 0 && f.late == nil {
-		f.pauseBy(f.stall)
-	}
 	return n, err
 }
 
