Tests under faults share a start, a wait account and the check for a late machine

No assertion changes: askUnderFaults serves the two tests of held-up writes, startReadyUnderFaults three that start, wait and log alike, stoodStill five copies of one condition, and sysfault.ProcessorWait reads the kernel's account for the tracer and for the watch.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -913,8 +913,8 @@
 	}
 }
 
-// Guards against refusing work for times that are those of this process: while it
-// was held up nobody could see what servers did. The same time counts where the process ran.
+// Guards against refusing work for times that are those of this process: while it was held up nobody could see
+// what servers did. The same time counts where the process ran.
 func TestStallsAreNoJam(t *testing.T) {
 	for name, c := range map[string]struct {
 		pass func(h *bench, d time.Duration)
--- a/cmd/ternbeam/heldanswer_test.go
+++ b/cmd/ternbeam/heldanswer_test.go
@@ -65,7 +65,7 @@
 	_, err := c.ask(fmt.Sprintf("/%s/1", class), "1")
 	c.close()
 	server.attempts.Wait()
-	if watch() > longestStall/3 {
+	if stoodStill(t, watch()) {
 		return false
 	}
 	if !errors.Is(err, errNotServed) {
--- a/cmd/ternbeam/kernelwait_test.go
+++ b/cmd/ternbeam/kernelwait_test.go
@@ -96,13 +96,9 @@
 // heldUpBeforeAWrite holds one poll(2) up, of those after a request is sent, and the writing of the request to its server.
 func heldUpBeforeAWrite(t *testing.T, poll int) {
 	const hold = longestStall - 10*time.Millisecond
-	world := newWorldRecord()
-	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), recordingServer(t, world))
-	var armed atomic.Bool
 	polls, held := 0, false
-	_, log := startUnderFaults(t, []sysfault.Call{sysfault.Poll, sysfault.Write}, func(e sysfault.Event) (o sysfault.Outcome) {
+	askUnderFaults(t, []sysfault.Call{sysfault.Poll, sysfault.Write}, func(e sysfault.Event) (o sysfault.Outcome) {
 		switch {
-		case !armed.Load():
 		case e.Call == sysfault.Poll:
 			if polls++; polls == poll+1 {
 				o.Hold = hold
@@ -112,12 +108,26 @@
 			o.Hold = hold
 		}
 		return o
+	})
+}
+
+// askUnderFaults sends a request that may not be repeated to an agent whose calls are decided on from then on.
+func askUnderFaults(t *testing.T, chosen []sysfault.Call, decide sysfault.Decider) *requestRecord {
+	t.Helper()
+	world := newWorldRecord()
+	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), recordingServer(t, world))
+	var armed atomic.Bool
+	_, log := startUnderFaults(t, chosen, func(e sysfault.Event) (o sysfault.Outcome) {
+		if armed.Load() {
+			o = decide(e)
+		}
+		return o
 	}, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
 	eventuallyReady(t, listen)
 	c := patientClient{listen: listen, name: "client", class: "refund-pay", keep: true}
 	defer c.close()
 	armed.Store(true)
-	c.askOnly(t, world, log)
+	return c.askOnly(t, world, log)
 }
 
 // Guards against a deadline from before a time in which nothing of the request could be written, where the process is held up in the next write:
@@ -126,7 +136,7 @@
 	untilValid(t, func() bool {
 		watch := watchMachine()
 		over := excessBehindAFailedWrite(t)
-		if watch() > longestStall/3 {
+		if stoodStill(t, watch()) {
 			return false
 		}
 		if most := longestStall + 20*time.Millisecond; over > most {
@@ -140,12 +150,9 @@
 // request fail at first, and the next is held up.
 func excessBehindAFailedWrite(t *testing.T) time.Duration {
 	const failing = 20 * time.Millisecond
-	world := newWorldRecord()
-	config, listen := configure(t, free(t), shutdownSettings(randomDeadline), recordingServer(t, world))
-	var armed atomic.Bool
 	first, held := time.Time{}, false
-	_, log := startUnderFaults(t, []sysfault.Call{sysfault.Write}, func(e sysfault.Event) (o sysfault.Outcome) {
-		if !armed.Load() || !dialled(e.Local) {
+	r := askUnderFaults(t, []sysfault.Call{sysfault.Write}, func(e sysfault.Event) (o sysfault.Outcome) {
+		if !dialled(e.Local) {
 			return o
 		}
 		if first.IsZero() {
@@ -159,14 +166,7 @@
 			o.Hold = longestStall
 		}
 		return o
-	}, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
-	eventuallyReady(t, listen)
-	c := patientClient{listen: listen, name: "client", class: "refund-pay", keep: true}
-	defer c.close()
-	armed.Store(true)
-	r := c.askOnly(t, world, log)
-	world.mu.Lock()
-	defer world.mu.Unlock()
+	})
 	return r.arrivals[0].excess(r)
 }
 
--- a/cmd/ternbeam/processorwait_test.go
+++ b/cmd/ternbeam/processorwait_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"ternbeam/internal/lab/sysfault"
 )
 
 // watchProcessorWaits returns what ends the watch and tells for how long the threads of a process have waited for a processor in sum, by the
@@ -31,14 +33,8 @@
 func processorWaits(pid int) (sum time.Duration) {
 	all, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	for _, path := range all {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			continue
-		}
-		var ran, waited time.Duration
-		if _, err := fmt.Sscan(string(text), (*int64)(&ran), (*int64)(&waited)); err == nil {
-			sum += waited
-		}
+		text, _ := os.ReadFile(path) // it may have ended
+		sum += sysfault.ProcessorWait(string(text))
 	}
 	return sum
 }
--- a/cmd/ternbeam/randomfaults_test.go
+++ b/cmd/ternbeam/randomfaults_test.go
@@ -242,8 +242,7 @@
 // a process that has waited for a processor for longer than answers may be late says nothing either.
 func (p *randomPlay) judge(logs string, stood, waited time.Duration) (valid bool) {
 	t := p.t
-	if stood > longestStall/3 {
-		t.Logf("void: the machine stood still for %v", stood)
+	if stoodStill(t, stood) {
 		return false
 	}
 	for _, process := range p.traced {
--- a/cmd/ternbeam/randomholds_test.go
+++ b/cmd/ternbeam/randomholds_test.go
@@ -99,7 +99,7 @@
 		p.signals(t, syscall.SIGCONT)
 	}
 	wait.Wait()
-	if watch() > longestStall/3 {
+	if stoodStill(t, watch()) {
 		return false
 	}
 	if n := refused.Load(); n > 0 {
--- a/cmd/ternbeam/shutdown_test.go
+++ b/cmd/ternbeam/shutdown_test.go
@@ -257,6 +257,16 @@
 	return func() time.Duration { close(over); return <-most }
 }
 
+// stoodStill reports whether the machine stood still in a play for so long that the play says nothing.
+func stoodStill(t *testing.T, longest time.Duration) bool {
+	t.Helper()
+	if longest <= longestStall/3 {
+		return false
+	}
+	t.Logf("void: the machine stood still for %v", longest)
+	return true
+}
+
 // alive reports whether the process has not ended yet.
 func (p *process) alive() bool {
 	select {
--- a/cmd/ternbeam/startfaults_test.go
+++ b/cmd/ternbeam/startfaults_test.go
@@ -27,13 +27,7 @@
 				failures++
 				return sysfault.Outcome{Errno: errno}
 			}
-			_, log := startUnderFaults(t, []sysfault.Call{sysfault.OpenFile}, decide, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
-			defer func() {
-				if t.Failed() {
-					t.Log(log)
-				}
-			}()
-			eventuallyReady(t, listen)
+			startReadyUnderFaults(t, []sysfault.Call{sysfault.OpenFile}, decide, config, listen)
 			mu.Lock()
 			defer mu.Unlock()
 			if failures != 20 {
@@ -60,13 +54,7 @@
 				}
 				return sysfault.Outcome{Errno: errno}
 			}
-			_, log := startUnderFaults(t, []sysfault.Call{sysfault.NewSocket}, decide, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
-			defer func() {
-				if t.Failed() {
-					t.Log(log)
-				}
-			}()
-			eventuallyReady(t, listen)
+			startReadyUnderFaults(t, []sysfault.Call{sysfault.NewSocket}, decide, config, listen)
 		})
 	}
 }
--- a/cmd/ternbeam/systemcalls_test.go
+++ b/cmd/ternbeam/systemcalls_test.go
@@ -121,13 +121,7 @@
 		t.Parallel()
 		servers := []net.Addr{slowServer(t), slowServer(t)}
 		config, listen := configure(t, free(t), unhurriedSettings(randomDeadline), servers...)
-		_, log := startUnderFaults(t, []sysfault.Call{fault.call}, fault.decider(chosen(listen)), "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
-		defer func() {
-			if t.Failed() {
-				t.Log(log)
-			}
-		}()
-		eventuallyReady(t, listen)
+		startReadyUnderFaults(t, []sysfault.Call{fault.call}, fault.decider(chosen(listen)), config, listen)
 		var wait sync.WaitGroup
 		for number := range 6 {
 			c := patientClient{listen: listen, name: fmt.Sprint("client-", number), class: "form-check", keep: number%3 != 0}
@@ -199,6 +193,18 @@
 	return p, log
 }
 
+// startReadyUnderFaults is startUnderFaults for an agent that clients are to reach, and waits until they may begin. A test that fails has its log.
+func startReadyUnderFaults(t *testing.T, chosen []sysfault.Call, decide sysfault.Decider, config, listen string) {
+	t.Helper()
+	_, log := startUnderFaults(t, chosen, decide, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(log)
+		}
+	})
+	eventuallyReady(t, listen)
+}
+
 // eventuallyReady waits until an agent says that clients may begin, through failures.
 func eventuallyReady(t *testing.T, listen string) {
 	t.Helper()
--- a/cmd/ternbeam/unknownwait_test.go
+++ b/cmd/ternbeam/unknownwait_test.go
@@ -125,8 +125,7 @@
 			return len(r.arrivals) > 0
 		})
 	}
-	if stood := watch(); stood > longestStall/3 {
-		t.Logf("void: the machine stood still for %v", stood)
+	if stoodStill(t, watch()) {
 		return false
 	}
 	problems, requests, served := world.judge()
--- a/internal/lab/sysfault/busy.go
+++ b/internal/lab/sysfault/busy.go
@@ -67,7 +67,12 @@
 func (b *busyPeriods) processorWait() time.Duration {
 	var text [64]byte
 	n, _ := b.account.ReadAt(text[:], 0)
-	fields := strings.Fields(string(text[:n])) // nanoseconds run, nanoseconds waited, times run
+	return ProcessorWait(string(text[:n]))
+}
+
+// ProcessorWait is for how long a thread has waited for a processor, by the kernel's account of it (proc(5), schedstat); 0 where that does not tell.
+func ProcessorWait(schedstat string) time.Duration {
+	fields := strings.Fields(schedstat) // nanoseconds run, nanoseconds waited, times run
 	if len(fields) < 2 {
 		return 0
 	}
