sysfault and killer run on arm64, with each architecture's registers in a file of its own

Change: registers_amd64.go and registers_arm64.go read and write the call number, the arguments and the result of a stopped thread. On arm64 a call is skipped by setting its number to -1 with PTRACE_SETREGSET of NT_ARM_SYSTEM_CALL, and its result is x0 of NT_PRSTATUS.

--- a/internal/lab/killer/killer.go
+++ b/internal/lab/killer/killer.go
@@ -22,6 +22,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/host/statestore"
 	"ternbeam/internal/lab/standin"
@@ -303,8 +305,9 @@
 	return "nothing unfinished"
 }
 
-// operations maps system call numbers of amd64, as in /proc, to operations.
-var operations = map[string]string{"1": "write", "74": "sync", "82": "rename", "264": "rename", "257": "open", "263": "remove", "3": "close"}
+// operations maps system call numbers to operations on the state folder. An architecture that has further calls for them adds its own.
+var operations = map[int]string{unix.SYS_WRITE: "write", unix.SYS_FSYNC: "sync", unix.SYS_RENAMEAT: "rename", unix.SYS_OPENAT: "open",
+	unix.SYS_UNLINKAT: "remove", unix.SYS_CLOSE: "close"}
 
 // currentOperation returns the operation on the state folder that a process is executing, or nothing if there is none or /proc does not
 // show it.
@@ -315,10 +318,11 @@
 		if err != nil {
 			continue
 		}
-		fields := strings.Fields(string(text))
+		fields := strings.Fields(string(text)) // the call's number and arguments, or "running"
 		what := ""
 		if len(fields) > 1 {
-			what = operations[fields[0]]
+			number, _ := strconv.Atoi(fields[0])
+			what = operations[number]
 		}
 		switch what {
 		case "":
--- a/internal/lab/sysfault/busyperiods.go
+++ b/internal/lab/sysfault/busyperiods.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package sysfault
 
--- a/internal/lab/sysfault/sysfault.go
+++ b/internal/lab/sysfault/sysfault.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 // Package sysfault starts a process and makes chosen system calls of it fail, or transfer fewer bytes than requested, as their manual
 // pages document. It traces the process with ptrace(2) and stops it only at the chosen calls, by means of a seccomp(2) filter that the
@@ -149,7 +149,7 @@
 		return unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: action}
 	}
 	filter := []unix.SockFilter{load(dataArch),
-		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: unix.AUDIT_ARCH_X86_64, Jt: 1},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: auditArch, Jt: 1},
 		result(unix.SECCOMP_RET_ALLOW), load(dataNumber)}
 	for text := range strings.SplitSeq(chosen, ",") {
 		number, err := strconv.ParseUint(text, 10, 32)
@@ -331,36 +331,32 @@
 
 // intercept asks the Decider about the call that a thread is about to make, and changes the call accordingly.
 func (t *tracer) intercept(tid int) {
-	var regs unix.PtraceRegs
-	if unix.PtraceGetRegs(tid, &regs) != nil {
+	registers, err := readRegisters(tid)
+	if err != nil {
 		return
 	}
-	event := Event{Call: Call(regs.Orig_rax)}
+	event := Event{Call: registers.call()}
 	switch event.Call {
 	case NewSocket:
 	case OpenFile, Rename:
-		event.Path = readPath(tid, uintptr(regs.Rsi))
+		event.Path = readPath(tid, uintptr(registers.argument1()))
 	case Poll: // its first argument points to an array in the process, so the sockets are not looked up
 	case EpollCtl:
-		event.Socket = t.socket(int(int32(regs.Rdx)))
+		event.Socket = t.socket(int(int32(registers.argument2())))
 	case GetSockOpt, SetSockOpt:
-		event.Socket = t.socket(int(int32(regs.Rdi)))
-		event.Option = Option{Level: int(int32(regs.Rsi)), Name: int(int32(regs.Rdx))}
+		event.Socket = t.socket(int(int32(registers.argument0())))
+		event.Option = Option{Level: int(int32(registers.argument1())), Name: int(int32(registers.argument2()))}
 	default:
-		event.Socket = t.socket(int(int32(regs.Rdi)))
+		event.Socket = t.socket(int(int32(registers.argument0())))
 	}
 	outcome := t.decide(event)
 	t.hold(outcome.Hold)
 	switch {
 	case outcome.Errno != 0:
-		regs.Orig_rax = ^uint64(0) // -1: the kernel executes no call
-		regs.Rax = -uint64(outcome.Errno)
-	case outcome.Limit > 0 && regs.Rdx > uint64(outcome.Limit):
-		regs.Rdx = uint64(outcome.Limit)
-	default:
-		return
+		registers.fail(outcome.Errno)
+	case outcome.Limit > 0 && registers.argument2() > uint64(outcome.Limit):
+		registers.setArgument2(uint64(outcome.Limit))
 	}
-	unix.PtraceSetRegs(tid, &regs)
 }
 
 // socket describes a descriptor of the process, or returns zero if it cannot be copied.
