A long answer whose body begins late is waited for, and hedged, instead of cut off

Cause: relay.HeldAnswer ended an attempt 0.5 s after the head where no byte of the body had come, at every attempt, whatever the client's time and the request's class.

Change: such an answer is held until the client's deadline. After 0.5 s the decision module is told (AnswerStarted), and hedges by its rules for late attempts. Why it works: what ends the attempt is an answer or the client's own time; a server that has stopped costs 0.5 s.

--- a/choice/api.go
+++ b/choice/api.go
@@ -194,6 +194,14 @@
 		Request string
 		Attempt int
 	}
+	// AnswerStarted reports that the server has begun to answer an attempt with what may be a long answer.
+	// The attempt goes on. If the answer then does not continue, a second event with Stalled says so: the
+	// server may be slow, or have stopped.
+	AnswerStarted struct {
+		Request string
+		Attempt int
+		Stalled bool
+	}
 	// ClientDisconnected reports that the client has disconnected: its request needs no final answer.
 	ClientDisconnected struct{ Request string }
 	// Probed is the result of a probe.
@@ -215,6 +223,7 @@
 func (BodyReceived) event()       {}
 func (Outcome) event()            {}
 func (StreamStarted) event()      {}
+func (AnswerStarted) event()      {}
 func (ClientDisconnected) event() {}
 func (Probed) event()             {}
 func (Shutdown) event()           {}
@@ -293,6 +302,8 @@
 		if r := b.requests[e.Request]; r != nil {
 			b.close(r)
 		}
+	case AnswerStarted:
+		b.handleAnswerStarted(e)
 	case ClientDisconnected:
 		if r := b.requests[e.Request]; r != nil {
 			b.close(r)
--- a/choice/check_test.go
+++ b/choice/check_test.go
@@ -49,6 +49,8 @@
 	neverRan bool
 	endsAt   time.Duration
 	result   Result
+
+	answerStarted bool
 }
 
 type worldProbe struct {
@@ -224,6 +226,13 @@
 						Took: w.now - p.sentAt, Closed: r.closed, Report: w.report()}
 				})
 			}
+			if p.inFlight && w.rng.Float64() < 0.01 {
+				stalled := p.answerStarted
+				events = append(events, func() Event {
+					r.sent[i].answerStarted = true
+					return AnswerStarted{id, i, stalled}
+				})
+			}
 			waiting = waiting || p.inFlight
 		}
 		if !r.closed && w.rng.Float64() < 0.001 {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -445,14 +445,31 @@
 	for _, a := range slices.Clone(s.inFlight) {
 		hedge := b.lossRate > hedgeLossThreshold ||
 			a.relativeWait(b) > silentHedgeDelay && s.lastHeard <= a.sent && b.laterSendAnswered(a)
-		hedge = hedge && a.relativeWait(b) > hedgeDelay && !a.req.BodyPending && a.req.inFlight == 1
-		if hedge && b.congestion < shedThreshold && b.canMove(a) {
-			b.retryBudget--
-			b.startAttempt(a.req)
+		if hedge && a.relativeWait(b) > hedgeDelay {
+			b.hedge(a)
 		}
 	}
 }
 
+// hedge sends a second attempt of a request whose only attempt in flight is late, if that is allowed.
+func (b *Balancer) hedge(a *attempt) {
+	if !a.req.BodyPending && a.req.inFlight == 1 && b.congestion < shedThreshold && b.canMove(a) {
+		b.retryBudget--
+		b.startAttempt(a.req)
+	}
+}
+
+// handleAnswerStarted hedges an attempt whose answer has begun and does not continue.
+func (b *Balancer) handleAnswerStarted(e AnswerStarted) {
+	r := b.requests[e.Request]
+	if r == nil || r.closed || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].inFlight {
+		return
+	}
+	if e.Stalled {
+		b.hedge(r.attempts[e.Attempt])
+	}
+}
+
 // canMove reports whether an attempt may be repeated at another server.
 func (b *Balancer) canMove(a *attempt) bool {
 	eligible := func(o *server) bool { return o != a.srv && !b.isEjected(o) && b.maySend(a.req, o) }
--- a/internal/decide/calltrack/streamed.go
+++ b/internal/decide/calltrack/streamed.go
@@ -49,6 +49,16 @@
 	return t.commands
 }
 
+// AnswerStarted handles an answer that has begun and may be long, or that then does not continue (stalled). Its attempt goes on.
+func (t *Tracker) AnswerStarted(now time.Duration, at *Attempt, stalled bool) []Command {
+	t.startStep(now)
+	call := at.Call
+	if t.calls[call.ID] == call && !call.Finished() {
+		t.handle(choice.AnswerStarted{Request: call.ID, Attempt: at.Number, Stalled: stalled})
+	}
+	return t.commands
+}
+
 // IsRelaying reports whether the answer of this attempt is being relayed to the call's client.
 func (t *Tracker) IsRelaying(call *Call, at *Attempt) bool { return call.relaying == at }
 
--- a/internal/decide/calltrack/tracker.go
+++ b/internal/decide/calltrack/tracker.go
@@ -103,10 +103,11 @@
 
 	// OnIllegalStep is called with an illegal state transition, which is a bug in this program. It may be nil.
 	OnIllegalStep  func(error)
-	OnRelayStart   func(*Attempt, AttemptOutcome) // set by the host: reports that the answer starts to be relayed; AttemptEnded reports its end
-	ForwardedCount *atomic.Int64                  // set by the host: counts the attempts that were written completely; may be nil
-	Cancel         context.CancelCauseFunc        // set by the host: cancels the attempt's context
-	WriteBy        time.Time                      // set by the host: SendBy on the system clock
+	OnRelayStart   func(*Attempt, AttemptOutcome)  // set by the host: reports that the answer starts to be relayed; AttemptEnded reports its end
+	OnAnswerStart  func(at *Attempt, stalled bool) // set by the host: see ReportAnswerStart; may be nil
+	ForwardedCount *atomic.Int64                   // set by the host: counts the attempts that were written completely; may be nil
+	Cancel         context.CancelCauseFunc         // set by the host: cancels the attempt's context
+	WriteBy        time.Time                       // set by the host: SendBy on the system clock
 }
 
 // ReportIllegalStep passes err to OnIllegalStep, unless either is nil.
@@ -116,6 +117,14 @@
 	}
 }
 
+// ReportAnswerStart reports that the server has begun an answer that may be long, and then with stalled that it does not continue it. The
+// attempt goes on.
+func (at *Attempt) ReportAnswerStart(stalled bool) {
+	if at.OnAnswerStart != nil {
+		at.OnAnswerStart(at, stalled)
+	}
+}
+
 // MarkForwarded counts the attempt as forwarded. Transports call it once, when the last byte of the message is written.
 func (at *Attempt) MarkForwarded() {
 	if at.ForwardedCount != nil {
--- a/internal/decide/relay/relay.go
+++ b/internal/decide/relay/relay.go
@@ -5,9 +5,16 @@
 // answer that is being relayed is final: if it breaks off, the client's connection has to be closed. So an answer is held for as long
 // as it fits into memory and the client's deadline allows. A long answer must not be held for long, as its client takes seconds to
 // read it.
+//
+// An answer whose body has not started is waited for until the client's deadline, as its server may be slow in sending and another
+// one no faster. If it takes long, another server is asked besides, as far as package choice allows, because its server may also have
+// stopped.
 package relay
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// MaxHold is the longest time that an answer of unknown length is held. Such an answer may be short and soon complete.
@@ -15,9 +22,8 @@
 	// MaxHoldLong is the longest time that an answer known to be long is held. It is short, as clients measure the time to the
 	// first byte.
 	MaxHoldLong = 100 * time.Millisecond
-	// MaxFirstByte is the longest time from the head of an answer to the first byte of its body. Before that byte there is
-	// nothing to relay.
-	MaxFirstByte = 500 * time.Millisecond
+	// HedgeDelay is the time from the head of an answer after which another server is asked too, if the body has not started.
+	HedgeDelay = 500 * time.Millisecond
 	// MaxPause is the longest time since data was last received after which the answer to a first attempt still starts to be
 	// relayed. A server that makes progress sends something at least that often; one that does not has probably stopped.
 	MaxPause = 300 * time.Millisecond
@@ -31,12 +37,15 @@
 	Hold    Verdict = iota // keep holding it until NextCheck
 	Relay                  // start to relay it
 	Replace                // it has stopped or is too late: send the request to another server, or answer the client with an error
+	Hedge                  // keep holding it until NextCheck, and send the request to another server besides
 )
 
 // HeldAnswer is the state of a held answer. All times are on one monotonic clock with an arbitrary origin. It is not safe for
 // concurrent use.
 type HeldAnswer struct {
-	until          time.Duration // when holding ends at the latest
+	deadline       time.Duration // of the client
+	hedgeAt        time.Duration // when Check returns Hedge, if the body has not started; the deadline once it has done so
+	until          time.Duration // when holding ends at the latest, if the body has started by then
 	endsAtDeadline bool          // until is the client's deadline
 	nextCheck      time.Duration // when to check whether data is still arriving; equal to until if that is the only check
 	maxPause       time.Duration // longest allowed time without data at a check
@@ -53,7 +62,8 @@
 func NewHeldAnswer(now, left time.Duration, limit int, first bool) *HeldAnswer {
 	left = max(left, 0)
 	hold := min(MaxHold, left)
-	h := &HeldAnswer{until: now + hold, endsAtDeadline: hold == left, nextCheck: now + hold, limit: limit, firstAttempt: first, lastReceived: now}
+	h := newHeld(now, left, hold, limit)
+	h.endsAtDeadline, h.firstAttempt = hold == left, first
 	if first {
 		// The other half is left for an attempt at another server. A pause of half of the time until the check means that the
 		// answer has stopped.
@@ -65,8 +75,24 @@
 
 // NewHeldLong is like NewHeldAnswer, for an answer that is known to be longer than limit. It is held for half of left at most.
 func NewHeldLong(now, left time.Duration, limit int) *HeldAnswer {
-	hold := min(MaxHoldLong, max(left, 0)/2)
-	return &HeldAnswer{until: now + hold, nextCheck: now + hold, limit: limit, lastReceived: now}
+	left = max(left, 0)
+	hold := min(MaxHoldLong, left/2)
+	return newHeld(now, left, hold, limit)
+}
+
+// newHeld starts to hold an answer for the time hold once its body has started. left is not negative.
+func newHeld(now, left, hold time.Duration, limit int) *HeldAnswer {
+	deadline := addTime(now, left)
+	return &HeldAnswer{deadline: deadline, hedgeAt: min(addTime(now, HedgeDelay), deadline), until: now + hold, nextCheck: now + hold,
+		limit: limit, lastReceived: now}
+}
+
+// addTime returns now + left, or the latest time if the sum is out of range. Left is not negative.
+func addTime(now, left time.Duration) time.Duration {
+	if left > math.MaxInt64-max(now, 0) {
+		return math.MaxInt64
+	}
+	return now + left
 }
 
 // Received records that further bytes were received. It returns Relay if the limit is exceeded, else Hold.
@@ -82,16 +108,20 @@
 // NextCheck returns the time at which Check is to be called.
 func (h *HeldAnswer) NextCheck() time.Duration {
 	if h.received == 0 {
-		return h.lastReceived + MaxFirstByte
+		return h.hedgeAt
 	}
 	return h.nextCheck
 }
 
-// Check returns what to do with an answer that is not complete at now. After Hold, NextCheck returns the time of the next call.
+// Check returns what to do with an answer that is not complete at now. After Hold and Hedge, NextCheck returns the time of the next
+// call. It returns Hedge at most once.
 func (h *HeldAnswer) Check(now time.Duration) Verdict {
 	switch {
 	case now < h.NextCheck():
 		return Hold
+	case h.received == 0 && now < h.deadline:
+		h.hedgeAt = h.deadline
+		return Hedge
 	case h.received == 0, h.firstAttempt && now-h.lastReceived > h.maxPause:
 		return Replace
 	case now < h.until:
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -79,18 +79,20 @@
 // Core runs the event loop around a calltrack.Tracker. One goroutine, the event loop, owns the Tracker and the timers;
 // everything else posts events to it.
 type Core struct {
-	set          Settings
-	log          *slog.Logger
-	events       chan func()
-	urgent       chan func() // takes precedence over events: operator commands and lists, which do not wait behind queued calls
-	workers      workers
-	unsubmitted  atomic.Int64                   // calls whose clients disconnected before the calls could be submitted
-	malformed    atomic.Int64                   // calls that a front could not read; the loop never sees them
-	ready        chan struct{}                  // closed when clients may send calls
-	onRelayStart func(*Attempt, AttemptOutcome) // shared by all attempts
-	figures      atomic.Pointer[Figures]
-	forwards     atomic.Int64 // attempts whose message was written completely
-	clockSteps   clock.Steps  // of the wall clock
+	set         Settings
+	log         *slog.Logger
+	events      chan func()
+	urgent      chan func() // takes precedence over events: operator commands and lists, which do not wait behind queued calls
+	workers     workers
+	unsubmitted atomic.Int64  // calls whose clients disconnected before the calls could be submitted
+	malformed   atomic.Int64  // calls that a front could not read; the loop never sees them
+	ready       chan struct{} // closed when clients may send calls
+	// Shared by all attempts.
+	onAnswerStart func(at *Attempt, stalled bool)
+	onRelayStart  func(*Attempt, AttemptOutcome)
+	figures       atomic.Pointer[Figures]
+	forwards      atomic.Int64 // attempts whose message was written completely
+	clockSteps    clock.Steps  // of the wall clock
 
 	undelivered *undeliveredLog // answers that did not reach their clients
 
@@ -122,6 +124,9 @@
 	c.onRelayStart = func(at *Attempt, e AttemptOutcome) {
 		c.post(func() { c.execute(c.tracker.RelayStarted(c.Now(), at, e)) })
 	}
+	c.onAnswerStart = func(at *Attempt, stalled bool) {
+		c.post(func() { c.execute(c.tracker.AnswerStarted(c.Now(), at, stalled)) })
+	}
 	c.publish() // so that Figures never returns nil
 	return c, nil
 }
@@ -347,7 +352,7 @@
 // startAttempt makes an attempt on a worker goroutine.
 func (c *Core) startAttempt(at *Attempt) {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	at.Cancel, at.ForwardedCount, at.OnRelayStart = cancel, &c.forwards, c.onRelayStart
+	at.Cancel, at.ForwardedCount, at.OnAnswerStart, at.OnRelayStart = cancel, &c.forwards, c.onAnswerStart, c.onRelayStart
 	if at.SendBy != 0 {
 		at.WriteBy = clock.ToTime(at.SendBy)
 	}
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -28,7 +28,8 @@
 // relayed while they are received; otherwise an answer longer than httpmsg.MaxBody is invalid.
 func New(p *pool.Pool, fields []string, long bool) *exchange.Transport {
 	return &exchange.Transport{Pool: p, StallTimeout: exchange.StallTimeout, NoRetryReserve: long, NewCodec: func(at *core.Attempt) exchange.Codec {
-		c := &codec{request: at.Payload.(*httpmsg.Request), host: hostHeader(at.Server.Addr), fields: fields, firstAttempt: at.Number == 0}
+		c := &codec{request: at.Payload.(*httpmsg.Request), host: hostHeader(at.Server.Addr), fields: fields, firstAttempt: at.Number == 0,
+			reportStart: at.ReportAnswerStart}
 		c.bufferAnswer = !long || at.Route.Plan != nil || len(c.request.ReplyHeaders) > 0 || c.request.UnknownShapeStatus != 0
 		return c
 	}}
@@ -40,6 +41,7 @@
 	host         string
 	fields       []string
 	firstAttempt bool                  // of the call
+	reportStart  func(stalled bool)    // reports that the answer has begun, and that it then does not continue
 	bufferAnswer bool                  // answers are read completely before the client gets them: long ones are off, or their shape matters
 	body         *httpmsg.UploadReader // of a request that is forwarded while it is received
 }
--- a/internal/http/httpback/streaming.go
+++ b/internal/http/httpback/streaming.go
@@ -72,6 +72,14 @@
 		h.length < 0 && (h.chunked || h.close))
 }
 
+// progress describes how much of the body was received, for the log.
+func (h *head) progress(received int64) string {
+	if h.length < 0 {
+		return fmt.Sprintf("%d bytes", received)
+	}
+	return fmt.Sprintf("%d of %d bytes", received, h.length)
+}
+
 // partBuffers holds the buffers through which answers are relayed.
 var partBuffers = sync.Pool{New: func() any { return new([httpmsg.PartSize]byte) }}
 
@@ -94,6 +102,7 @@
 	if h.length >= 0 {
 		r.held = relay.NewHeldLong(clock.Now(), in.TimeLeft(), httpmsg.MaxBody)
 	}
+	c.reportStart(false)
 	in.Hold(r.holdUntil(), r.holdExpired)
 	body := io.Reader(in.Reader)
 	switch {
@@ -114,7 +123,7 @@
 	if r.pipe != nil {
 		r.pipe.CloseWithError(err)
 	}
-	return core.AttemptOutcome{}, false, err
+	return core.AttemptOutcome{}, false, fmt.Errorf("%w (%s received)", err, h.progress(received))
 }
 
 // receive reads the body to its end. It returns the number of bytes, and the error that ended the body: io.EOF for an orderly end.
@@ -160,6 +169,9 @@
 // holdExpired is called when the held answer is not complete in time. It reports whether reading the answer continues.
 func (r *relayedAnswer) holdExpired() bool {
 	switch r.held.Check(clock.Now()) {
+	case relay.Hedge:
+		r.codec.reportStart(true)
+		fallthrough
 	case relay.Hold:
 		r.in.Hold(r.holdUntil(), r.holdExpired)
 		return true
