An attempt whose long answer has begun is not cancelled as at a silent server

Callers saw: 503 at their deadline, where servers were giving long answers whose bodies began 1.15 s after their heads, and the settings allow cancellation (as in service).

Evidence: "s-0 first canceled 0.000-0.634; s-1 hedge canceled 0.502-0.749" in the log of such a request.

Change: the module is told of the head of an answer that may be long, and leaves that attempt alone; the server is ejected as before. Why it works: the attempt ends with an answer, from here or from its hedge, or with the client's time.

--- a/choice/check_test.go
+++ b/choice/check_test.go
@@ -163,6 +163,9 @@
 		return
 	}
 	if p := &r.sent[a.Attempt]; p.inFlight {
+		if p.answerStarted && !r.closed {
+			w.addFault("an attempt is canceled whose answer has begun")
+		}
 		p.endsAt, p.result = w.now+time.Millisecond, Canceled
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -99,6 +99,7 @@
 	sent             time.Duration // time of the send or, if later, of the request's last byte
 	inFlight         bool
 	neverRan         bool // the result proves that it had no effect
+	answerStarted    bool // the server has begun an answer that may be long
 	canceledAsSilent bool // canceled at a silent server; the attempt to follow is taken from the budget
 }
 
--- a/cmd/ternbeam/latebody_test.go
+++ b/cmd/ternbeam/latebody_test.go
@@ -79,6 +79,9 @@
 			t.Run(answer.String(), func(t *testing.T) {
 				t.Parallel()
 				settings := everyEffectSettings(randomDeadline, time.Second)
+				if pause > time.Second { // long enough for its servers to count as silent
+					settings = withHedging(settings)
+				}
 				config, listen := configure(t, unusedAddr(t), settings, serveConnections(t, answer.serve), serveConnections(t, answer.serve))
 				p := startReady(t, config, listen, true)
 				var wait sync.WaitGroup
