A pause in an answer does not end an attempt that no other can follow

Callers saw: a request that must not be repeated failed with 502 after 0.31 s (0.51 s for an answer of unknown length), with most of its time left, where its server paused for 0.7 s within its answer and then went on.

A stalled answer is given up so that another attempt has time, by transports that didn't know whether another attempt can follow. Evidence: one attempt in the log, "error 0.000-0.311 (spoilt answer: no more data arrived in time)", and reason="not repeatable".

Change: choice says with each Send whether another one can follow once it may have run (Last: a class that must not be repeated, or the last attempt allowed). There neither the limit on stalls nor the share of the time kept for another attempt applies, and an answer of unknown length that has stopped is held until it continues. Why it works: without another attempt giving up can only lose.

--- a/choice/api.go
+++ b/choice/api.go
@@ -252,6 +252,7 @@
 	SendWithin time.Duration // a Send is to be written whole in this time, see MaxSendDelay; 0 for no limit
 	Token      uint64
 	Reason     Reason // why, for logs and metrics
+	Last       bool   // of a Send: once it may have run, no other attempt can follow
 }
 
 // New returns a Balancer. All its random numbers derive from the seed.
--- a/choice/check_test.go
+++ b/choice/check_test.go
@@ -119,6 +119,9 @@
 	if len(r.sent) >= w.settings.MaxAttempts {
 		w.addFault("attempt %d of %d allowed", len(r.sent)+1, w.settings.MaxAttempts)
 	}
+	if last := c.Effect == Unsafe || len(r.sent)+1 == w.settings.MaxAttempts; a.Last != last {
+		w.addFault("a send says %t of being the last, want %t", a.Last, last)
+	}
 	inFlight := 0
 	var first *worldAttempt
 	for i := range r.sent {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -553,7 +553,8 @@
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
 	s.inFlight = append(s.inFlight, a)
-	send := Action{Kind: Send, Request: r.ID, Server: s.ID, Reason: reason}
+	send := Action{Kind: Send, Request: r.ID, Server: s.ID, Reason: reason,
+		Last: r.class.Effect == Unsafe || len(r.attempts) >= b.settings.MaxAttempts}
 	if first != nil && r.class.Effect == Keyed { // maySend has checked the window, but connecting takes time
 		send.SendWithin = first.sent + r.class.DedupWindow - b.windowMargin() - b.now
 	}
--- a/internal/decide/calltrack/tracker.go
+++ b/internal/decide/calltrack/tracker.go
@@ -94,6 +94,7 @@
 	Server   *lifecycle.Server
 	Sent     time.Duration     // when the attempt was started, or when the request body was complete; on the clock of the events
 	Deadline time.Duration     // when the attempt times out, on the clock of the events
+	Last     bool              // once it may have run, no other attempt of the call can follow
 	SendBy   time.Duration     // the last byte must be written before this time on the clock of the events; 0 for no limit
 	State    lifecycle.Attempt // the state machine, driven by the transport
 
@@ -512,8 +513,8 @@
 	case s == nil:
 		failed.Result = choice.ConnectFailed
 	default:
-		at := &Attempt{Call: call, Number: n, Reason: act.Reason, Server: s, Sent: t.now, Deadline: end, OnIllegalStep: t.settings.OnIllegalStep,
-			Route: route, Speaks: route.Protocol, Payload: call.Payload}
+		at := &Attempt{Call: call, Number: n, Reason: act.Reason, Server: s, Sent: t.now, Deadline: end, Last: act.Last,
+			OnIllegalStep: t.settings.OnIllegalStep, Route: route, Speaks: route.Protocol, Payload: call.Payload}
 		if act.SendWithin != 0 {
 			at.SendBy = t.now + act.SendWithin
 		}
--- a/internal/decide/relay/relay.go
+++ b/internal/decide/relay/relay.go
@@ -29,6 +29,16 @@
 	MaxPause = 300 * time.Millisecond
 )
 
+// AttemptPosition is the position of an attempt among those of its call.
+type AttemptPosition int
+
+// The positions of an attempt.
+const (
+	FirstAttempt   AttemptPosition = iota // another one can follow
+	OnlyAttempt                           // the first, and none can follow
+	FurtherAttempt                        // not the first
+)
+
 // Verdict tells what to do with a held answer.
 type Verdict int
 
@@ -50,21 +60,22 @@
 	nextCheck      time.Duration // when to check whether data is still arriving; equal to until if that is the only check
 	maxPause       time.Duration // longest allowed time without data at a check
 	limit          int           // maximum number of bytes held
-	firstAttempt   bool          // it answers the first attempt of a request
+	position       AttemptPosition
 	received       int           // bytes
 	lastReceived   time.Duration // when data was last received; initially when the head was received
 }
 
 // NewHeldAnswer starts to hold an answer of unknown length whose head was received at now. left is the time until the client's
-// deadline, limit the maximum number of bytes to hold. If the answer has stopped by half of left it is replaced, but only if it is
-// that of the first attempt (first): the answer may also be long and its server slow, and then further attempts would do no better.
-// An answer that is not complete at the client's deadline is not relayed.
-func NewHeldAnswer(now, left time.Duration, limit int, first bool) *HeldAnswer {
+// deadline, limit the maximum number of bytes to hold. If the answer to a first attempt has stopped by half of left it is replaced. The
+// answer may also be long and its server slow, and then further attempts would do no better, so that their answers are not replaced. If
+// no attempt can follow, an answer that has stopped is held until it continues. An answer that is not complete at the client's deadline
+// is not relayed.
+func NewHeldAnswer(now, left time.Duration, limit int, position AttemptPosition) *HeldAnswer {
 	left = max(left, 0)
 	hold := min(MaxHold, left)
 	h := newHeld(now, left, hold, limit)
-	h.endsAtDeadline, h.firstAttempt = hold == left, first
-	if first {
+	h.endsAtDeadline, h.position = hold == left, position
+	if position != FurtherAttempt {
 		// The other half is left for an attempt at another server. A pause of half of the time until the check means that the
 		// answer has stopped.
 		untilCheck := min(MaxHold, left/2)
@@ -77,7 +88,9 @@
 func NewHeldLong(now, left time.Duration, limit int) *HeldAnswer {
 	left = max(left, 0)
 	hold := min(MaxHoldLong, left/2)
-	return newHeld(now, left, hold, limit)
+	h := newHeld(now, left, hold, limit)
+	h.position = FurtherAttempt
+	return h
 }
 
 // newHeld starts to hold an answer for the time hold once its body has started. left is not negative.
@@ -99,6 +112,7 @@
 func (h *HeldAnswer) Received(now time.Duration, bytes int) Verdict {
 	h.received += bytes
 	h.lastReceived = now
+	h.nextCheck = min(h.nextCheck, h.until) // it may have been later because of a pause
 	if h.received > h.limit {
 		return Relay
 	}
@@ -122,8 +136,14 @@
 	case h.received == 0 && now < h.deadline:
 		h.hedgeAt = h.deadline
 		return Hedge
-	case h.received == 0, h.firstAttempt && now-h.lastReceived > h.maxPause:
+	case h.received == 0:
 		return Replace
+	case h.position != FurtherAttempt && now-h.lastReceived > h.maxPause:
+		if h.position == FirstAttempt || now >= h.deadline {
+			return Replace
+		}
+		h.nextCheck = h.deadline
+		return Hold
 	case now < h.until:
 		h.nextCheck = h.until
 		return Hold
--- a/internal/decide/relay/relay_test.go
+++ b/internal/decide/relay/relay_test.go
@@ -22,18 +22,19 @@
 		until  time.Duration
 		due    Verdict
 	}{
-		"goes on":                            {NewHeldAnswer(0, long, 64, true), []piece{{100 * ms, 10}, {450 * ms, 10}}, MaxHold, Relay},
-		"has stopped":                        {NewHeldAnswer(0, long, 64, true), []piece{{100 * ms, 10}, {200 * ms, 10}}, MaxHold, Replace},
-		"has stopped, second attempt":        {NewHeldAnswer(0, long, 64, false), []piece{{100 * ms, 10}, {200 * ms, 10}}, MaxHold, Relay},
-		"nothing received":                   {NewHeldAnswer(0, long, 64, true), nil, HedgeDelay, Hedge},
-		"nothing received, second attempt":   {NewHeldAnswer(0, long, 64, false), nil, HedgeDelay, Hedge},
-		"nothing received in 400 ms":         {NewHeldAnswer(0, 400*ms, 64, true), nil, 400 * ms, Replace},
-		"goes on at half of a short time":    {NewHeldAnswer(0, short, 64, true), []piece{{200 * ms, 10}}, 300 * ms, Hold},
-		"stopped at half of a short time":    {NewHeldAnswer(0, short, 64, true), []piece{{100 * ms, 10}}, 300 * ms, Replace},
-		"a short time, second attempt":       {NewHeldAnswer(0, short, 64, false), []piece{{100 * ms, 10}}, MaxHold, Relay},
-		"deadline reached, second attempt":   {NewHeldAnswer(0, 400*ms, 64, false), []piece{{100 * ms, 10}, {350 * ms, 10}}, 400 * ms, Replace},
-		"no time left":                       {NewHeldAnswer(0, -long, 64, true), []piece{{0, 10}}, 0, Replace},
-		"no time left, second attempt":       {NewHeldAnswer(0, -long, 64, false), []piece{{0, 10}}, 0, Replace},
+		"goes on":                            {NewHeldAnswer(0, long, 64, FirstAttempt), []piece{{100 * ms, 10}, {450 * ms, 10}}, MaxHold, Relay},
+		"has stopped":                        {NewHeldAnswer(0, long, 64, FirstAttempt), []piece{{100 * ms, 10}, {200 * ms, 10}}, MaxHold, Replace},
+		"has stopped, second attempt":        {NewHeldAnswer(0, long, 64, FurtherAttempt), []piece{{100 * ms, 10}, {200 * ms, 10}}, MaxHold, Relay},
+		"nothing received":                   {NewHeldAnswer(0, long, 64, FirstAttempt), nil, HedgeDelay, Hedge},
+		"nothing received, second attempt":   {NewHeldAnswer(0, long, 64, FurtherAttempt), nil, HedgeDelay, Hedge},
+		"nothing received in 400 ms":         {NewHeldAnswer(0, 400*ms, 64, FirstAttempt), nil, 400 * ms, Replace},
+		"has stopped, only attempt":          {NewHeldAnswer(0, long, 64, OnlyAttempt), []piece{{100 * ms, 10}, {200 * ms, 10}}, MaxHold, Hold},
+		"goes on at half of a short time":    {NewHeldAnswer(0, short, 64, FirstAttempt), []piece{{200 * ms, 10}}, 300 * ms, Hold},
+		"stopped at half of a short time":    {NewHeldAnswer(0, short, 64, FirstAttempt), []piece{{100 * ms, 10}}, 300 * ms, Replace},
+		"a short time, second attempt":       {NewHeldAnswer(0, short, 64, FurtherAttempt), []piece{{100 * ms, 10}}, MaxHold, Relay},
+		"deadline reached, second attempt":   {NewHeldAnswer(0, 400*ms, 64, FurtherAttempt), []piece{{100 * ms, 10}, {350 * ms, 10}}, 400 * ms, Replace},
+		"no time left":                       {NewHeldAnswer(0, -long, 64, FirstAttempt), []piece{{0, 10}}, 0, Replace},
+		"no time left, second attempt":       {NewHeldAnswer(0, -long, 64, FurtherAttempt), []piece{{0, 10}}, 0, Replace},
 		"known to be long, stopped":          {NewHeldLong(0, long, 64), []piece{{0, 10}}, MaxHoldLong, Relay},
 		"known to be long, nothing received": {NewHeldLong(0, long, 64), nil, HedgeDelay, Hedge},
 		"known to be long, in 400 ms":        {NewHeldLong(0, 400*ms, 64), nil, 400 * ms, Replace},
@@ -54,7 +55,7 @@
 			}
 		})
 	}
-	h := NewHeldAnswer(0, time.Second, 64, true)
+	h := NewHeldAnswer(0, time.Second, 64, FirstAttempt)
 	if h.Received(ms, 64) != Hold || h.Received(2*ms, 1) != Relay {
 		t.Error("the limit on held bytes does not apply")
 	}
@@ -64,7 +65,7 @@
 // than MaxHold.
 func TestArrivingAnswerIsHeldPastHalfOfRemainingTime(t *testing.T) {
 	for left, want := range map[time.Duration]Verdict{600 * ms: Relay, 500 * ms: Replace, 200 * ms: Replace} {
-		h := NewHeldAnswer(0, left, 64, true)
+		h := NewHeldAnswer(0, left, 64, FirstAttempt)
 		h.Received(left*2/5, 10)
 		if v := h.Check(left / 2); v != Hold {
 			t.Errorf("%v: %v at half of the time", left, v)
@@ -82,7 +83,7 @@
 // Guards against long answers that are given up because their body starts late.
 func TestLateBodyIsRelayed(t *testing.T) {
 	const left = 2 * time.Second
-	for name, h := range map[string]*HeldAnswer{"unknown length": NewHeldAnswer(0, left, 64, true), "second attempt": NewHeldAnswer(0, left, 64, false),
+	for name, h := range map[string]*HeldAnswer{"unknown length": NewHeldAnswer(0, left, 64, FirstAttempt), "second attempt": NewHeldAnswer(0, left, 64, FurtherAttempt),
 		"known to be long": NewHeldLong(0, left, 64)} {
 		for now := time.Duration(0); now < left; now += ms {
 			want := Hold
@@ -102,15 +103,31 @@
 	}
 }
 
+// Guards against a paused answer that is given up, or relayed too early, although no other attempt can follow.
+func TestPausedAnswerOfOnlyAttemptIsRelayedAsItContinues(t *testing.T) {
+	h := NewHeldAnswer(0, 2*time.Second, 64, OnlyAttempt)
+	h.Received(100*ms, 10)
+	if v := h.Check(MaxHold); v != Hold || h.NextCheck() != 2*time.Second {
+		t.Errorf("%v in the pause, next check at %v", v, h.NextCheck())
+	}
+	h.Received(time.Second, 10)
+	if h.NextCheck() > time.Second {
+		t.Errorf("next check at %v, though the answer continues", h.NextCheck())
+	}
+	if v := h.Check(time.Second); v != Relay {
+		t.Errorf("%v as it continues", v)
+	}
+}
+
 // However an answer arrives, it is held no longer than MaxHold and the client's deadline, or than that deadline while its body has not
-// started, and it is not given up before. It is relayed only before the client's deadline, and that of a first attempt only if it has not
-// paused for longer than MaxPause.
+// started. It is not given up before that deadline while its body has not started, or if no other attempt can follow. It is relayed only
+// before the client's deadline, and that of a first attempt only if it has not paused for longer than MaxPause.
 func TestHoldIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		left := time.Duration(rapid.Int64Range(-int64(time.Second), int64(20*time.Second)).Draw(t, "left"))
-		first := rapid.Bool().Draw(t, "first")
+		position := rapid.SampledFrom([]AttemptPosition{FirstAttempt, OnlyAttempt, FurtherAttempt}).Draw(t, "position")
 		most := min(MaxHold, max(left, 0))
-		h, now, last, any := NewHeldAnswer(0, left, 1000, first), time.Duration(0), time.Duration(0), false
+		h, now, last, any := NewHeldAnswer(0, left, 1000, position), time.Duration(0), time.Duration(0), false
 		verdict, hedged := h.Check(now), false
 		for ; verdict == Hold || verdict == Hedge; verdict = h.Check(now) {
 			if verdict == Hedge && (hedged || any || now < HedgeDelay) {
@@ -130,13 +147,13 @@
 				return
 			}
 		}
-		if verdict == Replace && !any && now < left {
+		if verdict == Replace && (!any || position == OnlyAttempt) && now < left {
 			t.Fatalf("given up after %v of %v", now, left)
 		}
 		if verdict == Relay && now >= left {
 			t.Fatalf("relayed after %v of %v", now, left)
 		}
-		if verdict == Relay && first && now-last > MaxPause {
+		if verdict == Relay && position != FurtherAttempt && now-last > MaxPause {
 			t.Fatalf("relayed after a pause of %v", now-last)
 		}
 	})
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -38,6 +38,8 @@
 	// answer is awaited, as the answer may arrive before the server has read the message completely.
 	maxInlineMessageBytes = 8 << 10
 
+	noStallTimeout time.Duration = 0
+
 	stallGrace = 10 * time.Millisecond // extra time for a read whose deadline has passed
 
 	// relayStallTimeout is how long an answer that is being relayed may stall: another attempt could not replace it any more.
@@ -72,7 +74,7 @@
 // Transport makes attempts over the connections of a Pool, one at a time on each.
 type Transport struct {
 	Pool         *pool.Pool
-	StallTimeout time.Duration // how long a partly received answer may stall
+	StallTimeout time.Duration // how long a partly received answer may stall if another attempt can follow
 
 	// NoRetryReserve lets an answer that keeps arriving take until the attempt's deadline. Otherwise a share of the time that is left when it
 	// starts to arrive is reserved for another attempt, see reservedDivisor.
@@ -178,8 +180,11 @@
 	detach := context.AfterFunc(ctx, func() { c.SetDeadline(expiredDeadline) })
 	in := answerReaders.Get().(*AnswerReader)
 	defer answerReaders.Put(in)
-	in.reset(ctx, at, c.Conn, deadline, t.StallTimeout)
-	in.noRetryReserve, in.detachContext = t.NoRetryReserve, detach
+	in.reset(ctx, at, c.Conn, deadline)
+	in.stallTimeout, in.noRetryReserve, in.detachContext = t.StallTimeout, t.NoRetryReserve || at.Last, detach
+	if at.Last { // giving up a stalled answer would lose the call
+		in.stallTimeout = noStallTimeout
+	}
 	in.send(codec, message, stream)
 	e, reusable, err := codec.Answer(in)
 	reuse = (in.relaying || detach()) && err == nil && reusable && in.Buffered() == 0
@@ -223,7 +228,7 @@
 	at           *core.Attempt
 	ctx          context.Context
 	deadline     time.Time        // of the attempt; the zero time is no deadline
-	stallTimeout time.Duration    // how long a partly received answer may stall
+	stallTimeout time.Duration    // how long a partly received answer may stall; noStallTimeout for until the deadline
 	completeBy   time.Time        // when a partly received answer must be complete; zero for no limit
 	midAnswer    bool             // an answer is partly received, so that its stalls are limited
 	anyReceived  bool             // at least one byte of an answer was received
@@ -244,8 +249,8 @@
 	err error // nil if the message was written completely
 }
 
-func (r *AnswerReader) reset(ctx context.Context, at *core.Attempt, c net.Conn, deadline time.Time, stallTimeout time.Duration) {
-	*r = AnswerReader{Reader: r.Reader, conn: c, at: at, ctx: ctx, deadline: deadline, stallTimeout: stallTimeout}
+func (r *AnswerReader) reset(ctx context.Context, at *core.Attempt, c net.Conn, deadline time.Time) {
+	*r = AnswerReader{Reader: r.Reader, conn: c, at: at, ctx: ctx, deadline: deadline}
 	r.Reader.Reset(connReader{r})
 }
 
@@ -384,12 +389,16 @@
 	if !r.noRetryReserve && !r.deadline.IsZero() {
 		r.completeBy = r.deadline.Add(-time.Until(r.deadline) / reservedDivisor)
 	}
-	r.limitStall(r.stallTimeout)
+	r.limitStall()
 }
 
-// limitStall sets how long a partly received answer may stall from now on.
-func (r *AnswerReader) limitStall(d time.Duration) {
-	r.setReadDeadline(earliest(time.Now().Add(d), r.deadline, r.completeBy))
+// limitStall lets a partly received answer stall for stallTimeout from now on.
+func (r *AnswerReader) limitStall() {
+	var stalledAt time.Time
+	if r.stallTimeout != noStallTimeout {
+		stalledAt = time.Now().Add(r.stallTimeout)
+	}
+	r.setReadDeadline(earliest(stalledAt, r.deadline, r.completeBy))
 }
 
 // earliest returns the earliest time that is not zero, or the zero time if all are.
@@ -437,7 +446,7 @@
 		n, err = r.readExpired(p)
 	}
 	if n > 0 && r.midAnswer && r.onHoldExpired == nil {
-		r.limitStall(r.stallTimeout) // an answer may arrive slowly, as long as it continues
+		r.limitStall() // an answer may arrive slowly, as long as it continues
 	}
 	return n, err
 }
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -17,6 +17,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/addresses"
+	"ternbeam/internal/decide/relay"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/exchange"
 	"ternbeam/internal/host/pool"
@@ -28,19 +29,30 @@
 // relayed while they are received; otherwise an answer longer than httpmsg.MaxBody is invalid.
 func New(p *pool.Pool, fields []string, long bool) *exchange.Transport {
 	return &exchange.Transport{Pool: p, StallTimeout: exchange.StallTimeout, NoRetryReserve: long, NewCodec: func(at *core.Attempt) exchange.Codec {
-		c := &codec{request: at.Payload.(*httpmsg.Request), host: hostHeader(at.Server.Addr), fields: fields, firstAttempt: at.Number == 0,
+		c := &codec{request: at.Payload.(*httpmsg.Request), host: hostHeader(at.Server.Addr), fields: fields, position: position(at),
 			reportStart: at.ReportAnswerStart}
 		c.bufferAnswer = !long || at.Route.Plan != nil || len(c.request.ReplyHeaders) > 0 || c.request.UnknownShapeStatus != 0
 		return c
 	}}
 }
 
+// position returns the position of an attempt among those of its call.
+func position(at *core.Attempt) relay.AttemptPosition {
+	switch {
+	case at.Number > 0:
+		return relay.FurtherAttempt
+	case at.Last:
+		return relay.OnlyAttempt
+	}
+	return relay.FirstAttempt
+}
+
 // codec encodes and decodes one attempt. It implements exchange.StreamingCodec.
 type codec struct {
 	request      *httpmsg.Request
 	host         string
 	fields       []string
-	firstAttempt bool                  // of the call
+	position     relay.AttemptPosition // among the attempts of the call
 	reportStart  func(stalled bool)    // reports that the answer has begun, and that it then does not continue
 	bufferAnswer bool                  // answers are read completely before the client gets them: long ones are off, or their shape matters
 	body         *httpmsg.UploadReader // of a request that is forwarded while it is received
--- a/internal/http/httpback/streaming.go
+++ b/internal/http/httpback/streaming.go
@@ -98,7 +98,7 @@
 
 // receiveLong reads an answer that may be long. One that is complete before it has to be relayed is treated like a short one.
 func (c *codec) receiveLong(in *exchange.AnswerReader, h head) (core.AttemptOutcome, bool, error) {
-	r := &relayedAnswer{codec: c, in: in, head: h, held: relay.NewHeldAnswer(clock.Now(), in.TimeLeft(), httpmsg.MaxBody, c.firstAttempt)}
+	r := &relayedAnswer{codec: c, in: in, head: h, held: relay.NewHeldAnswer(clock.Now(), in.TimeLeft(), httpmsg.MaxBody, c.position)}
 	if h.length >= 0 {
 		r.held = relay.NewHeldLong(clock.Now(), in.TimeLeft(), httpmsg.MaxBody)
 	}
