Connections to HTTP servers rest for 50 ms, and longer after a second answer was seen

Cause: HTTP/1.1 does not match answers to requests; a connection was taken for clean after 10 ms, which rested on the second answers that had been seen (up to 5.4 ms), and data on an idle connection taught the agent nothing.

Change: a connection rests for 50 ms. lifecycle.ReuseDelay makes that four times the lateness of the latest second answer that was seen at any server, for as long as the process lives; the log tells it. A call waits for 10 ms of a rest at most and then takes a new connection, in place of an idle one where all slots are taken. Two tests of waiting calls name the longest wait that they need; their checks are as before.

The tests of decide, host, http, agent and the root pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"ternbeam/internal/bridge"
 	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/gossip"
+	"ternbeam/internal/decide/lifecycle"
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/host/accept"
@@ -89,7 +90,7 @@
 	a := &Agent{cfg: cfg, thrift: service, log: log, conns: conntrack.New(cfg.ClientSockets()), shapes: opts.Shapes}
 	a.requestHandover(opts.SharedDir)
 	poolSettings := pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleTimeout: cfg.IdleTimeout(), MaxConns: cfg.BackendSockets(),
-		OnIllegalStep: a.recordIllegalStep, Addresses: addresses.Defaults}
+		OnIllegalStep: a.recordIllegalStep, OnReuseDelay: a.logReuseDelay, Addresses: addresses.Defaults}
 	var feed core.Feed
 	if sources != nil {
 		poolSettings.Addresses = sources.Addresses
@@ -143,6 +144,11 @@
 	a.stateStore = statestore.New(statestore.Settings{Config: set, Name: a.cfg.Name, Seed: a.cfg.Seed, Log: a.log})
 }
 
+// logReuseDelay logs that a server has sent data without a request, and that connections to all servers rest for longer because of that.
+func (a *Agent) logReuseDelay(s *lifecycle.Server, after, delay time.Duration) {
+	a.log.Warn("a server sent data on an idle connection, as if it answered twice", "server", s.ID, "after", after.Round(time.Millisecond), "reuse_delay", delay.Round(time.Millisecond))
+}
+
 // recordIllegalStep counts an illegal state transition, which is a bug in this program. Only the first one is logged, and the
 // agent continues.
 func (a *Agent) recordIllegalStep(err error) {
--- a/internal/decide/lifecycle/conn.go
+++ b/internal/decide/lifecycle/conn.go
@@ -115,6 +115,9 @@
 // Count returns the number of slots in use, how many of them idle connections hold, and how many connections wait for one.
 func (p *PoolState) Count() (open, idle, waiting int) { return p.taken, p.idleCount, len(p.queue) }
 
+// HasFreeSlot reports whether a slot for a new connection is free.
+func (p *PoolState) HasFreeSlot() bool { return p.taken < p.limit }
+
 // AcquireIdle takes an idle connection to a server with the given protocol, or returns nil if there is none. Of the connections
 // for which idleLongEnough returns true, it takes the one that became idle last; if there is none, the one that has been idle for
 // longest. A nil idleLongEnough accepts all. The caller checks that no data has arrived on the connection meanwhile; if some has,
--- a/internal/host/pool/pool.go
+++ b/internal/host/pool/pool.go
@@ -34,21 +34,26 @@
 	Dial          func(ctx context.Context, network, addr string) (net.Conn, error) // net.Dialer's if nil
 	DialTimeout   time.Duration                                                     // includes the wait for a slot
 	IdleTimeout   time.Duration                                                     // how long an idle connection is kept and may be used again
-	ReuseDelay    time.Duration                                                     // idle time of HTTP connections before reuse; ReuseDelay if 0
+	ReuseDelay    time.Duration                                                     // initial idle time of HTTP connections before reuse; ReuseDelay if 0
+	MaxReuseWait  time.Duration                                                     // longest wait for the reuse delay; MaxReuseWait if 0
 	MaxConns      int                                                               // maximum number of connections to all servers
 	OnIllegalStep func(error)                                                       // is called with illegal state transitions; may be nil
 	Addresses     addresses.Settings                                                // how servers with several addresses are dialed
+
+	// OnReuseDelay is called when the reuse delay grows, as a server has sent data on an idle connection some time after its answer. It must
+	// not block or call the Pool, and may be nil.
+	OnReuseDelay func(s *lifecycle.Server, after, delay time.Duration)
 }
 
 const (
-	// ReuseDelay is how long an HTTP connection must stay silent after an answer before it carries the next request. HTTP/1.1
-	// does not match answers to requests: a duplicate answer, which a server may send some milliseconds late, would be taken for
-	// the answer to the next request. The duplicates that were observed arrived within 5.4 ms.
-	ReuseDelay = 10 * time.Millisecond
-
-	// maxDelayedReuses limits how many attempts wait for the reuse delay of a connection while there are free slots for new ones.
-	// Waiting costs less than a handshake. Where calls arrive so fast that more attempts would wait, a new connection is dialed,
-	// which is then reused many times.
+	// ReuseDelay is the initial lifecycle.ReuseDelay.
+	ReuseDelay = 50 * time.Millisecond
+
+	// MaxReuseWait is how long an attempt waits at most for the reuse delay of a connection; a longer wait costs it more than a handshake.
+	MaxReuseWait = 10 * time.Millisecond
+
+	// maxDelayedReuses limits how many attempts wait for the reuse delay of a connection while there are free slots for new ones. Where
+	// calls arrive so fast that more attempts would wait, a new connection is dialed, which is then reused many times.
 	maxDelayedReuses = 4
 
 	// recheckAfter is the age of the last check of an idle connection at which it is checked again before it is written to. The
@@ -66,6 +71,7 @@
 	addrs         *addresses.History
 	extraDials    int // dials in progress beyond the first of each race
 	delayedReuses int // attempts that wait for the reuse delay of a connection
+	reuseDelay    *lifecycle.ReuseDelay
 	startedAt     time.Time
 }
 
@@ -80,8 +86,11 @@
 	if set.ReuseDelay == 0 {
 		set.ReuseDelay = ReuseDelay
 	}
+	if set.MaxReuseWait == 0 {
+		set.MaxReuseWait = MaxReuseWait
+	}
 	return &Pool{set: set, state: lifecycle.NewPoolState(set.MaxConns), granted: map[*lifecycle.Conn]chan struct{}{},
-		addrs: addresses.NewHistory(set.Addresses), startedAt: time.Now()}
+		reuseDelay: lifecycle.NewReuseDelay(set.ReuseDelay), addrs: addresses.NewHistory(set.Addresses), startedAt: time.Now()}
 }
 
 // Acquire returns an idle connection for a protocol, or dials a new one. A server that supports several protocols speaks
@@ -91,7 +100,7 @@
 	for lc := p.state.AcquireIdle(s, speaks, p.reuseDelayOver); lc != nil; lc = p.state.AcquireIdle(s, speaks, p.reuseDelayOver) {
 		c := lc.Host.(*Conn)
 		if left := p.reuseDelayLeft(c); left > 0 {
-			if open, _, _ := p.state.Count(); p.delayedReuses >= maxDelayedReuses && open < p.set.MaxConns {
+			if left > p.set.MaxReuseWait || p.delayedReuses >= maxDelayedReuses && p.state.HasFreeSlot() {
 				p.returnLocked(c, true)
 				break // dial a new one
 			}
@@ -101,7 +110,7 @@
 				return nil, ErrNoSlot
 			}
 		}
-		if p.usable(c) {
+		if p.usableLocked(c) {
 			c.checkedAt = time.Now()
 			p.mu.Unlock()
 			p.reportIllegal(at.Connect())
@@ -131,16 +140,43 @@
 	return c, nil
 }
 
-// usable reports whether an idle connection may carry a request: its server has not closed it and is not about to, and has sent no
+// usableLocked reports whether an idle connection may carry a request: its server has not closed it and is not about to, and has sent no
 // unsolicited data, which would be taken for the next answer.
-func (p *Pool) usable(c *Conn) bool {
-	return time.Since(c.idleSince) < p.set.IdleTimeout && peek.KnownOpenAndEmpty(c.Conn)
+func (p *Pool) usableLocked(c *Conn) bool {
+	return time.Since(c.idleSince) < p.set.IdleTimeout && p.unreadLocked(c) == peek.UnreadNothing
+}
+
+// unreadLocked returns what is unread on an idle connection. It records unsolicited data.
+func (p *Pool) unreadLocked(c *Conn) peek.Unread {
+	unread := peek.UnreadOf(c.Conn)
+	if unread == peek.UnreadData && c.state.Speaks&protocol.HTTP != 0 {
+		p.recordUnsolicitedLocked(c)
+	}
+	return unread
+}
+
+// recordUnsolicitedLocked records that a server has sent data on an idle connection.
+func (p *Pool) recordUnsolicitedLocked(c *Conn) {
+	idle := time.Since(c.idleSince)
+	since, known := peek.SinceLastData(c.Conn)
+	if !known {
+		return
+	}
+	after := max(0, idle-since)
+	if delay, grown := p.reuseDelay.RecordUnsolicited(after); grown && p.set.OnReuseDelay != nil {
+		p.set.OnReuseDelay(c.state.Server, after, delay)
+	}
 }
 
 // StillUsable reports whether a request may still be written to an acquired connection. It is called right before the first byte is
-// written, and checks usable again if the process may have been suspended since the connection was acquired from the idle ones.
+// written, and checks again whether it is usable if the process may have been suspended since the connection was acquired from the idle ones.
 func (p *Pool) StillUsable(c *Conn) bool {
-	return c.checkedAt.IsZero() || time.Since(c.checkedAt) < recheckAfter || p.usable(c)
+	if c.checkedAt.IsZero() || time.Since(c.checkedAt) < recheckAfter {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usableLocked(c)
 }
 
 // reuseDelayLeft returns how long a connection must still stay idle before it can be reused. It may be negative.
@@ -148,7 +184,7 @@
 	if c.state.Speaks&protocol.HTTP == 0 { // Thrift replies carry the ids of their calls
 		return 0
 	}
-	return p.set.ReuseDelay - time.Since(c.idleSince)
+	return p.reuseDelay.Left(time.Since(c.idleSince))
 }
 
 // reuseDelayOver reports whether a connection has been idle for the reuse delay. It does not tell whether the connection is usable.
@@ -287,7 +323,9 @@
 func (p *Pool) reserveLocked(ctx context.Context, s *lifecycle.Server, speaks choice.Protocols) (*lifecycle.Conn, error) {
 	lc, evicted := p.state.ReserveSlot(s, speaks)
 	if evicted != nil {
-		evicted.Host.(*Conn).Close()
+		c := evicted.Host.(*Conn)
+		p.unreadLocked(c) // a second answer may have arrived on it
+		c.Close()
 	}
 	if lc.State() != lifecycle.Queued {
 		return lc, nil
@@ -349,7 +387,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, lc := range p.state.Idle() {
-		if c := lc.Host.(*Conn); time.Since(c.idleSince) >= p.set.IdleTimeout || !peek.KnownOpenAndEmpty(c.Conn) {
+		if c := lc.Host.(*Conn); !p.usableLocked(c) {
 			c.Close()
 			next, err := p.state.CloseIdle(lc)
 			p.reportIllegal(err)
--- a/internal/http/httpback/connreuse_test.go
+++ b/internal/http/httpback/connreuse_test.go
@@ -95,6 +95,57 @@
 	}
 }
 
+// secondAnswerServer starts a server that answers every request a second time, after a delay.
+func secondAnswerServer(t *testing.T, late time.Duration) *lifecycle.Server {
+	return runServer(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		for id := readRequestID(r); id != ""; id = readRequestID(r) {
+			fmt.Fprint(c, answerWithID(id))
+			time.AfterFunc(late, func() { fmt.Fprint(c, answerWithID(id)) })
+		}
+	})
+}
+
+// Guards against a second answer that comes 12 ms late and is given to another client.
+func TestSecondAnswerAfter12msIsNotTakenForNextRequest(t *testing.T) {
+	b := secondAnswerServer(t, 12*time.Millisecond)
+	u := newTransport(pool.Settings{})
+	var clients sync.WaitGroup
+	for client := range 6 {
+		clients.Go(func() {
+			for i := range 40 {
+				id := fmt.Sprintf("call-%d-%d", client, i)
+				if e := httpAttempt(t, u, id, b); e.Result == choice.OK && bodyOf(e) != id {
+					t.Errorf("%s got the answer to %q", id, bodyOf(e))
+				}
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// Guards against a server that is known to send second answers and whose connections are reused before them.
+func TestReuseDelayGrowsAfterASecondAnswer(t *testing.T) {
+	const late, reuseDelay = 60 * time.Millisecond, 20 * time.Millisecond
+	grown := make(chan time.Duration, 10)
+	b := secondAnswerServer(t, late)
+	u := newTransport(pool.Settings{ReuseDelay: reuseDelay, OnReuseDelay: func(_ *lifecycle.Server, _, delay time.Duration) { grown <- delay }})
+	httpAttempt(t, u, "first", b)
+	testkit.Eventually(t, "the second answer is found", func() bool {
+		u.Pool.Sweep()
+		return idleConns(u) == 0
+	})
+	if delay := <-grown; delay < 3*late { // the kernel counts milliseconds
+		t.Fatalf("the reuse delay is %v after a second answer that came %v late", delay, late)
+	}
+	for i := range 4 {
+		id := fmt.Sprint("call-", i)
+		if e := httpAttempt(t, u, id, b); e.Result != choice.OK || bodyOf(e) != id {
+			t.Errorf("%s: result %d, with the answer to %q", id, e.Result, bodyOf(e))
+		}
+		time.Sleep(late - 10*time.Millisecond) // longer than the initial delay, and before the second answer
+	}
+}
+
 // A few of the calls that find no connection past its reuse delay wait for one; the others open more connections, within the limit, so that
 // in the end every call finds one. The reuse delay is observed on each connection.
 func TestFewAttemptsWaitForReuseDelay(t *testing.T) {
@@ -118,7 +169,7 @@
 			fmt.Fprint(c, answerWithID(id))
 		}
 	})
-	u := newTransport(pool.Settings{ReuseDelay: reuseDelay, MaxConns: maxConns})
+	u := newTransport(pool.Settings{ReuseDelay: reuseDelay, MaxReuseWait: reuseDelay, MaxConns: maxConns})
 	burst := func() {
 		var all sync.WaitGroup
 		for i := range calls {
@@ -150,7 +201,7 @@
 func TestAttemptIsCanceledDuringReuseDelay(t *testing.T) {
 	var seen testkit.Counter
 	b := startServer(t, func(_ http.ResponseWriter, r *http.Request) { seen.Add(r) })
-	u := newTransport(pool.Settings{ReuseDelay: testkit.WaitTimeout})
+	u := newTransport(pool.Settings{ReuseDelay: testkit.WaitTimeout, MaxReuseWait: testkit.WaitTimeout})
 	if e := httpAttempt(t, u, "first", b); e.Result != choice.OK {
 		t.Fatalf("result %d", e.Result)
 	}
