Requests behind another on a connection are kept or left to the kernel, never discarded

Cause: to notice a client that leaves behind its own data, conntrack read on, kept 128 KiB and discarded the rest. Evidence: the first answer says "Connection: close", and one after the other the same five are served.

Change: 128 KiB are read ahead, 1 MiB where a budget of 16 MiB for all connections has room; beyond that nothing is read, and the kernel's window stops the client. Why it works: bytes are kept or not read at all. Cost: a client that leaves behind more than that is noticed as room comes free.

--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -31,7 +31,7 @@
 	mu           sync.Mutex
 	reading      bool   // a Read is in progress and receives what arrives
 	buffered     []byte // data that CheckDisconnected has read and Read has not returned yet
-	overflowed   bool   // CheckDisconnected has discarded data, so that what follows can't be used
+	reserved     bool   // maxReadAheadBytes are reserved for buffered in the Tracker's budget
 	endRequested bool   // the reader has been asked to close the connection, unless data has been received
 	stopped      bool   // the connection is being closed, and nothing more is read
 	readDeadline time.Time
@@ -52,8 +52,14 @@
 	return c, nil
 }
 
-// maxBufferedBytes is how many bytes CheckDisconnected buffers: more than a usual request has.
-const maxBufferedBytes = 128 << 10
+const (
+	// minReadAheadBytes is how many bytes CheckDisconnected may buffer for each connection: more than a usual request has.
+	minReadAheadBytes = 128 << 10
+	// maxReadAheadBytes is how many bytes it buffers if the budget of all connections has room for that.
+	maxReadAheadBytes = 1 << 20
+	// readAheadBudget limits the sum of the reservations of maxReadAheadBytes, in bytes.
+	readAheadBudget = 16 << 20
+)
 
 // ReceivedBytes returns how many bytes have been read from the connection.
 func (c *Conn) ReceivedBytes() int { return int(c.receivedBytes.Load()) }
@@ -61,16 +67,13 @@
 // Read implements net.Conn. Data already received takes precedence over the read deadline.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	c.mu.Lock()
-	if n = copy(p, c.buffered); n > 0 || c.overflowed {
+	if n = copy(p, c.buffered); n > 0 {
 		if c.buffered = c.buffered[n:]; len(c.buffered) == 0 {
-			c.buffered = nil
+			c.dropBufferLocked()
 		}
 		c.restoreDeadlineLocked()
 		c.mu.Unlock()
-		if n == 0 {
-			err = net.ErrClosed
-		}
-		return n, err
+		return n, nil
 	}
 	c.reading = true
 	c.mu.Unlock()
@@ -84,13 +87,13 @@
 	}
 	c.mu.Lock()
 	if c.reading = false; n > 0 {
+		c.recordReceivedLocked(n)
 		c.restoreDeadlineLocked()
 	} else {
 		c.readErr = err
 	}
 	c.mu.Unlock()
 	if n > 0 {
-		c.RecordReceived(n)
 		select {
 		case c.readDone <- struct{}{}:
 		default: // a pending value stands for any number of reads
@@ -132,6 +135,9 @@
 	if c.listener != nil && peek.HasData(c.TCPConn) {
 		c.listener.unread.ended(c, c.receivedBytes.Load())
 	}
+	c.mu.Lock()
+	c.dropBufferLocked()
+	c.mu.Unlock()
 	return c.TCPConn.Close()
 }
 
@@ -242,7 +248,7 @@
 }
 
 func (c *Conn) unreadLocked() peek.Unread {
-	if len(c.buffered) > 0 || c.overflowed {
+	if len(c.buffered) > 0 {
 		return peek.UnreadData
 	}
 	return peek.UnreadOf(c.TCPConn)
@@ -274,10 +280,11 @@
 		n, failed = syscall.Read(int(fd), p)
 		return failed
 	})
+	done = reads.End(fd, unix.POLLIN, err)
 	if n > 0 {
-		c.RecordReceived(n)
+		c.recordReceivedLocked(n)
 	}
-	return max(n, 0), reads.End(fd, unix.POLLIN, err), err
+	return max(n, 0), done, err
 }
 
 // NewReadTries returns the retry policy of one read, for a reader that uses ReadNow.
@@ -285,12 +292,35 @@
 	return socketio.NewTries("read", c.listener.failures.failed)
 }
 
-// RecordReceived records that n bytes were read.
-func (c *Conn) RecordReceived(n int) {
+// recordReceivedLocked records that n bytes were read.
+func (c *Conn) recordReceivedLocked(n int) {
 	c.receivedAt.Store(int64(time.Since(started)))
 	c.receivedBytes.Add(int64(n))
 }
 
+// dropBufferLocked empties the buffer and ends its reservation.
+func (c *Conn) dropBufferLocked() {
+	c.buffered = nil
+	if c.reserved {
+		c.reserved = false
+		c.listener.tracker.readAheadBytes.Add(-maxReadAheadBytes)
+	}
+}
+
+// hasRoomLocked reports whether n more bytes may be buffered. It reserves room for them if necessary.
+func (c *Conn) hasRoomLocked(n int) bool {
+	total := len(c.buffered) + n
+	switch {
+	case total <= minReadAheadBytes:
+		return true
+	case total > maxReadAheadBytes:
+		return false
+	case !c.reserved:
+		c.reserved = c.listener != nil && c.listener.tracker.reserveReadAhead()
+	}
+	return c.reserved
+}
+
 // started is the reference point of receivedAt.
 var started = time.Now()
 
@@ -302,29 +332,27 @@
 var readAheadBuffers = sync.Pool{New: func() any { return new([4 << 10]byte) }}
 
 // CheckDisconnected reports, without blocking, whether the client has closed the connection, even if the FIN is queued behind unread data
-// that fills the receive buffer. It reads that data, at most 2*maxBufferedBytes in one call, and keeps up to maxBufferedBytes for Read. If
-// there is more, it discards what it can't keep: overflowed is true from then on, and the connection can't carry another request.
-func (c *Conn) CheckDisconnected() (gone, overflowed bool) {
+// that fills the receive buffer. It reads that data and keeps it for Read. If it has no room for more, it leaves the data to the kernel, whose
+// window then stops the client; an end that is queued behind that data is noticed only as there is room again.
+func (c *Conn) CheckDisconnected() (gone bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reading { // the reader notices the end itself, unless it arrives at this moment
-		return peek.HungUp(c.TCPConn), c.overflowed
+		return peek.HungUp(c.TCPConn)
 	}
 	part := readAheadBuffers.Get().(*[4 << 10]byte)
 	defer readAheadBuffers.Put(part)
-	for remaining := 2 * maxBufferedBytes; remaining > 0; remaining -= len(part) {
+	for c.hasRoomLocked(len(part)) {
 		n, err := peek.ReadNow(c.TCPConn, part[:])
 		if err == peek.ErrNoData {
 			c.stream.Reads().RecordEmpty()
 		}
 		if n == 0 {
-			return !errors.Is(err, peek.ErrNoData) && !errors.Is(err, peek.ErrUnknown), c.overflowed
+			return !errors.Is(err, peek.ErrNoData) && !errors.Is(err, peek.ErrUnknown)
 		}
-		c.RecordReceived(n)
 		c.stream.Reads().RecordSuccess()
-		if c.overflowed = c.overflowed || len(c.buffered)+n > maxBufferedBytes; !c.overflowed {
-			c.buffered = append(c.buffered, part[:n]...)
-		}
+		c.recordReceivedLocked(n)
+		c.buffered = append(c.buffered, part[:n]...)
 	}
-	return peek.HungUp(c.TCPConn), c.overflowed
+	return peek.HungUp(c.TCPConn)
 }
--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -42,6 +42,8 @@
 	// Totals of the listeners' countedLogs.
 	unfinished, unread, failures, endings atomic.Int64
 
+	readAheadBytes atomic.Int64 // reserved by connections, see readAheadBudget
+
 	mu    sync.Mutex
 	stats Stats
 	conns map[net.Conn]*entry
@@ -53,6 +55,15 @@
 	closing            []*Conn       // removed connections, which unlock closes
 }
 
+// reserveReadAhead reserves maxReadAheadBytes for a connection. It reports false if the budget has no room.
+func (t *Tracker) reserveReadAhead() bool {
+	if t.readAheadBytes.Add(maxReadAheadBytes) <= readAheadBudget {
+		return true
+	}
+	t.readAheadBytes.Add(-maxReadAheadBytes)
+	return false
+}
+
 // unlock releases the lock and then closes the connections that were removed while it was held. Closing waits for system calls in progress
 // on the connection, which may take as long as a thread is suspended.
 func (t *Tracker) unlock() {
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -234,13 +234,7 @@
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{}) // otherwise it would also end the wait for the client's disconnect
 	client := clientConnOf(in)
-	gone := func() bool {
-		gone, overflowed := client.conn.CheckDisconnected()
-		if overflowed { // more unread data than is kept, so the requests in it can't be separated any more
-			w.Header().Set("Connection", "close")
-		}
-		return gone
-	}
+	gone := client.conn.CheckDisconnected
 	// While a long body is being received, its reader detects a disconnect. A client that has disconnected by now did
 	// so while an earlier request was handled, or long ago: nobody waits for the answer, so this request is not forwarded.
 	if !call.BodyPending && gone() {
@@ -368,7 +362,7 @@
 	client := clientConnOf(in)
 	waited := client.conn.SinceLastData() // the client counts from when it sent the request
 	wait = max(0, wait-waited)
-	call.Deadline = f.core.Now() + wait // counted from the last byte
+	call.Deadline = f.core.Now() + wait                          // counted from the last byte
 	if call.BodyPending {
 		body.timeLeft = wait
 		call.Deadline += body.maxReadTime()
--- a/internal/http/httpfront/front_test.go
+++ b/internal/http/httpfront/front_test.go
@@ -85,21 +85,17 @@
 // newTestFront returns a testFront that does not serve yet, with at most maxClients connections.
 func newTestFront(t *testing.T, maxClients int) *testFront {
 	t.Helper()
-	cfg, err := config.Parse(standin.Platform{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", CanCancel: true, MaxAttempts: 6, Deadline: time.Minute}.Config())
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &testFront{servers: &stubServers{started: make(chan *core.Attempt, 1<<14), outcomes: make(chan core.AttemptOutcome), seen: map[string]int{}}, acceptedConns: make(chan *conntrack.Conn, 1<<14)} // more than any test sends: a full channel would block accepting
-	known := discovery.List{Full: true}
-	for i := range 64 { // enough that the attempts that a test leaves unanswered don't make the servers look silent
-		known.Servers = append(known.Servers, discovery.Entry{ID: fmt.Sprint("s", i), Addr: "127.0.0.1:1", Zone: "z", State: "in_service"})
-	}
-	c, err := core.New(core.Settings{Module: cfg.Module, Zones: cfg.Host.Zones, InitialList: known, Discovery: cfg.Discovery, Log: slog.New(slog.DiscardHandler),
-		Pool:       pool.New(pool.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxConns: 10}),
-		Transports: map[choice.Protocols]core.Transport{protocol.HTTP: r.servers}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	servers := &stubServers{started: make(chan *core.Attempt, 1<<14), outcomes: make(chan core.AttemptOutcome), seen: map[string]int{}} // more than any test sends: a full channel would block
+	r := newTestFrontOn(t, maxClients, servers, "")
+	r.servers = servers
+	return r
+}
+
+// newTestFrontOn returns a testFront that makes its attempts with the given transport. With an operations address, bodies may be long.
+func newTestFrontOn(t *testing.T, maxClients int, servers core.Transport, ops string) *testFront {
+	t.Helper()
+	cfg, c := newTestCore(t, servers)
+	cfg.Ops = ops
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go c.Run(ctx)
@@ -107,6 +103,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r := &testFront{acceptedConns: make(chan *conntrack.Conn, 1<<14)} // more than any test opens: a full channel would block accepting
 	r.addr = l.Addr().String()
 	r.Front = New(cfg, c, conntrack.New(maxClients), l.(*net.TCPListener), slog.New(slog.DiscardHandler))
 	r.probeInterval = time.Millisecond
@@ -118,6 +115,26 @@
 	return r
 }
 
+// newTestCore returns a core that does not run yet and makes its attempts with the given transport.
+func newTestCore(t *testing.T, servers core.Transport) (*config.Config, *core.Core) {
+	t.Helper()
+	cfg, err := config.Parse(standin.Platform{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", CanCancel: true, MaxAttempts: 6, Deadline: time.Minute}.Config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := discovery.List{Full: true}
+	for i := range 64 { // enough that the attempts that a test leaves unanswered don't make the servers look silent
+		known.Servers = append(known.Servers, discovery.Entry{ID: fmt.Sprint("s", i), Addr: "127.0.0.1:1", Zone: "z", State: "in_service"})
+	}
+	c, err := core.New(core.Settings{Module: cfg.Module, Zones: cfg.Host.Zones, InitialList: known, Discovery: cfg.Discovery, Log: slog.New(slog.DiscardHandler),
+		Pool:       pool.New(pool.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxConns: 10}),
+		Transports: map[choice.Protocols]core.Transport{protocol.HTTP: servers}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg, c
+}
+
 // panickingShapes panics on some requests.
 type panickingShapes struct{}
 
