A long body that has been read whole is not halted, which failed the next request

Callers saw: 502 with "Connection: close" for a request behind one with a body over 64 KiB, with no attempt made.

Cause: incomingBody.stop expires the connection's read deadline where the reading goroutine has not ended. An answer that comes as the last byte has just been read finds it so; net/http, which reads behind a request at work, takes the deadline for the end of the client and cancels the connection's context, which the next request shares.

Change: the end of the body and the halt are decided under one lock; a finished body is not halted, and one that was halted first closes its connection behind the answer. Why it works: after the end nobody expires the deadline.

--- a/internal/http/httpfront/requestbody.go
+++ b/internal/http/httpfront/requestbody.go
@@ -33,8 +33,9 @@
 	received int64
 	waited   time.Duration
 
-	mu      sync.Mutex
-	stopped bool
+	mu       sync.Mutex
+	stopped  bool // by halt
+	finished bool // the body has been read to its end
 }
 
 func newPacedBody(in *http.Request, w http.ResponseWriter) *pacedBody {
@@ -62,14 +63,31 @@
 	return n, err
 }
 
-// halt ends a pending Read, by a read deadline that has passed, and makes later ones fail.
+// halt ends a pending Read, by a read deadline that has passed, and makes later ones fail. It has no effect on a body that is finished: from
+// there on net/http reads the connection, and would take the deadline for the end of the client.
 func (p *pacedBody) halt() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.finished {
+		return
+	}
 	p.stopped = true
 	p.control.SetReadDeadline(time.Unix(1, 0))
 }
 
+// finish records that the body has been read to its end, and clears the read deadline, which would also end the wait for the client's
+// disconnect. It returns false if halt came first: then the connection can't carry another request.
+func (p *pacedBody) finish() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return false
+	}
+	p.finished = true
+	p.control.SetReadDeadline(time.Time{})
+	return true
+}
+
 // incomingBody is a request body that is being received.
 type incomingBody struct {
 	*pacedBody
@@ -79,7 +97,7 @@
 	once     sync.Once
 	quit     chan struct{}
 	done     chan struct{}
-	complete bool // valid once done is closed
+	complete bool // the body was read to its end and the connection can carry another request; valid once done is closed
 }
 
 // readBody reads a short body completely. Of a long body it reads the beginning; the rest is forwarded as it arrives.
@@ -163,8 +181,7 @@
 				return
 			}
 			if err == io.EOF {
-				b.control.SetReadDeadline(time.Time{}) // otherwise it would also end the wait for the client's disconnect
-				b.complete = true
+				b.complete = b.finish()
 				b.upload.Finish(nil)
 				c.RequestReceived(call, b.timeLeft)
 				ended <- nil
