A cut from discovery is not taken for a crowded service

Cause: a call without an answer of 1 s or more counted as dropped by a crowded service; a dial that doesn't come up ends after 1 s. From the second one on the next call came after 15, then 24 s. Evidence: the test below has the scheduler's times.

Change: the client tells when no connection came up, and the scheduler calls in its next slot, early enough that the list is there 6.5 s after the call before began; what it knew of a queue is forgotten. Why it works: the service may have been back since that call began, and no sooner. 300 agents keep their slots, so that the service is called as at a cold start.

--- a/internal/decide/gossip/gossip.go
+++ b/internal/decide/gossip/gossip.go
@@ -613,6 +613,13 @@
 	return n.actions
 }
 
+// WatchUnreachable records that no connection to the service could be established for the call. WatchEnded follows.
+func (n *Node) WatchUnreachable(now time.Duration) []Action {
+	n.advance(now)
+	n.scheduler.CallUnreachable()
+	return n.actions
+}
+
 // WatchEnded records that the watch, or the call for one, has ended, and that nothing was received for the time silent
 // before that.
 func (n *Node) WatchEnded(now, silent time.Duration) []Action {
--- a/internal/decide/pacing/pacing.go
+++ b/internal/decide/pacing/pacing.go
@@ -74,6 +74,7 @@
 	calledAt    time.Duration   // when the latest call began
 	answered    bool            // a response to the latest call has begun, whatever its content
 	delivered   bool            // the latest call brought a list that was accepted
+	unreachable bool            // no connection to the service could be established for the latest call
 	failures    int             // calls in a row that brought no list though they were not dropped
 	rejections  int             // calls in a row that the service dropped
 	silences    int             // calls in a row that got no response at all
@@ -110,9 +111,12 @@
 
 // CallStarted records that a call begins.
 func (s *Scheduler) CallStarted(now time.Duration) {
-	s.calledAt, s.answered, s.delivered = now, false, false
+	s.calledAt, s.answered, s.delivered, s.unreachable = now, false, false, false
 }
 
+// CallUnreachable records that no connection to the service could be established for the call. CallEnded follows.
+func (s *Scheduler) CallUnreachable() { s.unreachable = true }
+
 // ResponseStarted records that a response to the call has begun: the service has worked through the calls before it.
 func (s *Scheduler) ResponseStarted(now time.Duration) {
 	if s.answered {
@@ -143,6 +147,9 @@
 	}
 	switch {
 	case s.delivered:
+	case s.unreachable: // no sign of a queue: no caller got into one
+		s.failures++
+		s.rejections, s.silences = 0, 0
 	case hung && s.silences == 1: // a service with a queue reports sooner or later that it drops a caller; a first silence is a broken link
 		s.failures++
 	case s.answered || now-s.calledAt < minQueueWait/2: // a service that drops callers lets them wait for longer, without an answer
@@ -165,6 +172,10 @@
 	if left := s.silentSince + knownAfterSilence + s.settings.Grace - usualCallTime - now; s.silentSince > 0 && left > 0 {
 		period = min(period, max(left, minPeriod))
 	}
+	if s.unreachable {
+		// The service may have been back since the call began, and the list has to arrive before its changes count as known.
+		period = min(period, max(s.calledAt+knownAfterSilence+s.settings.Grace-usualCallTime-now, minPeriod))
+	}
 	return s.nextSlot(now, period)
 }
 
--- a/internal/decide/pacing/pacing_test.go
+++ b/internal/decide/pacing/pacing_test.go
@@ -360,6 +360,53 @@
 	}
 }
 
+// Guards against agents that are cut off from the service, take that for a queue, and call it only long after it can be reached again.
+func TestUnreachableServiceIsCalledInTimeAfterItsReturn(t *testing.T) {
+	const dialTimeout = time.Second
+	before := map[string]func(a *Scheduler, now time.Duration) time.Duration{
+		"listed before": func(a *Scheduler, now time.Duration) time.Duration {
+			a.CallStarted(now)
+			a.ResponseStarted(now + 100*time.Millisecond)
+			a.ListReceived()
+			return a.CallEnded(now+time.Minute, WatchSilenceTimeout)
+		},
+		"dropped twice before": func(a *Scheduler, now time.Duration) time.Duration {
+			for range 2 {
+				a.CallStarted(now)
+				now = a.CallEnded(now+minQueueWait, 0)
+			}
+			return now
+		},
+		"never called before": func(a *Scheduler, now time.Duration) time.Duration { return a.FirstCall(now) },
+	}
+	for name, prepare := range before {
+		for _, agents := range []int{2, 4, 12, 300, 900} {
+			perSecond := map[time.Duration]int{}
+			for me := range agents {
+				a := New(Settings{Shared: true, Agents: agents, Me: me, MustAsk: mustAsk, Grace: defaultGrace}, uint64(me))
+				now := prepare(a, time.Hour+time.Duration(me)*7*time.Millisecond)
+				for call := range 20 {
+					a.CallStarted(now)
+					if call >= 2 { // the first ones follow what was before
+						perSecond[now.Truncate(time.Second)]++
+					}
+					a.CallUnreachable()
+					next := a.CallEnded(now+dialTimeout, 0)
+					if late := next + usualCallTime - now - knownAfterSilence - defaultGrace; late > 0 {
+						t.Fatalf("%s, %d agents: called again %v after a call, %v too late", name, agents, next-now, late)
+					}
+					now = next
+				}
+			}
+			for second, calls := range perSecond {
+				if most := agents/3 + 2; agents > 12 && calls > most {
+					t.Errorf("%s, %d agents: %d calls in second %v, over %d", name, agents, calls, second, most)
+				}
+			}
+		}
+	}
+}
+
 // A call to a shared service gets no response while the service is down, and still none after its return. The next call
 // is made in time for the list to arrive before its changes count as known, 6 s after the return, plus the grace of a
 // drain.
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -33,6 +33,7 @@
 	Answered    func()     // the service has accepted the call
 	Alive       func()     // data has been received
 	Established func()     // data was received on the watch, or it was opened after a full list; called once; may be nil
+	Unreachable func()     // no connection could be established, and the watch ends; may be nil
 	Deliver     func(List) // delivers an accepted list
 
 	Full    bool          // request the full list first
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,11 +24,16 @@
 func dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
 	if err != nil {
-		return nil, err
+		return nil, unreachableError{err}
 	}
 	return socketio.Wrap(conn), nil
 }
 
+// unreachableError means that no connection to discovery could be established.
+type unreachableError struct{ error }
+
+func (e unreachableError) Unwrap() error { return e.error }
+
 // Client watches the list of one discovery service. It is safe for concurrent use.
 type Client struct {
 	addr           string
@@ -87,7 +92,7 @@
 	contact := newContactLog(d.log)
 	started := clock.Now()
 	events := Events{Answered: func() { contact.callAnswered(started); scheduler.ResponseStarted(clock.Now()) }, Alive: contact.dataReceived,
-		Deliver: func(l List) { scheduler.ListReceived(); deliver(l) }, Timeout: pacing.CallTimeout}
+		Unreachable: scheduler.CallUnreachable, Deliver: func(l List) { scheduler.ListReceived(); deliver(l) }, Timeout: pacing.CallTimeout}
 	for next := scheduler.FirstCall(started); ; {
 		select {
 		case <-ctx.Done():
@@ -113,6 +118,9 @@
 	if ctx.Err() == nil {
 		d.logEnd(err)
 	}
+	if unreachable := (unreachableError{}); errors.As(err, &unreachable) && events.Unreachable != nil {
+		events.Unreachable()
+	}
 	var silence silenceError
 	if errors.As(err, &silence) && time.Duration(silence) < d.silenceTimeout { // only a list that has started has a shorter limit
 		d.mu.Lock()
--- a/internal/host/peers/peers.go
+++ b/internal/host/peers/peers.go
@@ -217,9 +217,10 @@
 	d := discovery.New(h.settings.Discovery, known, h.settings.Log)
 	go func() {
 		silent := d.Watch(ctx, discovery.Events{
-			Timeout:  pacing.CallTimeout,
-			Answered: func() { post(func() []gossip.Action { return h.node.WatchAnswered(clock.Now()) }) },
-			Alive:    func() { post(func() []gossip.Action { return h.node.WatchAlive(clock.Now()) }) },
+			Timeout:     pacing.CallTimeout,
+			Unreachable: func() { post(func() []gossip.Action { return h.node.WatchUnreachable(clock.Now()) }) },
+			Answered:    func() { post(func() []gossip.Action { return h.node.WatchAnswered(clock.Now()) }) },
+			Alive:       func() { post(func() []gossip.Action { return h.node.WatchAlive(clock.Now()) }) },
 			Deliver: func(l discovery.List) {
 				rows := make([]gossip.Row, 0, len(l.Servers))
 				for _, e := range l.Servers {
