Package pool builds again: an import that the move had left behind

Change: the unused import of peek is gone.

Measured on arm64: go vet ./... here and for amd64, the root, pool and httpback pass now.

--- a/internal/host/pool/pool.go
+++ b/internal/host/pool/pool.go
@@ -12,7 +12,6 @@
 	"ternbeam/choice"
 	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/lifecycle"
-	"ternbeam/internal/sysio/peek"
 	"ternbeam/internal/sysio/socketio"
 )
 
