Tests of slow, late and paused answers share their framing and their loop over requests

Need: three test files wrote heads, chunks and the loop over a connection's requests each for itself (what duplicates lists).

The checks are as before; in the chunked case of the paused answers the pause stands between two chunks now, not within one.

--- a/cmd/ternbeam/latebody_test.go
+++ b/cmd/ternbeam/latebody_test.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -14,7 +11,7 @@
 
 // lateBody is a long answer whose body starts some time after its head, and then arrives in pieces.
 type lateBody struct {
-	framing string        // "length", "chunked" or "none"
+	framing framing
 	pause   time.Duration // between the head and the body
 }
 
@@ -34,46 +31,23 @@
 
 // serve answers requests on a connection until it ends.
 func (a lateBody) serve(conn *net.TCPConn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, req.Body)
-		switch a.framing {
-		case "length":
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", lateBodyPieces*lateBodyPieceBytes)
-		case "chunked":
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-		default:
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
-		}
+	answerRequests(conn, func(path string) bool {
+		a.framing.writeHead(conn, lateBodyPieces*lateBodyPieceBytes)
 		time.Sleep(a.pause)
-		for rest := a.body(req.URL.Path); rest != ""; rest = rest[lateBodyPieceBytes:] {
-			piece := rest[:lateBodyPieceBytes]
-			if a.framing == "chunked" {
-				piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
-			}
-			if _, err := io.WriteString(conn, piece); err != nil {
-				return
+		for rest := a.body(path); rest != ""; rest = rest[lateBodyPieceBytes:] {
+			if a.framing.writePiece(conn, rest[:lateBodyPieceBytes]) != nil {
+				return false
 			}
 			time.Sleep(lateBodyInterval)
 		}
-		if a.framing == "chunked" {
-			io.WriteString(conn, "0\r\n\r\n")
-		}
-		if a.framing == "none" {
-			return
-		}
-	}
+		return a.framing.writeEnd(conn)
+	})
 }
 
 // Guards against long answers that are cut off and never served because their body starts long after their head.
 func TestLongAnswersWithALateBodyAreServed(t *testing.T) {
 	t.Parallel()
-	for _, framing := range []string{"length", "chunked", "none"} {
+	for _, framing := range framings {
 		for _, pause := range []time.Duration{800 * time.Millisecond, 1150 * time.Millisecond} {
 			answer := lateBody{framing, pause}
 			t.Run(answer.String(), func(t *testing.T) {
@@ -105,8 +79,8 @@
 // Guards against requests that wait until their deadline for a server that stops after the head of a long answer, while others answer.
 func TestLongAnswersWithoutABodyAreHedged(t *testing.T) {
 	t.Parallel()
-	for _, framing := range []string{"length", "chunked", "none"} {
-		t.Run(framing, func(t *testing.T) {
+	for _, framing := range framings {
+		t.Run(string(framing), func(t *testing.T) {
 			t.Parallel()
 			stopped, answers := lateBody{framing, time.Minute}, lateBody{framing, 0}
 			settings := withHedging(everyEffectSettings(randomDeadline, time.Second))
--- a/cmd/ternbeam/pausedanswer_test.go
+++ b/cmd/ternbeam/pausedanswer_test.go
@@ -1,68 +1,51 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
 
 // pausedAnswer is a short answer that pauses once for longer than an answer may stall if another attempt can replace it.
 type pausedAnswer struct {
-	name                string
-	beforeBody, inBody  bool // where the pause is
-	chunked, withLength bool // the framing; if neither is set the answer ends with the connection
+	name    string
+	inBody  bool // the pause is in the body, not in the head
+	framing framing
 }
 
 const answerPause = 700 * time.Millisecond
 
 func pausedAnswers() []pausedAnswer {
 	return []pausedAnswer{
-		{name: "in the head", beforeBody: true, withLength: true},
-		{name: "in a body with a length", inBody: true, withLength: true},
-		{name: "in a chunked body", inBody: true, chunked: true},
-		{name: "in a body without a length", inBody: true},
+		{name: "in the head", framing: withLength},
+		{name: "in a body with a length", inBody: true, framing: withLength},
+		{name: "in a chunked body", inBody: true, framing: chunked},
+		{name: "in a body without a length", inBody: true, framing: untilClose},
 	}
 }
 
 // serve answers requests on a connection until it ends.
 func (a pausedAnswer) serve(conn *net.TCPConn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, req.Body)
-		body := "checked " + req.URL.Path
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
-		if a.beforeBody {
+	answerRequests(conn, func(path string) bool {
+		var head strings.Builder
+		body := "checked " + path
+		a.framing.writeHead(&head, len(body))
+		status, rest, _ := strings.Cut(head.String(), "\n")
+		io.WriteString(conn, status+"\n")
+		if !a.inBody {
 			time.Sleep(answerPause)
 		}
-		switch {
-		case a.withLength:
-			fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n", len(body))
-		case a.chunked:
-			fmt.Fprintf(conn, "Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(body))
-		default:
-			io.WriteString(conn, "Connection: close\r\n\r\n")
-		}
-		io.WriteString(conn, body[:4])
+		io.WriteString(conn, rest)
+		a.framing.writePiece(conn, body[:4])
 		if a.inBody {
 			time.Sleep(answerPause)
 		}
-		io.WriteString(conn, body[4:])
-		if a.chunked {
-			io.WriteString(conn, "\r\n0\r\n\r\n")
-		}
-		if !a.chunked && !a.withLength {
-			return
-		}
-	}
+		a.framing.writePiece(conn, body[4:])
+		return a.framing.writeEnd(conn)
+	})
 }
 
 // Guards against a pause in an answer that ends an attempt which no other attempt can follow: the request fails, although its server goes on.
--- a/cmd/ternbeam/slowanswer_test.go
+++ b/cmd/ternbeam/slowanswer_test.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -13,7 +10,7 @@
 
 // steadyAnswer is an answer that is sent in pieces at a fixed interval.
 type steadyAnswer struct {
-	framing  string // "length", "chunked" or "none"
+	framing  framing
 	duration time.Duration
 	endless  bool
 }
@@ -22,62 +19,40 @@
 
 func (a steadyAnswer) String() string {
 	if a.endless {
-		return a.framing + ", endless"
+		return string(a.framing) + ", endless"
 	}
 	return fmt.Sprintf("%s, %v", a.framing, a.duration)
 }
 
 // serve answers requests on a connection until it ends.
 func (a steadyAnswer) serve(conn *net.TCPConn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, req.Body)
-		body := "checked " + req.URL.Path
-		switch a.framing {
-		case "length":
-			length := len(body)
-			if a.endless {
-				length = 60_000
-			}
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length)
-		case "chunked":
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-		default:
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+	answerRequests(conn, func(path string) bool {
+		body := "checked " + path
+		length := len(body)
+		if a.endless {
+			length = 60_000
 		}
+		a.framing.writeHead(conn, length)
 		pieces := min(int(a.duration/steadyPause), len(body))
 		for i := 0; a.endless || i < pieces; i++ {
 			piece := "x"
 			if !a.endless {
 				piece = body[len(body)*i/pieces : len(body)*(i+1)/pieces]
 			}
-			if a.framing == "chunked" {
-				piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
-			}
-			if _, err := io.WriteString(conn, piece); err != nil {
-				return
+			if a.framing.writePiece(conn, piece) != nil {
+				return false
 			}
 			time.Sleep(steadyPause)
 		}
-		if a.framing == "chunked" {
-			io.WriteString(conn, "0\r\n\r\n")
-		}
-		if a.framing == "none" {
-			return
-		}
-	}
+		return a.framing.writeEnd(conn)
+	})
 }
 
 // Guards against steadily sent answers that are never served because they take long, and against endless ones that use up a client's time.
 func TestSlowlySentAnswersAreServed(t *testing.T) {
 	t.Parallel()
 	var answers []steadyAnswer
-	for _, framing := range []string{"length", "chunked", "none"} {
+	for _, framing := range framings {
 		for _, duration := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond, time.Second} {
 			answers = append(answers, steadyAnswer{framing: framing, duration: duration})
 		}
