Memory for data of clients and servers is bounded in sum, by the process's limit

Cause: each connection held what its peer sent, and nothing bounded the sum: net/http holds a field of 5 bytes in some 150, a head was recorded with up to 28 KiB that stayed, a short body was allocated as announced, a long one had 190 KiB, an answer 130 KiB and more, CheckDisconnected read 128 KiB ahead; a refused body kept its goroutine for 0.5 s, so that there were 700 connections with places for 409.

Change: internal/host/membudget, one budget for heads over 4 KiB, bodies, answers and what is read ahead, and another for open requests, both by memory_mb. Who finds no room waits for up to 1 s and is refused (503, never forwarded); answers are relayed in small parts. Heads have 128 lines at most (431). Refused connections linger without a goroutine, 64 at most. The heap's limit leaves 16 MB for the program's own pages. The log has `memory for data of peers`.

Why it works: what a peer can grow is either small for each connection, and counted in the limit by the number of places, or reserved before it is held.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,7 @@
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/members"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/host/peers"
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/host/stallwatch"
@@ -52,6 +53,7 @@
 	core   *core.Core
 	pool   *pool.Pool
 	conns  *conntrack.Tracker
+	budget *membudget.Budget // for data of clients and servers
 
 	stateStore *statestore.Runner // nil if learned state is not persisted
 	bridge     *bridge.Bridge     // nil if no shapes are configured
@@ -87,7 +89,8 @@
 // NewWithOptions is New with more options.
 func NewWithOptions(cfg *config.Config, opts Options, log *slog.Logger) (*Agent, error) {
 	service, sources := opts.Service, opts.Sources
-	a := &Agent{cfg: cfg, thrift: service, log: log, conns: conntrack.New(cfg.ClientSockets()), shapes: opts.Shapes}
+	budget := membudget.New(cfg.PeerDataBytes())
+	a := &Agent{cfg: cfg, thrift: service, log: log, conns: conntrack.New(cfg.ClientSockets(), budget), budget: budget, shapes: opts.Shapes}
 	a.requestHandover(opts.SharedDir)
 	poolSettings := pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleTimeout: cfg.IdleTimeout(), MaxConns: cfg.BackendSockets(),
 		OnIllegalStep: a.recordIllegalStep, OnReuseDelay: a.logReuseDelay, Addresses: addresses.Defaults}
@@ -109,7 +112,7 @@
 		}
 		feed = peerHost.Feed
 	}
-	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(a.pool, cfg.ReportFields, cfg.AllowsLongBodies())}
+	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(a.pool, cfg.ReportFields, cfg.AllowsLongBodies(), budget)}
 	if service != nil {
 		t := thriftback.New(a.pool, service)
 		transports[protocol.ThriftBinary], transports[protocol.ThriftCompact] = t, t
@@ -134,7 +137,7 @@
 	a.core, err = core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
 		MaxUnanswered: cfg.Host.Ceilings.MostHeld, InitialList: cfg.InitialList, Discovery: cfg.Discovery, Pacing: cfg.Pacing, Feed: feed, Pool: a.pool, Log: log,
 		Transports: transports, OnIllegalStep: a.recordIllegalStep, Routes: callRoutes,
-		OpsEnabled: cfg.Ops != "", ClientStats: a.conns.Stats, Inherited: a.handover.receivedState()})
+		OpsEnabled: cfg.Ops != "", ClientStats: a.conns.Stats, BudgetStats: budget.Stats, Inherited: a.handover.receivedState()})
 	return a, err
 }
 
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -29,9 +29,8 @@
 	// mu is acquired by readers that hold the descriptor (ReadNow). Nothing that waits for those, such as closing the connection, may be
 	// called while mu is held.
 	mu           sync.Mutex
-	reading      bool   // a Read is in progress and receives what arrives
-	buffered     []byte // data that CheckDisconnected has read and Read has not returned yet
-	reserved     bool   // maxReadAheadBytes are reserved for buffered in the Tracker's budget
+	reading      bool            // a Read is in progress and receives what arrives
+	buffered     readAheadBuffer // data that CheckDisconnected has read and Read has not returned yet
 	arrivals     arrivalLog
 	endRequested bool // the reader has been asked to close the connection, unless data has been received
 	stopped      bool // the connection is being closed, and nothing more is read
@@ -42,7 +41,7 @@
 
 // newConn returns a Conn for an accepted connection.
 func newConn(socket *net.TCPConn, l *Listener) (*Conn, error) {
-	c := &Conn{TCPConn: socket, listener: l, readDone: make(chan struct{}, 1)}
+	c := &Conn{TCPConn: socket, listener: l, readDone: make(chan struct{}, 1), buffered: readAheadBuffer{budget: l.tracker.budget}}
 	var err error
 	if c.stream, err = socketio.New(socket, l.failures.failed); err != nil {
 		return nil, err
@@ -53,25 +52,13 @@
 	return c, nil
 }
 
-const (
-	// minReadAheadBytes is how many bytes CheckDisconnected may buffer for each connection: more than a usual request has.
-	minReadAheadBytes = 128 << 10
-	// maxReadAheadBytes is how many bytes it buffers if the budget of all connections has room for that.
-	maxReadAheadBytes = 1 << 20
-	// readAheadBudget limits the sum of the reservations of maxReadAheadBytes, in bytes.
-	readAheadBudget = 16 << 20
-)
-
 // ReceivedBytes returns how many bytes have been read from the connection.
 func (c *Conn) ReceivedBytes() int { return int(c.receivedBytes.Load()) }
 
 // Read implements net.Conn. Data already received takes precedence over the read deadline.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	c.mu.Lock()
-	if n = copy(p, c.buffered); n > 0 {
-		if c.buffered = c.buffered[n:]; len(c.buffered) == 0 {
-			c.dropBufferLocked()
-		}
+	if n = c.buffered.read(p); n > 0 {
 		c.restoreDeadlineLocked()
 		c.mu.Unlock()
 		return n, nil
@@ -137,7 +124,7 @@
 		c.listener.unread.ended(c, c.receivedBytes.Load())
 	}
 	c.mu.Lock()
-	c.dropBufferLocked()
+	c.buffered.drop()
 	c.mu.Unlock()
 	return c.TCPConn.Close()
 }
@@ -187,7 +174,7 @@
 func (c *Conn) HasReadAhead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.buffered) > 0
+	return !c.buffered.empty()
 }
 
 // BeingRead reports whether a Read is in progress, which would notice a disconnect at once. ReadDone signals when that changes.
@@ -269,7 +256,7 @@
 }
 
 func (c *Conn) unreadLocked() peek.Unread {
-	if len(c.buffered) > 0 {
+	if !c.buffered.empty() {
 		return peek.UnreadData
 	}
 	return peek.UnreadOf(c.TCPConn)
@@ -319,39 +306,12 @@
 	c.arrivals.record(c.receivedBytes.Add(int64(n)), c.stream.Reads().ReadySince())
 }
 
-// dropBufferLocked empties the buffer and ends its reservation.
-func (c *Conn) dropBufferLocked() {
-	c.buffered = nil
-	if c.reserved {
-		c.reserved = false
-		c.listener.tracker.readAheadBytes.Add(-maxReadAheadBytes)
-	}
-}
-
-// hasRoomLocked reports whether n more bytes may be buffered. It reserves room for them if necessary.
-func (c *Conn) hasRoomLocked(n int) bool {
-	total := len(c.buffered) + n
-	switch {
-	case total <= minReadAheadBytes:
-		return true
-	case total > maxReadAheadBytes:
-		return false
-	case !c.reserved:
-		c.reserved = c.listener != nil && c.listener.tracker.reserveReadAhead()
-	}
-	return c.reserved
-}
-
 // started is the reference point of receivedAt.
 var started = time.Now()
 
 // lastReceived returns when bytes were last read.
 func (c *Conn) lastReceived() time.Time { return started.Add(time.Duration(c.receivedAt.Load())) }
 
-// readAheadBuffers are the buffers that CheckDisconnected reads into. They are pooled: a new one for each request would make up most of the
-// garbage.
-var readAheadBuffers = sync.Pool{New: func() any { return new([4 << 10]byte) }}
-
 // CheckDisconnected reports, without blocking, whether the client has closed the connection, even if the FIN is queued behind unread data
 // that fills the receive buffer. It reads that data and keeps it for Read. If it has no room for more, it leaves the data to the kernel, whose
 // window then stops the client; an end that is queued behind that data is noticed only as there is room again.
@@ -361,10 +321,9 @@
 	if c.reading { // the reader notices the end itself, unless it arrives at this moment
 		return peek.HungUp(c.TCPConn)
 	}
-	part := readAheadBuffers.Get().(*[4 << 10]byte)
-	defer readAheadBuffers.Put(part)
-	for c.hasRoomLocked(len(part)) {
-		n, err := peek.ReadNow(c.TCPConn, part[:])
+	for part := c.buffered.free(); part != nil; part = c.buffered.free() {
+		n, err := peek.ReadNow(c.TCPConn, part)
+		c.buffered.fill(n)
 		if err == peek.ErrNoData {
 			c.stream.Reads().RecordEmpty()
 		}
@@ -373,7 +332,6 @@
 		}
 		c.stream.Reads().RecordSuccess()
 		c.recordReceivedLocked(n)
-		c.buffered = append(c.buffered, part[:n]...)
 	}
 	return peek.HungUp(c.TCPConn)
 }
--- a/internal/host/conntrack/listener.go
+++ b/internal/host/conntrack/listener.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ternbeam/internal/host/accept"
+	"ternbeam/internal/host/membudget"
 )
 
 // Listener is a net.Listener whose connections are registered with a Tracker. One goroutine at a time may call Accept. CloseAfter is called
@@ -196,3 +197,6 @@
 		return ctx.Err()
 	}
 }
+
+// Budget returns the budget that all connections share.
+func (l *Listener) Budget() *membudget.Budget { return l.tracker.budget }
--- a/internal/host/conntrack/tracker.go
+++ b/internal/host/conntrack/tracker.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ternbeam/internal/host/membudget"
 )
 
 const (
@@ -42,7 +44,7 @@
 	// Totals of the listeners' countedLogs.
 	unfinished, unread, failures, endings atomic.Int64
 
-	readAheadBytes atomic.Int64 // reserved by connections, see readAheadBudget
+	budget *membudget.Budget // for what connections read ahead
 
 	mu    sync.Mutex
 	stats Stats
@@ -55,15 +57,6 @@
 	closing            []*Conn       // removed connections, which unlock closes
 }
 
-// reserveReadAhead reserves maxReadAheadBytes for a connection. It reports false if the budget has no room.
-func (t *Tracker) reserveReadAhead() bool {
-	if t.readAheadBytes.Add(maxReadAheadBytes) <= readAheadBudget {
-		return true
-	}
-	t.readAheadBytes.Add(-maxReadAheadBytes)
-	return false
-}
-
 // unlock releases the lock and then closes the connections that were removed while it was held. Closing waits for system calls in progress
 // on the connection, which may take as long as a thread is suspended.
 func (t *Tracker) unlock() {
@@ -92,6 +85,9 @@
 	Dropped          int // requests that were read after the Tracker had closed their connection
 }
 
+// Budget returns the budget that the connections share.
+func (t *Tracker) Budget() *membudget.Budget { return t.budget }
+
 // Stats returns the counts so far.
 func (t *Tracker) Stats() Stats {
 	t.mu.Lock()
@@ -117,9 +113,9 @@
 // requestBegun reports whether any data of a request has been received since the connection was queued.
 func (e *entry) requestBegun() bool { return e.conn.receivedBytes.Load() > e.receivedBefore }
 
-// New returns a Tracker with a maximum number of connections.
-func New(maxConns int) *Tracker {
-	return &Tracker{maxConns: maxConns, now: time.Now, conns: map[net.Conn]*entry{}, fresh: list.New(), idle: list.New(), closingSoonChanged: make(chan struct{}, 1)}
+// New returns a Tracker with a maximum number of connections, which share a budget for what they read ahead.
+func New(maxConns int, budget *membudget.Budget) *Tracker {
+	return &Tracker{maxConns: maxConns, budget: budget, now: time.Now, conns: map[net.Conn]*entry{}, fresh: list.New(), idle: list.New(), closingSoonChanged: make(chan struct{}, 1)}
 }
 
 // add registers an accepted connection, and closes others if there are too many.
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/lab/testkit"
 )
 
@@ -26,7 +27,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return New(maxConns).Listen(l.(*net.TCPListener), log)
+	return New(maxConns, membudget.New(16<<20)).Listen(l.(*net.TCPListener), log)
 }
 
 // dialClient connects and sends data, before the connection is accepted.
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -23,6 +23,7 @@
 	"ternbeam/internal/decide/subset"
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/host/conntrack"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/host/pool"
 )
 
@@ -73,6 +74,7 @@
 	Routes        *routes.Router         // by the shapes of calls; nil if calls have none
 	OpsEnabled    bool                   // operations are enabled: Figures are published, and other processes may replace this one
 	ClientStats   func() conntrack.Stats // counts the connections of clients; may be nil
+	BudgetStats   func() membudget.Stats // figures of the memory for data of clients and servers; may be nil
 	Inherited     *InheritedState        // state of the process that this one replaces; nil if there is none
 }
 
@@ -318,6 +320,10 @@
 		c.log.Info("client connections", "accepted", s.Accepted, "closed_for_room", s.ClosedForRoom, "closed_unfinished", s.ClosedUnfinished,
 			"closed_unread", s.ClosedUnread, "requests_dropped", s.Dropped, "calls_failed", s.SyscallsFailed, "ended", s.Ended.String())
 	}
+	if c.set.BudgetStats != nil {
+		s := c.set.BudgetStats()
+		c.log.Info("memory for data of peers", "budget", s.Size, "used", s.Used, "peak", s.Peak, "waits", s.Waits, "failures", s.Failures)
+	}
 	c.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
 		"gone", s.Disconnected, "abandoned", c.unsubmitted.Load(), "malformed", c.malformed.Load(), "undelivered", c.undelivered.count.Load(), "attempts", s.Attempts, "reports", s.Reports,
 		"results", resultsText(s.Results[:]), "reasons", reasonsText(c.tracker.ReasonCounts()), "open", unanswered, "held", tracked, "timers", len(c.timers),
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -425,6 +425,9 @@
 	r.setReadDeadline(earliest(until, r.deadline))
 }
 
+// Context returns the context of the attempt.
+func (r *AnswerReader) Context() context.Context { return r.ctx }
+
 // TimeLeft returns the time until the attempt's deadline, or math.MaxInt64 if it has none.
 func (r *AnswerReader) TimeLeft() time.Duration {
 	if r.deadline.IsZero() {
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httputil"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,17 +21,18 @@
 	"ternbeam/internal/decide/relay"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/exchange"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/http/httpmsg"
 	"ternbeam/internal/settings/wire"
 )
 
 // New returns a transport over pool p. fields names the values that are read from load reports. If long is true, long answers are
-// relayed while they are received; otherwise an answer longer than httpmsg.MaxBody is invalid.
-func New(p *pool.Pool, fields []string, long bool) *exchange.Transport {
+// relayed while they are received; otherwise an answer longer than httpmsg.MaxBody is invalid. Answers share the budget.
+func New(p *pool.Pool, fields []string, long bool, budget *membudget.Budget) *exchange.Transport {
 	return &exchange.Transport{Pool: p, StallTimeout: exchange.StallTimeout, NoRetryReserve: long, NewCodec: func(at *core.Attempt) exchange.Codec {
 		c := &codec{request: at.Payload.(*httpmsg.Request), host: hostHeader(at.Server.Addr), fields: fields, position: position(at),
-			reportStart: at.ReportAnswerStart}
+			reportStart: at.ReportAnswerStart, budget: budget}
 		c.bufferAnswer = !long || at.Route.Plan != nil || len(c.request.ReplyHeaders) > 0 || c.request.UnknownShapeStatus != 0
 		return c
 	}}
@@ -56,6 +58,7 @@
 	reportStart  func(stalled bool)    // reports that the answer has begun, and that it then does not continue
 	bufferAnswer bool                  // answers are read completely before the client gets them: long ones are off, or their shape matters
 	body         *httpmsg.UploadReader // of a request that is forwarded while it is received
+	budget       *membudget.Budget     // for answers
 }
 
 // hostHeader returns the Host header for an address. A Unix socket has no host, but RFC 9110, section 7.2, requires the header.
@@ -136,6 +139,13 @@
 	if h.mayRelay() && !c.bufferAnswer {
 		return c.receiveLong(in, h)
 	}
+	if h.length < 0 || h.length > freeAnswerBytes {
+		room, err := c.budget.Wait(in.Context(), min(max(h.length, 0), httpmsg.MaxBody))
+		if err != nil {
+			return core.AttemptOutcome{}, false, fmt.Errorf("%w: %w", os.ErrDeadlineExceeded, err)
+		}
+		defer room.Release()
+	}
 	ans, err := readBody(in.Reader, h)
 	if err != nil {
 		return core.AttemptOutcome{}, false, err
--- a/internal/http/httpback/httpback_test.go
+++ b/internal/http/httpback/httpback_test.go
@@ -19,6 +19,7 @@
 	"ternbeam/internal/decide/lifecycle"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/exchange"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/http/httpmsg"
 	"ternbeam/internal/lab/testkit"
@@ -34,7 +35,7 @@
 		set.MaxConns = 100
 	}
 	set.IdleTimeout = time.Minute
-	return New(pool.New(set), []string{"util", "qps", "eps"}, false)
+	return New(pool.New(set), []string{"util", "qps", "eps"}, false, membudget.New(16<<20))
 }
 
 func attempt(id string, s *lifecycle.Server) *core.Attempt {
--- a/internal/http/httpback/streaming.go
+++ b/internal/http/httpback/streaming.go
@@ -80,8 +80,18 @@
 	return fmt.Sprintf("%d of %d bytes", received, h.length)
 }
 
-// partBuffers holds the buffers through which answers are relayed.
-var partBuffers = sync.Pool{New: func() any { return new([httpmsg.PartSize]byte) }}
+const (
+	// freeAnswerBytes is the size up to which an answer is read without a reservation.
+	freeAnswerBytes = 4 << 10
+	// longAnswerBytes is what is held of a long answer: its beginning, a part that is read and one that is written.
+	longAnswerBytes = httpmsg.MaxBody + 2*httpmsg.PartSize
+)
+
+// partBuffers and smallPartBuffers hold the buffers through which answers are relayed, small ones where memory is short.
+var (
+	partBuffers      = sync.Pool{New: func() any { return new(make([]byte, httpmsg.PartSize)) }}
+	smallPartBuffers = sync.Pool{New: func() any { return new(make([]byte, httpmsg.SmallPartSize)) }}
+)
 
 // errTooLong ends an answer of unknown length that exceeds httpmsg.MaxStreamedBody.
 var errTooLong = errors.New("the body is too long")
@@ -93,14 +103,22 @@
 	head     head
 	held     *relay.HeldAnswer
 	buffered []byte         // received while the answer is held
+	parts    *sync.Pool     // of the buffers
 	pipe     *io.PipeWriter // nil while the answer is held
 }
 
-// receiveLong reads an answer that may be long. One that is complete before it has to be relayed is treated like a short one.
+// receiveLong reads an answer that may be long. One that is complete before it has to be relayed is treated like a short one. Where memory is
+// short, it is relayed in small parts and hardly held.
 func (c *codec) receiveLong(in *exchange.AnswerReader, h head) (core.AttemptOutcome, bool, error) {
-	r := &relayedAnswer{codec: c, in: in, head: h, held: relay.NewHeldAnswer(clock.Now(), in.TimeLeft(), httpmsg.MaxBody, c.position)}
+	limit, parts := httpmsg.MaxBody, &partBuffers
+	room := c.budget.Try(longAnswerBytes)
+	defer room.Release()
+	if room == nil {
+		limit, parts = httpmsg.SmallPartSize, &smallPartBuffers
+	}
+	r := &relayedAnswer{codec: c, in: in, head: h, parts: parts, held: relay.NewHeldAnswer(clock.Now(), in.TimeLeft(), limit, c.position)}
 	if h.length >= 0 {
-		r.held = relay.NewHeldLong(clock.Now(), in.TimeLeft(), httpmsg.MaxBody)
+		r.held = relay.NewHeldLong(clock.Now(), in.TimeLeft(), limit)
 	}
 	c.reportStart(false)
 	in.Hold(r.holdUntil(), r.holdExpired)
@@ -128,11 +146,12 @@
 
 // receive reads the body to its end. It returns the number of bytes, and the error that ended the body: io.EOF for an orderly end.
 func (r *relayedAnswer) receive(body io.Reader) (received int64, err error) {
-	buffer := partBuffers.Get().(*[httpmsg.PartSize]byte)
-	defer partBuffers.Put(buffer)
+	pooled := r.parts.Get().(*[]byte)
+	defer r.parts.Put(pooled)
+	buffer := *pooled
 	for err == nil {
 		var n int
-		n, err = body.Read(buffer[:])
+		n, err = body.Read(buffer)
 		if received += int64(n); received > httpmsg.MaxStreamedBody {
 			err = errTooLong
 		}
@@ -185,7 +204,8 @@
 func (r *relayedAnswer) startRelay() bool {
 	e := answer{head: r.head}.outcome(r.codec.fields)
 	reply := e.Reply.(*httpmsg.Reply)
-	reply.Length, reply.Body = r.head.length, r.buffered
+	reply.Length, reply.Body, r.buffered = r.head.length, r.buffered, nil
+	reply.SmallParts = r.parts == &smallPartBuffers
 	reply.Stream, r.pipe = io.Pipe()
 	if !r.in.Relay(e) {
 		r.pipe = nil
--- a/internal/http/httpback/timeleft_test.go
+++ b/internal/http/httpback/timeleft_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/http/httpmsg"
 )
 
@@ -24,7 +25,7 @@
 		"expired":  {func(u *httpmsg.Upload) { u.FinishComplete(time.Now().Add(-clientTime)) }, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			upload := httpmsg.NewUpload(10, &httpmsg.Budget{})
+			upload := httpmsg.NewUpload(10, membudget.New(0))
 			defer upload.Close()
 			upload.Append([]byte("ten bytes."), nil)
 			c.finish(upload)
--- a/internal/http/httpfront/answer.go
+++ b/internal/http/httpfront/answer.go
@@ -120,7 +120,12 @@
 	if err := write(reply.Body); err != nil {
 		return err
 	}
-	part := make([]byte, httpmsg.PartSize)
+	reply.Body = nil // written
+	size := httpmsg.PartSize
+	if reply.SmallParts {
+		size = httpmsg.SmallPartSize
+	}
+	part := make([]byte, size)
 	for {
 		n, err := reply.Stream.Read(part)
 		if n > 0 {
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -22,6 +22,7 @@
 	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/http/httpmsg"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/settings/config"
@@ -51,7 +52,8 @@
 	listener      *conntrack.Listener
 	shuttingDown  atomic.Bool // answers announce that their connection closes
 	probeInterval time.Duration
-	budget        httpmsg.Budget
+	lingering     lingerers
+	openRequests  *membudget.Budget // for what open requests need beside their bodies and answers
 }
 
 // ShapeFinder determines the shapes of requests.
@@ -96,7 +98,8 @@
 	if f.longBodies = cfg.AllowsLongBodies(); f.longBodies {
 		head, read = longHeadTimeout, longHeadTimeout // bodies have timeouts of their own
 	}
-	f.budget.MaxBytes = cfg.Limits.HeapLimit() / uploadHeapDivisor
+	f.lingering.most = cfg.LingerSockets()
+	f.openRequests = membudget.New(cfg.OpenRequestsMemory())
 	f.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: head, ReadTimeout: read,
 		WriteTimeout: cfg.MaxDeadline() + minWriteTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: httpmsg.MaxHead,
 		ConnState: f.connState, ConnContext: f.withClientConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
@@ -135,7 +138,8 @@
 	recorder *recordingConn // wraps conn
 	requests int            // requests so far
 
-	answerStarted bool // the final answer to the current request has started
+	answerStarted bool                     // the final answer to the current request has started
+	room          []*membudget.Reservation // for the current request
 
 	opened time.Duration // on the core's clock
 }
@@ -154,7 +158,7 @@
 
 // Serve accepts connections until Stop is called. It always returns an error.
 func (f *Front) Serve() error {
-	return f.http.Serve(recordingListener{f.listener, f.http.ReadHeaderTimeout})
+	return f.http.Serve(recordingListener{f.listener, f.http.ReadHeaderTimeout, &f.lingering})
 }
 
 // Stop shuts the front down gracefully. Clients learn of the shutdown with a delay, so new connections are accepted for some
@@ -218,18 +222,20 @@
 
 // handleRequest handles one request of the application.
 func (f *Front) handleRequest(w http.ResponseWriter, in *http.Request) {
+	defer clientConnOf(in).releaseRoom()
 	call, body, err := f.parse(in, w)
 	if err != nil {
 		status := http.StatusBadRequest
 		switch tooLarge := (*http.MaxBytesError)(nil); {
+		case errors.Is(err, membudget.ErrExhausted):
+			status = http.StatusServiceUnavailable
 		case errors.As(err, &tooLarge):
 			status = http.StatusRequestEntityTooLarge
 		case errors.Is(err, errUnsupportedFraming):
 			status = http.StatusLengthRequired
 		}
-		f.core.CountMalformed()               // not logged one by one: there may be thousands
-		w.Header().Set("Connection", "close") // the client may have sent anything behind the request
-		http.Error(w, err.Error(), status)
+		f.core.CountMalformed() // not logged one by one: there may be thousands
+		f.answerUnread(w, in, status, err.Error())
 		return
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{}) // otherwise it would also end the wait for the client's disconnect
@@ -268,8 +274,7 @@
 		}
 		if err != nil {
 			f.core.CountMalformed()
-			w.Header().Set("Connection", "close")
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			f.answerUnread(w, in, http.StatusBadRequest, err.Error())
 			return
 		}
 	}
@@ -349,12 +354,20 @@
 var singleHeaders = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key"}
 
 // parse reads a request. It reads a short body completely; the rest of a long one is received after the core has accepted the call.
-// Every error that it returns is the client's fault.
+// Every error that it returns is the client's fault, except membudget.ErrExhausted: then the request is refused.
 func (f *Front) parse(in *http.Request, w http.ResponseWriter) (*core.Call, *incomingBody, error) {
 	call, wait, err := f.parseHead(in)
 	if err != nil {
 		return nil, nil, err
 	}
+	client := clientConnOf(in)
+	if err := client.reserve(f.conns.Budget(), bodyRoom(in.ContentLength), wait); err != nil {
+		return nil, nil, err
+	}
+	if err := client.reserve(f.openRequests, config.OpenRequestBytes, wait); err != nil {
+		return nil, nil, err
+	}
+	clientConnOf(in).recorder.bodyBegins()
 	body, err := f.readBody(in, w, call)
 	if err != nil {
 		return nil, nil, err
--- a/internal/http/httpfront/front_test.go
+++ b/internal/http/httpfront/front_test.go
@@ -22,6 +22,7 @@
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/host/pool"
 	"ternbeam/internal/http/httpmsg"
 	"ternbeam/internal/lab/standin"
@@ -105,7 +106,7 @@
 	}
 	r := &testFront{acceptedConns: make(chan *conntrack.Conn, 1<<14)} // more than any test opens: a full channel would block accepting
 	r.addr = l.Addr().String()
-	r.Front = New(cfg, c, conntrack.New(maxClients), l.(*net.TCPListener), slog.New(slog.DiscardHandler))
+	r.Front = New(cfg, c, conntrack.New(maxClients, membudget.New(16<<20)), l.(*net.TCPListener), slog.New(slog.DiscardHandler))
 	r.probeInterval = time.Millisecond
 	r.http.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		r.acceptedConns <- conn.(*recordingConn).Conn
--- /dev/null
+++ b/internal/http/httpfront/linger.go
@@ -0,0 +1,76 @@
+package httpfront
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// lingerTime is how long a connection stays open behind its last answer when the request was not read to its end: closing it resets it, which
+// may discard the answer before its client has read it.
+const lingerTime = 500 * time.Millisecond
+
+// lingerers are connections that have had their last answer. They need neither a goroutine nor buffers; beyond a maximum number the oldest is
+// closed. It is safe for concurrent use.
+type lingerers struct {
+	most int
+
+	mu    sync.Mutex
+	conns []*recordingConn // the oldest first
+}
+
+// add takes over a connection, and closes it after lingerTime.
+func (l *lingerers) add(c *recordingConn) {
+	c.CloseWrite()
+	l.mu.Lock()
+	l.conns = append(l.conns, c)
+	var oldest *recordingConn
+	if len(l.conns) > l.most {
+		oldest = l.conns[0]
+		l.conns = l.conns[1:]
+	}
+	l.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+	time.AfterFunc(lingerTime, func() { l.closeLingering(c) })
+}
+
+// closeLingering closes a connection, unless it was closed before.
+func (l *lingerers) closeLingering(c *recordingConn) {
+	l.mu.Lock()
+	found := false
+	for i, other := range l.conns {
+		if found = other == c; found {
+			l.conns = append(l.conns[:i], l.conns[i+1:]...)
+			break
+		}
+	}
+	l.mu.Unlock()
+	if found {
+		c.Close()
+	}
+}
+
+// answerUnread answers a request that is not read to its end, and ends its connection.
+func (f *Front) answerUnread(w http.ResponseWriter, in *http.Request, status int, text string) {
+	client := clientConnOf(in)
+	client.answerStarted = true
+	hijacked, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // the connection has ended
+	}
+	conn := hijacked.(*recordingConn)
+	conn.SetDeadline(time.Now().Add(minWriteTimeout))
+	writeClosingAnswer(conn, status, text)
+	f.lingering.add(conn)
+}
+
+// writeClosingAnswer writes an answer after which its connection closes. A failed write means that the client has disconnected.
+func writeClosingAnswer(w io.Writer, status int, text string) {
+	text += "\n"
+	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), len(text), text)
+}
--- a/internal/http/httpfront/recordingconn.go
+++ b/internal/http/httpfront/recordingconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"iter"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"ternbeam/internal/host/conntrack"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/http/httpmsg"
 )
 
@@ -16,6 +18,7 @@
 type recordingListener struct {
 	*conntrack.Listener
 	headTimeout time.Duration // for a request that has started on an idle connection
+	lingering   *lingerers    // takes connections over that are answered before their request is read; nil for none
 }
 
 func (l recordingListener) Accept() (net.Conn, error) {
@@ -23,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recordingConn{Conn: c.(*conntrack.Conn), headTimeout: l.headTimeout}, nil
+	return &recordingConn{Conn: c.(*conntrack.Conn), headTimeout: l.headTimeout, budget: l.Budget(), lingering: l.lingering}, nil
 }
 
 const (
@@ -36,9 +39,14 @@
 type recordingConn struct {
 	*conntrack.Conn
 	headTimeout time.Duration
+	budget      *membudget.Budget
+	lingering   *lingerers // nil for none
 
 	mu         sync.Mutex // net/http may continue to read while a request is answered
+	head       headLimit
+	answered   bool // its last answer was written
 	recorded   []byte
+	inBody     bool  // the head of the current request has been evaluated
 	idle       bool  // nothing has been received since the last request ended
 	received   int64 // total bytes read from the connection
 	lastRead   int   // bytes returned by the latest Read
@@ -49,13 +57,79 @@
 const unknownEnd = -1
 
 func (c *recordingConn) Read(p []byte) (int, error) {
+	if c.reserveHead() != nil {
+		return 0, c.refuseHead(http.StatusServiceUnavailable)
+	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.record(p[:n]) {
+	if n == 0 {
+		return 0, err
+	}
+	started, tooLarge := c.record(p[:n])
+	if tooLarge != nil {
+		return 0, c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
+	}
+	if started {
 		c.LimitReading(c.headTimeout) // net/http waits for the first bytes of a request for as long as a connection may be idle
 	}
 	return n, err
 }
 
+// refuseHead answers a request whose head is not read to its end. It returns the error with which net/http closes a connection silently.
+func (c *recordingConn) refuseHead(status int) error {
+	c.Conn.SetWriteDeadline(time.Now().Add(minWriteTimeout))
+	writeClosingAnswer(c.Conn, status, http.StatusText(status))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
+	return io.EOF
+}
+
+// Close implements net.Conn. A connection whose request was answered before it was read lingers.
+func (c *recordingConn) Close() error {
+	c.dropRecorded()
+	c.mu.Lock()
+	linger := c.answered && c.lingering != nil
+	c.answered = false
+	c.mu.Unlock()
+	if linger {
+		c.lingering.add(c)
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite ends sending, after which net/http waits for some time before it closes the connection.
+func (c *recordingConn) CloseWrite() error {
+	c.dropRecorded()
+	return c.Conn.CloseWrite()
+}
+
+// dropRecorded frees the memory of a connection on which no further request is read.
+func (c *recordingConn) dropRecorded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.start() // releases its room
+	c.recorded = nil
+}
+
+// reserveHead reserves memory if the head of the current request is large. Only the reader of the head waits for it.
+func (c *recordingConn) reserveHead() error {
+	c.mu.Lock()
+	needed := c.head.needsRoom()
+	c.mu.Unlock()
+	if !needed {
+		return nil
+	}
+	room, err := waitForHeadRoom(c.budget)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.room = room
+	return nil
+}
+
 // SetReadDeadline sets the read deadline as net.Conn's does. If the next request has already started in data read with the last one,
 // net/http's deadline for an idle connection is limited to the timeout for a head.
 func (c *recordingConn) SetReadDeadline(deadline time.Time) error {
@@ -73,11 +147,12 @@
 }
 
 // record stores the bytes read, except those of the current request's body if its end is known. It reports whether a request has
-// started on an idle connection.
-func (c *recordingConn) record(data []byte) (started bool) {
+// started on an idle connection, and an error if its head is too large.
+func (c *recordingConn) record(data []byte) (started bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	started, c.idle = c.idle, false
+	err = c.head.add(data)
 	c.lastRead = len(data)
 	bodyBytes := max(0, min(c.requestEnd-c.received, int64(len(data))))
 	c.received += int64(len(data))
@@ -85,11 +160,15 @@
 	if len(data) > readAhead { // read past net/http's buffer, so part of a body
 		data = data[len(data)-readAhead:]
 	}
-	if excess := len(c.recorded) + len(data) - maxRecorded; excess > 0 {
+	most := maxRecorded
+	if c.inBody { // only what net/http has read beyond the request matters, of which requestDone keeps readAhead+1 bytes
+		most = readAhead + 1
+	}
+	if excess := len(c.recorded) + len(data) - most; excess > 0 {
 		c.recorded = c.recorded[:copy(c.recorded, c.recorded[min(excess, len(c.recorded)):])]
 	}
 	c.recorded = append(c.recorded, data...)
-	return started
+	return started, err
 }
 
 // requestDone records that a request has ended. The next one may have started in the data read beyond it.
@@ -102,14 +181,21 @@
 	}
 	first := max(0, int64(len(c.recorded))-beyond)
 	c.recorded = c.recorded[:copy(c.recorded, c.recorded[first:])]
-	c.idle = true
+	if len(c.recorded) == 0 && cap(c.recorded) > readAhead { // an idle connection keeps no large buffer
+		c.recorded = nil
+	}
+	c.idle, c.inBody = true, false
+	if c.head.start(); c.requestEnd != unknownEnd {
+		c.head.add(c.recorded) // the next head is no larger than net/http's buffer so far
+	}
 }
 
 // headRead records that the head of a request has been read, and nothing of its body.
 func (c *recordingConn) headRead(in *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requestEnd, c.idle = unknownEnd, false
+	c.requestEnd, c.idle, c.inBody = unknownEnd, false, false
+	c.head.finish()
 	if in.ContentLength < 0 {
 		return
 	}
@@ -121,6 +207,16 @@
 	}
 }
 
+// bodyBegins records that the head has been evaluated, and that the body is read from now on.
+func (c *recordingConn) bodyBegins() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inBody = true
+	if most := readAhead + 1; cap(c.recorded) > most {
+		c.recorded = append(make([]byte, 0, most), c.recorded[max(0, len(c.recorded)-most):]...)
+	}
+}
+
 // sinceArrival returns how long ago the last byte of the current request arrived, whose body has been read as far as it is received in one piece. If
 // the end of the request is unknown, it was in the latest data that was read.
 func (c *recordingConn) sinceArrival() time.Duration {
--- a/internal/http/httpfront/recordingconn_test.go
+++ b/internal/http/httpfront/recordingconn_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"ternbeam/internal/host/conntrack"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/lab/testkit"
 )
 
@@ -55,7 +56,7 @@
 		t.Fatal(err)
 	}
 	sent = make(chan struct{})
-	front := &Front{conns: conntrack.New(10)}
+	front := &Front{conns: conntrack.New(10, membudget.New(16<<20))}
 	contextOf := func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, clientConnKey{}, &clientConn{recorder: c.(*recordingConn)})
 	}
@@ -66,7 +67,7 @@
 		<-sent
 		check(rec)
 	})}
-	go server.Serve(recordingListener{front.conns.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler)).ReaderCloses(), headTimeout})
+	go server.Serve(recordingListener{front.conns.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler)).ReaderCloses(), headTimeout, nil})
 	t.Cleanup(func() { server.Close() })
 	client, err = net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/internal/http/httpfront/requestbody.go
+++ b/internal/http/httpfront/requestbody.go
@@ -22,7 +22,6 @@
 	minBodyRate = 48_000 // bytes per second
 
 	writeStallTimeout = 10 * time.Second // how long a client may accept nothing of an answer
-	uploadHeapDivisor = 4                // 1/uploadHeapDivisor of the heap holds bodies that are kept for another attempt
 )
 
 // pacedBody reads a body and fails when the body arrives more slowly than minBodyRate, after bodyGrace. Time in which nobody reads does not
@@ -140,8 +139,8 @@
 	default:
 		return nil, fmt.Errorf("%w: %w", errBody, err)
 	}
-	b.upload = httpmsg.NewUpload(in.ContentLength, &f.budget)
-	b.upload.Append(first, b.quit)
+	b.upload = httpmsg.NewUpload(in.ContentLength, f.conns.Budget())
+	b.upload.Begin(first)
 	payload.Upload, call.BodyPending = b.upload, true
 	return b, nil
 }
--- a/internal/http/httpfront/requestbody_test.go
+++ b/internal/http/httpfront/requestbody_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/http/httpmsg"
 	"ternbeam/internal/lab/testkit"
 )
@@ -35,7 +36,7 @@
 	}
 	writer := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
 	body := &pacedBody{body: strings.NewReader("the rest"), control: http.NewResponseController(writer)}
-	b := &incomingBody{pacedBody: body, upload: httpmsg.NewUpload(8, &httpmsg.Budget{}), quit: make(chan struct{}), done: make(chan struct{})}
+	b := &incomingBody{pacedBody: body, upload: httpmsg.NewUpload(8, membudget.New(0)), quit: make(chan struct{}), done: make(chan struct{})}
 	b.pump(c, call)
 	testkit.Eventually(t, "the body is complete", b.upload.Complete)
 	stopped := make(chan bool)
--- a/internal/http/httpmsg/httpmsg.go
+++ b/internal/http/httpmsg/httpmsg.go
@@ -41,8 +41,9 @@
 	Body        []byte
 
 	// An answer that is relayed while it is received has these; Body then holds its first bytes.
-	Stream *io.PipeReader
-	Length int64 // -1 if unknown
+	Stream     *io.PipeReader
+	Length     int64 // -1 if unknown
+	SmallParts bool  // memory is short: it is relayed in parts of SmallPartSize
 }
 
 // Close ends the reading of a relayed answer; its writer then fails.
--- a/internal/http/httpmsg/upload.go
+++ b/internal/http/httpmsg/upload.go
@@ -4,8 +4,9 @@
 	"errors"
 	"io"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"ternbeam/internal/host/membudget"
 )
 
 // ErrDropped is returned when a body can't be sent again because some of its bytes were dropped.
@@ -14,8 +15,8 @@
 // Upload is a body that is forwarded while it is received. One goroutine appends to it; attempts read it, each from its first byte,
 // one after the other or two at a time.
 type Upload struct {
-	budget *Budget
-	length int64 // -1 if unknown
+	kept   *membudget.Reservation // for more than MinBuffered bytes; nil if there is none
+	length int64                  // -1 if unknown
 
 	mu       sync.Mutex
 	changed  chan struct{} // closed and replaced when anything changes
@@ -28,28 +29,23 @@
 	deadline time.Time // until when the client waits, once the body is complete; zero if unknown
 }
 
-// Budget bounds the bytes that all uploads together keep for further attempts.
-type Budget struct {
-	MaxBytes int64
-	used     atomic.Int64
-}
-
 const (
 	// PartSize is the number of bytes of a long body that are moved at a time.
 	PartSize = 32 << 10
+	// SmallPartSize replaces PartSize where memory is short.
+	SmallPartSize = 4 << 10
 	// MinBuffered is the number of bytes that every upload may hold.
 	MinBuffered = 64 << 10
 	// maxKeptBytes is the number of bytes that an upload keeps for another attempt if the budget has room.
 	maxKeptBytes = 1 << 20
 )
 
-// NewUpload returns an empty Upload for a body of the given length, -1 if unknown. It reserves room in the budget until Close.
-func NewUpload(length int64, b *Budget) *Upload {
-	u := &Upload{budget: b, length: length, changed: make(chan struct{}), limit: MinBuffered, readers: map[*UploadReader]bool{}}
-	if b.used.Add(maxKeptBytes) <= b.MaxBytes {
+// NewUpload returns an empty Upload for a body of the given length, -1 if unknown. The caller accounts for MinBuffered bytes. If the budget has
+// room to spare, the Upload reserves more until Close, and keeps the body for another attempt.
+func NewUpload(length int64, b *membudget.Budget) *Upload {
+	u := &Upload{length: length, changed: make(chan struct{}), limit: MinBuffered, readers: map[*UploadReader]bool{}}
+	if u.kept = b.TrySpare(maxKeptBytes - MinBuffered); u.kept != nil {
 		u.limit = maxKeptBytes
-	} else {
-		b.used.Add(-maxKeptBytes)
 	}
 	return u
 }
@@ -76,6 +72,14 @@
 	u.changed = make(chan struct{})
 }
 
+// Begin sets the first bytes of the body, of which there are at most MinBuffered. The Upload keeps the slice.
+func (u *Upload) Begin(first []byte) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.parts, u.received = [][]byte{first}, int64(len(first))
+	u.notifyLocked()
+}
+
 // Append adds a copy of part, which has at most PartSize bytes. It waits until there is room, and returns false if giveUp is closed
 // before that.
 func (u *Upload) Append(part []byte, giveUp <-chan struct{}) bool {
@@ -153,9 +157,7 @@
 	u.Finish(io.ErrUnexpectedEOF)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.limit == maxKeptBytes {
-		u.budget.used.Add(-maxKeptBytes)
-	}
+	u.kept.Release()
 	u.limit, u.dropped, u.parts = 0, u.received+1, nil // dropped is beyond every reader's offset, so Open and Next return ErrDropped
 	u.notifyLocked()
 }
--- a/internal/http/httpmsg/upload_test.go
+++ b/internal/http/httpmsg/upload_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"testing"
 	"time"
+
+	"ternbeam/internal/host/membudget"
 )
 
 // newBudget returns a budget with room for the kept bytes of this number of uploads.
-func newBudget(uploads int64) *Budget { return &Budget{MaxBytes: uploads * maxKeptBytes} }
+func newBudget(uploads int64) *membudget.Budget { return membudget.New(2 * uploads * maxKeptBytes) }
 
 // readN reads n bytes of an UploadReader, or up to its end.
 func readN(t *testing.T, r *UploadReader, n int) (got []byte) {
@@ -89,8 +91,8 @@
 	if _, err := u.Open(); !errors.Is(err, ErrDropped) {
 		t.Errorf("opened again: %v", err)
 	}
-	if b.used.Load() != 0 {
-		t.Errorf("%d of the budget used", b.used.Load())
+	if b.Stats().Used != 0 {
+		t.Errorf("%d of the budget used", b.Stats().Used)
 	}
 }
 
@@ -119,8 +121,8 @@
 	if _, err := u.Open(); err == nil {
 		t.Error("opened although it is closed")
 	}
-	if b.used.Load() != 0 {
-		t.Errorf("%d of the budget used", b.used.Load())
+	if b.Stats().Used != 0 {
+		t.Errorf("%d of the budget used", b.Stats().Used)
 	}
 	p, err := overBudget.Open()
 	if err != nil {
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"os"
 	"slices"
 	"strconv"
@@ -25,9 +26,49 @@
 	Sockets  int     `json:"sockets"`   // open file descriptors
 }
 
-// HeapLimit returns the soft memory limit of the Go runtime in bytes: 60 % of the memory. The rest is for memory that
-// the runtime does not count.
-func (l Limits) HeapLimit() int64 { return l.MemoryMB << 20 * 6 / 10 }
+// outsideHeapBytes is what the process needs beside what the Go runtime counts: mostly pages of the program itself.
+const outsideHeapBytes = 16 << 20
+
+// HeapLimit returns the soft memory limit of the Go runtime in bytes: 60 % of the memory, or less where the rest would be too small for
+// memory that the runtime does not count.
+func (l Limits) HeapLimit() int64 {
+	memory := l.MemoryMB << 20
+	return max(memory/4, min(memory*6/10, memory-outsideHeapBytes))
+}
+
+const (
+	baseHeapBytes       = 4 << 20  // what an agent needs without clients
+	clientHeapBytes     = 12 << 10 // what each connection of a client needs without a request
+	peerDataDivisor     = 3        // the reciprocal of the share of the rest that data of clients and servers may take
+	maxPeerDataDivisor  = 4        // the reciprocal of the largest share of the heap that it may take
+	minPeerDataBytes    = 1 << 20
+	defaultPeerDataSize = 48 << 20 // where memory is not limited
+
+	// OpenRequestBytes is what an open request needs beside its body and answer: stacks, fields, and the state of its attempts.
+	OpenRequestBytes = 32 << 10
+	minOpenRequests  = 64
+)
+
+// heapForRequests returns what the heap has beside an agent and its connections, without limit if memory is not limited.
+func (c *Config) heapForRequests() int64 {
+	if c.Limits.MemoryMB <= 0 {
+		return math.MaxInt64
+	}
+	return c.Limits.HeapLimit() - baseHeapBytes - int64(c.ClientSockets())*clientHeapBytes
+}
+
+// PeerDataBytes returns the number of bytes that data of clients and servers may take: bodies, answers and large heads.
+func (c *Config) PeerDataBytes() int64 {
+	if c.Limits.MemoryMB <= 0 {
+		return defaultPeerDataSize
+	}
+	return max(minPeerDataBytes, min(c.heapForRequests()/peerDataDivisor, c.Limits.HeapLimit()/maxPeerDataDivisor))
+}
+
+// OpenRequestsMemory returns the number of bytes for open requests, of OpenRequestBytes each.
+func (c *Config) OpenRequestsMemory() int64 {
+	return max(minOpenRequests*OpenRequestBytes, c.heapForRequests()-c.PeerDataBytes())
+}
 
 // Config is an agent's configuration: the content of the file, with the name and some addresses overridden by the environment.
 type Config struct {
@@ -182,9 +223,12 @@
 
 // BackendSockets returns the number of descriptors for connections to backends.
 func (c *Config) BackendSockets() int {
-	return c.Limits.Sockets - reservedSockets - c.ClientSockets() - c.OpsSockets()
+	return c.Limits.Sockets - reservedSockets - c.ClientSockets() - c.OpsSockets() - c.LingerSockets()
 }
 
+// LingerSockets returns the number of descriptors for connections that have had their last answer and are closed soon.
+func (c *Config) LingerSockets() int { return min(64, c.Limits.Sockets/16) }
+
 // OpsSockets returns the number of descriptors for connections to the operations address. It leaves room for some silent
 // connections in addition to those of regular pollers.
 func (c *Config) OpsSockets() int {
--- a/internal/thrift/thriftfront/client_test.go
+++ b/internal/thrift/thriftfront/client_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"ternbeam/internal/host/conntrack"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/thrift/thriftmap"
 	"ternbeam/internal/thrift/thriftwire"
 )
@@ -19,7 +20,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	tracker := conntrack.New(maxConns)
+	tracker := conntrack.New(maxConns, membudget.New(16<<20))
 	listener = tracker.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler))
 	c = &client{front: &Front{service: &thriftmap.Map{MaxCalls: 2}, tracker: tracker, clients: map[*client]bool{}, removed: make(chan struct{}, 1)}, conn: connect(t, listener)}
 	c.changed.L = &c.mu
