Connections rest that have many requests answered without a server

Cause: nothing bounds how much one connection has answered in a second. On one processor its goroutine runs for its whole 10 ms, and each of the some six steps of another client's request waits for all of them; a quarter of a processor makes 40 ms of each 10.

Change: internal/decide/throttle. From 50 answers without a server at once, and then 200 a second, the connection rests before its next request is read, 0.25 s at most; all such connections share 4,000 a second for each core. No answer is delayed that has been decided. `rests` in the log's counts.

Besides, of the same class (what a peer can make the agent hold): the timer of a refused request stayed until its deadline, 670 s for a body of unknown length.

--- a/cmd/ternbeam/crowd_test.go
+++ b/cmd/ternbeam/crowd_test.go
@@ -269,7 +269,7 @@
 }
 
 // runUsualClients has usual clients send requests until the returned function is called, which reports what became of them.
-func runUsualClients(t *testing.T, listen string, left time.Duration) (end func()) {
+func runUsualClients(t *testing.T, listen string, left time.Duration) (end func() (sum usualClient)) {
 	const count, interval = 4, 20 * time.Millisecond
 	ended := make(chan struct{})
 	clients := make([]usualClient, count)
@@ -278,11 +278,10 @@
 		clients[i] = usualClient{listen: listen, name: fmt.Sprint("usual-", i), left: left}
 		wait.Go(func() { clients[i].run(interval, ended) })
 	}
-	return func() {
+	return func() (sum usualClient) {
 		t.Helper()
 		close(ended)
 		wait.Wait()
-		var sum usualClient
 		for _, c := range clients {
 			sum.served, sum.refused, sum.late, sum.lost = sum.served+c.served, sum.refused+c.refused, sum.late+c.late, sum.lost+c.lost
 			sum.worst = max(sum.worst, c.worst)
@@ -291,6 +290,7 @@
 		if sum.late+sum.lost > 0 || sum.served == 0 {
 			t.Errorf("of the usual clients %d were served, %d answered late, %d not", sum.served, sum.late, sum.lost)
 		}
+		return sum
 	}
 }
 
--- a/internal/decide/calltrack/record_test.go
+++ b/internal/decide/calltrack/record_test.go
@@ -25,6 +25,7 @@
 func (scripted) Recall(time.Duration, choice.Memory)  {}
 func (scripted) Revision() uint64                     { return 0 }
 func (scripted) Ejected() int                         { return 0 }
+func (scripted) TimerPending(uint64) bool             { return true }
 func (s scripted) Handle(_ time.Duration, ev choice.Event) []choice.Action {
 	switch e := ev.(type) {
 	case choice.Request:
--- a/internal/decide/calltrack/tracker.go
+++ b/internal/decide/calltrack/tracker.go
@@ -220,6 +220,8 @@
 	Recall(now time.Duration, m choice.Memory)
 	Revision() uint64 // a count that grows whenever the decision module learns something
 	Ejected() int     // the number of servers that the decision module has ejected
+
+	TimerPending(token uint64) bool // reports whether a timer that the decision module has set still has an effect
 }
 
 // Settings configure a Tracker.
@@ -289,6 +291,11 @@
 	return t.commands
 }
 
+// TimerPending reports whether a timer that was set by a command still has an effect.
+func (t *Tracker) TimerPending(token uint64) bool {
+	return token == routesToken || t.balancer.TimerPending(token)
+}
+
 // CallArrived accepts a call from the protocol server that received it.
 func (t *Tracker) CallArrived(now time.Duration, call *Call) []Command {
 	t.startStep(now)
--- /dev/null
+++ b/internal/decide/throttle/throttle.go
@@ -0,0 +1,57 @@
+// Package throttle decides how long a connection rests before its next request is read, after requests that were answered without a server.
+// Such answers cost a client nothing, so one that sends at full speed would get most of the processor time. Resting delays no answer to a
+// request that has been read. The package does no I/O and reads no clock.
+package throttle
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// A connection has freeAnswers at once, and answersPerSecond in the long run, before it has to rest.
+	freeAnswers      = 50
+	answersPerSecond = 200
+
+	// All connections beyond that share sharedAnswersPerCore a second for each processor core.
+	sharedAnswersPerCore = 4000
+	minSharedAnswers     = 500
+
+	// MaxRest is the longest rest. A request behind it has been waiting for its time to be read since it arrived.
+	MaxRest = 250 * time.Millisecond
+)
+
+// Throttle is shared by all connections of an agent. It is safe for concurrent use.
+type Throttle struct{ shared *rate.Limiter }
+
+// New returns a Throttle for an agent that may use the given number of cores, 0 if that is not limited.
+func New(cores float64) *Throttle {
+	if cores <= 0 {
+		cores = 1
+	}
+	perSecond := max(minSharedAnswers, sharedAnswersPerCore*cores)
+	return &Throttle{rate.NewLimiter(rate.Limit(perSecond), freeAnswers)}
+}
+
+// Connection is the state of one connection. It is not safe for concurrent use.
+type Connection struct {
+	paidUntil time.Time // the time at which all answers so far are within answersPerSecond
+}
+
+// Rest records that a request on the connection was answered without a server at the given time. It returns how long the connection rests
+// before the next one is read.
+func (t *Throttle) Rest(c *Connection, now time.Time) time.Duration {
+	const interval = time.Second / answersPerSecond
+	if c.paidUntil.Before(now) {
+		c.paidUntil = now
+	}
+	c.paidUntil = c.paidUntil.Add(interval)
+	own := c.paidUntil.Sub(now) - freeAnswers*interval
+	if own <= 0 {
+		return 0
+	}
+	rest := min(max(own, t.shared.ReserveN(now, 1).DelayFrom(now)), MaxRest)
+	c.paidUntil = now.Add(rest + freeAnswers*interval) // resting earns no free answers
+	return rest
+}
--- /dev/null
+++ b/internal/decide/throttle/throttle_test.go
@@ -0,0 +1,59 @@
+package throttle
+
+import (
+	"testing"
+	"time"
+)
+
+// sustained returns how many answers each of a number of connections gets in a second if all send at full speed.
+func sustained(t *Throttle, connections int) float64 {
+	const seconds, answersPerMillisecond = 10, 10 // at full speed
+	start := time.Unix(1000, 0)
+	due, conns := make([]time.Time, connections), make([]Connection, connections)
+	for i := range due {
+		due[i] = start
+	}
+	answers := 0
+	for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(time.Millisecond) {
+		for i := range due {
+			for range answersPerMillisecond {
+				if due[i].After(now) {
+					break
+				}
+				answers++
+				due[i] = now.Add(t.Rest(&conns[i], now))
+			}
+		}
+	}
+	return float64(answers) / seconds / float64(connections)
+}
+
+func TestFloodsAreSlowedDown(t *testing.T) {
+	if rate := sustained(New(1), 1); rate > 1.1*answersPerSecond || rate < answersPerSecond {
+		t.Errorf("one connection has %.0f answers a second", rate)
+	}
+	const many = 400
+	if rate := sustained(New(0.25), many) * many; rate > 3*many*float64(time.Second)/float64(MaxRest) {
+		t.Errorf("%d connections have %.0f answers a second", many, rate)
+	}
+}
+
+// Clients that pause between requests, or send some at once, do not rest, whatever others do.
+func TestUsualClientsDoNotRest(t *testing.T) {
+	all, flooding, usual := New(0.25), Connection{}, Connection{}
+	now := time.Unix(1000, 0)
+	for range 10_000 {
+		all.Rest(&flooding, now)
+	}
+	for range freeAnswers {
+		if d := all.Rest(&usual, now); d != 0 {
+			t.Fatalf("some requests at once: %v", d)
+		}
+	}
+	for range 1000 {
+		now = now.Add(time.Second / answersPerSecond)
+		if d := all.Rest(&usual, now); d != 0 {
+			t.Fatalf("with pauses: %v", d)
+		}
+	}
+}
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"context"
 	"errors"
 	"fmt"
@@ -88,6 +87,7 @@
 	workers     workers
 	unsubmitted atomic.Int64  // calls whose clients disconnected before the calls could be submitted
 	malformed   atomic.Int64  // calls that a front could not read; the loop never sees them
+	rests       atomic.Int64  // times that a connection rested as its client sent too fast
 	ready       chan struct{} // closed when clients may send calls
 	// Shared by all attempts.
 	onAnswerStart func(at *Attempt, stalled bool)
@@ -101,7 +101,7 @@
 	// The following fields are used by the event loop only.
 	tracker      *calltrack.Tracker
 	requests     *requestLog
-	timers       timerHeap
+	timers       timers
 	discovery    string               // address of the list service being watched
 	startWatch   func()               // watches that list service
 	stopWatch    func()               // ends the watch; lists that it has delivered are no longer applied
@@ -195,6 +195,9 @@
 // CountMalformed counts a call that a front could not read.
 func (c *Core) CountMalformed() { c.malformed.Add(1) }
 
+// CountRest counts that a connection rests as its client sends too fast.
+func (c *Core) CountRest() { c.rests.Add(1) }
+
 const (
 	// firstListTimeout is how long the agent waits for the first list before it reports itself ready. emptyListTimeout applies
 	// instead if the agent knows no server and would refuse all calls, and shares its list service with other agents: a service
@@ -239,12 +242,11 @@
 		if c.set.OpsEnabled && c.Now()-c.publishedAt >= publishInterval { // under full load the ticker alone could be late
 			c.publish()
 		}
-		for len(c.timers) > 0 && c.timers[0].at <= c.Now() {
-			t := heap.Pop(&c.timers).(timer)
-			c.execute(c.tracker.TimerFired(c.Now(), t.token))
+		for token, expired := c.timers.next(c.Now()); expired; token, expired = c.timers.next(c.Now()) {
+			c.execute(c.tracker.TimerFired(c.Now(), token))
 		}
-		if len(c.timers) > 0 {
-			due.Reset(c.timers[0].at - c.Now())
+		if at, set := c.timers.earliest(); set {
+			due.Reset(at - c.Now())
 		}
 		select {
 		case event := <-c.urgent:
@@ -291,7 +293,7 @@
 	taken := make(chan Snapshot, 1)
 	c.post(func() {
 		unanswered, tracked := c.tracker.Count()
-		s := Snapshot{Stats: c.tracker.Stats(), Malformed: c.malformed.Load(), Unanswered: unanswered, Tracked: tracked, Timers: len(c.timers),
+		s := Snapshot{Stats: c.tracker.Stats(), Malformed: c.malformed.Load(), Unanswered: unanswered, Tracked: tracked, Timers: c.timers.count(),
 			Servers: c.tracker.Servers()}
 		taken <- s
 	})
@@ -325,8 +327,8 @@
 		c.log.Info("memory for data of peers", "budget", s.Size, "used", s.Used, "peak", s.Peak, "waits", s.Waits, "failures", s.Failures)
 	}
 	c.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
-		"gone", s.Disconnected, "abandoned", c.unsubmitted.Load(), "malformed", c.malformed.Load(), "undelivered", c.undelivered.count.Load(), "attempts", s.Attempts, "reports", s.Reports,
-		"results", resultsText(s.Results[:]), "reasons", reasonsText(c.tracker.ReasonCounts()), "open", unanswered, "held", tracked, "timers", len(c.timers),
+		"gone", s.Disconnected, "abandoned", c.unsubmitted.Load(), "malformed", c.malformed.Load(), "rests", c.rests.Load(), "undelivered", c.undelivered.count.Load(), "attempts", s.Attempts, "reports", s.Reports,
+		"results", resultsText(s.Results[:]), "reasons", reasonsText(c.tracker.ReasonCounts()), "open", unanswered, "held", tracked, "timers", c.timers.count(),
 		"backends", c.tracker.ServerCount(), "connections", connections, "waiting", waiting)
 }
 
@@ -335,7 +337,7 @@
 	for _, command := range commands {
 		switch command.Kind {
 		case calltrack.SetTimer:
-			heap.Push(&c.timers, timer{at: command.At, token: command.Token})
+			c.timers.set(command.At, command.Token, c.tracker.TimerPending)
 		case calltrack.StartAttempt:
 			c.startAttempt(command.Attempt)
 		case calltrack.CancelAttempt:
@@ -371,22 +373,3 @@
 		c.post(func() { c.execute(c.tracker.AttemptEnded(c.Now(), at, outcome)) })
 	})
 }
-
-// timer is a timer that the decision module has set.
-type timer struct {
-	at    time.Duration
-	token uint64
-}
-
-// timerHeap is a heap of timers, the earliest first.
-type timerHeap []timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
--- a/internal/http/httpfront/answer.go
+++ b/internal/http/httpfront/answer.go
@@ -34,6 +34,9 @@
 	}
 	err := f.writeAnswer(w, in, ans, f.writeTimeout(call))
 	if err == nil {
+		if ans.Kind != core.Served && ans.Kind != core.Failed {
+			f.rest(w, in)
+		}
 		return
 	}
 	f.core.RecordUndelivered(call, ans.Kind, err.stage, err.cause)
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -20,6 +20,7 @@
 	"ternbeam/internal/decide/calltrack"
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/shutdown"
+	"ternbeam/internal/decide/throttle"
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/membudget"
@@ -52,6 +53,7 @@
 	listener      *conntrack.Listener
 	shuttingDown  atomic.Bool // answers announce that their connection closes
 	probeInterval time.Duration
+	throttle      *throttle.Throttle
 	lingering     lingerers
 	openRequests  *membudget.Budget // for what open requests need beside their bodies and answers
 }
@@ -93,11 +95,13 @@
 		default:
 			w.WriteHeader(http.StatusTooEarly)
 		}
+		f.rest(w, in)
 	}
 	head, read := headTimeout, readTimeout
 	if f.longBodies = cfg.AllowsLongBodies(); f.longBodies {
 		head, read = longHeadTimeout, longHeadTimeout // bodies have timeouts of their own
 	}
+	f.throttle = throttle.New(cfg.Limits.Cores)
 	f.lingering.most = cfg.LingerSockets()
 	f.openRequests = membudget.New(cfg.OpenRequestsMemory())
 	f.http = &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: head, ReadTimeout: read,
@@ -106,6 +110,15 @@
 	return f
 }
 
+// rest delays the next request on a connection if many were answered without a server. The current answer is flushed before.
+func (f *Front) rest(w http.ResponseWriter, in *http.Request) {
+	if d := f.throttle.Rest(&clientConnOf(in).throttled, time.Now()); d > 0 {
+		http.NewResponseController(w).Flush()
+		f.core.CountRest()
+		time.Sleep(d)
+	}
+}
+
 // answerPanic answers a request whose handler has panicked, unless its answer has already started: net/http would close the
 // connection without an answer.
 func (f *Front) answerPanic(w http.ResponseWriter, in *http.Request) {
@@ -140,6 +153,7 @@
 
 	answerStarted bool                     // the final answer to the current request has started
 	room          []*membudget.Reservation // for the current request
+	throttled     throttle.Connection
 
 	opened time.Duration // on the core's clock
 }
