Long answers are relayed by their client's time, however slowly they are sent

Cause: package relay took an answer of unknown length for a short one until 64 KiB had come. A pause of 0.3 s at the check replaced it, which a request that must not be repeated has no use for, and at the client's deadline it was given up. One that is known to be over 64 KiB was given up at the deadline if its body had not begun.

Change: an answer that has brought over 4 KiB is taken to be long: it is relayed 0.5 s behind its head, or 50 ms before the client's time, and is not replaced for a pause. One that is known to be long is relayed by then with or without a body. Shorter ones are as before: a part of a short answer is no answer.

Why it works: what a client measures of a long answer is its first bytes, and those are relayed in time; nothing gives up a long answer any more whose body has begun.

--- a/internal/decide/relay/relay.go
+++ b/internal/decide/relay/relay.go
@@ -4,7 +4,7 @@
 // A held answer can be replaced: if the server breaks it off, the request is sent to another server, or the client gets an error. An
 // answer that is being relayed is final: if it breaks off, the client's connection has to be closed. So an answer is held for as long
 // as it fits into memory and the client's deadline allows. A long answer must not be held for long, as its client takes seconds to
-// read it.
+// read it: a long answer whose body has started is never given up, as its server may just be slow in sending it.
 //
 // An answer whose body has not started is waited for until the client's deadline, as its server may be slow in sending and another
 // one no faster. If it takes long, another server is asked besides, as far as package choice allows, because its server may also have
@@ -27,6 +27,10 @@
 	// MaxPause is the longest time since data was last received after which the answer to a first attempt still starts to be
 	// relayed. A server that makes progress sends something at least that often; one that does not has probably stopped.
 	MaxPause = 300 * time.Millisecond
+	// LongAnswerBytes is the number of bytes from which on an answer of unknown length is taken to be long.
+	LongAnswerBytes = 4 << 10
+	// RelayMargin is how long before the client's deadline a long answer is relayed at the latest: its first bytes are due by then.
+	RelayMargin = 50 * time.Millisecond
 )
 
 // AttemptPosition is the position of an attempt among those of its call.
@@ -61,6 +65,7 @@
 	maxPause       time.Duration // longest allowed time without data at a check
 	limit          int           // maximum number of bytes held
 	position       AttemptPosition
+	knownLong      bool          // the head says that it is long
 	received       int           // bytes
 	lastReceived   time.Duration // when data was last received; initially when the head was received
 }
@@ -69,7 +74,7 @@
 // deadline, limit the maximum number of bytes to hold. If the answer to a first attempt has stopped by half of left it is replaced. The
 // answer may also be long and its server slow, and then further attempts would do no better, so that their answers are not replaced. If
 // no attempt can follow, an answer that has stopped is held until it continues. An answer that is not complete at the client's deadline
-// is not relayed.
+// is relayed only if it has brought more than LongAnswerBytes.
 func NewHeldAnswer(now, left time.Duration, limit int, position AttemptPosition) *HeldAnswer {
 	left = max(left, 0)
 	hold := min(MaxHold, left)
@@ -84,12 +89,14 @@
 	return h
 }
 
-// NewHeldLong is like NewHeldAnswer, for an answer that is known to be longer than limit. It is held for half of left at most.
+// NewHeldLong is like NewHeldAnswer, for an answer that is known to be longer than limit. It is held for half of left at most, and relayed at
+// the client's deadline even if its body has not started.
 func NewHeldLong(now, left time.Duration, limit int) *HeldAnswer {
 	left = max(left, 0)
 	hold := min(MaxHoldLong, left/2)
 	h := newHeld(now, left, hold, limit)
-	h.position = FurtherAttempt
+	h.position, h.knownLong = FurtherAttempt, true
+	h.hedgeAt = min(h.hedgeAt, h.latestRelay())
 	return h
 }
 
@@ -116,9 +123,20 @@
 	if h.received > h.limit {
 		return Relay
 	}
+	if h.isLong() {
+		h.endsAtDeadline = false
+		h.until = min(h.until, h.latestRelay())
+		h.nextCheck = h.until
+	}
 	return Hold
 }
 
+// isLong reports whether the answer is known or taken to be long.
+func (h *HeldAnswer) isLong() bool { return h.knownLong || h.received > LongAnswerBytes }
+
+// latestRelay returns when a long answer is relayed at the latest.
+func (h *HeldAnswer) latestRelay() time.Duration { return max(0, h.deadline-RelayMargin) }
+
 // NextCheck returns the time at which Check is to be called.
 func (h *HeldAnswer) NextCheck() time.Duration {
 	if h.received == 0 {
@@ -133,11 +151,17 @@
 	switch {
 	case now < h.NextCheck():
 		return Hold
+	case h.received == 0 && h.knownLong && now >= h.latestRelay():
+		return Relay
 	case h.received == 0 && now < h.deadline:
-		h.hedgeAt = h.deadline
+		if h.hedgeAt = h.deadline; h.knownLong {
+			h.hedgeAt = h.latestRelay()
+		}
 		return Hedge
 	case h.received == 0:
 		return Replace
+	case h.isLong():
+		return Relay
 	case h.position != FurtherAttempt && now-h.lastReceived > h.maxPause:
 		if h.position == FirstAttempt || now >= h.deadline {
 			return Replace
