Requests whose servers read them slowly are answered in their client's time

Cause: a request's time counted from when the agent had read its last byte. While the server does not read, the agent does not either, beyond 1 MiB; the client has long written its last byte, into up to 4 MiB of its own send buffer.

Here it takes bodies of over some 5 MB, as the kernel holds more.

Change: internal/decide/uploadclock estimates when the client can have written its last byte: not before less than 4 MiB are missing, and not before the agent last found nothing to read. The client's time from then on ends the request like any deadline. `bodies_expired` in the log's counts.

Why it works: the estimate is never later than the truth, for clients and servers of any speed (TestExpiryIsNotLate, generated), so no answer is later than its time. It may be early, where a client's buffers are smaller than 4 MiB and its server is slow.

--- a/cmd/ternbeam/systemcalls_test.go
+++ b/cmd/ternbeam/systemcalls_test.go
@@ -153,6 +153,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	serveListener(t, l, serve)
+	return l.Addr()
+}
+
+// serveListener serves each connection of a listener until the test ends.
+func serveListener(t *testing.T, l *net.TCPListener, serve func(conn *net.TCPConn)) {
+	t.Helper()
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -163,7 +170,6 @@
 			go serve(conn)
 		}
 	}()
-	return l.Addr()
 }
 
 // startUnderFaults starts the program with some of its system calls failing. It runs until the test ends.
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -170,6 +170,9 @@
 	return max(sinceLast, time.Since(earliest))
 }
 
+// DrainedAt returns the latest time at which all data that had arrived was known to be read, or the zero time if that is unknown.
+func (c *Conn) DrainedAt() time.Time { return c.stream.Reads().ReadySince() }
+
 // HasReadAhead reports whether CheckDisconnected has buffered data that Read has not returned yet.
 func (c *Conn) HasReadAhead() bool {
 	c.mu.Lock()
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -80,15 +80,16 @@
 // Core runs the event loop around a calltrack.Tracker. One goroutine, the event loop, owns the Tracker and the timers;
 // everything else posts events to it.
 type Core struct {
-	set         Settings
-	log         *slog.Logger
-	events      chan func()
-	urgent      chan func() // takes precedence over events: operator commands and lists, which do not wait behind queued calls
-	workers     workers
-	unsubmitted atomic.Int64  // calls whose clients disconnected before the calls could be submitted
-	malformed   atomic.Int64  // calls that a front could not read; the loop never sees them
-	rests       atomic.Int64  // times that a connection rested as its client sent too fast
-	ready       chan struct{} // closed when clients may send calls
+	set           Settings
+	log           *slog.Logger
+	events        chan func()
+	urgent        chan func() // takes precedence over events: operator commands and lists, which do not wait behind queued calls
+	workers       workers
+	unsubmitted   atomic.Int64  // calls whose clients disconnected before the calls could be submitted
+	malformed     atomic.Int64  // calls that a front could not read; the loop never sees them
+	expiredBodies atomic.Int64  // calls whose client may have had no time left before their body was received
+	rests         atomic.Int64  // times that a connection rested as its client sent too fast
+	ready         chan struct{} // closed when clients may send calls
 	// Shared by all attempts.
 	onAnswerStart func(at *Attempt, stalled bool)
 	onRelayStart  func(*Attempt, AttemptOutcome)
@@ -182,6 +183,12 @@
 	c.post(func() { c.execute(c.tracker.RequestComplete(c.Now(), call, deadline)) })
 }
 
+// BodyExpired records that the client of a call that is still being received may have no time left, as its server reads the body too slowly.
+func (c *Core) BodyExpired(call *Call) {
+	c.expiredBodies.Add(1)
+	c.RequestReceived(call, 0)
+}
+
 // ClientDisconnected records that the client of a call has disconnected and no longer expects an answer. From this moment on nothing
 // more is sent for the call, however many events are queued before this one.
 func (c *Core) ClientDisconnected(call *Call) {
@@ -327,7 +334,7 @@
 		c.log.Info("memory for data of peers", "budget", s.Size, "used", s.Used, "peak", s.Peak, "waits", s.Waits, "failures", s.Failures)
 	}
 	c.log.Info("counts", "requests", s.Requests, "served", s.Served, "refused", s.Refused, "failed", s.Failed,
-		"gone", s.Disconnected, "abandoned", c.unsubmitted.Load(), "malformed", c.malformed.Load(), "rests", c.rests.Load(), "undelivered", c.undelivered.count.Load(), "attempts", s.Attempts, "reports", s.Reports,
+		"gone", s.Disconnected, "abandoned", c.unsubmitted.Load(), "malformed", c.malformed.Load(), "rests", c.rests.Load(), "bodies_expired", c.expiredBodies.Load(), "undelivered", c.undelivered.count.Load(), "attempts", s.Attempts, "reports", s.Reports,
 		"results", resultsText(s.Results[:]), "reasons", reasonsText(c.tracker.ReasonCounts()), "open", unanswered, "held", tracked, "timers", c.timers.count(),
 		"backends", c.tracker.ServerCount(), "connections", connections, "waiting", waiting)
 }
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -276,15 +276,13 @@
 	}
 	if call.BodyPending {
 		defer body.stop() // however the call ends
-		bodyEnded, err := body.pump(f.core, call), error(nil)
-		select {
-		case ans := <-slot.answers:
+		ans, err := f.awaitBody(call, body, slot.answers)
+		if ans != nil {
 			if body.stop() {
 				w.Header().Set("Connection", "close") // the rest of the request is not read
 			}
-			f.writeFinal(w, in, call, ans)
+			f.writeFinal(w, in, call, *ans)
 			return
-		case err = <-bodyEnded: // nil if the body is complete
 		}
 		if err != nil {
 			f.core.CountMalformed()
@@ -300,6 +298,29 @@
 	f.writeFailedAndClose(w, in)
 }
 
+// bodyCheckInterval is how often the time of a client is checked while its body is received.
+const bodyCheckInterval = 50 * time.Millisecond
+
+// awaitBody receives the rest of a body until it is complete or the call has its answer, which may be earlier. The error is that of the body.
+func (f *Front) awaitBody(call *core.Call, body *incomingBody, answer <-chan core.Answer) (*core.Answer, error) {
+	ended := body.pump(f.core, call)
+	ticker := time.NewTicker(bodyCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case ans := <-answer:
+			return &ans, nil
+		case err := <-ended:
+			return nil, err
+		case <-ticker.C:
+			if body.expired(f.core.Now()) {
+				f.core.BodyExpired(call)
+				ticker.Stop()
+			}
+		}
+	}
+}
+
 // await waits for the answer to a call. It returns false if the client disconnects first. Meanwhile net/http reads the connection
 // and reports its end at once, unless there is data behind the request: then it stops reading, and the connection is probed instead.
 func (f *Front) await(ctx context.Context, conn *conntrack.Conn, answer <-chan core.Answer, gone func() bool) (core.Answer, bool) {
@@ -389,7 +410,7 @@
 	wait = max(0, wait-clientConnOf(in).recorder.sinceArrival()) // the client counts from when it sent the request
 	call.Deadline = f.core.Now() + wait                          // counted from the last byte
 	if call.BodyPending {
-		body.timeLeft = wait
+		body.startClock(f.core.Now(), wait)
 		call.Deadline += body.maxReadTime()
 	}
 	return call, body, nil
--- a/internal/http/httpfront/requestbody.go
+++ b/internal/http/httpfront/requestbody.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"ternbeam/internal/clock"
+	"ternbeam/internal/decide/uploadclock"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/http/httpmsg"
 )
@@ -93,6 +95,10 @@
 	upload   *httpmsg.Upload
 	timeLeft time.Duration // how long the client waits, counted from the last byte
 
+	drainedAt func() time.Time // as of conntrack.Conn
+	clockMu   sync.Mutex
+	clock     *uploadclock.Clock // when the client may have written the last byte
+
 	once     sync.Once
 	quit     chan struct{}
 	done     chan struct{}
@@ -124,7 +130,7 @@
 		}
 		return nil, nil
 	}
-	b := &incomingBody{pacedBody: newPacedBody(in, w), quit: make(chan struct{}), done: make(chan struct{})}
+	b := &incomingBody{pacedBody: newPacedBody(in, w), drainedAt: clientConnOf(in).conn.DrainedAt, quit: make(chan struct{}), done: make(chan struct{})}
 	first, err := make([]byte, 0, httpmsg.MaxBody), error(nil)
 	for err == nil && len(first) < cap(first) {
 		var n int
@@ -148,6 +154,31 @@
 // errBody rejects a request whose body was not received or is invalid.
 var errBody = errors.New("reading the body")
 
+// startClock records how long the client waits. The beginning of the body has been received.
+func (b *incomingBody) startClock(now, timeLeft time.Duration) {
+	b.timeLeft, b.clock = timeLeft, uploadclock.New(now, b.upload.Length())
+	b.recordReceived(now, httpmsg.MaxBody)
+}
+
+// recordReceived records that bytes of the body were received.
+func (b *incomingBody) recordReceived(now time.Duration, bytes int) {
+	var drainedAt time.Duration
+	if at := b.drainedAt(); !at.IsZero() {
+		drainedAt = clock.FromTime(at)
+	}
+	b.clockMu.Lock()
+	defer b.clockMu.Unlock()
+	b.clock.Received(now, bytes, drainedAt)
+}
+
+// expired reports whether the client's time may be over although the body is not complete: the server reads it too slowly.
+func (b *incomingBody) expired(now time.Duration) bool {
+	b.clockMu.Lock()
+	defer b.clockMu.Unlock()
+	at, possible := b.clock.ExpiresAt(b.timeLeft)
+	return possible && now >= at
+}
+
 // maxReadTime returns how long reading the rest of the body can take at most.
 func (b *incomingBody) maxReadTime() time.Duration {
 	length := b.upload.Length()
@@ -176,6 +207,9 @@
 				ended <- fmt.Errorf("%w: %w", errBody, err)
 				return
 			}
+			if n > 0 {
+				b.recordReceived(c.Now(), n)
+			}
 			if n > 0 && !b.upload.Append(part[:n], b.quit) {
 				return
 			}
--- a/internal/http/httpfront/requestbody_test.go
+++ b/internal/http/httpfront/requestbody_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"ternbeam/internal/decide/uploadclock"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/http/httpmsg"
@@ -36,7 +37,7 @@
 	}
 	writer := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
 	body := &pacedBody{body: strings.NewReader("the rest"), control: http.NewResponseController(writer)}
-	b := &incomingBody{pacedBody: body, upload: httpmsg.NewUpload(8, membudget.New(0)), quit: make(chan struct{}), done: make(chan struct{})}
+	b := &incomingBody{pacedBody: body, upload: httpmsg.NewUpload(8, membudget.New(0)), clock: uploadclock.New(0, 8), drainedAt: time.Now, quit: make(chan struct{}), done: make(chan struct{})}
 	b.pump(c, call)
 	testkit.Eventually(t, "the body is complete", b.upload.Complete)
 	stopped := make(chan bool)
