No further attempt is made for a client that may have left behind unread data

Cause: the end of a connection is queued behind the data before it. CheckDisconnected reads ahead to see it, 1 MiB at most; behind more than that neither a read nor poll(2) shows the end, and the client counted as present.

Evidence: with 4 MB of requests behind the first one the late attempt is the second of that first request, `canceled` at a silent server; with 60 kB, or where an answer has drawn a reset, there is none.

Change: where data is left to the kernel, no attempt begins later than 80 ms behind the request; the client still has its answer. Such an attempt ends as not sent.

Why it works: a client whose end can't be seen is sent for only in the first 0.1 s, in which it is allowed.

Thrift, which reads its connections in another way, is not changed.

--- a/internal/decide/calltrack/tracker.go
+++ b/internal/decide/calltrack/tracker.go
@@ -32,6 +32,10 @@
 	// an attempt is written, from any goroutine; it must not block. It is nil if that cannot be determined.
 	PollDisconnected func() bool
 
+	// PollMayHaveLeft is like PollDisconnected, and also returns true if the client may have closed its connection without a sign of it. The
+	// client still gets an answer, but nothing more is sent for the call. It may be nil.
+	PollMayHaveLeft func() bool
+
 	closed         atomic.Bool // set by the Tracker: it has given the final answer, or handled the client's disconnect
 	disconnected   atomic.Bool // set by any goroutine: the client has disconnected; the Tracker may not know it yet
 	attempts       []*Attempt  // by attempt number; nil once an attempt has ended
@@ -60,6 +64,11 @@
 	return c.Finished()
 }
 
+// PollSendable reports whether an attempt of the call may be sent: it is not finished, by PollFinished, and its client is certain to be there.
+func (c *Call) PollSendable() bool {
+	return !c.PollFinished() && (c.PollMayHaveLeft == nil || !c.PollMayHaveLeft())
+}
+
 // ClientDisconnected reports whether the client is known to have disconnected.
 func (c *Call) ClientDisconnected() bool { return c.disconnected.Load() }
 
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -32,6 +32,7 @@
 	reading      bool            // a Read is in progress and receives what arrives
 	buffered     readAheadBuffer // data that CheckDisconnected has read and Read has not returned yet
 	arrivals     arrivalLog
+	endHidden    bool // CheckDisconnected has left data to the kernel, behind which the end of the connection may be
 	endRequested bool // the reader has been asked to close the connection, unless data has been received
 	stopped      bool // the connection is being closed, and nothing more is read
 	readDeadline time.Time
@@ -324,6 +325,7 @@
 	if c.reading { // the reader notices the end itself, unless it arrives at this moment
 		return peek.HungUp(c.TCPConn)
 	}
+	c.endHidden = false
 	for part := c.buffered.free(); part != nil; part = c.buffered.free() {
 		n, err := peek.ReadNow(c.TCPConn, part)
 		c.buffered.fill(n)
@@ -336,5 +338,15 @@
 		c.stream.Reads().RecordSuccess()
 		c.recordReceivedLocked(n)
 	}
+	c.endHidden = peek.UnreadOf(c.TCPConn) != peek.UnreadNothing
 	return peek.HungUp(c.TCPConn)
 }
+
+// MayHaveLeft reports, without blocking, whether the client has closed the connection, or may have done so behind more data than can be read
+// ahead.
+func (c *Conn) MayHaveLeft() bool {
+	gone := c.CheckDisconnected()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return gone || c.endHidden && !c.reading
+}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -267,6 +267,10 @@
 	call.Answer = slot.deliver
 	client.requests++
 	call.PollDisconnected = client.conn.Disconnected
+	received := f.core.Now()
+	call.PollMayHaveLeft = func() bool {
+		return f.core.Now()-received > presenceTime && client.conn.MayHaveLeft()
+	}
 	call.Connection = calltrack.Connection{Opened: client.opened, Requests: client.requests}
 	f.core.Submit(call)
 	// Some clients send one request and keep their connection forever. Near the connection limit, the connection closes after the
@@ -298,6 +302,9 @@
 	f.writeFailedAndClose(w, in)
 }
 
+// presenceTime is how long a client counts as present behind its request. Nothing may be sent for one that has left 0.1 s ago.
+const presenceTime = 80 * time.Millisecond
+
 // bodyCheckInterval is how often the time of a client is checked while its body is received.
 const bodyCheckInterval = 50 * time.Millisecond
 
