The id of a call that may have run is remembered, by both processes of an upgrade

Cause: an id was known while its call was unanswered or had an attempt in flight. When a client leaves, its attempts end at once, and with them the id, while the server goes on; another process never heard of it.

Remembered are calls that must not run twice, and all whose client has left. A process tells the others of this agent of such calls as they arrive, and hands over those that it remembers; the state and the updates of a handover have the field ids, which builds without it ignore.

Why it works: nothing forgets an id when its call ends. What is left: the same id at both processes within the milliseconds that an update takes, and after a kill.

--- a/choice/api.go
+++ b/choice/api.go
@@ -147,8 +147,8 @@
 	NotSent                     // not sent: too late, or one attempt too many; the request never ran
 )
 
-// neverRan reports whether the result proves that the request had no effect.
-func (r Result) neverRan() bool { return r == Rejected || r == ConnectFailed || r == NotSent }
+// NeverRan reports whether the result proves that the request had no effect.
+func (r Result) NeverRan() bool { return r == Rejected || r == ConnectFailed || r == NotSent }
 
 // Event is an input of a Balancer: one of the types below.
 type Event interface{ event() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -567,7 +567,7 @@
 		return
 	}
 	a := r.attempts[o.Attempt]
-	a.inFlight, a.neverRan = false, o.Result.neverRan()
+	a.inFlight, a.neverRan = false, o.Result.NeverRan()
 	r.inFlight--
 	a.srv.inFlight = slices.DeleteFunc(a.srv.inFlight, func(other *attempt) bool { return other == a })
 	b.recordReport(a.srv, o.Report)
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -89,7 +89,7 @@
 	if h.received == nil {
 		return nil
 	}
-	return &core.InheritedState{Overrides: h.received.State.Overrides, Learned: h.received.State.Learned}
+	return &core.InheritedState{Overrides: h.received.State.Overrides, Learned: h.received.State.Learned, IDs: h.received.State.IDs}
 }
 
 // receivedListener returns the listener that was handed over for an address, or nil, and passes its ownership to the caller.
--- a/internal/decide/calltrack/tracker.go
+++ b/internal/decide/calltrack/tracker.go
@@ -15,6 +15,7 @@
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/lifecycle"
 	"ternbeam/internal/decide/overrides"
+	"ternbeam/internal/decide/recentids"
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/subset"
 )
@@ -43,6 +44,8 @@
 	untranslatable error       // why the call can't be translated into another shape
 	relaying       *Attempt    // the attempt whose answer is being relayed to the client; nil before and after
 
+	possiblyRan bool // an attempt has ended that may have run
+
 	receivedAt time.Duration   // when the Tracker received the call, on the clock of the events
 	history    []AttemptRecord // ended attempts, for the Record
 }
@@ -236,6 +239,7 @@
 // Settings configure a Tracker.
 type Settings struct {
 	Classes       int                               // number of call classes
+	Effects       []choice.Effect                   // by class; nil to remember no ids of calls that may have run
 	MaxAttempts   int                               // per call
 	MaxUnanswered int                               // maximum number of unanswered calls; 0 for no limit
 	HasTransport  func(needs choice.Protocols) bool // reports whether there is a transport for these protocols
@@ -264,6 +268,7 @@
 	newlyListed  []aging.ListedServer // listed servers that ImportNewlyListed has not looked up in past yet
 	routesTimer  time.Duration        // the time for which the timer of routesToken is set; 0 if it is not set
 	shutdownBy   time.Duration        // the time by which all calls must be answered, as the process shuts down; 0 before that
+	recent       recentids.Set        // ids of calls that may have run
 	reasonCounts map[Reason]int       // number of ended requests by reason, if Settings.Observe is set
 }
 
@@ -315,7 +320,7 @@
 		call.closed.Store(true)
 		t.stats.Disconnected++
 		t.observe(call, Failed, ReasonDisconnected)
-	case t.calls[call.ID] != nil: // ids must be unique
+	case t.isDuplicate(call): // ids must be unique
 		t.reply(call, Answer{Kind: Duplicate}, ReasonDuplicateID)
 	case t.settings.MaxUnanswered > 0 && t.unanswered >= t.settings.MaxUnanswered: // refused without the decision module
 		t.reply(call, Answer{Kind: Refused}, ReasonRequestLimit)
@@ -352,6 +357,7 @@
 	call := at.Call
 	call.attempts[at.Number] = nil
 	call.inFlight--
+	call.possiblyRan = call.possiblyRan || !e.Result.NeverRan()
 	t.recordAttempt(at, e)
 	t.stats.Results[e.Result]++
 	if call.ClientDisconnected() && !call.closed.Load() { // the transport noticed the disconnect before the protocol server reported it
@@ -579,6 +585,7 @@
 func (t *Tracker) markClosed(call *Call) {
 	call.closed.Store(true)
 	t.unanswered--
+	t.remember(call)
 }
 
 // dropIfDone drops a call that is closed and has no attempt in flight.
--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -11,6 +11,7 @@
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/overrides"
+	"ternbeam/internal/decide/recentids"
 )
 
 // State is the state that a process takes over from the one that it replaces.
@@ -20,14 +21,16 @@
 	List      json.RawMessage    `json:"list"`              // the server list, in discovery's format
 	Overrides overrides.Snapshot `json:"said"`              // operators' overrides of servers; the key is part of the handover format
 	Learned   *choice.Memory     `json:"learned,omitempty"` // what the decision module has learned
+	IDs       []recentids.Hash   `json:"ids,omitempty"`     // of calls that may have run or are in progress
 	Listeners []string           `json:"listeners"`         // addresses of the listeners, in the order in which their descriptors are passed
 }
 
 // Update is a notification between the old and the new process while both are running.
 type Update struct {
-	Offline string          `json:"offline,omitempty"` // id of a server that an operator took offline
-	Online  string          `json:"online,omitempty"`  // id of a server that an operator put back online
-	Ended   json.RawMessage `json:"ended,omitempty"`   // entries of servers that are draining or were removed, in discovery's format
+	Offline string           `json:"offline,omitempty"` // id of a server that an operator took offline
+	Online  string           `json:"online,omitempty"`  // id of a server that an operator put back online
+	IDs     []recentids.Hash `json:"ids,omitempty"`     // of calls that the sender has received, and that must not run twice
+	Ended   json.RawMessage  `json:"ended,omitempty"`   // entries of servers that are draining or were removed, in discovery's format
 
 	// Replaced reports that the sender has itself handed over to a further process, so the receiver need not take over when
 	// the sender exits.
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -18,6 +18,7 @@
 	"ternbeam/internal/decide/calltrack"
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/pacing"
+	"ternbeam/internal/decide/recentids"
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/subset"
 	"ternbeam/internal/discovery"
@@ -110,6 +111,7 @@
 	publishedAt  time.Duration        // when the figures were last published
 	list         discovery.List       // the current list
 	subscribers  map[*Subscriber]bool // other processes of this agent, which are sent this one's updates
+	announced    []recentids.Hash     // ids of calls that the subscribers are to be sent
 }
 
 // New returns a Core; Run starts it. An error means that the decision module rejects its settings.
@@ -119,7 +121,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	requests := newRequestLog(set.Log, set.Module.Classes)
-	tracker := calltrack.New(calltrack.Settings{Classes: len(set.Module.Classes), Observe: func(r calltrack.Record) { requests.observe(time.Now(), r) }, MaxAttempts: set.Module.MaxAttempts, MaxUnanswered: set.MaxUnanswered,
+	tracker := calltrack.New(calltrack.Settings{Classes: len(set.Module.Classes), Effects: effects(set.Module.Classes), Observe: func(r calltrack.Record) { requests.observe(time.Now(), r) }, MaxAttempts: set.Module.MaxAttempts, MaxUnanswered: set.MaxUnanswered,
 		HasTransport: func(needs choice.Protocols) bool { return set.Transports[needs] != nil }, OnIllegalStep: set.OnIllegalStep, Routes: set.Routes,
 		Ranks: subset.New(subset.Settings{Agents: set.Module.Balancers, Me: set.Pacing.Me, Seed: set.Seed})}, balancer)
 	c := &Core{set: set, log: set.Log, events: make(chan func(), 1024), urgent: make(chan func()), workers: newWorkers(), ready: make(chan struct{}),
@@ -134,6 +136,15 @@
 	return c, nil
 }
 
+// effects returns the effects of classes.
+func effects(classes []choice.Class) []choice.Effect {
+	all := make([]choice.Effect, len(classes))
+	for i, c := range classes {
+		all[i] = c.Effect
+	}
+	return all
+}
+
 // Now returns the time of the clock of the events: monotonic, as the time since the Unix epoch.
 func (c *Core) Now() time.Duration { return clock.Now() }
 
@@ -173,7 +184,11 @@
 
 // Submit accepts a call from a front. The call gets exactly one final answer, unless its client disconnects.
 func (c *Core) Submit(call *Call) {
-	c.post(func() { c.execute(c.tracker.CallArrived(c.Now(), call)) })
+	c.post(func() {
+		commands := c.tracker.CallArrived(c.Now(), call)
+		c.announce(call)
+		c.execute(commands)
+	})
 }
 
 // RequestReceived records that the last byte of a call that was still being received has arrived. left is the time until its client
@@ -266,6 +281,7 @@
 			event()
 		case event := <-c.events:
 			event()
+			c.flushAnnounced()
 		case <-publish:
 		case <-due.C:
 		case <-sweep.C:
--- a/internal/host/core/handover.go
+++ b/internal/host/core/handover.go
@@ -9,6 +9,7 @@
 	"ternbeam/internal/decide/calltrack"
 	"ternbeam/internal/decide/handover"
 	"ternbeam/internal/decide/overrides"
+	"ternbeam/internal/decide/recentids"
 	"ternbeam/internal/discovery"
 )
 
@@ -16,6 +17,7 @@
 type InheritedState struct {
 	Overrides overrides.Snapshot
 	Learned   *choice.Memory
+	IDs       []recentids.Hash // of calls that the other process has received
 }
 
 // Subscriber is another process of this agent, which receives this process's updates while both are serving.
@@ -25,6 +27,7 @@
 func (c *Core) inheritOperatorState() {
 	if c.set.Inherited != nil {
 		c.execute(c.tracker.RestoreOverrides(c.Now(), c.set.Inherited.Overrides))
+		c.tracker.RememberIDs(c.Now(), c.set.Inherited.IDs)
 	}
 }
 
@@ -46,7 +49,7 @@
 	sub = &Subscriber{notify}
 	s, err = queryUrgent(ctx, c, func() handover.State {
 		c.subscribers[sub] = true
-		s := handover.State{Discovery: c.discovery, Overrides: c.tracker.Overrides()}
+		s := handover.State{Discovery: c.discovery, Overrides: c.tracker.Overrides(), IDs: c.tracker.RecentIDs(c.Now())}
 		if len(c.list.Servers) > 0 {
 			s.List, _ = json.Marshal(c.list) // consists of plain values; nil if encoding fails regardless
 		}
@@ -82,6 +85,7 @@
 	}
 	queryUrgent(ctx, c, func() bool {
 		c.notifySubscribers(u, from)
+		c.tracker.RememberIDs(c.Now(), u.IDs)
 		if u.Offline != "" {
 			commands, _ := c.tracker.Offline(c.Now(), u.Offline)
 			c.execute(commands)
@@ -105,6 +109,27 @@
 	})
 }
 
+// maxAnnouncedIDs is the number of ids that are announced in one update.
+const maxAnnouncedIDs = 256
+
+// announce collects the id of a call that has arrived, for the other processes of this agent.
+func (c *Core) announce(call *Call) {
+	if len(c.subscribers) == 0 {
+		return
+	}
+	if id, harmful := c.tracker.AnnouncedID(call); harmful {
+		c.announced = append(c.announced, id)
+	}
+}
+
+// flushAnnounced sends the collected ids once no further events wait, or there are many.
+func (c *Core) flushAnnounced() {
+	if len(c.announced) > 0 && (len(c.events) == 0 || len(c.announced) >= maxAnnouncedIDs) {
+		c.notifySubscribers(handover.Update{IDs: slices.Clone(c.announced)}, nil)
+		c.announced = c.announced[:0]
+	}
+}
+
 // notifySubscribers sends an update to the other processes, except the one that it came from, if any.
 func (c *Core) notifySubscribers(u handover.Update, from *Subscriber) {
 	for sub := range c.subscribers {
