--- a/internal/decide/calltrack/tracker.go
+++ b/internal/decide/calltrack/tracker.go
@@ -34,7 +34,7 @@
 	PollDisconnected func() bool
 
 	// PollMayHaveLeft is like PollDisconnected, and also returns true if the client may have closed its connection without a sign of it. The
-	// client still gets an answer, but nothing more is sent for the call. It may be nil.
+	// client still gets an answer, but no further attempt is sent for the call. It may be nil.
 	PollMayHaveLeft func() bool
 
 	closed         atomic.Bool // set by the Tracker: it has given the final answer, or handled the client's disconnect
@@ -67,9 +67,11 @@
 	return c.Finished()
 }
 
-// PollSendable reports whether an attempt of the call may be sent: it is not finished, by PollFinished, and its client is certain to be there.
-func (c *Call) PollSendable() bool {
-	return !c.PollFinished() && (c.PollMayHaveLeft == nil || !c.PollMayHaveLeft())
+// PollSendable reports whether the attempt may be sent: its call is not finished, by PollFinished, and the client of a further attempt is certain
+// to be there.
+func (at *Attempt) PollSendable() bool {
+	call := at.Call
+	return !call.PollFinished() && (at.Number == 0 || call.PollMayHaveLeft == nil || !call.PollMayHaveLeft())
 }
 
 // ClientDisconnected reports whether the client is known to have disconnected.
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -141,7 +141,7 @@
 // the message in bytes.
 func BeginSend(ctx context.Context, at *core.Attempt, size int) bool {
 	send, err := at.State.Begin(size, lifecycle.Conditions{Canceled: errors.Is(context.Cause(ctx), core.ErrCanceled),
-		TimedOut: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), CallFinished: !at.Call.PollSendable(), Retired: at.Server.Retired()})
+		TimedOut: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), CallFinished: !at.PollSendable(), Retired: at.Server.Retired()})
 	at.ReportIllegalStep(err)
 	return send
 }
@@ -312,7 +312,7 @@
 func (r *AnswerReader) maySend() bool {
 	now := time.Now()
 	return r.ctx.Err() == nil && (r.deadline.IsZero() || now.Before(r.deadline)) && (r.at.WriteBy.IsZero() || now.Before(r.at.WriteBy)) &&
-		r.at.Call.PollSendable() && !r.at.Server.Retired()
+		r.at.PollSendable() && !r.at.Server.Retired()
 }
 
 // setWriteDeadline sets the write deadline, which the end of the attempt and the time by which it must be sent may bring forward.
