A keyed request stays in the cell and zone that its first attempt was sent to

Cause: an attempt referred to its server, and maySend asked that server for its cell or zone. A list that names the same id with a later start and another cell overwrites it, and the request is then kept in the new process's cell, which has not seen its key.

Change: an attempt has the zone and the cell as they were when it was sent.

Why it works: what may have run did so in that cell, whatever comes up at its address.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -340,6 +340,24 @@
 	}
 }
 
+// Guards against a keyed request that is sent again outside the cell of its first attempt, because a new process in another cell has taken the
+// place of the server there under its id.
+func TestKeyedRetryStaysInTheCellOfTheSend(t *testing.T) {
+	for range 30 {
+		h := newHarness(t, testSettings(), 1, 1, 1, 1)
+		id, to := h.request(2)
+		moved := h.byID[to].Server
+		cell := moved.Cell
+		moved.Cell, moved.Started = 1-cell, h.at
+		h.Handle(h.at, ServerList{Servers: []Server{moved}})
+		for _, a := range h.endAttempt(id, to, 0, Reset, NoReport) {
+			if a.Kind == Send && h.byID[a.Server].Cell != cell {
+				t.Fatalf("sent to cell %d, and then to cell %d", cell, h.byID[a.Server].Cell)
+			}
+		}
+	}
+}
+
 func TestKeyedRetryStaysInCell(t *testing.T) {
 	h := newHarness(t, testSettings(), 1, 1, 1, 1)
 	for range 30 {
--- a/choice/state.go
+++ b/choice/state.go
@@ -95,6 +95,7 @@
 type attempt struct {
 	req              *request
 	srv              *server
+	zone, cell       int           // of the server at the send; a process that takes its place may have others
 	index            int           // in the attempts of the request
 	sent             time.Duration // time of the send or, if later, of the request's last byte
 	inFlight         bool
