The explorer copies and tells apart all of an attempt, its cell and zone too

Change: the copy takes the whole attempt; the fingerprints have zone and cell; the planted bugs are the same in the new line.

Measured: packages choice and explore pass, TestWorldCopiesAreIndependent and TestPlantedBugs among them, which failed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -549,7 +549,8 @@
 	s.coldAllowance--
 	s.probedInFlight++
 	first, reason := r.firstPossiblyRun(), r.sendReason()
-	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, index: len(r.attempts), sent: b.now, inFlight: true}
+	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, index: len(r.attempts), sent: b.now,
+		inFlight: true}
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
 	s.inFlight = append(s.inFlight, a)
--- a/choice/explore.go
+++ b/choice/explore.go
@@ -76,7 +76,7 @@
 		flags(r.closed, b.timers[r.deadlineTimer] == r, b.timers[r.probeTimer] == r)
 		for _, a := range r.attempts {
 			server(a.srv)
-			num(float64(a.sent))
+			num(float64(a.sent), float64(a.zone), float64(a.cell))
 			flags(a.inFlight, a.neverRan, a.canceledAsSilent)
 		}
 	}
@@ -157,7 +157,7 @@
 				dst = append(append(dst, a.srv.ID...), 0)
 			}
 			if attemptsLeft(r) > 0 && r.class.Effect == Keyed {
-				num(float64(a.sent))
+				num(float64(a.sent), float64(a.zone), float64(a.cell))
 			}
 		}
 	}
@@ -193,8 +193,9 @@
 		copied.drawn, copied.affinityServer, copied.attempts = nil, nil,
 			make([]*attempt, len(r.attempts), b.settings.MaxAttempts)
 		for i, a := range r.attempts {
-			copied.attempts[i] = &attempt{req: copied, srv: cloneServer(a.srv), index: a.index, sent: a.sent,
-				inFlight: a.inFlight, neverRan: a.neverRan, canceledAsSilent: a.canceledAsSilent}
+			attempt := *a
+			attempt.req, attempt.srv = copied, cloneServer(a.srv)
+			copied.attempts[i] = &attempt
 		}
 		clone.requests[id] = copied
 	}
