A keyed request is not sent again to a process that may be another one

Cause: until the list tells, up to 14 s later, the agent takes whoever answers at an address for the server that the list names. A keyed request whose attempt was reset as its server died went to its successor there, in another cell, which does not know the key.

A server whose connection was lost or refused is in doubt for 15 s, unless a connection that was opened before that is still open: the process is then alive. A request that may have run and is bound to a cell or zone is not sent to a server in doubt, over HTTP and Thrift; the attempt never ran, and another server of the group is tried. Everything else goes there as before.

Why it works: a process that ends loses all its connections, so one that has survived a loss shows that it is the same. Not seen: a process that is replaced while the agent has no connection to it.

--- a/choice/api.go
+++ b/choice/api.go
@@ -253,6 +253,7 @@
 	Token      uint64
 	Reason     Reason // why, for logs and metrics
 	Last       bool   // of a Send: once it may have run, no other attempt can follow
+	GroupBound bool   // of a Send: it may have run, and no process outside the server's group may get it
 }
 
 // New returns a Balancer. All its random numbers derive from the seed.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -558,6 +558,7 @@
 		Last: r.class.Effect == Unsafe || len(r.attempts) >= b.settings.MaxAttempts}
 	if first != nil && r.class.Effect == Keyed { // maySend has checked the window, but connecting takes time
 		send.SendWithin = first.sent + r.class.DedupWindow - b.windowMargin() - b.now
+		send.GroupBound = r.class.DedupScope != DedupAll
 	}
 	b.emit(send)
 }
--- a/internal/decide/calltrack/tracker.go
+++ b/internal/decide/calltrack/tracker.go
@@ -109,6 +109,7 @@
 	Sent     time.Duration     // when the attempt was started, or when the request body was complete; on the clock of the events
 	Deadline time.Duration     // when the attempt times out, on the clock of the events
 	Last     bool              // once it may have run, no other attempt of the call can follow
+	Bound    bool              // the call may have run: no process outside the server's group may get it
 	SendBy   time.Duration     // the last byte must be written before this time on the clock of the events; 0 for no limit
 	State    lifecycle.Attempt // the state machine, driven by the transport
 
@@ -537,7 +538,7 @@
 	case s == nil:
 		failed.Result = choice.ConnectFailed
 	default:
-		at := &Attempt{Call: call, Number: n, Reason: act.Reason, Server: s, Sent: t.now, Deadline: end, Last: act.Last,
+		at := &Attempt{Call: call, Number: n, Reason: act.Reason, Server: s, Sent: t.now, Deadline: end, Last: act.Last, Bound: act.GroupBound,
 			OnIllegalStep: t.settings.OnIllegalStep, Route: route, Speaks: route.Protocol, Payload: call.Payload}
 		if act.SendWithin != 0 {
 			at.SendBy = t.now + act.SendWithin
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -52,6 +52,9 @@
 // ErrInvalidAnswer means that an answer can't be interpreted and counts as an error of the server.
 var ErrInvalidAnswer = errors.New("spoilt answer")
 
+// errUncertainServer means that a request was not sent again, as the process at the server's address may not be the one that the list names.
+var errUncertainServer = errors.New("the process at the address may be another one")
+
 // Codec encodes the message and decodes the answer of one attempt in a protocol.
 type Codec interface {
 	// Message encodes the call for the server, which is to answer by end. The result is valid until the next call of Message. It is nil
@@ -104,7 +107,7 @@
 		size = math.MaxInt // unknown
 	}
 	// Dialing takes time: by now the attempt may not be sent any more, or not on this connection.
-	send := BeginSend(ctx, at, size)
+	send, cause := BeginSend(ctx, at, size, t.Pool, c)
 	usable := !send || t.Pool.StillUsable(c)
 	if !usable {
 		Fail(at, lifecycle.Broken) // nothing was written yet
@@ -114,7 +117,9 @@
 			stream.StopRest()
 		}
 		t.Pool.Release(c, usable)
-		return core.ResultOnly(at.State.Result())
+		e := core.ResultOnly(at.State.Result())
+		e.Cause = cause
+		return e
 	}
 	if stream == nil && time.Since(encodedAt) > maxUnsentAge {
 		message = reencode(at, codec, message, deadline)
@@ -137,13 +142,16 @@
 	return encoded
 }
 
-// BeginSend reports whether an attempt that has a connection may still be sent, and records that it is being sent. Size is the size of
-// the message in bytes.
-func BeginSend(ctx context.Context, at *core.Attempt, size int) bool {
+// BeginSend reports whether an attempt may still be sent on its connection c, and records that it is being sent. Size is the size of the message
+// in bytes. If the attempt may not be sent, the error says why where that is not obvious.
+func BeginSend(ctx context.Context, at *core.Attempt, size int, p *pool.Pool, c *pool.Conn) (send bool, cause error) {
+	if at.Bound && !p.IsCertain(c) {
+		cause = errUncertainServer
+	}
 	send, err := at.State.Begin(size, lifecycle.Conditions{Canceled: errors.Is(context.Cause(ctx), core.ErrCanceled),
-		TimedOut: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), CallFinished: !at.PollSendable(), Retired: at.Server.Retired()})
+		TimedOut: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), CallFinished: !at.PollSendable(), Retired: at.Server.Retired() || cause != nil})
 	at.ReportIllegalStep(err)
-	return send
+	return send, cause
 }
 
 // FailUnconnected ends an attempt for which the pool returned an error instead of a connection.
@@ -217,6 +225,7 @@
 	if in.writeErr != nil && errors.Is(err, net.ErrClosed) {
 		err = in.writeErr
 	}
+	t.Pool.Lost(c)
 	return failure(at, lifecycle.Broken, err), false
 }
 
--- a/internal/host/pool/pool.go
+++ b/internal/host/pool/pool.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"ternbeam/choice"
@@ -24,6 +25,7 @@
 	Session   any // state that its transport keeps with the connection
 	state     *lifecycle.Conn
 	idleSince time.Time // when it was last released
+	onClose   func()    // records that it was closed
 	checkedAt time.Time // when it was acquired from the idle ones and found usable; zero for a new connection
 }
 
@@ -70,6 +72,7 @@
 	extraDials    int // dials in progress beyond the first of each race
 	delayedReuses int // attempts that wait for the reuse delay of a connection
 	reuseDelay    *lifecycle.ReuseDelay
+	identities    identities // has a lock of its own
 	startedAt     time.Time
 }
 
@@ -88,7 +91,8 @@
 		set.MaxReuseWait = MaxReuseWait
 	}
 	return &Pool{set: set, state: lifecycle.NewPoolState(set.MaxConns), granted: map[*lifecycle.Conn]chan struct{}{},
-		reuseDelay: lifecycle.NewReuseDelay(set.ReuseDelay), addrs: addresses.NewHistory(set.Addresses), startedAt: time.Now()}
+		reuseDelay: lifecycle.NewReuseDelay(set.ReuseDelay), addrs: addresses.NewHistory(set.Addresses),
+		identities: identities{servers: map[*lifecycle.Server]*serverIdentity{}}, startedAt: time.Now()}
 }
 
 // Acquire returns an idle connection for a protocol, or dials a new one. A server that supports several protocols speaks
@@ -129,11 +133,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.identities.connectionLost(s, time.Since(p.startedAt))
+		}
 		p.giveUpLocked(lc)
 		return nil, err
 	}
 	p.reportIllegal(at.Connect())
 	c := &Conn{Conn: socketio.Wrap(socket), state: lc}
+	c.onClose = func() { p.identities.closed(s, c) }
+	p.identities.opened(s, c, time.Since(p.startedAt))
 	p.reportIllegal(p.state.Open(lc, c))
 	return c, nil
 }
@@ -227,6 +236,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeLocked(p.state.RetireServer(s))
+	p.identities.retired(s)
 }
 
 // closeLocked closes connections that lifecycle.PoolState drops, and wakes the attempts that are given their slots.
--- a/internal/host/pool/reuse.go
+++ b/internal/host/pool/reuse.go
@@ -12,7 +12,11 @@
 // usableLocked reports whether an idle connection may carry a request: its server has not closed it and is not about to, and has sent no
 // unsolicited data, which would be taken for the next answer.
 func (p *Pool) usableLocked(c *Conn) bool {
-	return time.Since(c.idleSince) < p.set.IdleTimeout && p.unreadLocked(c) == peek.UnreadNothing
+	unread := p.unreadLocked(c)
+	if unread == peek.UnreadEnd {
+		p.identities.connectionLost(c.state.Server, time.Since(p.startedAt))
+	}
+	return time.Since(c.idleSince) < p.set.IdleTimeout && unread == peek.UnreadNothing
 }
 
 // unreadLocked returns what is unread on an idle connection. It records unsolicited data.
--- a/internal/thrift/thriftback/multiplexed.go
+++ b/internal/thrift/thriftback/multiplexed.go
@@ -179,10 +179,12 @@
 			before := len(buf)
 			buf = a.call.AppendRequest(buf, pendingCall.Seq, time.Until(end))
 			// Conditions may have changed since the call was queued.
-			if !exchange.BeginSend(a.ctx, a.at, len(buf)-before) {
+			if send, cause := exchange.BeginSend(a.ctx, a.at, len(buf)-before, mc.m.pool, mc.conn); !send {
 				buf = buf[:before]
 				mc.state.Remove(pendingCall)
-				a.done <- core.ResultOnly(a.at.State.Result())
+				e := core.ResultOnly(a.at.State.Result())
+				e.Cause = cause
+				a.done <- e
 				continue
 			}
 			a.at.ReportIllegalStep(mc.state.WriteStarted(pendingCall, time.Now()))
@@ -222,6 +224,9 @@
 
 // breakLocked closes the connection and ends all calls on it, except for those that are being written.
 func (mc *muxConn) breakLocked(c lifecycle.Cause) {
+	if c == lifecycle.Broken {
+		mc.m.pool.Lost(mc.conn)
+	}
 	mc.conn.Close()
 	ended, err := mc.state.Break(c)
 	for _, p := range ended {
