A test of refused connections has an address that no other test takes

Ports there are taken by other tests at any moment.

Change: the closed port is one of 127.66.0.1. The checks are as before.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -317,7 +317,7 @@
 }
 
 func TestRefusedConnectionIsRetriedOnAnotherBackend(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.66.0.1:0") // other tests take ports of 127.0.0.1
 	if err != nil {
 		t.Fatal(err)
 	}
