--- a/cmd/ternbeam/flood_test.go
+++ b/cmd/ternbeam/flood_test.go
@@ -107,3 +107,24 @@
 		})
 	}
 }
+
+// Guards against answers that come late while hundreds of clients send sound requests at once, each as many as its connection takes.
+func TestCrowdAtFullSpeedDoesNotDelayOtherClients(t *testing.T) {
+	const cores, memoryMB, sockets = 0.25, 48, 1024
+	const requests, clientTime = 2000, 600 * time.Millisecond
+	server := longAnswerServer(t, 0)
+	config, listen := configure(t, unusedAddr(t), crowdSettings, server, server)
+	setLimits(t, config, cores, memoryMB, sockets)
+	p := startReady(t, config, listen, true)
+	end := runUsualClients(t, listen, clientTime)
+	crowdMember{"at full speed", func(c net.Conn, id string, ended <-chan struct{}) {
+		io.WriteString(c, strings.Repeat(fmt.Sprintf(requestHead+"\r\n", "GET", "form-check", "short", id, crowdTime), requests))
+		holdOpen(c, ended)
+	}}.run(listen, crowdSize, 3*time.Second)
+	end()
+	peak := peakMemory(t, p.cmd.Process.Pid)
+	t.Logf("at most %.1f of %d MB", float64(peak)/(1<<20), memoryMB)
+	if peak > memoryMB<<20 {
+		t.Errorf("the process had up to %.1f MB of %d", float64(peak)/(1<<20), memoryMB)
+	}
+}
--- a/internal/host/conntrack/readahead.go
+++ b/internal/host/conntrack/readahead.go
@@ -4,7 +4,7 @@
 
 const (
 	// minReadAheadBytes is how many bytes CheckDisconnected may buffer for each connection: more than a usual request has.
-	minReadAheadBytes = 2 * readAheadPart
+	minReadAheadBytes = readAheadPart
 	// maxReadAheadBytes is how many bytes it buffers if the budget of all connections has room for that.
 	maxReadAheadBytes = 1 << 20
 	readAheadPart     = 4 << 10
--- a/internal/settings/config/config.go
+++ b/internal/settings/config/config.go
@@ -37,16 +37,16 @@
 }
 
 const (
-	baseHeapBytes       = 4 << 20  // what an agent needs without clients
-	clientHeapBytes     = 12 << 10 // what each connection of a client needs without a request
-	peerDataDivisor     = 3        // the reciprocal of the share of the rest that data of clients and servers may take
+	baseHeapBytes       = 5 << 20  // what an agent needs without clients
+	clientHeapBytes     = 24 << 10 // what each connection of a client needs without a request, with its stack
+	peerDataDivisor     = 4        // the reciprocal of the share of the rest that data of clients and servers may take
 	maxPeerDataDivisor  = 4        // the reciprocal of the largest share of the heap that it may take
 	minPeerDataBytes    = 1 << 20
 	defaultPeerDataSize = 48 << 20 // where memory is not limited
 
 	// OpenRequestBytes is what an open request needs beside its body and answer: stacks, fields, and the state of its attempts.
 	OpenRequestBytes = 32 << 10
-	minOpenRequests  = 64
+	minOpenRequests  = 128
 )
 
 // heapForRequests returns what the heap has beside an agent and its connections, without limit if memory is not limited.
