--- a/internal/host/conntrack/readahead.go
+++ b/internal/host/conntrack/readahead.go
@@ -1,6 +1,10 @@
 package conntrack
 
-import "ternbeam/internal/host/membudget"
+import (
+	"sync"
+
+	"ternbeam/internal/host/membudget"
+)
 
 const (
 	// minReadAheadBytes is how many bytes CheckDisconnected may buffer for each connection: more than a usual request has.
@@ -14,13 +18,24 @@
 // not safe for concurrent use.
 type readAheadBuffer struct {
 	budget *membudget.Budget // for what exceeds minReadAheadBytes; nil for none
-	parts  []readAheadChunk
+	parts  []*readAheadChunk
 }
 
 // readAheadChunk is a part of a readAheadBuffer.
 type readAheadChunk struct {
-	unread []byte // its capacity behind the length is free
-	room   *membudget.Reservation
+	data     [readAheadPart]byte
+	from, to int // what is not read yet
+	room     *membudget.Reservation
+}
+
+// readAheadChunks are pooled: one is needed for each look at a connection, and usually nothing is found.
+var readAheadChunks = sync.Pool{New: func() any { return new(readAheadChunk) }}
+
+// release returns a part to the pool and its room to the budget.
+func (c *readAheadChunk) release() {
+	c.room.Release()
+	c.from, c.to, c.room = 0, 0, nil
+	readAheadChunks.Put(c)
 }
 
 // empty reports whether nothing is buffered.
@@ -28,9 +43,8 @@
 
 // free returns memory to read into, or nil if there is no room for more. What was read is added by fill.
 func (b *readAheadBuffer) free() []byte {
-	if last := len(b.parts) - 1; last >= 0 && len(b.parts[last].unread) < cap(b.parts[last].unread) {
-		part := b.parts[last].unread
-		return part[len(part):cap(part)]
+	if last := len(b.parts) - 1; last >= 0 && b.parts[last].to < readAheadPart {
+		return b.parts[last].data[b.parts[last].to:]
 	}
 	var room *membudget.Reservation
 	switch {
@@ -44,16 +58,19 @@
 			return nil
 		}
 	}
-	b.parts = append(b.parts, readAheadChunk{unread: make([]byte, 0, readAheadPart), room: room})
-	return b.free()
+	part := readAheadChunks.Get().(*readAheadChunk)
+	part.room = room
+	b.parts = append(b.parts, part)
+	return part.data[:]
 }
 
 // fill adds the first n bytes of what free has returned. It is called after each free, also with 0.
 func (b *readAheadBuffer) fill(n int) {
 	last := len(b.parts) - 1
-	part := &b.parts[last]
-	if part.unread = part.unread[:len(part.unread)+n]; len(part.unread) == 0 {
-		part.room.Release()
+	part := b.parts[last]
+	if part.to += n; part.to == part.from {
+		part.release()
+		b.parts[last] = nil
 		b.parts = b.parts[:last]
 	}
 }
@@ -61,16 +78,16 @@
 // read moves buffered data into p.
 func (b *readAheadBuffer) read(p []byte) (n int) {
 	for len(p) > n && len(b.parts) > 0 {
-		part := &b.parts[0]
-		moved := copy(p[n:], part.unread)
+		part := b.parts[0]
+		moved := copy(p[n:], part.data[part.from:part.to])
 		n += moved
-		if part.unread = part.unread[moved:]; len(part.unread) == 0 {
-			part.room.Release()
-			b.parts[0] = readAheadChunk{}
+		if part.from += moved; part.from == part.to {
+			part.release()
+			b.parts[0] = nil
 			b.parts = b.parts[1:]
 		}
 	}
-	if len(b.parts) == 0 {
+	if len(b.parts) == 0 && n > 0 {
 		b.parts = nil
 	}
 	return n
@@ -79,7 +96,7 @@
 // drop empties the buffer.
 func (b *readAheadBuffer) drop() {
 	for _, part := range b.parts {
-		part.room.Release()
+		part.release()
 	}
 	b.parts = nil
 }
