Requests that are refused for memory count as refused, not as malformed

Cause: counted them with what can't be read, so the figure `declined` lacked them. Change: they count as requests and as refused, for their class, with the reason `no memory` in the log. An answer of unknown length no longer reserves 0 bytes.

--- a/internal/decide/calltrack/record.go
+++ b/internal/decide/calltrack/record.go
@@ -17,6 +17,7 @@
 	ReasonAnswered       Reason = "answered"
 	ReasonUntranslatable Reason = "answer not translatable"
 	ReasonBrokenOff      Reason = "answer broken off"
+	ReasonNoMemory       Reason = "no memory"
 )
 
 // Connection describes the client's connection on which a request came.
@@ -90,5 +91,13 @@
 	t.settings.Observe(r)
 }
 
+// CountRefused counts a call that was refused before it arrived here, as there was no memory for it.
+func (t *Tracker) CountRefused(now time.Duration, call *Call) {
+	t.now, call.receivedAt = now, now
+	t.stats.Requests++
+	t.observe(call, Refused, ReasonNoMemory)
+	t.countAnswer(call, Refused)
+}
+
 // ReasonCounts returns the number of ended requests by reason, except ReasonAnswered. The caller must not modify it.
 func (t *Tracker) ReasonCounts() map[Reason]int { return t.reasonCounts }
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -214,6 +214,11 @@
 // CountUnsubmitted counts a call whose client disconnected before the call could be submitted.
 func (c *Core) CountUnsubmitted() { c.unsubmitted.Add(1) }
 
+// CountRefused counts a call that a front has refused as there is no memory for it. It was not submitted.
+func (c *Core) CountRefused(call *Call) {
+	c.post(func() { c.tracker.CountRefused(c.Now(), call) })
+}
+
 // CountMalformed counts a call that a front could not read.
 func (c *Core) CountMalformed() { c.malformed.Add(1) }
 
--- a/internal/http/httpback/httpback.go
+++ b/internal/http/httpback/httpback.go
@@ -139,8 +139,8 @@
 	if h.mayRelay() && !c.bufferAnswer {
 		return c.receiveLong(in, h)
 	}
-	if h.length < 0 || h.length > freeAnswerBytes {
-		room, err := c.budget.Wait(in.Context(), min(max(h.length, 0), httpmsg.MaxBody))
+	if h.length > freeAnswerBytes {
+		room, err := c.budget.Wait(in.Context(), min(h.length, httpmsg.MaxBody))
 		if err != nil {
 			return core.AttemptOutcome{}, false, fmt.Errorf("%w: %w", os.ErrDeadlineExceeded, err)
 		}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -238,11 +238,14 @@
 func (f *Front) handleRequest(w http.ResponseWriter, in *http.Request) {
 	defer clientConnOf(in).releaseRoom()
 	call, body, err := f.parse(in, w)
+	if errors.Is(err, membudget.ErrExhausted) {
+		f.core.CountRefused(call)
+		f.answerUnread(w, in, http.StatusServiceUnavailable, err.Error())
+		return
+	}
 	if err != nil {
 		status := http.StatusBadRequest
 		switch tooLarge := (*http.MaxBytesError)(nil); {
-		case errors.Is(err, membudget.ErrExhausted):
-			status = http.StatusServiceUnavailable
 		case errors.As(err, &tooLarge):
 			status = http.StatusRequestEntityTooLarge
 		case errors.Is(err, errUnsupportedFraming):
@@ -396,7 +399,7 @@
 var singleHeaders = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key"}
 
 // parse reads a request. It reads a short body completely; the rest of a long one is received after the core has accepted the call.
-// Every error that it returns is the client's fault, except membudget.ErrExhausted: then the request is refused.
+// Every error that it returns is the client's fault, except membudget.ErrExhausted: then it returns a call, which is to be refused.
 func (f *Front) parse(in *http.Request, w http.ResponseWriter) (*core.Call, *incomingBody, error) {
 	call, wait, err := f.parseHead(in)
 	if err != nil {
@@ -404,10 +407,10 @@
 	}
 	client := clientConnOf(in)
 	if err := client.reserve(f.conns.Budget(), bodyRoom(in.ContentLength), wait); err != nil {
-		return nil, nil, err
+		return call, nil, err
 	}
 	if err := client.reserve(f.openRequests, config.OpenRequestBytes, wait); err != nil {
-		return nil, nil, err
+		return call, nil, err
 	}
 	clientConnOf(in).recorder.bodyBegins()
 	body, err := f.readBody(in, w, call)
