A connection's log of arrivals drops what earlier requests needed, at each request

Change: SinceArrival drops them and itself decides whether anything is behind; HasReadAhead and its test in recordingConn go. ReadNow counts bytes only. Two comments of core and exchange say what they are about. Measured: packages conntrack, httpfront (the differential test against net/http among its tests) and thrift pass, the first two with -race.

--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -159,13 +159,13 @@
 }
 
 // SinceArrival returns how long ago the byte before a position of the received data arrived, at most: it may be less by the time between two
-// reads of the connection.
+// reads of the connection. Later calls must not ask for earlier positions.
 func (c *Conn) SinceArrival(position int64) time.Duration {
 	c.mu.Lock()
-	earliest := c.arrivals.earliest(position)
+	earliest, behind := c.arrivals.earliest(position), position < c.receivedBytes.Load()
 	c.mu.Unlock()
 	sinceLast := c.SinceLastData() // nothing arrived later
-	if earliest.IsZero() {
+	if !behind || earliest.IsZero() {
 		return sinceLast
 	}
 	return max(sinceLast, time.Since(earliest))
@@ -174,13 +174,6 @@
 // DrainedAt returns the latest time at which all data that had arrived was known to be read, or the zero time if that is unknown.
 func (c *Conn) DrainedAt() time.Time { return c.stream.Reads().ReadySince() }
 
-// HasReadAhead reports whether CheckDisconnected has buffered data that Read has not returned yet.
-func (c *Conn) HasReadAhead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.buffered.empty()
-}
-
 // BeingRead reports whether a Read is in progress, which would notice a disconnect at once. ReadDone signals when that changes.
 func (c *Conn) BeingRead() bool {
 	c.mu.Lock()
@@ -294,7 +287,7 @@
 	})
 	done = reads.End(fd, unix.POLLIN, err)
 	if n > 0 {
-		c.recordReceivedLocked(n)
+		c.countReceivedLocked(n)
 	}
 	return max(n, 0), done, err
 }
@@ -304,10 +297,15 @@
 	return socketio.NewTries("read", c.listener.failures.failed)
 }
 
-// recordReceivedLocked records that n bytes were read.
+// recordReceivedLocked records that n bytes were read, and when they arrived, for SinceArrival.
 func (c *Conn) recordReceivedLocked(n int) {
+	c.arrivals.record(c.countReceivedLocked(n), c.stream.Reads().ReadySince())
+}
+
+// countReceivedLocked records that n bytes were read. It returns the number of bytes read so far.
+func (c *Conn) countReceivedLocked(n int) int64 {
 	c.receivedAt.Store(int64(time.Since(started)))
-	c.arrivals.record(c.receivedBytes.Add(int64(n)), c.stream.Reads().ReadySince())
+	return c.receivedBytes.Add(int64(n))
 }
 
 // started is the reference point of receivedAt.
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -91,12 +91,14 @@
 	expiredBodies atomic.Int64  // calls whose client may have had no time left before their body was received
 	rests         atomic.Int64  // times that a connection rested as its client sent too fast
 	ready         chan struct{} // closed when clients may send calls
-	// Shared by all attempts.
+
+	// Callbacks of all attempts.
 	onAnswerStart func(at *Attempt, stalled bool)
 	onRelayStart  func(*Attempt, AttemptOutcome)
-	figures       atomic.Pointer[Figures]
-	forwards      atomic.Int64 // attempts whose message was written completely
-	clockSteps    clock.Steps  // of the wall clock
+
+	figures    atomic.Pointer[Figures]
+	forwards   atomic.Int64 // attempts whose message was written completely
+	clockSteps clock.Steps  // of the wall clock
 
 	undelivered *undeliveredLog // answers that did not reach their clients
 
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -38,7 +38,7 @@
 	// answer is awaited, as the answer may arrive before the server has read the message completely.
 	maxInlineMessageBytes = 8 << 10
 
-	noStallTimeout time.Duration = 0
+	noStallTimeout time.Duration = 0 // a partly received answer may stall until the deadline
 
 	stallGrace = 10 * time.Millisecond // extra time for a read whose deadline has passed
 
--- a/internal/http/httpfront/recordingconn.go
+++ b/internal/http/httpfront/recordingconn.go
@@ -225,11 +225,7 @@
 	if position == unknownEnd || position > c.received {
 		position = c.received - int64(c.lastRead) + 1
 	}
-	behind := position < c.received
 	c.mu.Unlock()
-	if !behind && !c.HasReadAhead() {
-		return c.SinceLastData()
-	}
 	return c.SinceArrival(position)
 }
 
