Answers to requests that can't be read wait where there are many of them

Cause: 400 clients whose heads are refused (431) come back at once, and each return costs a connection, four reads and an answer: some thousand a second, which take the whole processor. Rests don't apply, as each connection has one answer.

Change: behind 50 at once, and 400 a second for each core, the answer to a request that can't be read waits, 0.5 s at most, with its memory given back.

Why it works: a client that returns at once waits each time; others don't.

--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -20,18 +20,38 @@
 
 	// MaxRest is the longest rest. A request behind it has been waiting for its time to be read since it arrived.
 	MaxRest = 250 * time.Millisecond
+
+	// Requests that can't be read are answered at this rate for each processor core, as each takes a connection and its client can return at
+	// once. The answer waits for MaxUnsoundWait at most.
+	unsoundPerCore = 400
+	minUnsoundRate = 100
+	freeUnsound    = 50
+	MaxUnsoundWait = 500 * time.Millisecond
 )
 
 // Throttle is shared by all connections of an agent. It is safe for concurrent use.
-type Throttle struct{ shared *rate.Limiter }
+type Throttle struct{ shared, unsound *rate.Limiter }
 
 // New returns a Throttle for an agent that may use the given number of cores, 0 if that is not limited.
 func New(cores float64) *Throttle {
 	if cores <= 0 {
 		cores = 1
 	}
-	perSecond := max(minSharedAnswers, sharedAnswersPerCore*cores)
-	return &Throttle{rate.NewLimiter(rate.Limit(perSecond), freeAnswers)}
+	return &Throttle{
+		shared:  rate.NewLimiter(rate.Limit(max(minSharedAnswers, sharedAnswersPerCore*cores)), freeAnswers),
+		unsound: rate.NewLimiter(rate.Limit(max(minUnsoundRate, unsoundPerCore*cores)), freeUnsound),
+	}
+}
+
+// Unsound returns how long the answer to a request that can't be read waits, after which its connection ends.
+func (t *Throttle) Unsound(now time.Time) time.Duration {
+	r := t.unsound.ReserveN(now, 1)
+	wait := r.DelayFrom(now)
+	if wait > MaxUnsoundWait {
+		r.CancelAt(now) // the waits of others do not grow beyond the maximum
+		return MaxUnsoundWait
+	}
+	return wait
 }
 
 // Connection is the state of one connection. It is not safe for concurrent use.
--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -38,6 +38,26 @@
 	}
 }
 
+// Some requests that can't be read are answered at once; many wait, and none for longer than the maximum.
+func TestUnsoundRequestsWait(t *testing.T) {
+	all, now := New(0.25), time.Unix(1000, 0)
+	for range freeUnsound {
+		if d := all.Unsound(now); d != 0 {
+			t.Fatalf("one of some waits for %v", d)
+		}
+	}
+	longest := time.Duration(0)
+	for range 10_000 {
+		longest = max(longest, all.Unsound(now))
+	}
+	if longest != MaxUnsoundWait {
+		t.Errorf("the longest wait is %v", longest)
+	}
+	if d := all.Unsound(now.Add(2 * time.Second)); d != 0 {
+		t.Errorf("after a pause: %v", d)
+	}
+}
+
 // Clients that pause between requests, or send some at once, do not rest, whatever others do.
 func TestUsualClientsDoNotRest(t *testing.T) {
 	all, flooding, usual := New(0.25), Connection{}, Connection{}
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -172,7 +172,7 @@
 
 // Serve accepts connections until Stop is called. It always returns an error.
 func (f *Front) Serve() error {
-	return f.http.Serve(recordingListener{f.listener, f.http.ReadHeaderTimeout, &f.lingering})
+	return f.http.Serve(recordingListener{f.listener, f.http.ReadHeaderTimeout, &f.lingering, f.throttle})
 }
 
 // Stop shuts the front down gracefully. Clients learn of the shutdown with a delay, so new connections are accepted for some
@@ -252,7 +252,7 @@
 			status = http.StatusLengthRequired
 		}
 		f.core.CountMalformed() // not logged one by one: there may be thousands
-		f.answerUnread(w, in, status, err.Error())
+		f.answerUnsound(w, in, status, err.Error())
 		return
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{}) // otherwise it would also end the wait for the client's disconnect
@@ -293,7 +293,7 @@
 		}
 		if err != nil {
 			f.core.CountMalformed()
-			f.answerUnread(w, in, http.StatusBadRequest, err.Error())
+			f.answerUnsound(w, in, http.StatusBadRequest, err.Error())
 			return
 		}
 	}
--- a/internal/http/httpfront/linger.go
+++ b/internal/http/httpfront/linger.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// answerUnsound answers a request that can't be read, and ends its connection. Where there are many the answer waits.
+func (f *Front) answerUnsound(w http.ResponseWriter, in *http.Request, status int, text string) {
+	clientConnOf(in).recorder.dropRecorded()
+	time.Sleep(f.throttle.Unsound(time.Now()))
+	f.answerUnread(w, in, status, text)
+}
+
 // answerUnread answers a request that is not read to its end, and ends its connection.
 func (f *Front) answerUnread(w http.ResponseWriter, in *http.Request, status int, text string) {
 	client := clientConnOf(in)
--- a/internal/http/httpfront/recordingconn.go
+++ b/internal/http/httpfront/recordingconn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"ternbeam/internal/decide/throttle"
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/http/httpmsg"
@@ -19,6 +20,7 @@
 	*conntrack.Listener
 	headTimeout time.Duration // for a request that has started on an idle connection
 	lingering   *lingerers    // takes connections over that are answered before their request is read; nil for none
+	throttle    *throttle.Throttle
 }
 
 func (l recordingListener) Accept() (net.Conn, error) {
@@ -26,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recordingConn{Conn: c.(*conntrack.Conn), headTimeout: l.headTimeout, budget: l.Budget(), lingering: l.lingering}, nil
+	return &recordingConn{Conn: c.(*conntrack.Conn), headTimeout: l.headTimeout, budget: l.Budget(), lingering: l.lingering, throttle: l.throttle}, nil
 }
 
 const (
@@ -41,6 +43,7 @@
 	headTimeout time.Duration
 	budget      *membudget.Budget
 	lingering   *lingerers // nil for none
+	throttle    *throttle.Throttle
 
 	mu         sync.Mutex // net/http may continue to read while a request is answered
 	head       headLimit
@@ -66,6 +69,8 @@
 	}
 	started, tooLarge := c.record(p[:n])
 	if tooLarge != nil {
+		c.dropRecorded()
+		time.Sleep(c.throttle.Unsound(time.Now()))
 		return 0, c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
 	}
 	if started {
--- a/internal/http/httpfront/recordingconn_test.go
+++ b/internal/http/httpfront/recordingconn_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"ternbeam/internal/decide/throttle"
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/lab/testkit"
@@ -67,7 +68,7 @@
 		<-sent
 		check(rec)
 	})}
-	go server.Serve(recordingListener{front.conns.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler)).ReaderCloses(), headTimeout, nil})
+	go server.Serve(recordingListener{front.conns.Listen(l.(*net.TCPListener), slog.New(slog.DiscardHandler)).ReaderCloses(), headTimeout, nil, throttle.New(1)})
 	t.Cleanup(func() { server.Close() })
 	client, err = net.Dial("tcp", l.Addr().String())
 	if err != nil {
