Crowds of the tests make what they send once, and no longer delay the usual clients

Cause: the test's own load. Each of the 400 clients formatted a head of 2,500 lines for each of its connections, in the process that the usual clients run in and under the race detector. A usual client connected and was then not scheduled for more than 2.4 s, which is the time that the agent gives a client for its head: the connection closed with no answer.

Change: the heads and bodies of the crowds are made once.

--- a/cmd/ternbeam/crowd_test.go
+++ b/cmd/ternbeam/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -98,41 +99,53 @@
 	}
 }
 
+// shortFields returns lines of a head with the shortest of fields.
+func shortFields(length int) []byte {
+	var lines bytes.Buffer
+	for i := 0x100; lines.Len() < length; i++ {
+		fmt.Fprintf(&lines, "%x:\r\n", i)
+	}
+	return lines.Bytes()
+}
+
+// sendParts sends a request in parts, without a copy of the long one.
+func sendParts(c net.Conn, head string, part []byte) {
+	buffers := net.Buffers{[]byte(head), part}
+	buffers.WriteTo(c)
+}
+
 // crowds are clients that make an agent hold much of what they send or read.
 func crowds() []crowdMember {
 	post := func(id, more string) string {
 		return fmt.Sprintf(requestHead, "POST", "refund-record", "1", id, crowdTime) + "Idempotency-Key: " + id + "\r\n" + more + "\r\n"
 	}
+	// Made once: a crowd that is busy with what it sends delays the usual clients, which run in the same process.
+	manyFields, longField, bodyPart := shortFields(15<<10), bytes.Repeat([]byte("f"), 15<<10), bytes.Repeat([]byte("b"), 400<<10)
 	return []crowdMember{
 		{"short fields", func(c net.Conn, id string, ended <-chan struct{}) {
-			var head strings.Builder
-			fmt.Fprintf(&head, requestHead, "GET", "form-check", "short", id, crowdTime)
-			for i := 0; head.Len() < 15<<10; i++ {
-				fmt.Fprintf(&head, "%x:\r\n", i+0x100)
-			}
-			io.WriteString(c, head.String())
+			sendParts(c, fmt.Sprintf(requestHead, "GET", "form-check", "short", id, crowdTime), manyFields)
 			holdOpen(c, ended)
 		}},
 		{"long field", func(c net.Conn, id string, ended <-chan struct{}) {
-			io.WriteString(c, fmt.Sprintf(requestHead, "GET", "form-check", "short", id, crowdTime)+"X-Facts: "+strings.Repeat("f", 15<<10))
+			sendParts(c, fmt.Sprintf(requestHead, "GET", "form-check", "short", id, crowdTime)+"X-Facts: ", longField)
 			holdOpen(c, ended)
 		}},
 		{"half of a short body", func(c net.Conn, id string, ended <-chan struct{}) {
-			io.WriteString(c, post(id, "Content-Length: 65536\r\n")+strings.Repeat("b", 60<<10))
+			sendParts(c, post(id, "Content-Length: 65536\r\n"), bodyPart[:60<<10])
 			holdOpen(c, ended)
 		}},
 		{"half of a long body", func(c net.Conn, id string, ended <-chan struct{}) {
-			io.WriteString(c, post(id, "Content-Length: 4000000\r\n")+strings.Repeat("b", 400<<10))
+			sendParts(c, post(id, "Content-Length: 4000000\r\n"), bodyPart)
 			holdOpen(c, ended)
 		}},
 		{"half of a chunked body", func(c net.Conn, id string, ended <-chan struct{}) {
-			io.WriteString(c, post(id, "Transfer-Encoding: chunked\r\n")+"200000\r\n"+strings.Repeat("b", 400<<10))
+			sendParts(c, post(id, "Transfer-Encoding: chunked\r\n")+"200000\r\n", bodyPart)
 			holdOpen(c, ended)
 		}},
 		{"slow body", func(c net.Conn, id string, ended <-chan struct{}) {
 			io.WriteString(c, post(id, "Content-Length: 4000000\r\n"))
 			for {
-				if _, err := io.WriteString(c, strings.Repeat("b", 8<<10)); err != nil {
+				if _, err := c.Write(bodyPart[:8<<10]); err != nil {
 					return
 				}
 				select {
