Rests after a flood end within 0.25 s of it

Cause: a rest takes its turn from a limiter that all connections share, and is then cut to 0.25 s, but the turn stayed taken. A flood's turns piled up, and for as long as they took connections that were only a little ahead rested for the full 0.25 s. The wait of answers to unreadable requests gave its turn back already.

Change: both use one function, which gives the turn back where it would be too late. The package's comment says what it does for unreadable requests too.

--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -1,6 +1,6 @@
-// Package throttle decides how long a connection rests before its next request is read, after requests that were answered without a server.
-// Such answers cost a client nothing, so one that sends at full speed would get most of the processor time. Resting delays no answer to a
-// request that has been read. The package does no I/O and reads no clock.
+// Package throttle decides how long a connection rests before its next request is read, after requests that were answered without a server,
+// and how long the answer to a request that can't be read waits. Such answers cost a client nothing, so one that sends at full speed would get
+// most of the processor time. No answer to a request that has been read is delayed. The package does no I/O and reads no clock.
 package throttle
 
 import (
@@ -45,13 +45,19 @@
 
 // Unsound returns how long the answer to a request that can't be read waits, after which its connection ends.
 func (t *Throttle) Unsound(now time.Time) time.Duration {
-	r := t.unsound.ReserveN(now, 1)
-	wait := r.DelayFrom(now)
-	if wait > MaxUnsoundWait {
-		r.CancelAt(now) // the waits of others do not grow beyond the maximum
-		return MaxUnsoundWait
+	return waitFor(t.unsound, now, MaxUnsoundWait)
+}
+
+// waitFor takes an event from a limiter and returns how long it has to wait, most at most. One that would wait for longer takes nothing, so
+// that the waits of later ones do not grow beyond that.
+func waitFor(l *rate.Limiter, now time.Time, most time.Duration) time.Duration {
+	reservation := l.ReserveN(now, 1)
+	wait := reservation.DelayFrom(now)
+	if wait <= most {
+		return wait
 	}
-	return wait
+	reservation.CancelAt(now)
+	return most
 }
 
 // Connection is the state of one connection. It is not safe for concurrent use.
@@ -71,7 +77,7 @@
 	if own <= 0 {
 		return 0
 	}
-	rest := min(max(own, t.shared.ReserveN(now, 1).DelayFrom(now)), MaxRest)
+	rest := min(max(own, waitFor(t.shared, now, MaxRest)), MaxRest)
 	c.paidUntil = now.Add(rest + freeAnswers*interval) // resting earns no free answers
 	return rest
 }
--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -77,3 +77,19 @@
 		}
 	}
 }
+
+// A flood makes others rest no longer than MaxRest after it has ended.
+func TestRestsEndWithTheFlood(t *testing.T) {
+	all, now := New(0.25), time.Unix(1000, 0)
+	flooding := make([]Connection, 400)
+	for i := range flooding {
+		for range 2 * freeAnswers {
+			all.Rest(&flooding[i], now)
+		}
+	}
+	now = now.Add(MaxRest + 2*time.Millisecond)
+	next := Connection{paidUntil: now.Add(freeAnswers * time.Second / answersPerSecond)}
+	if own, rest := time.Second/answersPerSecond, all.Rest(&next, now); rest != own {
+		t.Errorf("a connection that is one answer ahead rests for %v, not %v", rest, own)
+	}
+}
