The log tells how long requests waited that are refused for memory

What operators saw: `reason="no memory" took=0.000 deadline_in=-1796453781.682`.

Cause: the deadline of a call was set after its memory was there, and the time at which it was received was that of its refusal.

Change: the front passes the time at which the head was read, and the deadline is set before the wait for memory, as far as it is known then.

Measured: the new test of the record, 1 s taken and 2 s left; it needs the new parameter. Tests of calltrack and httpfront pass.

--- a/internal/decide/calltrack/record.go
+++ b/internal/decide/calltrack/record.go
@@ -91,9 +91,9 @@
 	t.settings.Observe(r)
 }
 
-// CountRefused counts a call that was refused before it arrived here, as there was no memory for it.
-func (t *Tracker) CountRefused(now time.Duration, call *Call) {
-	t.now, call.receivedAt = now, now
+// CountRefused counts a call that was received at the given time and refused before it arrived here, as there was no memory for it.
+func (t *Tracker) CountRefused(now, received time.Duration, call *Call) {
+	t.now, call.receivedAt = now, received
 	t.stats.Requests++
 	t.observe(call, Refused, ReasonNoMemory)
 	t.countAnswer(call, Refused)
--- a/internal/decide/calltrack/record_test.go
+++ b/internal/decide/calltrack/record_test.go
@@ -106,3 +106,15 @@
 		t.Errorf("%+v, %d records, %d unanswered, %d held", s, len(*records), tracker.unanswered, len(tracker.calls))
 	}
 }
+
+// A call that is refused before it arrives is recorded with the time that it waited, and that it had left.
+func TestRefusedCallsAreRecordedWithTheirTimes(t *testing.T) {
+	tracker, records := observed(nil)
+	tracker.CountRefused(3*time.Second, 2*time.Second, &Call{Request: choice.Request{ID: "1", Deadline: 5 * time.Second}})
+	if len(*records) != 1 {
+		t.Fatalf("%d records", len(*records))
+	}
+	if r := (*records)[0]; r.Kind != Refused || r.Reason != ReasonNoMemory || r.Received != 2*time.Second || r.Took != time.Second || r.Remaining != 2*time.Second {
+		t.Errorf("recorded: %+v", r)
+	}
+}
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -216,9 +216,9 @@
 // CountUnsubmitted counts a call whose client disconnected before the call could be submitted.
 func (c *Core) CountUnsubmitted() { c.unsubmitted.Add(1) }
 
-// CountRefused counts a call that a front has refused as there is no memory for it. It was not submitted.
-func (c *Core) CountRefused(call *Call) {
-	c.post(func() { c.tracker.CountRefused(c.Now(), call) })
+// CountRefused counts a call that a front has received at the given time and refused as there is no memory for it. It was not submitted.
+func (c *Core) CountRefused(call *Call, received time.Duration) {
+	c.post(func() { c.tracker.CountRefused(c.Now(), received, call) })
 }
 
 // CountMalformed counts a call that a front could not read.
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -237,9 +237,10 @@
 // handleRequest handles one request of the application.
 func (f *Front) handleRequest(w http.ResponseWriter, in *http.Request) {
 	defer clientConnOf(in).releaseRoom()
+	headRead := f.core.Now()
 	call, body, err := f.parse(in, w)
 	if errors.Is(err, membudget.ErrExhausted) {
-		f.core.CountRefused(call)
+		f.core.CountRefused(call, headRead)
 		f.answerUnread(w, in, http.StatusServiceUnavailable, err.Error())
 		return
 	}
@@ -415,6 +416,7 @@
 		return nil, nil, err
 	}
 	client := clientConnOf(in)
+	call.Deadline = f.core.Now() + wait // until the last byte has come
 	if err := client.reserve(f.conns.Budget(), bodyRoom(in.ContentLength), wait); err != nil {
 		return call, nil, err
 	}
