Tests edit configuration files and answer requests by one function each

Cause: setLimits and addServer both read, changed and wrote a configuration file, and the server of successor_test.go read requests as answerRequests does.

Change: editConfig, and answerRequests passes the request in place of its path. No check changes.

Measured: the tests that use them pass, run alone.

--- a/cmd/ternbeam/crowd_test.go
+++ b/cmd/ternbeam/crowd_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -30,21 +29,9 @@
 // setLimits replaces the limits in a configuration file.
 func setLimits(t *testing.T, config string, cores float64, memoryMB, sockets int) {
 	t.Helper()
-	text, err := os.ReadFile(config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var all map[string]any
-	if err := json.Unmarshal(text, &all); err != nil {
-		t.Fatal(err)
-	}
-	all["limits"] = map[string]any{"cores": cores, "memory_mb": memoryMB, "sockets": sockets}
-	if text, err = json.Marshal(all); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(config, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	editConfig(t, config, func(all map[string]any) {
+		all["limits"] = map[string]any{"cores": cores, "memory_mb": memoryMB, "sockets": sockets}
+	})
 }
 
 // peakMemory returns the largest resident set of a process so far, in bytes.
--- a/cmd/ternbeam/framing_test.go
+++ b/cmd/ternbeam/framing_test.go
@@ -50,7 +50,7 @@
 }
 
 // answerRequests reads requests from a connection and has each one answered, until the connection ends or answer returns false.
-func answerRequests(conn *net.TCPConn, answer func(path string) (again bool)) {
+func answerRequests(conn *net.TCPConn, answer func(req *http.Request) (again bool)) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
@@ -59,7 +59,7 @@
 			return
 		}
 		io.Copy(io.Discard, req.Body)
-		if !answer(req.URL.Path) {
+		if !answer(req) {
 			return
 		}
 	}
--- a/cmd/ternbeam/latebody_test.go
+++ b/cmd/ternbeam/latebody_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -31,10 +32,10 @@
 
 // serve answers requests on a connection until it ends.
 func (a lateBody) serve(conn *net.TCPConn) {
-	answerRequests(conn, func(path string) bool {
+	answerRequests(conn, func(req *http.Request) bool {
 		a.framing.writeHead(conn, lateBodyPieces*lateBodyPieceBytes)
 		time.Sleep(a.pause)
-		for rest := a.body(path); rest != ""; rest = rest[lateBodyPieceBytes:] {
+		for rest := a.body(req.URL.Path); rest != ""; rest = rest[lateBodyPieceBytes:] {
 			if a.framing.writePiece(conn, rest[:lateBodyPieceBytes]) != nil {
 				return false
 			}
--- a/cmd/ternbeam/longanswer_test.go
+++ b/cmd/ternbeam/longanswer_test.go
@@ -39,7 +39,7 @@
 
 // serve answers requests on a connection until it ends.
 func (a slowLongAnswer) serve(conn *net.TCPConn) {
-	answerRequests(conn, func(path string) bool {
+	answerRequests(conn, func(req *http.Request) bool {
 		time.Sleep(slowLongDelay)
 		a.framing.writeHead(conn, slowLongBytes)
 		time.Sleep(a.late)
--- a/cmd/ternbeam/main_test.go
+++ b/cmd/ternbeam/main_test.go
@@ -195,6 +195,26 @@
 	return config, listen
 }
 
+// editConfig changes a configuration file.
+func editConfig(t *testing.T, config string, edit func(all map[string]any)) {
+	t.Helper()
+	text, err := os.ReadFile(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all map[string]any
+	if err := json.Unmarshal(text, &all); err != nil {
+		t.Fatal(err)
+	}
+	edit(all)
+	if text, err = json.Marshal(all); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Runs the program against peers on loopback: it becomes ready, serves a request from a backend that only the watch lists, and shuts
 // down gracefully.
 func TestProgramServesReloadsAndShutsDown(t *testing.T) {
--- a/cmd/ternbeam/pausedanswer_test.go
+++ b/cmd/ternbeam/pausedanswer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -29,9 +30,9 @@
 
 // serve answers requests on a connection until it ends.
 func (a pausedAnswer) serve(conn *net.TCPConn) {
-	answerRequests(conn, func(path string) bool {
+	answerRequests(conn, func(req *http.Request) bool {
 		var head strings.Builder
-		body := "checked " + path
+		body := "checked " + req.URL.Path
 		a.framing.writeHead(&head, len(body))
 		status, rest, _ := strings.Cut(head.String(), "\n")
 		io.WriteString(conn, status+"\n")
--- a/cmd/ternbeam/slowanswer_test.go
+++ b/cmd/ternbeam/slowanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -26,8 +27,8 @@
 
 // serve answers requests on a connection until it ends.
 func (a steadyAnswer) serve(conn *net.TCPConn) {
-	answerRequests(conn, func(path string) bool {
-		body := "checked " + path
+	answerRequests(conn, func(req *http.Request) bool {
+		body := "checked " + req.URL.Path
 		length := len(body)
 		if a.endless {
 			length = 60_000
--- a/cmd/ternbeam/successor_test.go
+++ b/cmd/ternbeam/successor_test.go
@@ -1,13 +1,10 @@
 package main
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -44,18 +41,13 @@
 	s.mu.Lock()
 	s.conns = append(s.conns, conn)
 	s.mu.Unlock()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, req.Body)
+	answerRequests(conn, func(req *http.Request) bool {
 		if !s.answer(s, req.Header.Get("X-Correlation-Id")) {
-			return
+			return false
 		}
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nchecked")
-	}
+		return true
+	})
 }
 
 // kill ends the server as SIGKILL ends a process: it listens no more, and its connections are reset.
@@ -72,23 +64,11 @@
 // addServer adds a server in a cell to the list of a configuration.
 func addServer(t *testing.T, config, id, addr string, cell int) {
 	t.Helper()
-	text, err := os.ReadFile(config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var all map[string]any
-	if err := json.Unmarshal(text, &all); err != nil {
-		t.Fatal(err)
-	}
-	known := all["known"].(map[string]any)
-	known["version"] = 1
-	known["servers"] = append(known["servers"].([]any), map[string]any{"id": id, "addr": addr, "zone": "z", "cell": cell, "state": "in_service", "weight": 1})
-	if text, err = json.Marshal(all); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(config, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	editConfig(t, config, func(all map[string]any) {
+		known := all["known"].(map[string]any)
+		known["version"] = 1
+		known["servers"] = append(known["servers"].([]any), map[string]any{"id": id, "addr": addr, "zone": "z", "cell": cell, "state": "in_service", "weight": 1})
+	})
 }
 
 // Guards against a keyed request that is sent again to a process in another cell, because that has come up at the address of one that has gone and the
