--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -4,28 +4,20 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"ternbeam/choice"
 	"ternbeam/internal/decide/calltrack"
 	"ternbeam/internal/decide/routes"
-	"ternbeam/internal/decide/shutdown"
 	"ternbeam/internal/decide/throttle"
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/http/httpmsg"
-	"ternbeam/internal/protocol"
 	"ternbeam/internal/settings/config"
 )
 
@@ -175,57 +167,6 @@
 	return f.http.Serve(recordingListener{f.listener, f.http.ReadHeaderTimeout, &f.lingering, f.throttle})
 }
 
-// Stop shuts the front down gracefully. Clients learn of the shutdown with a delay, so new connections are accepted for some
-// more time, or not at all if another process accepts on the same socket. Connections without a request stay open for plan.Idle;
-// a client that sends a request during that time is answered and notified that the connection closes. Then they are closed, while a
-// client that has just written to one can still reconnect. After that, the requests already received are answered, within the
-// time that the plan leaves. Connections on which nothing has been received by then are not waited for.
-func (f *Front) Stop(begin time.Time, plan shutdown.Schedule) {
-	end := begin.Add(plan.CloseBy)
-	f.shuttingDown.Store(true)
-	stage := f.startStageLog(begin)
-	closed := make(chan struct{})
-	go func() { f.listener.CloseAfter(plan.Accept, end); close(closed) }()
-	time.Sleep(plan.Idle)
-	// http.Server's Shutdown can't be used: it closes a connection that it considers idle while a request is being read from it. That
-	// request would still be forwarded, and forwarded again when its client, which got no answer, retries.
-	f.listener.CloseIdle()
-	stage("idle connections told to end")
-	<-closed
-	stage("accepting ended")
-	silent := time.AfterFunc(min(conntrack.SilentGrace, time.Until(end)-conntrack.AnswerWriteTime), func() {
-		f.listener.CloseSilent()
-		stage("silent connections told to end")
-	})
-	defer silent.Stop()
-	if !f.waitEmpty(end.Add(-conntrack.AnswerWriteTime)) {
-		f.listener.CloseUnfinished() // a request that is incomplete by now would be forwarded too late
-		stage("unfinished requests told to end")
-		if !f.waitEmpty(end) {
-			f.log.Warn("connections were still open at the end", "connections", f.conns.Count())
-		}
-	}
-	f.http.Close()
-	stage("closed")
-}
-
-// waitEmpty waits until no connection is left or until the given time. It reports whether none is left.
-func (f *Front) waitEmpty(deadline time.Time) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	return f.listener.WaitEmpty(ctx) == nil
-}
-
-// startStageLog logs the beginning of a shutdown and returns a function that logs each further stage.
-func (f *Front) startStageLog(begin time.Time) (stage func(name string)) {
-	f.log.Info("shutdown", "stage", "begun", "connections", f.conns.Count())
-	return func(name string) {
-		s := f.conns.Stats()
-		f.log.Info("shutdown", "stage", name, "after", time.Since(begin).Round(time.Millisecond), "connections", f.conns.Count(), "accepted", s.Accepted,
-			"closed_for_room", s.ClosedForRoom, "ended_idle", s.EndedIdle, "ended_silent", s.EndedSilent, "kept_begun", s.KeptPartial, "ended_begun", s.EndedPartial)
-	}
-}
-
 // endConnection makes the connection of a request close after its answer, unless the client has already sent more data behind the
 // request: that data would get no answer.
 func endConnection(w http.ResponseWriter, in *http.Request) {
@@ -340,161 +281,3 @@
 		}
 	}
 }
-
-// await waits for the answer to a call. It returns false if the client disconnects first. Meanwhile net/http reads the connection
-// and reports its end at once, unless there is data behind the request: then it stops reading, and the connection is probed instead.
-func (f *Front) await(ctx context.Context, conn *conntrack.Conn, answer <-chan core.Answer, gone func() bool) (core.Answer, bool) {
-	ticker := time.NewTicker(f.probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case ans := <-answer:
-			return ans, true
-		case <-ctx.Done():
-			return core.Answer{}, false
-		case <-conn.ReadDone():
-			ticker.Reset(f.probeInterval)
-		case <-ticker.C:
-			switch {
-			case conn.BeingRead():
-				ticker.Stop()
-			case gone():
-				return core.Answer{}, false
-			}
-		}
-	}
-}
-
-// answerSlot delivers the final answer of one call. An answer may start at the moment when its client disconnects: whichever side
-// notices last closes the answer's stream, which would otherwise wait for a reader forever.
-type answerSlot struct {
-	call    *core.Call
-	answers chan core.Answer
-}
-
-func newAnswerSlot(call *core.Call) answerSlot { return answerSlot{call, make(chan core.Answer, 1)} }
-
-// deliver is the Call.Answer callback.
-func (s answerSlot) deliver(ans core.Answer) {
-	if s.answers <- ans; s.call.ClientDisconnected() {
-		s.discard()
-	}
-}
-
-// discard closes an answer that was not received. If there is none yet, deliver discards it once the client has disconnected.
-func (s answerSlot) discard() {
-	select {
-	case ans := <-s.answers:
-		if r, ok := ans.Reply.(io.Closer); ok {
-			r.Close()
-		}
-	default:
-	}
-}
-
-// methods maps the effect of a class to the method of its requests.
-var methods = map[choice.Effect]string{choice.Safe: http.MethodGet, choice.Keyed: http.MethodPost,
-	choice.Unsafe: http.MethodPost}
-
-// errUnsupportedFraming rejects a request that is not HTTP/1.1, or that has a Transfer-Encoding although its body may not be long:
-// the end of such a request could be determined in two ways. net/http drops a Content-Length next to a Transfer-Encoding before any
-// handler can see it, and drops the Transfer-Encoding in HTTP/1.0. The two may disagree on where the request ends, and so smuggle
-// another request in its body. The application sends neither.
-var errUnsupportedFraming = errors.New("requests are taken without Transfer-Encoding and as HTTP 1.1 only")
-
-// errTwoLengths rejects a request that has both a Content-Length and a Transfer-Encoding.
-var errTwoLengths = errors.New("a Content-Length beside a Transfer-Encoding")
-
-// singleHeaders lists the headers that may occur only once in a request.
-var singleHeaders = []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "Idempotency-Key"}
-
-// parse reads a request. It reads a short body completely; the rest of a long one is received after the core has accepted the call.
-// Every error that it returns is the client's fault, except membudget.ErrExhausted: then it returns a call, which is to be refused.
-func (f *Front) parse(in *http.Request, w http.ResponseWriter) (*core.Call, *incomingBody, error) {
-	call, wait, err := f.parseHead(in)
-	if err != nil {
-		return nil, nil, err
-	}
-	client := clientConnOf(in)
-	call.Deadline = f.core.Now() + wait // until the last byte has come
-	if err := client.reserve(f.conns.Budget(), bodyRoom(in.ContentLength), wait); err != nil {
-		return call, nil, err
-	}
-	if err := client.reserve(f.openRequests, config.OpenRequestBytes, wait); err != nil {
-		return call, nil, err
-	}
-	clientConnOf(in).recorder.bodyBegins()
-	body, err := f.readBody(in, w, call)
-	if err != nil {
-		return nil, nil, err
-	}
-	wait = max(0, wait-clientConnOf(in).recorder.sinceArrival()) // the client counts from when it sent the request
-	call.Deadline = f.core.Now() + wait                          // counted from the last byte
-	if call.BodyPending {
-		body.startClock(f.core.Now(), wait)
-		call.Deadline += body.maxReadTime()
-	}
-	return call, body, nil
-}
-
-// parseHead evaluates the request line and the headers. It also returns how long the client waits.
-func (f *Front) parseHead(in *http.Request) (call *core.Call, wait time.Duration, err error) {
-	chunked := len(in.TransferEncoding) > 0
-	if !in.ProtoAtLeast(1, 1) || chunked && !f.longBodies {
-		return nil, 0, errUnsupportedFraming
-	}
-	if chunked {
-		if clientConnOf(in).recorder.hasAmbiguousLength(in) {
-			return nil, 0, errTwoLengths
-		}
-	}
-	cfg, h := f.cfg, in.Header
-	payload := &httpmsg.Request{Method: in.Method, URL: in.URL, Header: h}
-	call = &core.Call{Payload: payload}
-	call.RequiredProtocols = protocol.HTTP
-	for _, name := range singleHeaders {
-		if len(h[name]) > 1 {
-			return nil, 0, fmt.Errorf("%s given %d times", name, len(h[name]))
-		}
-	}
-	if call.ID = h.Get("X-Correlation-Id"); call.ID == "" {
-		return nil, 0, errors.New("no X-Correlation-Id")
-	}
-	parts := strings.Split(strings.Trim(in.URL.Path, "/"), "/")
-	name := h.Get("X-Service-Class")
-	call.Class = cfg.ClassIndex(name)
-	keyLast := true
-	if f.shapes != nil && call.Class >= 0 {
-		if call.Shape, keyLast, err = f.shapes.HTTP(name, payload); err != nil {
-			return nil, 0, err
-		}
-	}
-	if call.Class < 0 || parts[0] != name && !call.Shape.IsSet() {
-		return nil, 0, fmt.Errorf("class %q in X-Service-Class, %q in the path", name, parts[0])
-	}
-	effect := cfg.Module.Classes[call.Class].Effect
-	if !call.Shape.IsSet() { // otherwise the shape determines the method, and whether there is a body
-		if in.Method != methods[effect] {
-			return nil, 0, fmt.Errorf("method %s for class %q", in.Method, name)
-		}
-		if effect == choice.Safe && in.ContentLength != 0 {
-			return nil, 0, fmt.Errorf("a body for class %q", name)
-		}
-	}
-	if keyed := h.Get("Idempotency-Key") != ""; keyed != (effect == choice.Keyed) {
-		return nil, 0, fmt.Errorf("Idempotency-Key given: %t, for class %q", keyed, name)
-	}
-	if call.Tenant = cfg.TenantIndex(h.Get("X-Account")); call.Tenant < 0 {
-		return nil, 0, fmt.Errorf("unknown X-Account %q", h.Get("X-Account"))
-	}
-	seconds, err := strconv.ParseFloat(h.Get("X-Time-Left"), 64)
-	if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds <= 0 {
-		return nil, 0, fmt.Errorf("X-Time-Left %q is no time above 0", h.Get("X-Time-Left"))
-	}
-	if len(parts) > 1 && keyLast {
-		call.Key = parts[len(parts)-1]
-	}
-	call.ClientRetry = h.Get("X-Repeat") == "1"
-	maxWait := cfg.Module.Classes[call.Class].Deadline
-	return call, time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second)), nil
-}
