Large frames of Thrift clients share the memory for data of peers

What operators would see: a process over its memory limit. 400 Thrift clients with a part of a frame of 64 KiB each took 40.6 MB of 32.

Change: a frame over 4 KiB reserves twice its size until it is answered, and waits for up to 1 s, while its connection is not read. Who finds none has the frame read and dropped, and an exception for an answer, as only the head of the message is known. Answers of servers and those that wait to be sent are still bounded for each connection only.

--- a/cmd/ternbeam/crowd_test.go
+++ b/cmd/ternbeam/crowd_test.go
@@ -37,15 +37,41 @@
 // peakMemory returns the largest resident set of a process so far, in bytes.
 func peakMemory(t *testing.T, pid int) (bytes int64) {
 	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	bytes, err := readPeakMemory(pid)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, rest, _ := strings.Cut(string(text), "VmHWM:")
-	if _, err := fmt.Sscan(rest, &bytes); err != nil {
-		t.Fatal(err)
+	return bytes
+}
+
+// readPeakMemory is peakMemory for a process that may have ended.
+func readPeakMemory(pid int) (bytes int64, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
 	}
-	return bytes << 10
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	_, err = fmt.Sscan(rest, &bytes)
+	return bytes << 10, err
+}
+
+// watchPeakMemory reads the largest resident set of a process until that ends. The returned function returns the last value, 0 if there was none.
+func watchPeakMemory(pid int) (end func() (bytes int64)) {
+	const interval = 10 * time.Millisecond
+	peak := make(chan int64)
+	go func() {
+		last := int64(0)
+		for {
+			bytes, err := readPeakMemory(pid)
+			if err != nil {
+				peak <- last
+				return
+			}
+			last = bytes
+			time.Sleep(interval)
+		}
+	}()
+	return func() int64 { return <-peak }
 }
 
 // longAnswerServer answers each request with a long body, and reads bodies completely.
--- a/internal/host/membudget/membudget.go
+++ b/internal/host/membudget/membudget.go
@@ -32,6 +32,9 @@
 	return &Budget{size: size, room: semaphore.NewWeighted(size)}
 }
 
+// Size returns the number of bytes in all.
+func (b *Budget) Size() int64 { return b.size }
+
 // Reservation is a part of a Budget. A nil Reservation is empty.
 type Reservation struct {
 	budget *Budget
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -1,6 +1,7 @@
 package thriftfront
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,11 +13,20 @@
 
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
+	"ternbeam/internal/host/membudget"
 	"ternbeam/internal/sysio/peek"
 	"ternbeam/internal/thrift/thriftmap"
 	"ternbeam/internal/thrift/thriftwire"
 )
 
+const (
+	// freeFrameBytes is the size up to which a frame is read without a reservation. A larger one may wait for frameRoomTimeout.
+	freeFrameBytes   = 4 << 10
+	frameRoomTimeout = time.Second
+	// frameCopies is how often a frame is held: as received, and as it is sent to a server.
+	frameCopies = 2
+)
+
 // chunks are buffers that calls are read into. A connection holds one only while it has unprocessed bytes of a frame.
 var chunks = sync.Pool{New: func() any { b := make([]byte, 8<<10); return &b }}
 
@@ -30,7 +40,8 @@
 	chunk      *[]byte // nil while there are no bytes of a frame
 	start, end int     // the unprocessed part of chunk
 	fill       func(fd uintptr) bool
-	fillErr    error // result of the last fill
+	fillErr    error                  // result of the last fill
+	room       *membudget.Reservation // for the latest frame, until a slot has it
 	encoding   thriftwire.Encoding
 
 	mu            sync.Mutex
@@ -49,7 +60,8 @@
 type slot struct {
 	call  *core.Call
 	seq   int32
-	frame []byte // the answer; nil until there is one
+	frame []byte                 // the answer; nil until there is one
+	room  *membudget.Reservation // for the call's frame
 }
 
 // errProtocol ends a connection on which the client's messages can no longer be interpreted, so that no error can be sent either.
@@ -80,6 +92,7 @@
 // serve reads calls until the client disconnects or the connection must be closed.
 func (c *client) serve() {
 	err := c.readCalls()
+	c.room.Release()
 	if errors.Is(err, errStopping) {
 		c.conn.RecordReadError(os.ErrDeadlineExceeded, conntrack.EndedForShutdown)
 	} else {
@@ -110,6 +123,7 @@
 		for _, s := range c.waiting {
 			if s.frame == nil && s.call != nil { // a call that is refused at once has none
 				c.inFlight--
+				s.room.Release()
 				pending = append(pending, s.call)
 			}
 		}
@@ -137,10 +151,13 @@
 func (c *client) readCalls() error {
 	for {
 		message, arrival, err := c.readFrame()
-		if err != nil {
-			return err
+		switch {
+		case err == nil:
+			err = c.handleMessage(message, arrival)
+		case errors.Is(err, membudget.ErrExhausted):
+			err = c.refuseFrame(message)
 		}
-		if err := c.handleMessage(message, arrival); err != nil {
+		if err != nil {
 			return err
 		}
 	}
@@ -158,24 +175,42 @@
 	return c.busy
 }
 
-// handleMessage handles one message. An error ends reading.
-func (c *client) handleMessage(message []byte, arrival time.Duration) error {
+// beginMessage evaluates the head of a message that has arrived. An error ends reading.
+func (c *client) beginMessage(message []byte) (h thriftwire.Head, oneway bool, err error) {
 	if !c.markBusy() {
-		return net.ErrClosed
+		return h, false, net.ErrClosed
 	}
-	h, err := thriftwire.ReadHead(message)
-	if err != nil {
+	if h, err = thriftwire.ReadHead(message); err != nil {
 		c.front.core.CountMalformed()
-		return fmt.Errorf("%w: %w", errProtocol, err)
+		return h, false, fmt.Errorf("%w: %w", errProtocol, err)
 	}
 	if c.encoding == 0 {
 		c.encoding = h.Encoding
 	} else if h.Encoding != c.encoding {
 		c.front.core.CountMalformed()
-		return errProtocol
+		return h, false, errProtocol
 	}
 	method := c.front.service.Method(h.Name(message))
-	oneway := h.Type == thriftwire.Oneway || method != nil && method.Oneway
+	return h, h.Type == thriftwire.Oneway || method != nil && method.Oneway, nil
+}
+
+// refuseFrame answers a call for which there was no memory, of which the beginning was read. An error ends reading.
+func (c *client) refuseFrame(beginning []byte) error {
+	h, oneway, err := c.beginMessage(beginning)
+	if err != nil || oneway {
+		return err
+	}
+	s := c.addCall(nil, h.Seq, false)
+	c.queueAnswer(s, thriftmap.AppendException(nil, h, beginning, thriftwire.InternalError, membudget.ErrExhausted.Error()))
+	return nil
+}
+
+// handleMessage handles one message. An error ends reading.
+func (c *client) handleMessage(message []byte, arrival time.Duration) error {
+	h, oneway, err := c.beginMessage(message)
+	if err != nil {
+		return err
+	}
 	decoded, err := c.front.service.Read(h, message)
 	var call *core.Call
 	if err == nil {
@@ -205,6 +240,7 @@
 	}
 	call.Answer = func(ans core.Answer) {
 		if oneway {
+			s.room.Release()
 			c.finishOneway()
 			return
 		}
@@ -243,6 +279,7 @@
 			return nil
 		}
 		c.inFlight++
+		s.room, c.room = c.room, nil
 	}
 	if !oneway {
 		c.waiting = append(c.waiting, s)
@@ -263,6 +300,7 @@
 // queueAnswer stores an answer and queues all answers that can be sent now: in the order of the calls or, if the configuration allows any order,
 // in the order of calls with the same sequence id, whose answers could not be distinguished otherwise.
 func (c *client) queueAnswer(s *slot, frame []byte) {
+	s.room.Release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -383,8 +421,40 @@
 	}
 }
 
-// readFrame reads one frame. It checks the length before allocating memory. arrival is the time of the frame's first byte.
+// reserve reserves memory for a frame, all that there is for one that is larger. It returns membudget.ErrExhausted if there is none in time.
+func (c *client) reserve(bytes int) (err error) {
+	if bytes <= freeFrameBytes {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), frameRoomTimeout)
+	defer cancel()
+	budget := c.front.tracker.Budget()
+	c.room, err = budget.Wait(ctx, min(frameCopies*int64(bytes), budget.Size()))
+	return err
+}
+
+// skip reads a frame and returns its beginning.
+func (c *client) skip(length int, deadline time.Time) (beginning []byte, err error) {
+	beginning = make([]byte, min(length, freeFrameBytes))
+	if err := c.copy(beginning, deadline); err != nil {
+		return nil, err
+	}
+	scratch := make([]byte, freeFrameBytes)
+	for left := length - len(beginning); left > 0; {
+		part := scratch[:min(left, len(scratch))]
+		if err := c.copy(part, deadline); err != nil {
+			return nil, err
+		}
+		left -= len(part)
+	}
+	return beginning, nil
+}
+
+// readFrame reads one frame. It checks the length before allocating memory. arrival is the time of the frame's first byte. With
+// membudget.ErrExhausted it returns only the beginning of the message.
 func (c *client) readFrame() (message []byte, arrival time.Duration, err error) {
+	c.room.Release()
+	c.room = nil
 	if err := c.waitForRoom(); err != nil {
 		return nil, 0, err
 	}
@@ -404,6 +474,12 @@
 		c.front.core.CountMalformed()
 		return nil, 0, fmt.Errorf("%w: %w", errProtocol, err)
 	}
+	if noRoom := c.reserve(n); noRoom != nil {
+		if message, err = c.skip(n, deadline); err == nil {
+			err = noRoom
+		}
+		return message, arrival, err
+	}
 	message = make([]byte, n)
 	err = c.copy(message, deadline)
 	return message, arrival, err
