The time until which a body is waited for is computed in one place

Cause: NewHeldLong and Check of package relay both set it for answers that are known to be long.

Change: bodyDue. No behaviour changes.

Measured: the tests of relay pass, and so do those of the explorer with planted faults.

--- a/internal/decide/relay/relay.go
+++ b/internal/decide/relay/relay.go
@@ -96,7 +96,7 @@
 	hold := min(MaxHoldLong, left/2)
 	h := newHeld(now, left, hold, limit)
 	h.position, h.knownLong = FurtherAttempt, true
-	h.hedgeAt = min(h.hedgeAt, h.latestRelay())
+	h.hedgeAt = min(h.hedgeAt, h.bodyDue())
 	return h
 }
 
@@ -134,6 +134,14 @@
 // isLong reports whether the answer is known or taken to be long.
 func (h *HeldAnswer) isLong() bool { return h.knownLong || h.received > LongAnswerBytes }
 
+// bodyDue returns until when a body that has not started is waited for.
+func (h *HeldAnswer) bodyDue() time.Duration {
+	if h.knownLong {
+		return h.latestRelay()
+	}
+	return h.deadline
+}
+
 // latestRelay returns when a long answer is relayed at the latest.
 func (h *HeldAnswer) latestRelay() time.Duration { return max(0, h.deadline-RelayMargin) }
 
@@ -151,13 +159,11 @@
 	switch {
 	case now < h.NextCheck():
 		return Hold
-	case h.received == 0 && h.knownLong && now >= h.latestRelay():
-		return Relay
-	case h.received == 0 && now < h.deadline:
-		if h.hedgeAt = h.deadline; h.knownLong {
-			h.hedgeAt = h.latestRelay()
-		}
+	case h.received == 0 && now < h.bodyDue():
+		h.hedgeAt = h.bodyDue()
 		return Hedge
+	case h.received == 0 && h.knownLong:
+		return Relay
 	case h.received == 0:
 		return Replace
 	case h.isLong():
