--- a/choice/check_test.go
+++ b/choice/check_test.go
@@ -393,7 +393,7 @@
 		})
 		return out
 	}
-	if trace() != trace() {
+	if first, second := trace(), trace(); first != second {
 		t.Error("two runs differ")
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1266,7 +1266,6 @@
 				if hedges++; a.Request != id || a.Server == to {
 					t.Fatalf("%+v", a)
 				}
-				at = h.at - at
 				before := h.byID[to].failureRate
 				all := h.Handle(h.at, Outcome{Request: id, Attempt: 1, Server: a.Server, Took: 50 * time.Millisecond, Closed: true, Report: NoReport})
 				if len(all) != 1 || all[0].Kind != Cancel || all[0].Attempt != 0 {
--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -30,7 +30,7 @@
 type replacementTest struct {
 	t                 *testing.T
 	listen, sharedDir string
-	config, backend   string
+	config            string
 	mu                sync.Mutex
 	runsByID          map[string]int // number of executions by call id
 	requestsByServer  map[string]int
--- a/connectionends_test.go
+++ b/connectionends_test.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -47,32 +48,37 @@
 // connectionEnders returns the functions of a package that may end a connection.
 func connectionEnders(t *testing.T, dir string) (names []string) {
 	t.Helper()
-	packages, err := parser.ParseDir(token.NewFileSet(), dir, func(f fs.FileInfo) bool { return !strings.HasSuffix(f.Name(), "_test.go") }, 0)
+	all, err := filepath.Glob(filepath.Join(dir, "*.go"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, pkg := range packages {
-		for _, file := range pkg.Files {
-			for _, d := range file.Decls {
-				function, ok := d.(*ast.FuncDecl)
-				if !ok {
-					continue
-				}
-				ends := false
-				ast.Inspect(function, func(n ast.Node) bool {
-					call, ok := n.(*ast.CallExpr)
-					ends = ends || ok && mayEndConnection(call)
-					return true
-				})
-				if ends {
-					names = append(names, path.Base(dir)+"."+function.Name.Name)
-				}
+	for _, name := range all {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range file.Decls {
+			if function, ok := d.(*ast.FuncDecl); ok && endsConnection(function) {
+				names = append(names, path.Base(dir)+"."+function.Name.Name)
 			}
 		}
 	}
 	return names
 }
 
+// endsConnection reports whether a function has a call that may end a connection.
+func endsConnection(function *ast.FuncDecl) (ends bool) {
+	ast.Inspect(function, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		ends = ends || ok && mayEndConnection(call)
+		return true
+	})
+	return ends
+}
+
 // sources returns the concatenated text of all Go files: of the test files, or of the others.
 func sources(t *testing.T, tests bool) string {
 	t.Helper()
--- a/internal/agent/thrift_test.go
+++ b/internal/agent/thrift_test.go
@@ -512,7 +512,6 @@
 		}
 		server := thrift.NewTSimpleServer4(formapi.NewFormServiceProcessor(&apacheService{}), socket,
 			thrift.NewTFramedTransportFactoryConf(thrift.NewTTransportFactory(), nil), factory)
-		server.SetLogger(func(string) {})
 		go server.Serve()
 		w := newTestbed(t, variant, standin.Platform{MaxAttempts: 1}, nil)
 		w.list.Update(discovery.Entry{ID: "apache", Addr: socket.Addr().String(), Zone: "z", State: "in_service",
--- a/internal/decide/aging/aging.go
+++ b/internal/decide/aging/aging.go
@@ -84,7 +84,6 @@
 type Restored struct {
 	settings       Settings
 	shared         learned.Shared
-	ageKnown       bool // the age of the shared data is known
 	facts          map[string]fact
 	recognized     map[uint64]bool // remembered identities that are in the list again
 	medianRate     float64         // of the remembered capacities
--- a/internal/host/conntrack/conn.go
+++ b/internal/host/conntrack/conn.go
@@ -130,11 +130,11 @@
 	return c.TCPConn.Close()
 }
 
-// lastError returns the error of the last Read that returned no data, or nil, and why the reader has been asked to close the connection.
-func (c *Conn) lastError() (failure error, cause EndCause) {
+// lastError returns why the reader has been asked to close the connection, and the error of the last Read that returned no data, or nil.
+func (c *Conn) lastError() (cause EndCause, failure error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.readErr, c.endCause
+	return c.endCause, c.readErr
 }
 
 // RecordReadError records the error with which a reader that uses ReadNow stops reading, and why it closes the connection. Cause is
--- a/internal/host/conntrack/ends.go
+++ b/internal/host/conntrack/ends.go
@@ -45,7 +45,7 @@
 
 // endCause returns why a connection was closed.
 func (e *entry) endCause() EndCause {
-	failure, cause := e.conn.lastError()
+	cause, failure := e.conn.lastError()
 	expired := errors.Is(failure, os.ErrDeadlineExceeded)
 	switch {
 	case expired && cause != NotEnded:
--- a/internal/host/conntrack/log.go
+++ b/internal/host/conntrack/log.go
@@ -40,7 +40,7 @@
 // ended records a connection that ended, and how many bytes of the relevant data had been received on it.
 func (l *countedLog) ended(c *Conn, received int64) {
 	l.add(slog.LevelInfo, func() []any {
-		failure, cause := c.lastError()
+		cause, failure := c.lastError()
 		return []any{"received_bytes", received, "last_received", time.Since(c.lastReceived()).Round(time.Millisecond), "error", failure, "ended_for", cause.String()}
 	})
 }
--- a/internal/host/conntrack/tracker_test.go
+++ b/internal/host/conntrack/tracker_test.go
@@ -339,7 +339,7 @@
 		for range visitors {
 			acceptConn(t, d)
 		}
-		_, cause := conn.(*Conn).lastError()
+		cause, _ := conn.(*Conn).lastError()
 		if ended := d.tracker.Stats().Ended; ended != (EndCounts{}) || cause != NotEnded || closed(kept, time.Millisecond) {
 			t.Errorf("reader closes %t: %q, reader asked to close for %v", readerCloses, ended, cause)
 		}
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -310,7 +310,7 @@
 	undefined bool // it has a value that the shape does not define
 }
 
-type load struct{ util, qps, eps, inFlight, queue float64 }
+type load struct{ util, qps, eps, inFlight float64 }
 
 // serve reads and handles the calls of one connection.
 func (s *Server) serve(c net.Conn) {
