Whether a client has left is asked of its TCP state where poll(2) fails

Callers saw a request sent on for a client that had closed its connection.

Cause: peek.HungUp, which is asked right before an attempt is written, returned false where poll(2) failed, and so did the look at a connection that is being read. A client that had left counted as connected for as long as poll failed.

Change: where poll fails the state of the TCP connection is asked (TCP_INFO): CLOSE_WAIT and the states behind it tell of a FIN whether or not data is unread. Poll and getsockopt fail for different reasons; where both fail a client still counts as connected. The Thrift front and the pool's look at replaced servers use the same function.

Further system calls are made only after a failed poll.

--- a/cmd/ternbeam/unknownstate_test.go
+++ b/cmd/ternbeam/unknownstate_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -145,3 +146,71 @@
 	}
 	t.Errorf("the hold of %v is not among %v", hold, p.StalledPeriods(0))
 }
+
+// hiddenEnd delays a process's accepts and hides from it that clients have closed their connections: poll(2) fails, and so does each read but the
+// first on a connection.
+type hiddenEnd struct {
+	listen netip.AddrPort
+
+	mu         sync.Mutex
+	acceptFrom time.Time // zero before it starts
+	readUntil  time.Time // reads after the first fail until then
+	read       map[netip.AddrPort]bool
+}
+
+// start hides the ends of connections that are opened from now on.
+func (h *hiddenEnd) start(acceptAfter, hiddenFor time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.acceptFrom = time.Now().Add(acceptAfter)
+	h.readUntil = h.acceptFrom.Add(hiddenFor)
+}
+
+// decide is a sysfault.Decider.
+func (h *hiddenEnd) decide(e sysfault.Event) sysfault.Outcome {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	switch {
+	case h.acceptFrom.IsZero():
+	case e.Call == sysfault.Poll:
+		return sysfault.Outcome{Errno: syscall.ENOMEM}
+	case e.Call == sysfault.Accept && now.Before(h.acceptFrom):
+		return sysfault.Outcome{Errno: syscall.EMFILE}
+	case e.Local != h.listen:
+	case e.Call == sysfault.GetSockOpt: // the connection is read again before its end is looked for
+		return sysfault.Outcome{Hold: 5 * time.Millisecond}
+	case e.Call == sysfault.Read && h.read[e.Remote] && now.Before(h.readUntil):
+		return sysfault.Outcome{Errno: syscall.ENOMEM}
+	case e.Call == sysfault.Read:
+		h.read[e.Remote] = true
+	}
+	return sysfault.Outcome{}
+}
+
+// Guards against a request that is sent on although its client has left, because poll(2) fails.
+func TestNothingIsSentForClientsThatHaveLeftWhilePollFails(t *testing.T) {
+	t.Parallel()
+	const clients, acceptAfter, hiddenFor = 10, 300 * time.Millisecond, 500 * time.Millisecond
+	var servers attemptRecorder
+	server := servers.start(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "checked") })
+	config, listen := configure(t, unusedAddr(t), shutdownSettings(randomDeadline), server)
+	faults := hiddenEnd{listen: netip.MustParseAddrPort(listen), read: map[netip.AddrPort]bool{}}
+	calls := []sysfault.Call{sysfault.Accept, sysfault.Read, sysfault.Poll, sysfault.GetSockOpt}
+	_, log := startUnderFaults(t, calls, faults.decide, "NODE_CONFIG="+config, "NODE_NAME=n1", "NODE_LISTEN="+listen)
+	awaitReadyUnderFaults(t, listen)
+	faults.start(acceptAfter, hiddenFor)
+	for number := range clients {
+		conn, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, requestHead+"\r\n", "GET", "form-check", "1", fmt.Sprint("left-", number), 1.4)
+		conn.Close()
+	}
+	time.Sleep(acceptAfter + hiddenFor + time.Second)
+	if all := servers.all(); len(all) > 0 {
+		t.Errorf("%d of %d requests were sent on over %v after their clients had left", len(all), clients, acceptAfter-disconnectSlack)
+		t.Log(log)
+	}
+}
--- a/internal/sysio/peek/peek.go
+++ b/internal/sysio/peek/peek.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -81,18 +82,24 @@
 // SinceLastData returns how long ago the last bytes arrived on a connection according to the kernel (tcp(7), TCP_INFO), accurate to some
 // milliseconds. known is false if the system call failed.
 func SinceLastData(c net.Conn) (since time.Duration, known bool) {
-	var info *unix.TCPInfo
-	var failed error
-	err := control(c, func(fd int) error {
-		info, failed = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return failed
-	})
-	if err != nil || failed != nil {
+	info, err := tcpInfo(c)
+	if err != nil {
 		return 0, false
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
 
+// tcpInfo returns what the kernel knows of a connection (tcp(7), TCP_INFO).
+func tcpInfo(c net.Conn) (info *unix.TCPInfo, err error) {
+	if closed := control(c, func(fd int) error {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	}); closed != nil {
+		return nil, closed
+	}
+	return info, err
+}
+
 // State is the state of a connection as reported by the kernel.
 type State int
 
@@ -116,7 +123,7 @@
 }
 
 // HungUp reports whether the other side has closed its sending side or reset the connection, regardless of unread data before that. It returns
-// false if the system call fails, and true for a connection that was closed on this side.
+// false if no system call tells, and true for a connection that was closed on this side.
 func HungUp(c net.Conn) bool {
 	hungUp, _ := EndOf(c)
 	return hungUp
@@ -126,11 +133,20 @@
 func EndOf(c net.Conn) (hungUp, empty bool) {
 	found, err := poll(c, unix.POLLRDHUP|unix.POLLIN)
 	if err != nil {
-		return false, false
+		return receivedEnd(c), false
 	}
 	return found&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0, found == 0
 }
 
+// receivedEnd is HungUp for when poll(2) fails: it asks for the state of the TCP connection.
+func receivedEnd(c net.Conn) bool {
+	info, err := tcpInfo(c)
+	return err == nil && slices.Contains(statesAfterEnd, info.State)
+}
+
+// statesAfterEnd are the states of a TCP connection whose other side has sent a FIN or a reset (RFC 9293, section 3.3.2).
+var statesAfterEnd = []uint8{unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT, unix.BPF_TCP_CLOSE}
+
 // poll asks for events on a connection without waiting for them. It returns unix.POLLHUP for one that was closed on this side.
 func poll(c net.Conn, events int16) (found int16, err error) {
 	fds := [1]unix.PollFd{{Events: events}}
--- a/internal/sysio/peek/peek_test.go
+++ b/internal/sysio/peek/peek_test.go
@@ -47,6 +47,9 @@
 				hungUp, empty := EndOf(here)
 				return hungUp == c.hungUp && empty == c.empty && HungUp(here) == hungUp
 			})
+			if seen := receivedEnd(here); seen != c.hungUp && name != "closed on this side" {
+				t.Errorf("by the state of the TCP connection: %t", seen)
+			}
 		})
 	}
 }
