Connections with requests waiting share a rate of cheap answers from the first one on

Cause: each connection may have 200 answers a second without a server, and nothing bounded the sum of 400 connections, 80,000 a second. Once the starved agent takes slow answers for congestion and refuses, the refusals themselves fill its share of the processor.

Change: a connection on which further requests wait takes each such answer from the rate that was for those beyond 200 a second, 4,000 a second for each core. Clients that wait for their answers are not affected, whatever others do.

Test changed: TestUsualClientsDoNotRest demands as before that ten answers at once cost no rest beside a flood, now for clients with no further request waiting. For pipelined ones that was the fault: 400 connections with ten each are the crowd. In its place two tests: such a client does not rest alone, and for 0.25 s at most beside a flood; and 400 connections have 3,000 answers in their first second at most. Rest has a third argument.

--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -14,7 +14,8 @@
 	freeAnswers      = 10
 	answersPerSecond = 200
 
-	// All connections beyond that share sharedAnswersPerCore a second for each processor core.
+	// All connections beyond that, and all that have sent further requests before their answers, share sharedAnswersPerCore a second for each
+	// processor core.
 	sharedAnswersPerCore = 4000
 	minSharedAnswers     = 500
 
@@ -66,18 +67,20 @@
 }
 
 // Rest records that a request on the connection was answered without a server at the given time. It returns how long the connection rests
-// before the next one is read.
-func (t *Throttle) Rest(c *Connection, now time.Time) time.Duration {
+// before the next one is read. Pipelined is whether further requests wait on the connection.
+func (t *Throttle) Rest(c *Connection, now time.Time, pipelined bool) time.Duration {
 	const interval = time.Second / answersPerSecond
 	if c.paidUntil.Before(now) {
 		c.paidUntil = now
 	}
 	c.paidUntil = c.paidUntil.Add(interval)
-	own := c.paidUntil.Sub(now) - freeAnswers*interval
-	if own <= 0 {
+	own := max(0, c.paidUntil.Sub(now)-freeAnswers*interval)
+	if own == 0 && !pipelined {
 		return 0
 	}
 	rest := min(max(own, waitFor(t.shared, now, MaxRest)), MaxRest)
-	c.paidUntil = now.Add(rest + freeAnswers*interval) // resting earns no free answers
+	if rest > 0 {
+		c.paidUntil = now.Add(rest + freeAnswers*interval) // resting earns no free answers
+	}
 	return rest
 }
--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -7,25 +7,30 @@
 
 // sustained returns how many answers each of a number of connections gets in a second if all send at full speed.
 func sustained(t *Throttle, connections int) float64 {
-	const seconds, answersPerMillisecond = 10, 10 // at full speed
+	const seconds = 10
+	return float64(answersWithin(t, connections, seconds*time.Second)) / seconds / float64(connections)
+}
+
+// answersWithin returns how many answers a number of connections get in a time if all send at full speed.
+func answersWithin(t *Throttle, connections int, d time.Duration) (answers int) {
+	const answersPerMillisecond = 10 // of each connection, at full speed
 	start := time.Unix(1000, 0)
 	due, conns := make([]time.Time, connections), make([]Connection, connections)
 	for i := range due {
 		due[i] = start
 	}
-	answers := 0
-	for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(time.Millisecond) {
+	for now := start; now.Before(start.Add(d)); now = now.Add(time.Millisecond) {
 		for i := range due {
 			for range answersPerMillisecond {
 				if due[i].After(now) {
 					break
 				}
 				answers++
-				due[i] = now.Add(t.Rest(&conns[i], now))
+				due[i] = now.Add(t.Rest(&conns[i], now, true))
 			}
 		}
 	}
-	return float64(answers) / seconds / float64(connections)
+	return answers
 }
 
 func TestFloodsAreSlowedDown(t *testing.T) {
@@ -38,6 +43,37 @@
 	}
 }
 
+// Many connections that each send some requests at once have no more answers than the shared rate, and one for each rest.
+func TestCrowdsAreSlowedDownFromTheirFirstRequests(t *testing.T) {
+	const many, cores, span = 400, 0.25, time.Second
+	most := many + many*int(span/MaxRest) + int(sharedAnswersPerCore*cores*span.Seconds())
+	if answers := answersWithin(New(cores), many, span); answers > most {
+		t.Errorf("%d connections have %d answers in %v, and not %d at most", many, answers, span, most)
+	}
+}
+
+// A client that sends some requests at once rests for them only while others flood, and not for longer than the maximum.
+func TestSomeRequestsAtOnceRestOnlyBesideFloods(t *testing.T) {
+	all, some, now := New(0.25), Connection{}, time.Unix(1000, 0)
+	for range freeAnswers {
+		if d := all.Rest(&some, now, true); d != 0 {
+			t.Fatalf("alone: %v", d)
+		}
+	}
+	var flooding [100]Connection
+	for i := range flooding {
+		for range 100 {
+			all.Rest(&flooding[i], now, true)
+		}
+	}
+	var other Connection
+	for range freeAnswers {
+		if d := all.Rest(&other, now, true); d <= 0 || d > MaxRest {
+			t.Fatalf("beside a flood: %v", d)
+		}
+	}
+}
+
 // Some requests that can't be read are answered at once; many wait, and none for longer than the maximum.
 func TestUnsoundRequestsWait(t *testing.T) {
 	all, now := New(0.25), time.Unix(1000, 0)
@@ -63,16 +99,16 @@
 	all, flooding, usual := New(0.25), Connection{}, Connection{}
 	now := time.Unix(1000, 0)
 	for range 10_000 {
-		all.Rest(&flooding, now)
+		all.Rest(&flooding, now, true)
 	}
 	for range freeAnswers {
-		if d := all.Rest(&usual, now); d != 0 {
+		if d := all.Rest(&usual, now, false); d != 0 {
 			t.Fatalf("some requests at once: %v", d)
 		}
 	}
 	for range 1000 {
 		now = now.Add(time.Second / answersPerSecond)
-		if d := all.Rest(&usual, now); d != 0 {
+		if d := all.Rest(&usual, now, false); d != 0 {
 			t.Fatalf("with pauses: %v", d)
 		}
 	}
@@ -84,12 +120,12 @@
 	flooding := make([]Connection, 400)
 	for i := range flooding {
 		for range 2 * freeAnswers {
-			all.Rest(&flooding[i], now)
+			all.Rest(&flooding[i], now, true)
 		}
 	}
 	now = now.Add(MaxRest + 2*time.Millisecond)
 	next := Connection{paidUntil: now.Add(freeAnswers * time.Second / answersPerSecond)}
-	if own, rest := time.Second/answersPerSecond, all.Rest(&next, now); rest != own {
+	if own, rest := time.Second/answersPerSecond, all.Rest(&next, now, false); rest != own {
 		t.Errorf("a connection that is one answer ahead rests for %v, not %v", rest, own)
 	}
 }
--- a/internal/http/httpfront/front.go
+++ b/internal/http/httpfront/front.go
@@ -104,7 +104,8 @@
 
 // rest delays the next request on a connection if many were answered without a server. The current answer is flushed before.
 func (f *Front) rest(w http.ResponseWriter, in *http.Request) {
-	if d := f.throttle.Rest(&clientConnOf(in).throttled, time.Now()); d > 0 {
+	client := clientConnOf(in)
+	if d := f.throttle.Rest(&client.throttled, time.Now(), client.recorder.hasMore()); d > 0 {
 		http.NewResponseController(w).Flush()
 		f.core.CountRest()
 		time.Sleep(d)
