Waits for room, delays of unsound requests and checks of memory are one function each

Three places made a context for a time to wait for room of the budget, two dropped what is recorded of a request that can't be read and slept, parse looked its connection up three times, a list was shifted by hand, every open connection of a server was polled under a lock before its state had been asked, and six tests had the check of memory.

Change: Budget.WaitFor, recordingConn.delayUnsound, checkMemory; slices.Delete in choice; identities.isCertain asks the state first.

--- a/choice/stall.go
+++ b/choice/stall.go
@@ -1,6 +1,9 @@
 package choice
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxStalls is the maximum number of stalls that are remembered.
 const maxStalls = 16
@@ -19,7 +22,7 @@
 		return
 	}
 	if len(b.stalls) == maxStalls {
-		b.stalls = b.stalls[:copy(b.stalls, b.stalls[1:])]
+		b.stalls = slices.Delete(b.stalls, 0, 1)
 	}
 	b.stalls = append(b.stalls, stall{b.now, overdue})
 	b.nextTick = b.now
--- a/cmd/ternbeam/crowd_test.go
+++ b/cmd/ternbeam/crowd_test.go
@@ -55,6 +55,15 @@
 	return bytes << 10, err
 }
 
+// checkMemory checks the most memory that an agent had against its limit.
+func checkMemory(t *testing.T, peakBytes int64, limitMB int) {
+	t.Helper()
+	t.Logf("at most %.1f of %d MB", float64(peakBytes)/(1<<20), limitMB)
+	if peakBytes == 0 || peakBytes > int64(limitMB)<<20 {
+		t.Errorf("the agent had up to %.1f MB of %d", float64(peakBytes)/(1<<20), limitMB)
+	}
+}
+
 // watchPeakMemory reads the largest resident set of a process until that ends. The returned function returns the last value, 0 if there was none.
 func watchPeakMemory(pid int) (end func() (bytes int64)) {
 	const interval = 10 * time.Millisecond
@@ -350,9 +359,5 @@
 	end := runUsualClients(t, listen, 2500*time.Millisecond)
 	m.run(listen, crowdSize, 3*time.Second)
 	end()
-	peak := peakMemory(t, p.cmd.Process.Pid)
-	t.Logf("at most %.1f of %d MB", float64(peak)/(1<<20), memoryMB)
-	if peak > int64(memoryMB)<<20 {
-		t.Errorf("the process had up to %.1f MB of %d", float64(peak)/(1<<20), memoryMB)
-	}
+	checkMemory(t, peakMemory(t, p.cmd.Process.Pid), memoryMB)
 }
--- a/cmd/ternbeam/flood_test.go
+++ b/cmd/ternbeam/flood_test.go
@@ -101,9 +101,7 @@
 			if usual.refused > usual.served/10 {
 				t.Errorf("%d requests of usual clients were served, and %d refused", usual.served, usual.refused)
 			}
-			if peak := peakMemory(t, p.cmd.Process.Pid); peak > memoryMB<<20 {
-				t.Errorf("the process had up to %.1f MB of %d", float64(peak)/(1<<20), memoryMB)
-			}
+			checkMemory(t, peakMemory(t, p.cmd.Process.Pid), memoryMB)
 		})
 	}
 }
@@ -122,9 +120,5 @@
 		holdOpen(c, ended)
 	}}.run(listen, crowdSize, 3*time.Second)
 	end()
-	peak := peakMemory(t, p.cmd.Process.Pid)
-	t.Logf("at most %.1f of %d MB", float64(peak)/(1<<20), memoryMB)
-	if peak > memoryMB<<20 {
-		t.Errorf("the process had up to %.1f MB of %d", float64(peak)/(1<<20), memoryMB)
-	}
+	checkMemory(t, peakMemory(t, p.cmd.Process.Pid), memoryMB)
 }
--- a/cmd/ternbeam/randomcrowds_test.go
+++ b/cmd/ternbeam/randomcrowds_test.go
@@ -84,11 +84,7 @@
 	endUsual()
 	p.awaitExit(t, time.Until(killAt))
 	wait.Wait()
-	peak := endWatch()
-	t.Logf("at most %.1f of %d MB", float64(peak)/(1<<20), r.memoryMB)
-	if peak == 0 || peak > int64(r.memoryMB)<<20 {
-		t.Errorf("the process had up to %.1f MB of %d", float64(peak)/(1<<20), r.memoryMB)
-	}
+	checkMemory(t, endWatch(), r.memoryMB)
 	if t.Failed() {
 		t.Log(p.log)
 	}
--- a/cmd/ternbeam/thriftcrowd_test.go
+++ b/cmd/ternbeam/thriftcrowd_test.go
@@ -62,9 +62,5 @@
 	}
 	<-crowdEnded
 	p.cmd.Process.Kill()
-	peak := endWatch()
-	t.Logf("at most %.1f of %d MB", float64(peak)/(1<<20), memoryMB)
-	if peak == 0 || peak > memoryMB<<20 {
-		t.Errorf("the process had up to %.1f MB of %d", float64(peak)/(1<<20), memoryMB)
-	}
+	checkMemory(t, endWatch(), memoryMB)
 }
--- a/cmd/ternbeam/upgradecrowd_test.go
+++ b/cmd/ternbeam/upgradecrowd_test.go
@@ -95,11 +95,7 @@
 	old.awaitExit(t, killDelay(longestDeadline))
 	wait.Wait()
 	endUsual()
-	peak := endWatch()
-	t.Logf("at most %.1f of %d MB", float64(peak)/(1<<20), memoryMB)
-	if peak > memoryMB<<20 {
-		t.Errorf("the processes had up to %.1f MB of %d", float64(peak)/(1<<20), memoryMB)
-	}
+	checkMemory(t, endWatch(), memoryMB)
 	if t.Failed() {
 		t.Logf("%s\n%s", old.log, next.log)
 	}
--- a/internal/host/membudget/membudget.go
+++ b/internal/host/membudget/membudget.go
@@ -7,6 +7,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -71,6 +72,13 @@
 	return b.reserved(bytes), nil
 }
 
+// WaitFor is like Wait, and waits for the given time at most.
+func (b *Budget) WaitFor(bytes int64, atMost time.Duration) (*Reservation, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), atMost)
+	defer cancel()
+	return b.Wait(ctx, bytes)
+}
+
 func (b *Budget) reserved(bytes int64) *Reservation {
 	used := b.stats.used.Add(bytes)
 	for peak := b.stats.peak.Load(); used > peak && !b.stats.peak.CompareAndSwap(peak, used); {
--- a/internal/host/pool/identity.go
+++ b/internal/host/pool/identity.go
@@ -76,7 +76,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	known := i.servers[s]
-	if known == nil {
+	if known == nil || known.state.IsCertain(now, nil) { // whatever its connections tell
 		return true
 	}
 	var opened []time.Duration
--- a/internal/http/httpfront/headlimit.go
+++ b/internal/http/httpfront/headlimit.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -63,10 +62,3 @@
 
 // needsRoom reports whether room is needed before more of the head is read.
 func (h *headLimit) needsRoom() bool { return !h.ended && h.bytes >= freeHeadBytes && h.room == nil }
-
-// waitForHeadRoom reserves memory for a large head.
-func waitForHeadRoom(budget *membudget.Budget) (*membudget.Reservation, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), headRoomTimeout)
-	defer cancel()
-	return budget.Wait(ctx, headRoomBytes)
-}
--- a/internal/http/httpfront/linger.go
+++ b/internal/http/httpfront/linger.go
@@ -54,8 +54,7 @@
 
 // answerUnsound answers a request that can't be read, and ends its connection. Where there are many the answer waits.
 func (f *Front) answerUnsound(w http.ResponseWriter, in *http.Request, status int, text string) {
-	clientConnOf(in).recorder.dropRecorded()
-	time.Sleep(f.throttle.Unsound(time.Now()))
+	clientConnOf(in).recorder.delayUnsound()
 	f.answerUnread(w, in, status, text)
 }
 
--- a/internal/http/httpfront/memory.go
+++ b/internal/http/httpfront/memory.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"context"
 	"time"
 
 	"ternbeam/internal/host/membudget"
@@ -36,9 +35,7 @@
 	if bytes == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), min(roomTimeout, clientWait))
-	defer cancel()
-	room, err := budget.Wait(ctx, bytes)
+	room, err := budget.WaitFor(bytes, min(roomTimeout, clientWait))
 	if err == nil {
 		c.room = append(c.room, room)
 	}
--- a/internal/http/httpfront/parse.go
+++ b/internal/http/httpfront/parse.go
@@ -47,13 +47,13 @@
 	if err := client.reserve(f.openRequests, config.OpenRequestBytes, wait); err != nil {
 		return call, nil, err
 	}
-	clientConnOf(in).recorder.bodyBegins()
+	client.recorder.bodyBegins()
 	body, err := f.readBody(in, w, call)
 	if err != nil {
 		return nil, nil, err
 	}
-	wait = max(0, wait-clientConnOf(in).recorder.sinceArrival()) // the client counts from when it sent the request
-	call.Deadline = f.core.Now() + wait                          // counted from the last byte
+	wait = max(0, wait-client.recorder.sinceArrival()) // the client counts from when it sent the request
+	call.Deadline = f.core.Now() + wait                // counted from the last byte
 	if call.BodyPending {
 		body.startClock(f.core.Now(), wait)
 		call.Deadline += body.maxReadTime()
--- a/internal/http/httpfront/recordingconn.go
+++ b/internal/http/httpfront/recordingconn.go
@@ -69,8 +69,7 @@
 	}
 	started, tooLarge := c.record(p[:n])
 	if tooLarge != nil {
-		c.dropRecorded()
-		time.Sleep(c.throttle.Unsound(time.Now()))
+		c.delayUnsound()
 		return 0, c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
 	}
 	if started {
@@ -89,6 +88,12 @@
 	return io.EOF
 }
 
+// delayUnsound frees what is recorded of a request that can't be read, and waits until it may be answered.
+func (c *recordingConn) delayUnsound() {
+	c.dropRecorded()
+	time.Sleep(c.throttle.Unsound(time.Now()))
+}
+
 // Close implements net.Conn. A connection whose request was answered before it was read lingers.
 func (c *recordingConn) Close() error {
 	c.dropRecorded()
@@ -125,7 +130,7 @@
 	if !needed {
 		return nil
 	}
-	room, err := waitForHeadRoom(c.budget)
+	room, err := c.budget.WaitFor(headRoomBytes, headRoomTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/thrift/thriftfront/client.go
+++ b/internal/thrift/thriftfront/client.go
@@ -1,7 +1,6 @@
 package thriftfront
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -426,10 +425,8 @@
 	if bytes <= freeFrameBytes {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), frameRoomTimeout)
-	defer cancel()
 	budget := c.front.tracker.Budget()
-	c.room, err = budget.Wait(ctx, min(frameCopies*int64(bytes), budget.Size()))
+	c.room, err = budget.WaitFor(min(frameCopies*int64(bytes), budget.Size()), frameRoomTimeout)
 	return err
 }
 
