--- a/review/standin-2/main_test.go
+++ b/review/standin-2/main_test.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -88,10 +89,16 @@
 			code = 2
 		}
 	}()
-	go func() {
-		time.Sleep(112 * time.Second)
+	go func() { // no process is left behind when the run takes too long or is told to end
+		told := make(chan os.Signal, 1)
+		signal.Notify(told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+		select {
+		case <-told:
+		case <-time.After(112 * time.Second):
+		}
+		w.mu.Lock()
 		for _, a := range w.agents {
-			a.kill()
+			a.cmd.Process.Kill()
 		}
 		os.Exit(2)
 	}()
