--- a/review/standin-2/cells_test.go
+++ b/review/standin-2/cells_test.go
@@ -51,7 +51,7 @@
 	}
 	d := w.newDirectory("A", 41, entries[:4]...)
 	p := platform{name: "n0", listen: freePort(), discovery: d.addr, known: d.full()}
-	a := w.start(p.name, p, p.config(w), "run --sources "+w.sources(servers), w.folder)
+	a := w.start(p.name, p, p.config(w), "run --sources "+w.sources(servers))
 	if !a.ready(30 * time.Second) {
 		panic(cannotRun{"the agent is not ready"})
 	}
--- a/review/standin-2/crowded_test.go
+++ b/review/standin-2/crowded_test.go
@@ -25,7 +25,7 @@
 	defer stop()
 	for i := range agents {
 		p := platform{name: fmt.Sprintf("n%d", i), listen: freePort(), discovery: d.addr, asked: true, known: d.full(), me: i, agents: agents}
-		a := w.start(p.name, p, p.config(w), "", w.folder)
+		a := w.start(p.name, p, p.config(w), "")
 		if !a.ready(30 * time.Second) {
 			panic(cannotRun{a.what + " is not ready"})
 		}
--- a/review/standin-2/main_test.go
+++ b/review/standin-2/main_test.go
@@ -156,16 +156,20 @@
 	cell     int
 	took     time.Duration
 	handler  func(s *server, rw http.ResponseWriter, r *http.Request) bool // reports whether it has answered; may be nil
+	http     *http.Server
 
 	mu       sync.Mutex
 	arrivals []arrival
 }
 
-func (w *world) newServer(id string, cell int) *server {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (w *world) newServer(id string, cell int) *server { return w.newServerAt("127.0.0.1:0", id, cell) }
+
+func (w *world) newServerAt(addr, id string, cell int) *server {
+	l, err := net.Listen("tcp", addr)
 	must(err)
 	s := &server{w: w, id: id, addr: l.Addr().String(), cell: cell, took: 20 * time.Millisecond}
-	go http.Serve(l, s)
+	s.http = &http.Server{Handler: s}
+	go s.http.Serve(l)
 	w.servers = append(w.servers, s)
 	return s
 }
@@ -432,7 +436,9 @@
 }
 
 // start starts the program by the command of the deploy file, with options where a case needs a part that is off in it.
-func (w *world) start(what string, p platform, config, options, tmp string) *agent {
+func (w *world) start(what string, p platform, config, options string) *agent {
+	tmp := filepath.Join(w.folder, "tmp-"+p.name) // the two processes of an upgrade share it
+	must(os.MkdirAll(tmp, 0o755))
 	a := &agent{w: w, what: what, listen: p.listen, ops: p.ops, ended: make(chan struct{})}
 	a.cmd = exec.Command("/bin/sh", "-c", strings.TrimSpace("exec bin/ternbeam "+options))
 	a.cmd.Env = append(os.Environ(), "NODE_CONFIG="+config, "NODE_NAME="+p.name, "NODE_LISTEN="+p.listen, "NODE_DISCOVERY="+p.discovery, "TMPDIR="+tmp)
--- a/review/standin-2/sources_test.go
+++ b/review/standin-2/sources_test.go
@@ -63,7 +63,7 @@
 	a, b := w.newDirectory("A", 41, entries...), w.newDirectory("B", 41, entries...)
 	p := platform{name: "n0", listen: freePort(), discovery: a.addr, known: a.full()}
 	config := p.config(w)
-	first := w.start(p.name, p, config, "run --sources "+w.sources(servers), w.folder)
+	first := w.start(p.name, p, config, "run --sources "+w.sources(servers))
 	if !first.ready(30 * time.Second) {
 		panic(cannotRun{"the agent is not ready"})
 	}
@@ -108,7 +108,7 @@
 	d := w.newDirectory("A", 41, entries...)
 	p := platform{name: "n0", listen: freePort(), discovery: d.addr, known: d.full(), ops: freePort()}
 	config, options := p.config(w), "run --sources "+w.sources(servers)
-	old := w.start("n0-old", p, config, options, w.folder)
+	old := w.start("n0-old", p, config, options)
 	if !old.ready(30 * time.Second) {
 		panic(cannotRun{"the agent is not ready"})
 	}
@@ -127,7 +127,7 @@
 	if w.trouble {
 		next := p
 		next.ops = freePort()
-		fresh := w.start("n0-new", next, config, options, w.folder)
+		fresh := w.start("n0-new", next, config, options)
 		if !fresh.ready(6 * time.Second) {
 			panic(cannotRun{"the new process says no yes within 6 s"})
 		}
@@ -164,7 +164,7 @@
 	d := w.newDirectory("A", 41, entries...)
 	p := platform{name: "n0", listen: freePort(), discovery: d.addr, known: d.full()}
 	file, names := w.sourcesWithTTL(servers, 3)
-	first := w.start(p.name, p, p.config(w), "run --sources "+file, w.folder)
+	first := w.start(p.name, p, p.config(w), "run --sources "+file)
 	if !first.ready(30 * time.Second) {
 		panic(cannotRun{"the agent is not ready"})
 	}
