A keyed request is not sent again where zone or cell are unknown

Cause: choice.Server had no way to say that nobody has stated its zone or cell.

Change: ZoneUnknown and CellUnknown, set where the merged list and the entries of lists are converted. maySend matches unknown groups with nothing. The explorer has a world whose servers come from a list and SRV records.

Cost: where SRV records are the only source, keyed requests of a zone or cell are not sent again.

--- a/choice/api.go
+++ b/choice/api.go
@@ -118,6 +118,9 @@
 	Started    time.Duration // time of its latest start, on the clock of the events; 0 if long ago
 	Protocols  Protocols     // protocols that the server speaks, and its other capabilities
 	SubsetRank float64       // rank of this balancer among all at the server, in [0, 1); see package subset
+
+	// No source states the zone or the cell, which is a placeholder: the server is not known to share it with any other.
+	ZoneUnknown, CellUnknown bool
 }
 
 // Report is the load that a server reports about itself. A negative figure means that it is not stated.
--- a/choice/check_test.go
+++ b/choice/check_test.go
@@ -42,8 +42,7 @@
 
 type worldAttempt struct {
 	server   *worldServer
-	zone     int
-	cell     int
+	from     Server // as it was at the send
 	sentAt   time.Duration
 	inFlight bool
 	neverRan bool
@@ -138,8 +137,8 @@
 		switch {
 		case c.Effect == Unsafe:
 			w.addFault("an unsafe request is repeated")
-		case c.Effect == Keyed && c.DedupScope == DedupZone && p.zone != s.Zone,
-			c.Effect == Keyed && c.DedupScope == DedupCell && p.cell != s.Cell:
+		case c.Effect == Keyed && c.DedupScope == DedupZone && (p.from.Zone != s.Zone || p.from.ZoneUnknown || s.ZoneUnknown),
+			c.Effect == Keyed && c.DedupScope == DedupCell && (p.from.Cell != s.Cell || p.from.CellUnknown || s.CellUnknown):
 			w.addFault("a keyed request is sent outside its deduplication scope")
 		}
 	}
@@ -151,7 +150,7 @@
 	}
 	// Outcomes arrive early, late or not before the deadline, with results of every kind.
 	results := []Result{OK, OK, OK, OK, OK, Failed, Rejected, TimedOut, ConnectFailed, Reset}
-	p := worldAttempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: w.now, inFlight: true,
+	p := worldAttempt{server: s, from: s.Server, sentAt: w.now, inFlight: true,
 		result: results[w.rng.IntN(len(results))]}
 	p.endsAt = w.now + time.Duration(w.rng.ExpFloat64()*float64(c.Aim)/3) + time.Millisecond
 	if p.endsAt > r.Deadline {
@@ -286,7 +285,7 @@
 func (w *world) churn() Event {
 	if len(w.ids) < 3 || w.rng.Float64() < 0.3 {
 		s := &worldServer{Server: Server{ID: fmt.Sprint("s", len(w.ids)), Zone: w.rng.IntN(2), Cell: w.rng.IntN(3),
-			Weight: 1 + w.rng.Float64(), Started: w.now}}
+			ZoneUnknown: len(w.ids)%5 == 3, CellUnknown: len(w.ids)%5 == 4, Weight: 1 + w.rng.Float64(), Started: w.now}}
 		w.servers[s.ID] = s
 		w.ids = append(w.ids, s.ID)
 		return ServerList{Servers: []Server{s.Server}}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -502,9 +502,9 @@
 	case c.Effect == Unsafe || b.now+b.windowMargin()-first.sent >= c.DedupWindow:
 		return false
 	case c.DedupScope == DedupZone:
-		return s.Zone == first.zone
+		return s.Zone == first.zone && !s.ZoneUnknown && !first.zoneUnknown
 	case c.DedupScope == DedupCell:
-		return s.Cell == first.cell
+		return s.Cell == first.cell && !s.CellUnknown && !first.cellUnknown
 	}
 	return true
 }
@@ -549,8 +549,8 @@
 	s.coldAllowance--
 	s.probedInFlight++
 	first, reason := r.firstPossiblyRun(), r.sendReason()
-	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, index: len(r.attempts), sent: b.now,
-		inFlight: true}
+	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, zoneUnknown: s.ZoneUnknown, cellUnknown: s.CellUnknown,
+		index: len(r.attempts), sent: b.now, inFlight: true}
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
 	s.inFlight = append(s.inFlight, a)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -358,6 +358,38 @@
 	}
 }
 
+// Guards against a keyed request that is sent again to a server whose zone or cell no source states, or after it may have run at such a server.
+func TestKeyedRequestIsNotSentAgainWhereTheGroupIsUnknown(t *testing.T) {
+	for _, c := range []struct {
+		scope     DedupScope
+		unknown   Server // what is not known of s0
+		sentAgain bool
+	}{{DedupCell, Server{}, true}, {DedupCell, Server{CellUnknown: true}, false}, {DedupCell, Server{ZoneUnknown: true}, true},
+		{DedupZone, Server{}, true}, {DedupZone, Server{ZoneUnknown: true}, false}, {DedupAll, Server{ZoneUnknown: true, CellUnknown: true}, true}} {
+		settings := testSettings()
+		settings.Classes[2].DedupScope = c.scope
+		h := newHarness(t, settings, 1, 1) // both in zone 0 and cell 0
+		h.Handle(h.at, ServerList{Servers: []Server{{ID: "s0", Weight: 1, ZoneUnknown: c.unknown.ZoneUnknown, CellUnknown: c.unknown.CellUnknown}}})
+		sentAgain := map[bool]int{} // to the other server, by whether the first attempt was at s0
+		for range 40 {
+			id, to := h.request(2)
+			for _, a := range h.endAttempt(id, to, 0, Reset, NoReport) {
+				if a.Kind == Send {
+					if a.Server != to {
+						sentAgain[to == "s0"]++
+					}
+					h.endAttempt(id, a.Server, 1, OK, NoReport)
+				}
+			}
+			other, to := h.request(0) // an answer returns what the retry has taken from the budget
+			h.endAttempt(other, to, 0, OK, NoReport)
+		}
+		if c.sentAgain != (sentAgain[true] > 0) || c.sentAgain != (sentAgain[false] > 0) {
+			t.Errorf("scope %d, s0 %+v: sent again %v, want %t", c.scope, c.unknown, sentAgain, c.sentAgain)
+		}
+	}
+}
+
 func TestKeyedRetryStaysInCell(t *testing.T) {
 	h := newHarness(t, testSettings(), 1, 1, 1, 1)
 	for range 30 {
--- a/choice/explore.go
+++ b/choice/explore.go
@@ -40,11 +40,7 @@
 // too, act alike from then on, whatever happened before.
 func (b *Balancer) Fingerprint(dst []byte) []byte {
 	num := func(all ...float64) { dst = appendNumbers(dst, all) }
-	flags := func(all ...bool) {
-		for _, x := range all {
-			dst = append(dst, map[bool]byte{true: 1}[x])
-		}
-	}
+	flags := func(all ...bool) { dst = appendFlags(dst, all) }
 	text := func(s string) { dst = append(append(dst, s...), 0) }
 	num(b.meanLatency...)
 	num(b.minLatency...)
@@ -80,12 +76,20 @@
 		for _, a := range r.attempts {
 			server(a.srv)
 			num(float64(a.sent), float64(a.zone), float64(a.cell))
-			flags(a.inFlight, a.neverRan, a.canceledAsSilent)
+			flags(a.inFlight, a.neverRan, a.canceledAsSilent, a.zoneUnknown, a.cellUnknown)
 		}
 	}
 	return dst
 }
 
+// appendFlags appends a byte for each flag.
+func appendFlags(dst []byte, all []bool) []byte {
+	for _, x := range all {
+		dst = append(dst, map[bool]byte{true: 1}[x])
+	}
+	return dst
+}
+
 // Remaining describes which events may still happen to a Balancer in a model checker.
 type Remaining struct {
 	Now          time.Duration
@@ -161,6 +165,7 @@
 			}
 			if attemptsLeft(r) > 0 && r.class.Effect == Keyed {
 				num(float64(a.sent), float64(a.zone), float64(a.cell))
+				dst = appendFlags(dst, []bool{a.zoneUnknown, a.cellUnknown})
 			}
 		}
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -94,7 +94,9 @@
 type attempt struct {
 	req              *request
 	srv              *server
-	zone, cell       int           // of the server at the send; a process that takes its place may have others
+	zone, cell       int  // of the server at the send; a process that takes its place may have others
+	zoneUnknown      bool // no zone or cell was known then
+	cellUnknown      bool
 	index            int           // in the attempts of the request
 	sent             time.Duration // time of the send or, if later, of the request's last byte
 	inFlight         bool
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -74,6 +74,7 @@
 	Weight      float64 // 0 is a valid weight
 	HasDetails  bool    // the fields below are set
 	Zone        int
+	ZoneUnknown bool // Zone is a placeholder
 	Cell        int
 	Started     time.Duration
 	Speaks      choice.Protocols
@@ -85,7 +86,7 @@
 func (c *Claim) equal(o *Claim) bool {
 	return slices.Equal(c.Addrs, o.Addrs) && slices.Equal(c.Shapes, o.Shapes) && c.Key == o.Key && c.ID == o.ID &&
 		c.State == o.State && c.HasTier == o.HasTier && c.Tier == o.Tier && c.Weight == o.Weight && c.HasDetails == o.HasDetails &&
-		c.Zone == o.Zone && c.Cell == o.Cell && c.Started == o.Started && c.Speaks == o.Speaks && c.Multiplexed == o.Multiplexed
+		c.Zone == o.Zone && c.ZoneUnknown == o.ZoneUnknown && c.Cell == o.Cell && c.Started == o.Started && c.Speaks == o.Speaks && c.Multiplexed == o.Multiplexed
 }
 
 // Report is one update from a source.
@@ -580,11 +581,12 @@
 	}
 	for _, c := range m.claims {
 		if c.HasDetails && !c.withdrawn {
-			e.Zone, e.Cell, e.Started, e.Protocols, e.Multiplexed, e.Shapes = c.Zone, c.Cell, c.Started, c.Speaks, c.Multiplexed, c.Shapes
+			e.Zone, e.ZoneUnknown, e.Cell = c.Zone, c.ZoneUnknown, c.Cell
+			e.Started, e.Protocols, e.Multiplexed, e.Shapes = c.Started, c.Speaks, c.Multiplexed, c.Shapes
 			return e
 		}
 	}
-	e.Protocols = first.Speaks
+	e.Protocols, e.ZoneUnknown, e.CellUnknown = first.Speaks, true, true
 	return e
 }
 
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -208,6 +208,31 @@
 	}
 }
 
+// Guards against a server that counts as a member of a zone and a cell that no source has stated.
+func TestZoneAndCellAreUnknownUntilStated(t *testing.T) {
+	b := newHarness()
+	unknown := func(id string) (zone, cell bool) { return b.published[id].ZoneUnknown, b.published[id].CellUnknown }
+	b.report(list, true, 1, listClaim(0, func(c *Claim) { c.Cell = 3 }), listClaim(1, func(c *Claim) { c.ZoneUnknown = true }))
+	b.report(srv, true, 0, claims(srvClaim, 3)...)
+	var srvOnly string
+	for id := range b.published {
+		if id != "s0" && id != "s1" {
+			srvOnly = id
+		}
+	}
+	for id, want := range map[string][2]bool{"s0": {false, false}, "s1": {true, false}, srvOnly: {true, true}} {
+		if zone, cell := unknown(id); zone != want[0] || cell != want[1] {
+			t.Errorf("%s: zone unknown %t, cell unknown %t, want %v", id, zone, cell, want)
+		}
+	}
+	b.report(list, false, 2, listClaim(2, func(c *Claim) { c.Cell = 4 }))
+	for id, e := range b.published {
+		if id != "s1" && (e.ZoneUnknown || e.CellUnknown) {
+			t.Errorf("after the list names it: %s %+v", id, e)
+		}
+	}
+}
+
 // Each fact comes from the first source that states it, and several keys of one server are one server.
 func TestFacts(t *testing.T) {
 	b := newHarness()
@@ -502,11 +527,12 @@
 		{"several names of one server become several servers", "return m\n\t\t}\n\t}\n\treturn nil", "return nil\n\t\t}\n\t}\n\treturn nil"},
 		{"a server is removed with the first of its names", "if !m.namedBy(c.source) {", "if true {"},
 		{"a drain is forgotten when its source is lost", "case c.State == choice.Draining:\n\t\t\tdraining = c", "case c.State == choice.Draining && !c.source.expired:\n\t\t\tdraining = c"},
+		{"a server that only SRV records list is of cell 0", "first.Speaks, true, true", "first.Speaks, true, false"},
 	} {
 		t.Run(bug.name, func(t *testing.T) {
 			t.Parallel()
 			overlay := testkit.Overlay(t, "internal/decide/membership/membership.go", bug.old, bug.new)
-			out, err := testkit.GoTest(t, overlay, "./internal/decide/membership", "^(TestRules|TestFacts|TestWalks|TestListAlone)$")
+			out, err := testkit.GoTest(t, overlay, "./internal/decide/membership", "^(TestRules|TestFacts|TestZoneAndCellAreUnknownUntilStated|TestWalks|TestListAlone)$")
 			if err == nil || strings.Contains(out, "[build failed]") {
 				t.Errorf("no test failed with this bug:\n%s", out)
 			}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -119,6 +119,10 @@
 	if err != nil || got != want {
 		t.Errorf("%+v, %v", got, err)
 	}
+	good.Zone = "c"
+	if got, err := good.Server([]string{"a", "b"}); err != nil || !got.ZoneUnknown || got.CellUnknown {
+		t.Errorf("in a zone that is not configured: %+v, %v", got, err)
+	}
 	for _, spoil := range []func(*Entry){func(e *Entry) { e.State = "odd" }, func(e *Entry) { e.Addr = "x" },
 		func(e *Entry) { e.Protocol = "x" }, func(e *Entry) { e.Multiplexed = true }} {
 		e := good
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -85,7 +85,8 @@
 	if e.Multiplexed && speaks&protocol.HTTP != 0 {
 		return choice.Server{}, fmt.Errorf("backend %q: HTTP/1.1 is not multiplexed", e.ID)
 	}
-	return choice.Server{Protocols: speaks, Zone: max(slices.Index(zones, e.Zone), 0), Cell: e.Cell,
+	zone := slices.Index(zones, e.Zone)
+	return choice.Server{Protocols: speaks, Zone: max(zone, 0), ZoneUnknown: zone < 0, Cell: e.Cell,
 		Weight: e.Weight, Started: time.Duration(e.StartedMS) * time.Millisecond}, nil
 }
 
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -151,7 +151,7 @@
 			addrs = []string{e.Addr}
 		}
 		r.Claims = append(r.Claims, membership.Claim{Key: s.ID, ID: s.ID, Addrs: addrs, State: s.State, Weight: s.Weight, HasDetails: true,
-			Zone: s.Zone, Cell: s.Cell, Started: s.Started, Speaks: s.Protocols, Multiplexed: e.Multiplexed, Shapes: e.Shapes})
+			Zone: s.Zone, ZoneUnknown: s.ZoneUnknown, Cell: s.Cell, Started: s.Started, Speaks: s.Protocols, Multiplexed: e.Multiplexed, Shapes: e.Shapes})
 	}
 	return r
 }
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -47,6 +47,8 @@
 	{"list's word undoes the operators'", "internal/decide/calltrack/tracker.go", "\t\te.Server = t.overrides.Apply(e.Server)\n", "\t\tif len(entries) == 0 || !t.overrides.IsOffline(e.ID) || full || e.Started != 0 {\n\t\t\te.Server = t.overrides.Apply(e.Server)\n\t\t}\n", "by-hand"},
 	{"answer that has begun comes after another", "internal/decide/calltrack/streamed.go", "\tif call.Finished() {", "\tif false {", "passing"},
 	{"answer that has begun is not counted to its end", "internal/decide/calltrack/streamed.go", "\tt.relaying--\n", "", "passing"},
+	{"cell of a server that only SRV records list is taken for 0", "internal/decide/membership/membership.go", "first.Speaks, true, true", "first.Speaks, true, false", "sources"},
+	{"unknown cell not looked at", "choice/choice.go", " && !s.CellUnknown && !first.cellUnknown", "", "sources"},
 	{"answered after its client left", "internal/decide/calltrack/tracker.go", "\tt.stats.Disconnected++\n\tt.markClosed(call)\n", "\tt.stats.Disconnected++\n", "unsafe"},
 }
 
--- a/internal/lab/explore/trace.go
+++ b/internal/lab/explore/trace.go
@@ -133,6 +133,9 @@
 			return fmt.Errorf("%d %s: must be 1 to 8", n, name)
 		}
 	}
+	if c.Unlisted < 0 || c.Unlisted > c.Servers || c.Unlisted > 0 && c.Lists > 0 {
+		return fmt.Errorf("%d unlisted servers: at most all, and without changes of the list", c.Unlisted)
+	}
 	for _, e := range c.Calls {
 		if e < choice.Safe || e > choice.Unsafe {
 			return fmt.Errorf("effect %d: must be 0 to 2", e)
@@ -169,5 +172,6 @@
 	"back":        {Servers: 1, Calls: []choice.Effect{choice.Safe, choice.Unsafe}, Attempts: 1, Places: 1, Words: 2, Cells: 1},
 	"passing":     {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Leaves: 1, Lists: 1, Cells: 1, Streams: true},
 	"two-passing": {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 1, Past: LostCalls, Streams: true},
+	"sources":     {Servers: 3, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Unlisted: 2},
 	"late":        {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Leaves: 1, Cells: 1, Past: LostCalls},
 }
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -9,12 +9,14 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/calltrack"
 	"ternbeam/internal/decide/lifecycle"
+	"ternbeam/internal/decide/membership"
 )
 
 // Config sets the size of the world and the events that may happen in it.
@@ -32,6 +34,7 @@
 	Past     Past            `json:",omitempty"`
 	Races    bool            `json:",omitempty"` // each server has two addresses
 	Lines    bool            `json:",omitempty"` // connections are multiplexed: each carries several calls at a time
+	Unlisted int             `json:",omitempty"` // number of servers, the last ones, that only SRV records name; then Lists is 0
 	Plain    bool            `json:",omitempty"` // no reduction: independent steps are tried in every order, too
 }
 
@@ -237,6 +240,9 @@
 		w.offline, w.offlineRestarts = append(w.offline, false), append(w.offlineRestarts, 0)
 		entries = append(entries, w.listEntry(i))
 	}
+	if cfg.Unlisted > 0 {
+		entries = w.mergeSources(cfg.Unlisted)
+	}
 	if cfg.Past != NoPast {
 		w.now = startTime - time.Second // from then on health is evaluated every 50 ms
 	}
@@ -256,6 +262,29 @@
 	return w
 }
 
+// mergeSources returns the servers as the agent merges them from a list, which lacks the last ones, and SRV records, which name all. The world
+// takes over the ids that it gives to those.
+func (w *world) mergeSources(unlisted int) (entries []calltrack.Entry) {
+	set := membership.Defaults
+	set.Sources = []membership.Source{{Name: "list", RemoveAbsent: true}, {Name: "srv", RemoveAbsent: true}}
+	list, records := membership.Report{Source: 0, Full: true, Version: 1}, membership.Report{Source: 1, Full: true}
+	for i, s := range w.servers {
+		addr := w.listEntry(i).Addr
+		records.Claims = append(records.Claims, membership.Claim{Key: fmt.Sprint("record ", i), Addrs: []string{addr}, Weight: 1})
+		if i < len(w.servers)-unlisted {
+			list.Claims = append(list.Claims, membership.Claim{Key: s.ID, ID: s.ID, Addrs: []string{addr}, Weight: 1, HasDetails: true, Cell: s.Cell})
+		}
+	}
+	members := membership.New(set)
+	entries = append(entries, members.Report(w.now, list)...)
+	entries = append(entries, members.Report(w.now, records)...)
+	for _, e := range entries {
+		i := slices.IndexFunc(w.servers, func(s choice.Server) bool { return strings.HasPrefix(e.Addr, s.ID+" at ") })
+		w.servers[i].ID = e.ID
+	}
+	return entries
+}
+
 // trackerSettings returns the settings of the call tracker.
 func (w *world) trackerSettings() calltrack.Settings {
 	return calltrack.Settings{MaxAttempts: w.cfg.Attempts, HasTransport: func(choice.Protocols) bool { return true },
