Keyed requests of a group go only to processes the list is known to name

Change: a process is known once connections have shown it for 3 s before the latest time for which the list is known (discovery.Freshness). Two listed servers at one address are both in doubt. All attempts of a keyed request with a group pass Attempt.BeginInGroup right before they are written, in the order in which they are. The parity test's servers count as known at once; a new test has the same fault while they are not.

--- a/choice/api.go
+++ b/choice/api.go
@@ -119,7 +119,7 @@
 	Protocols  Protocols     // protocols that the server speaks, and its other capabilities
 	SubsetRank float64       // rank of this balancer among all at the server, in [0, 1); see package subset
 
-	// No source states the zone or the cell, which is a placeholder: the server is not known to share it with any other.
+	// No source states the zone or the cell, which is a placeholder: the server is not known to share it.
 	ZoneUnknown, CellUnknown bool
 }
 
@@ -256,7 +256,7 @@
 	Token      uint64
 	Reason     Reason // why, for logs and metrics
 	Last       bool   // of a Send: once it may have run, no other attempt can follow
-	GroupBound bool   // of a Send: it may have run, and no process outside the server's group may get it
+	GroupBound bool   // of a Send: of its attempts that may run, all must go to processes of one zone or cell
 }
 
 // New returns a Balancer. All its random numbers derive from the seed.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -549,16 +549,18 @@
 	s.coldAllowance--
 	s.probedInFlight++
 	first, reason := r.firstPossiblyRun(), r.sendReason()
-	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, zoneUnknown: s.ZoneUnknown, cellUnknown: s.CellUnknown,
-		index: len(r.attempts), sent: b.now, inFlight: true}
+	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, zoneUnknown: s.ZoneUnknown,
+		cellUnknown: s.CellUnknown, index: len(r.attempts), sent: b.now, inFlight: true}
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
 	s.inFlight = append(s.inFlight, a)
 	send := Action{Kind: Send, Request: r.ID, Server: s.ID, Reason: reason,
 		Last: r.class.Effect == Unsafe || len(r.attempts) >= b.settings.MaxAttempts}
+	if r.class.Effect == Keyed {
+		send.GroupBound = r.class.DedupScope != DedupAll
+	}
 	if first != nil && r.class.Effect == Keyed { // maySend has checked the window, but connecting takes time
 		send.SendWithin = first.sent + r.class.DedupWindow - b.windowMargin() - b.now
-		send.GroupBound = r.class.DedupScope != DedupAll
 	}
 	b.emit(send)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,6 +22,7 @@
 	"ternbeam/internal/decide/lifecycle"
 	"ternbeam/internal/decide/routes"
 	"ternbeam/internal/decide/shutdown"
+	"ternbeam/internal/discovery"
 	"ternbeam/internal/host/accept"
 	"ternbeam/internal/host/conntrack"
 	"ternbeam/internal/host/core"
@@ -94,11 +95,15 @@
 	a.requestHandover(opts.SharedDir)
 	poolSettings := pool.Settings{DialTimeout: cfg.ConnectTimeout(), IdleTimeout: cfg.IdleTimeout(), MaxConns: cfg.BackendSockets(),
 		OnIllegalStep: a.recordIllegalStep, OnReuseDelay: a.logReuseDelay, Addresses: addresses.Defaults}
+	freshness := new(discovery.Freshness)
+	if opts.Peers == nil { // lists from other agents do not say until when they were current
+		poolSettings.ListCurrentAt = freshness.CurrentAt
+	}
 	var feed core.Feed
 	if sources != nil {
 		poolSettings.Addresses = sources.Addresses
 		feed = members.New(members.Settings{Config: *sources, Discovery: cfg.Discovery, LastList: cfg.InitialList, Pacing: cfg.Pacing, Zones: cfg.Host.Zones, Seed: cfg.Seed,
-			Log: log}).Feed
+			Freshness: freshness, Log: log}).Feed
 	}
 	a.pool = pool.New(poolSettings)
 	if opts.Peers != nil {
@@ -135,7 +140,7 @@
 	}
 	var err error
 	a.core, err = core.New(core.Settings{Module: cfg.Module, Seed: cfg.Seed, Zones: cfg.Host.Zones,
-		MaxUnanswered: cfg.Host.Ceilings.MostHeld, InitialList: cfg.InitialList, Discovery: cfg.Discovery, Pacing: cfg.Pacing, Feed: feed, Pool: a.pool, Log: log,
+		MaxUnanswered: cfg.Host.Ceilings.MostHeld, InitialList: cfg.InitialList, Discovery: cfg.Discovery, Freshness: freshness, Pacing: cfg.Pacing, Feed: feed, Pool: a.pool, Log: log,
 		Transports: transports, OnIllegalStep: a.recordIllegalStep, Routes: callRoutes,
 		OpsEnabled: cfg.Ops != "", ClientStats: a.conns.Stats, BudgetStats: budget.Stats, Inherited: a.handover.receivedState()})
 	return a, err
--- a/internal/agent/parity_test.go
+++ b/internal/agent/parity_test.go
@@ -24,6 +24,24 @@
 	failedOnce    = outcome{standin.Failed, 1}
 )
 
+// knownAtOnce is a listing delay for tests whose servers are never replaced: the process behind a new connection is known.
+const knownAtOnce = -time.Hour
+
+// Guards against a keyed call that is sent again to, or after it may have run at, a process that may not be the one that the list names.
+func TestKeyedCallIsNotSentAgainWhileProcessesAreUnknown(t *testing.T) {
+	t.Parallel()
+	for _, variant := range protocolVariants {
+		t.Run(variant.name, func(t *testing.T) {
+			t.Parallel()
+			group, script := standin.NewDedupGroup(), standin.FirstDeliveries(1, standin.Step{Fault: standin.ResetBefore})
+			w := newTestbed(t, variant, standin.Platform{}, nil, standin.Options{ID: "a", DedupGroup: group, Cell: 1, Script: script},
+				standin.Options{ID: "b", DedupGroup: group, Cell: 1, Script: script})
+			w.expect(t, newCall(standin.Record, "first"), failedOnce, 0, 0, false, false)
+			w.expect(t, newCall(standin.Check, "second"), servedOnRetry, 0, 0, true, false)
+		})
+	}
+}
+
 // The same faults must have the same outcomes in every protocol: final answers, attempts, effects and times.
 func TestFaultsHaveTheSameOutcomesInEveryProtocol(t *testing.T) {
 	const deadline = 700 * time.Millisecond
@@ -91,6 +109,7 @@
 						w := newTestbed(t, variant, c.platform, nil,
 							standin.Options{ID: "a", DedupGroup: first, Cell: 1, Script: c.script},
 							standin.Options{ID: "b", DedupGroup: second, Cell: c.groups, Script: c.script})
+						w.pool.SetListingDelay(knownAtOnce)
 						w.expect(t, newCall(m, "first"), c.want[m], c.minTime, c.maxTime, c.noEffects, c.want == nil)
 						w.waitIdle(t)
 					})
--- a/internal/decide/calltrack/copy.go
+++ b/internal/decide/calltrack/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"ternbeam/internal/decide/lifecycle"
 )
@@ -28,6 +29,7 @@
 		for _, at := range c.attempts {
 			dst.attempts = append(dst.attempts, copies.Attempts.Of(at))
 		}
+		dst.groupSends.begun = slices.Clone(c.groupSends.begun)
 		dst.relaying = copies.Attempts.Of(c.relaying)
 	}
 	return copies
@@ -37,7 +39,7 @@
 func (t *Tracker) Copy(set Settings, balancer Module, copies *Copies) *Tracker {
 	dst := New(set, balancer)
 	dst.now, dst.unanswered, dst.relaying, dst.stats = t.now, t.unanswered, t.relaying, t.Stats()
-	dst.listed, dst.overrides = maps.Clone(t.listed), t.overrides.Copy()
+	dst.listed, dst.addresses, dst.overrides = maps.Clone(t.listed), t.addresses.copy(), t.overrides.Copy()
 	for id, c := range t.calls {
 		dst.calls[id] = copies.Calls.Of(c)
 	}
--- a/internal/decide/calltrack/tracker.go
+++ b/internal/decide/calltrack/tracker.go
@@ -45,6 +45,7 @@
 	relaying       *Attempt    // the attempt whose answer is being relayed to the client; nil before and after
 
 	possiblyRan bool // an attempt has ended that may have run
+	groupSends  groupSends
 
 	receivedAt time.Duration   // when the Tracker received the call, on the clock of the events
 	history    []AttemptRecord // ended attempts, for the Record
@@ -109,7 +110,7 @@
 	Sent     time.Duration     // when the attempt was started, or when the request body was complete; on the clock of the events
 	Deadline time.Duration     // when the attempt times out, on the clock of the events
 	Last     bool              // once it may have run, no other attempt of the call can follow
-	Bound    bool              // the call may have run: no process outside the server's group may get it
+	Bound    bool              // see choice.Action.GroupBound; BeginInGroup decides
 	SendBy   time.Duration     // the last byte must be written before this time on the clock of the events; 0 for no limit
 	State    lifecycle.Attempt // the state machine, driven by the transport
 
@@ -263,6 +264,7 @@
 	calls        map[string]*Call // by id: calls that are unanswered or have attempts in flight
 	servers      map[string]*lifecycle.Server
 	listed       map[string]Entry // by id: the entries as the server list has them, including draining servers
+	addresses    addressBook      // of the listed servers
 	overrides    overrides.Set
 	unanswered   int // number of unanswered calls
 	relaying     int // number of calls whose answer is being relayed
@@ -278,7 +280,7 @@
 // New returns a Tracker that uses balancer as its decision module.
 func New(set Settings, balancer Module) *Tracker {
 	return &Tracker{settings: set, balancer: balancer, calls: map[string]*Call{}, servers: map[string]*lifecycle.Server{},
-		listed: map[string]Entry{}, stats: Stats{Classes: make([]ClassStats, set.Classes)}, reasonCounts: map[Reason]int{}}
+		listed: map[string]Entry{}, addresses: newAddressBook(), stats: Stats{Classes: make([]ClassStats, set.Classes)}, reasonCounts: map[Reason]int{}}
 }
 
 // startStep starts the handling of an external event. The commands returned for it are valid until the next one.
@@ -361,6 +363,9 @@
 	call.attempts[at.Number] = nil
 	call.inFlight--
 	call.possiblyRan = call.possiblyRan || !e.Result.NeverRan()
+	if at.Bound {
+		call.groupSends.ended(at.Number, e.Result.NeverRan())
+	}
 	t.recordAttempt(at, e)
 	t.stats.Results[e.Result]++
 	if call.ClientDisconnected() && !call.closed.Load() { // the transport noticed the disconnect before the protocol server reported it
@@ -392,24 +397,39 @@
 func (t *Tracker) UpdateServers(now time.Duration, full bool, entries []Entry) []Command {
 	t.startStep(now)
 	named := make(map[string]bool, len(entries))
+	affected := map[string]bool{} // servers whose addresses are shared with others now, or no more
+	setAddrs := func(id string, addrs []string) {
+		for _, other := range t.addresses.set(id, addrs) {
+			affected[other] = true
+		}
+	}
+	unlist := func(id string) {
+		delete(t.listed, id)
+		setAddrs(id, nil)
+		t.overrides.ServerRemoved(id)
+	}
 	for _, e := range entries {
 		named[e.ID] = true
 		if e.State == choice.Removed {
-			delete(t.listed, e.ID)
-			t.overrides.ServerRemoved(e.ID)
+			unlist(e.ID)
 		} else {
 			e.SubsetRank = t.rank(e.ID)
 			t.listed[e.ID] = e
+			setAddrs(e.ID, e.allAddrs())
 		}
 	}
 	if full {
 		for id := range t.listed {
 			if !named[id] {
-				delete(t.listed, id)
-				t.overrides.ServerRemoved(id)
+				unlist(id)
 			}
 		}
 	}
+	for id := range affected {
+		if s := t.servers[id]; s != nil {
+			s.SetAddressShared(t.addresses.isShared(id), now)
+		}
+	}
 	t.applyEntries(full, named, entries)
 	return t.commands
 }
@@ -458,6 +478,7 @@
 	}
 	if s == nil && e.State == choice.Ready {
 		s = &lifecycle.Server{ID: e.ID, Addr: e.Addr, Addrs: e.Addrs, Started: started, Speaks: e.Protocols, Multiplexed: e.Multiplexed}
+		s.SetAddressShared(t.addresses.isShared(e.ID), t.now)
 		t.servers[e.ID] = s
 	}
 	if s == nil {
--- a/internal/decide/lifecycle/attempt.go
+++ b/internal/decide/lifecycle/attempt.go
@@ -101,6 +101,7 @@
 	TimedOut     bool // the attempt timed out
 	CallFinished bool // the call has its final answer, or its client has disconnected
 	Retired      bool // the server is draining, was removed or was replaced
+	GroupUnknown bool // the call may have run at a process of an unknown group, so no other may get it
 }
 
 // Begin decides whether the attempt is sent. It is called right before the first byte of a message of size bytes is written. It
@@ -115,6 +116,8 @@
 		a.end(choice.Canceled)
 	case now.TimedOut || now.CallFinished:
 		a.end(choice.NotSent)
+	case now.GroupUnknown:
+		a.end(choice.NotSent)
 	case now.Retired:
 		a.end(choice.ConnectFailed)
 	default:
--- a/internal/decide/lifecycle/conn.go
+++ b/internal/decide/lifecycle/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"ternbeam/choice"
 )
@@ -18,12 +20,30 @@
 	Multiplexed bool             // accepts several concurrent calls on a connection
 	Identity    uint64           // set by the tracker: identifies this process of the server
 
-	retired atomic.Bool
+	retired             atomic.Bool
+	addressLastSharedAt atomic.Int64 // see SetAddressShared
 }
 
 // Retired reports whether the server is draining, was removed or was replaced. Nothing new is sent to it.
 func (s *Server) Retired() bool { return s.retired.Load() }
 
+// sharedNow stands for the time at which an address that is shared is shared for the last time.
+const sharedNow = math.MaxInt64
+
+// SetAddressShared records whether another listed server has an address of this one.
+func (s *Server) SetAddressShared(shared bool, now time.Duration) {
+	if shared {
+		s.addressLastSharedAt.Store(sharedNow)
+	} else {
+		s.addressLastSharedAt.CompareAndSwap(sharedNow, int64(now))
+	}
+}
+
+// AddressLastSharedAt returns when another listed server last had an address of this one: 0 for never, and a time that never comes if one has now.
+func (s *Server) AddressLastSharedAt() time.Duration {
+	return time.Duration(s.addressLastSharedAt.Load())
+}
+
 // Retire marks the server as retired: nothing new may be sent to it from now on. It is safe for concurrent use.
 func (s *Server) Retire() { s.retired.Store(true) }
 
--- a/internal/decide/lifecycle/copy.go
+++ b/internal/decide/lifecycle/copy.go
@@ -34,6 +34,7 @@
 	dst.ID, dst.Addr, dst.Addrs, dst.Started, dst.Speaks, dst.Multiplexed, dst.Identity = s.ID, s.Addr, s.Addrs, s.Started, s.Speaks,
 		s.Multiplexed, s.Identity
 	dst.retired.Store(s.retired.Load())
+	dst.addressLastSharedAt.Store(s.addressLastSharedAt.Load())
 }
 
 // CopyTo copies the Conn to another one, except its position among the idle connections, which PoolState.Copy sets.
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -102,6 +102,7 @@
 	}, func(a activity) {
 		alive(a)
 		if a == emptyLine {
+			d.freshness.confirm(clock.Now())
 			established()
 		}
 	}, func(l rawList) error {
@@ -177,6 +178,7 @@
 	d.lastEnd, d.stalled, d.drainsUnconfirmed = "", false, d.drainsUnconfirmed && !l.Full
 	d.lastDelivery = delivery{c, clock.Now()}
 	c.events.Deliver(l)
+	d.freshness.confirm(clock.Now())
 	return nil
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -41,6 +41,7 @@
 	stallTimeout   time.Duration // how long a list that has started may make no progress, unless the one before it has stalled
 	client         *http.Client
 	log            *slog.Logger
+	freshness      *Freshness // may be nil
 
 	mu                sync.Mutex         // held while a list is checked and delivered
 	checker           *listcheck.Checker // decides which lists are accepted
@@ -73,6 +74,9 @@
 	}}
 }
 
+// ReportFreshness makes the client record in f for which time the list is known. It must be called before the first watch.
+func (d *Client) ReportFreshness(f *Freshness) { d.freshness = f }
+
 // KeepWatching watches the list until ctx ends. It starts each watch from the latest version, at the times that scheduler determines.
 // Without a watch, the agent continues with the list that it has. lost, which may be nil, is called whenever a watch ends. Lists are
 // delivered one after the other, from any goroutine, and none after KeepWatching has returned.
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -62,9 +62,10 @@
 	Module        choice.Settings
 	Seed          uint64
 	Zones         []string
-	MaxUnanswered int            // limit on calls that are not answered yet; 0 for no limit
-	InitialList   discovery.List // the list of servers to start with
-	Discovery     string         // address of the list service
+	MaxUnanswered int                  // limit on calls that are not answered yet; 0 for no limit
+	InitialList   discovery.List       // the list of servers to start with
+	Discovery     string               // address of the list service
+	Freshness     *discovery.Freshness // is kept up to date while the list service is watched; may be nil
 	Pacing        pacing.Settings
 	Feed          Feed // if not nil, it provides the list; InitialList, Discovery and Inherited are ignored then
 	Pool          *pool.Pool
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -52,6 +52,7 @@
 	ctx, c.stopWatch = context.WithCancel(ctx)
 	c.discovery, c.list.Version = addr, known.Version
 	d := discovery.New(addr, known, c.log)
+	d.ReportFreshness(c.set.Freshness)
 	c.startWatch = func() {
 		d.KeepWatching(ctx, pacing.New(c.set.Pacing, c.set.Seed), func(l discovery.List) {
 			c.postUrgent(ctx, func() {
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"ternbeam/internal/decide/calltrack"
 	"ternbeam/internal/decide/lifecycle"
 	"ternbeam/internal/host/core"
 	"ternbeam/internal/host/pool"
@@ -55,6 +56,9 @@
 // errUncertainServer means that a request was not sent again, as the process at the server's address may not be the one that the list names.
 var errUncertainServer = errors.New("the process at the address may be another one")
 
+// errUnknownGroup means that a request was not sent again, as it may have run at another process than the one that the list names.
+var errUnknownGroup = errors.New("the group of the process that may have run it is not known")
+
 // Codec encodes the message and decodes the answer of one attempt in a protocol.
 type Codec interface {
 	// Message encodes the call for the server, which is to answer by end. The result is valid until the next call of Message. It is nil
@@ -145,11 +149,17 @@
 // BeginSend reports whether an attempt may still be sent on its connection c, and records that it is being sent. Size is the size of the message
 // in bytes. If the attempt may not be sent, the error says why where that is not obvious.
 func BeginSend(ctx context.Context, at *core.Attempt, size int, p *pool.Pool, c *pool.Conn) (send bool, cause error) {
-	if at.Bound && !p.IsCertain(c) {
-		cause = errUncertainServer
+	conditions := lifecycle.Conditions{Canceled: errors.Is(context.Cause(ctx), core.ErrCanceled),
+		TimedOut: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), CallFinished: !at.PollSendable(), Retired: at.Server.Retired()}
+	if at.Bound {
+		switch at.BeginInGroup(p.IsCertain(c)) {
+		case calltrack.ProcessDoubtful:
+			conditions.Retired, cause = true, errUncertainServer
+		case calltrack.GroupUnknown:
+			conditions.GroupUnknown, cause = true, errUnknownGroup
+		}
 	}
-	send, err := at.State.Begin(size, lifecycle.Conditions{Canceled: errors.Is(context.Cause(ctx), core.ErrCanceled),
-		TimedOut: ctx.Err() != nil || !at.WriteBy.IsZero() && !time.Now().Before(at.WriteBy), CallFinished: !at.PollSendable(), Retired: at.Server.Retired() || cause != nil})
+	send, err := at.State.Begin(size, conditions)
 	at.ReportIllegalStep(err)
 	return send, cause
 }
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -21,8 +21,9 @@
 // Settings configure a Host.
 type Settings struct {
 	sourceconf.Config
-	Discovery string         // address of the platform's list; empty for none
-	LastList  discovery.List // the platform's list as it was known last
+	Discovery string               // address of the platform's list; empty for none
+	LastList  discovery.List       // the platform's list as it was known last
+	Freshness *discovery.Freshness // of the platform's list: is kept up to date while it is watched; may be nil
 	Pacing    pacing.Settings
 	Zones     []string
 	Seed      uint64
@@ -158,7 +159,9 @@
 
 // watch keeps watching the platform's list and reports each update, until ctx is done.
 func (h *Host) watch(ctx context.Context, deliver func([]calltrack.Entry)) {
-	discovery.New(h.set.Discovery, h.set.LastList, h.set.Log).KeepWatching(ctx, pacing.New(h.set.Pacing, h.set.Seed), func(l discovery.List) {
+	client := discovery.New(h.set.Discovery, h.set.LastList, h.set.Log)
+	client.ReportFreshness(h.set.Freshness)
+	client.KeepWatching(ctx, pacing.New(h.set.Pacing, h.set.Seed), func(l discovery.List) {
 		r := h.listReport(l)
 		h.post(ctx, func() { h.report(r, deliver) })
 	}, func() {
--- a/internal/host/pool/identity.go
+++ b/internal/host/pool/identity.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"ternbeam/internal/clock"
 	"ternbeam/internal/decide/lifecycle"
 	"ternbeam/internal/sysio/peek"
 )
@@ -11,21 +12,28 @@
 // identities tracks, for each server, whether the process at its address is certain to be the one that the list names. It is safe for concurrent
 // use.
 type identities struct {
-	mu      sync.Mutex
-	servers map[*lifecycle.Server]*serverIdentity
+	mu           sync.Mutex
+	servers      map[*lifecycle.Server]*serverIdentity
+	listingDelay time.Duration // see lifecycle.ListingDelay
 }
 
 // serverIdentity is what identities knows of one server.
 type serverIdentity struct {
 	state lifecycle.Identity
-	open  map[*Conn]time.Duration // when the connections that are open were opened
+	open  map[*Conn]connIdentity // its open connections
+}
+
+// connIdentity is what identities knows of one connection.
+type connIdentity struct {
+	openedAt   time.Duration
+	knownSince time.Duration // since when the process at its other end has been there at least
 }
 
 // ofLocked returns what is known of a server.
 func (i *identities) ofLocked(s *lifecycle.Server) *serverIdentity {
 	known := i.servers[s]
 	if known == nil {
-		known = &serverIdentity{open: map[*Conn]time.Duration{}}
+		known = &serverIdentity{open: map[*Conn]connIdentity{}}
 		i.servers[s] = known
 	}
 	return known
@@ -35,7 +43,13 @@
 func (i *identities) opened(s *lifecycle.Server, c *Conn, now time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.ofLocked(s).open[c] = now
+	known, knownSince := i.ofLocked(s), now
+	for other, o := range known.open { // one to the same address that is still open leads to the same process
+		if o.knownSince < knownSince && other.RemoteAddr().String() == c.RemoteAddr().String() && !peek.HungUp(other.Conn) {
+			knownSince = o.knownSince
+		}
+	}
+	known.open[c] = connIdentity{openedAt: now, knownSince: knownSince}
 }
 
 // closed records that this side has closed a connection.
@@ -71,29 +85,45 @@
 	}
 }
 
-// isCertain reports whether the process at the server's address is certain to be the one that the list names.
-func (i *identities) isCertain(s *lifecycle.Server, now time.Duration) bool {
+// isCertain reports whether the process that a connection leads to is certain to be the one that the list names. The list as it was at the time
+// listCurrentAt is known.
+func (i *identities) isCertain(s *lifecycle.Server, c *Conn, listCurrentAt time.Duration) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	known := i.servers[s]
-	if known == nil || known.state.IsCertain(now, nil) { // whatever its connections tell
-		return true
+	if known == nil {
+		return false // closed
 	}
-	var opened []time.Duration
-	for c, at := range known.open {
-		if !peek.HungUp(c.Conn) {
-			opened = append(opened, at)
+	this, open := known.open[c]
+	evidence := lifecycle.Evidence{ListingDelay: i.listingDelay, ListCurrentAt: listCurrentAt, KnownSince: this.knownSince, AddressLastSharedAt: s.AddressLastSharedAt()}
+	if !open || known.state.IsCertain(evidence) { // whatever its other connections tell
+		return open
+	}
+	for other, o := range known.open {
+		if !peek.HungUp(other.Conn) {
+			evidence.OpenedAt = append(evidence.OpenedAt, o.openedAt)
 		}
 	}
-	return known.state.IsCertain(now, opened)
+	return known.state.IsCertain(evidence)
 }
 
 // Lost records that a connection was lost while it carried a request.
-func (p *Pool) Lost(c *Conn) { p.identities.connectionLost(c.state.Server, time.Since(p.startedAt)) }
+func (p *Pool) Lost(c *Conn) { p.identities.connectionLost(c.state.Server, clock.Now()) }
 
 // IsCertain reports whether the process that a connection leads to is certain to be the one that the list names.
 func (p *Pool) IsCertain(c *Conn) bool {
-	return p.identities.isCertain(c.state.Server, time.Since(p.startedAt))
+	listCurrentAt := clock.Now()
+	if p.set.ListCurrentAt != nil {
+		listCurrentAt = p.set.ListCurrentAt()
+	}
+	return p.identities.isCertain(c.state.Server, c, listCurrentAt)
+}
+
+// SetListingDelay replaces lifecycle.ListingDelay. Only tests use it, where the processes of servers are known.
+func (p *Pool) SetListingDelay(d time.Duration) {
+	p.identities.mu.Lock()
+	defer p.identities.mu.Unlock()
+	p.identities.listingDelay = d
 }
 
 // Close closes the connection.
--- a/internal/host/pool/pool.go
+++ b/internal/host/pool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ternbeam/choice"
+	"ternbeam/internal/clock"
 	"ternbeam/internal/decide/addresses"
 	"ternbeam/internal/decide/lifecycle"
 	"ternbeam/internal/sysio/socketio"
@@ -43,6 +44,10 @@
 	// OnReuseDelay is called when the reuse delay grows, as a server has sent data on an idle connection some time after its answer. It must
 	// not block or call the Pool, and may be nil.
 	OnReuseDelay func(s *lifecycle.Server, after, delay time.Duration)
+
+	// ListCurrentAt returns the latest time for which the server list is known as it was then, on the agent's clock. It may be nil: the list is
+	// taken to be current at all times.
+	ListCurrentAt func() time.Duration
 }
 
 const (
@@ -92,7 +97,7 @@
 	}
 	return &Pool{set: set, state: lifecycle.NewPoolState(set.MaxConns), granted: map[*lifecycle.Conn]chan struct{}{},
 		reuseDelay: lifecycle.NewReuseDelay(set.ReuseDelay), addrs: addresses.NewHistory(set.Addresses),
-		identities: identities{servers: map[*lifecycle.Server]*serverIdentity{}}, startedAt: time.Now()}
+		identities: identities{servers: map[*lifecycle.Server]*serverIdentity{}, listingDelay: lifecycle.ListingDelay}, startedAt: time.Now()}
 }
 
 // Acquire returns an idle connection for a protocol, or dials a new one. A server that supports several protocols speaks
@@ -134,7 +139,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			p.identities.connectionLost(s, time.Since(p.startedAt))
+			p.identities.connectionLost(s, clock.Now())
 		}
 		p.giveUpLocked(lc)
 		return nil, err
@@ -142,7 +147,7 @@
 	p.reportIllegal(at.Connect())
 	c := &Conn{Conn: socketio.Wrap(socket), state: lc}
 	c.onClose = func() { p.identities.closed(s, c) }
-	p.identities.opened(s, c, time.Since(p.startedAt))
+	p.identities.opened(s, c, clock.Now())
 	p.reportIllegal(p.state.Open(lc, c))
 	return c, nil
 }
--- a/internal/host/pool/reuse.go
+++ b/internal/host/pool/reuse.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ternbeam/internal/clock"
 	"ternbeam/internal/decide/lifecycle"
 	"ternbeam/internal/protocol"
 	"ternbeam/internal/sysio/peek"
@@ -14,7 +15,7 @@
 func (p *Pool) usableLocked(c *Conn) bool {
 	unread := p.unreadLocked(c)
 	if unread == peek.UnreadEnd {
-		p.identities.connectionLost(c.state.Server, time.Since(p.startedAt))
+		p.identities.connectionLost(c.state.Server, clock.Now())
 	}
 	return time.Since(c.idleSince) < p.set.IdleTimeout && unread == peek.UnreadNothing
 }
--- a/internal/lab/explore/host.go
+++ b/internal/lab/explore/host.go
@@ -186,6 +186,14 @@
 // send checks whether the attempt may still be sent, and starts sending.
 func (w *world) send(t *attempt) {
 	now := w.conditionsFor(t)
+	if t.Bound {
+		switch t.BeginInGroup(new(lifecycle.Identity).IsCertain(w.evidenceOf(t))) {
+		case calltrack.ProcessDoubtful:
+			now.Retired = true
+		case calltrack.GroupUnknown:
+			now.GroupUnknown = true
+		}
+	}
 	ok, err := t.State.Begin(messageSize, now)
 	t.ReportIllegalStep(err)
 	if !ok {
--- a/internal/lab/explore/key.go
+++ b/internal/lab/explore/key.go
@@ -66,6 +66,11 @@
 			continue // no more steps for it
 		}
 		num(c.attemptCount)
+		if w.cfg.Replaced != NotReplaced {
+			begun, allCertain := c.tracked.GroupSends()
+			num(begun)
+			flag(allCertain)
+		}
 		for _, a := range c.answers {
 			num(int(a))
 		}
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -49,6 +49,10 @@
 	{"answer that has begun is not counted to its end", "internal/decide/calltrack/streamed.go", "\tt.relaying--\n", "", "passing"},
 	{"cell of a server that only SRV records list is taken for 0", "internal/decide/membership/membership.go", "first.Speaks, true, true", "first.Speaks, true, false", "sources"},
 	{"unknown cell not looked at", "choice/choice.go", " && !s.CellUnknown && !first.cellUnknown", "", "sources"},
+	{"connection to a new process counts as one to the old", "internal/decide/lifecycle/identity.go", "e.ListCurrentAt-e.KnownSince < e.ListingDelay", "false", "replaced"},
+	{"sent again after it ran at an unknown process", "internal/decide/calltrack/groupsends.go", "return !s.certain }):", "return false }):", "replaced"},
+	{"copy sent to an unknown process", "internal/decide/calltrack/groupsends.go", "len(sends.begun) > 0 && !certain", "false", "replaced-2"},
+	{"address that two listed servers have counts as either's", "internal/decide/calltrack/addressbook.go", "return o != id })", "return false })", "taken-over"},
 	{"answered after its client left", "internal/decide/calltrack/tracker.go", "\tt.stats.Disconnected++\n\tt.markClosed(call)\n", "\tt.stats.Disconnected++\n", "unsafe"},
 }
 
--- a/internal/lab/explore/trace.go
+++ b/internal/lab/explore/trace.go
@@ -136,6 +136,9 @@
 	if c.Unlisted < 0 || c.Unlisted > c.Servers || c.Unlisted > 0 && c.Lists > 0 {
 		return fmt.Errorf("%d unlisted servers: at most all, and without changes of the list", c.Unlisted)
 	}
+	if !slices.Contains([]Replacement{NotReplaced, JustReplaced, ReplacedListed}, c.Replaced) || c.Replaced != NotReplaced && (c.Unlisted > 0 || c.Lists > 0) {
+		return fmt.Errorf("replaced %q: not known, or with unlisted servers or changes of the list", c.Replaced)
+	}
 	for _, e := range c.Calls {
 		if e < choice.Safe || e > choice.Unsafe {
 			return fmt.Errorf("effect %d: must be 0 to 2", e)
@@ -173,5 +176,8 @@
 	"passing":     {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Leaves: 1, Lists: 1, Cells: 1, Streams: true},
 	"two-passing": {Servers: 2, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 1, Past: LostCalls, Streams: true},
 	"sources":     {Servers: 3, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Unlisted: 2},
+	"replaced":    {Servers: 3, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Replaced: JustReplaced},
+	"replaced-2":  {Servers: 3, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 2, Past: LostCalls, Replaced: JustReplaced},
+	"taken-over":  {Servers: 3, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Replaced: ReplacedListed},
 	"late":        {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Leaves: 1, Cells: 1, Past: LostCalls},
 }
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -35,9 +35,21 @@
 	Races    bool            `json:",omitempty"` // each server has two addresses
 	Lines    bool            `json:",omitempty"` // connections are multiplexed: each carries several calls at a time
 	Unlisted int             `json:",omitempty"` // number of servers, the last ones, that only SRV records name; then Lists is 0
+	Replaced Replacement     `json:",omitempty"` // another process, of another cell, is at the address of the last server
 	Plain    bool            `json:",omitempty"` // no reduction: independent steps are tried in every order, too
 }
 
+// Replacement says what has happened to the last server before the exploration begins. The connections to the others are to processes that have
+// been known for long.
+type Replacement string
+
+// The values of Replacement.
+const (
+	NotReplaced    Replacement = ""
+	JustReplaced   Replacement = "just"   // the list does not say so yet, and there was no connection to it
+	ReplacedListed Replacement = "listed" // the list has named the new process, as a further server at that address, for long
+)
+
 // Past is the history that the balancer has when the exploration begins.
 type Past string
 
@@ -243,6 +255,9 @@
 	if cfg.Unlisted > 0 {
 		entries = w.mergeSources(cfg.Unlisted)
 	}
+	if cfg.Replaced == ReplacedListed {
+		entries = append(entries, w.listSuccessor())
+	}
 	if cfg.Past != NoPast {
 		w.now = startTime - time.Second // from then on health is evaluated every 50 ms
 	}
@@ -262,6 +277,33 @@
 	return w
 }
 
+// listSuccessor lists the process that is at the address of the last server as a further server.
+func (w *world) listSuccessor() calltrack.Entry {
+	last := len(w.servers) - 1
+	s := choice.Server{ID: "successor", Cell: w.cellOf(w.servers[last])}
+	e := calltrack.Entry{Server: s, Addr: w.listEntry(last).Addr}
+	w.servers, w.moves = append(w.servers, s), append(w.moves, 0)
+	w.offline, w.offlineRestarts = append(w.offline, false), append(w.offlineRestarts, 0)
+	return e
+}
+
+// cellOf returns the cell of the process that is at a server's address.
+func (w *world) cellOf(s choice.Server) int {
+	if w.cfg.Replaced != NotReplaced && s.ID == w.servers[w.cfg.Servers-1].ID {
+		return (s.Cell + 1) % w.cfg.Cells
+	}
+	return s.Cell
+}
+
+// evidenceOf returns what tells which process an attempt's connection leads to.
+func (w *world) evidenceOf(t *attempt) lifecycle.Evidence {
+	e := lifecycle.Evidence{ListingDelay: lifecycle.ListingDelay, ListCurrentAt: w.now, AddressLastSharedAt: t.Server.AddressLastSharedAt()}
+	if w.cfg.Replaced == JustReplaced && t.Server.ID == w.servers[w.cfg.Servers-1].ID {
+		e.KnownSince = startTime
+	}
+	return e
+}
+
 // mergeSources returns the servers as the agent merges them from a list, which lacks the last ones, and SRV records, which name all. The world
 // takes over the ids that it gives to those.
 func (w *world) mergeSources(unlisted int) (entries []calltrack.Entry) {
@@ -450,7 +492,7 @@
 	w.attemptsStarted++
 	for _, s := range w.servers {
 		if s.ID == at.Server.ID {
-			t.cell = s.Cell
+			t.cell = w.cellOf(s)
 		}
 	}
 	w.attempts = append(w.attempts, t)
--- a/times_test.go
+++ b/times_test.go
@@ -15,7 +15,7 @@
 
 // timedPackages are the package trees whose time constants affect the agent's behavior towards clients, servers and the list
 // service.
-var timedPackages = []string{"choice", "internal/agent", "internal/discovery", "internal/decide/pacing", "internal/decide/relay", "internal/decide/shutdown", "internal/host", "internal/http", "internal/sysio", "internal/thrift"}
+var timedPackages = []string{"choice", "internal/agent", "internal/discovery", "internal/decide/lifecycle", "internal/decide/pacing", "internal/decide/relay", "internal/decide/shutdown", "internal/host", "internal/http", "internal/sysio", "internal/thrift"}
 
 // timeConstants returns the constants of a file that are given in units of time, each as the row that the page must have for it.
 func timeConstants(pkg string, fset *token.FileSet, file *ast.File) (rows []string) {
