--- a/cmd/ternbeam/replace_test.go
+++ b/cmd/ternbeam/replace_test.go
@@ -31,6 +31,7 @@
 	t                 *testing.T
 	listen, sharedDir string
 	config            string
+	arguments         string // of the program
 	mu                sync.Mutex
 	runsByID          map[string]int // number of executions by call id
 	requestsByServer  map[string]int
@@ -85,14 +86,25 @@
 }
 
 // start starts a process with its own operations address.
-func (s *replacementTest) start() *process {
+func (s *replacementTest) start(env ...string) *process {
 	s.t.Helper()
 	ops := unusedAddr(s.t)
-	p := start(s.t, "NODE_CONFIG="+s.config, "NODE_NAME=n1", "NODE_LISTEN="+s.listen, "NODE_OPS="+ops, "TMPDIR="+s.sharedDir)
+	p := startWithArguments(s.t, s.arguments, append([]string{"NODE_CONFIG=" + s.config, "NODE_NAME=n1", "NODE_LISTEN=" + s.listen, "NODE_OPS=" + ops, "TMPDIR=" + s.sharedDir}, env...)...)
 	p.ops = ops
 	return p
 }
 
+// addSources makes the program get servers from SRV records, too, of a name server that never answers.
+func (s *replacementTest) addSources() {
+	s.t.Helper()
+	file := filepath.Join(s.t.TempDir(), "sources.toml")
+	text := fmt.Sprintf("[[dns]]\nname = \"_forms._tcp.example.org\"\nservers = [%q]\n", unusedAddr(s.t))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	s.arguments = "run --sources " + file
+}
+
 // callOps sends a request to a process's operations address and returns the status, or 0 on failure.
 func (p *process) callOps(method, path string) int {
 	req, err := http.NewRequest(method, "http://"+p.ops+path, nil)
@@ -201,11 +213,24 @@
 	l.done.Wait()
 }
 
-// Replaces the process twenty times under load, with discovery down: no call is lost and none runs twice, each process exits on its own, and a
+// Replaces the process many times under load, with discovery down: no call is lost and none runs twice, each process exits on its own, and a
 // backend that was taken offline before stays offline until it is put back online.
 func TestReplacementsUnderLoad(t *testing.T) {
 	t.Parallel()
-	s := newReplacementTest(t, 4)
+	t.Run("the list alone", func(t *testing.T) {
+		t.Parallel()
+		newReplacementTest(t, 4).replaceUnderLoad(t, 20)
+	})
+	t.Run("with SRV records", func(t *testing.T) {
+		t.Parallel()
+		s := newReplacementTest(t, 4)
+		s.addSources()
+		s.replaceUnderLoad(t, 5)
+	})
+}
+
+// replaceUnderLoad replaces the process some times.
+func (s *replacementTest) replaceUnderLoad(t *testing.T, times int) {
 	current := s.start()
 	s.awaitReady(current)
 	l := s.startLoad(12)
@@ -215,7 +240,7 @@
 	s.mu.Lock()
 	before := s.requestsByServer["s-0"]
 	s.mu.Unlock()
-	for range 20 {
+	for range times {
 		next := s.start()
 		s.awaitReady(next)
 		s.terminate(current)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -103,7 +103,7 @@
 	if sources != nil {
 		poolSettings.Addresses = sources.Addresses
 		feed = members.New(members.Settings{Config: *sources, Discovery: cfg.Discovery, LastList: cfg.InitialList, Pacing: cfg.Pacing, Zones: cfg.Host.Zones, Seed: cfg.Seed,
-			Freshness: freshness, Log: log}).Feed
+			Freshness: freshness, Log: log})
 	}
 	a.pool = pool.New(poolSettings)
 	if opts.Peers != nil {
@@ -115,7 +115,7 @@
 		if err != nil {
 			return nil, err
 		}
-		feed = peerHost.Feed
+		feed = peerHost
 	}
 	transports := map[choice.Protocols]core.Transport{protocol.HTTP: httpback.New(a.pool, cfg.ReportFields, cfg.AllowsLongBodies(), budget)}
 	if service != nil {
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -260,6 +260,24 @@
 	}
 }
 
+// Drain records that servers drain, by the word of another process of this agent: until a source says otherwise.
+func (s *Set) Drain(now time.Duration, ids []string) []calltrack.Entry {
+	s.begin(now)
+	for _, id := range ids {
+		m := s.byID[id]
+		if m == nil {
+			continue
+		}
+		for _, c := range m.claims {
+			if !c.withdrawn && c.State == choice.Ready {
+				c.State, c.changedAt = choice.Draining, s.now
+				s.markDirty(m)
+			}
+		}
+	}
+	return s.finish()
+}
+
 // SourceUnreachable records that a source cannot be reached. Its claims stay valid for Source.Hold.
 func (s *Set) SourceUnreachable(now time.Duration, source int) []calltrack.Entry {
 	s.begin(now)
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -186,6 +186,16 @@
 			b.advance(Defaults.GuardWait)
 			b.report(list, true, -1, claims(listClaim, 4)[1:]...)
 		}, "", Withdrawn},
+		{"another process of the agent hears that it drains", func(b *harness) { b.record(b.Drain(b.at, []string{"s0", "s9"})) }, "draining", Drained},
+		{"the same, and one source goes on listing it as ready", func(b *harness) {
+			b.record(b.Drain(b.at, []string{"s0"}))
+			b.report(srv, true, 0, claims(srvClaim, 4)...)
+		}, "draining", Drained},
+		{"the same, and so do both", func(b *harness) {
+			b.record(b.Drain(b.at, []string{"s0"}))
+			b.report(srv, true, 0, claims(srvClaim, 4)...)
+			b.report(list, true, 2, claims(listClaim, 4)...)
+		}, "ready", Agreed},
 		{"SRV contradicts its report while that is valid", func(b *harness) {
 			b.record(b.Report(b.at, Report{Source: srv, Full: true, Claims: claims(srvClaim, 4), ValidUntil: b.at + 20*time.Second}))
 			b.record(b.Report(b.at, Report{Source: srv, Full: true, Claims: claims(srvClaim, 4)[1:], ValidUntil: b.at + 20*time.Second}))
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -35,17 +35,65 @@
 	Shapes      []string `json:"shapes,omitempty"`      // class/version of the messages that it accepts, if limited
 }
 
+// Apply applies a newer list, or a change, to the list and returns the entries of the servers that it drains or removes. The list holds no
+// removed servers.
+func (l *List) Apply(newer List) (ended []Entry) {
+	indexes := make(map[string]int, len(l.Servers))
+	for i, e := range l.Servers {
+		indexes[e.ID] = i
+	}
+	if newer.Full {
+		present := make(map[string]bool, len(newer.Servers))
+		for _, e := range newer.Servers {
+			present[e.ID] = true
+		}
+		for _, e := range l.Servers {
+			if !present[e.ID] {
+				e.State = terminated
+				ended = append(ended, e)
+			}
+		}
+		l.Servers, indexes = nil, map[string]int{}
+	}
+	for _, e := range newer.Servers {
+		i, known := indexes[e.ID]
+		if !known {
+			i = len(l.Servers)
+			indexes[e.ID] = i
+			l.Servers = append(l.Servers, e)
+		}
+		l.Servers[i] = e
+		if states[e.State] != choice.Ready {
+			ended = append(ended, e)
+		}
+	}
+	l.Servers = slices.DeleteFunc(l.Servers, func(e Entry) bool { return e.State == terminated })
+	l.Version, l.Full = newer.Version, true
+	return ended
+}
+
+// EndedEntry returns the entry of a server of a merged list that drains or was removed.
+func EndedEntry(e calltrack.Entry) Entry {
+	ended := Entry{ID: e.ID, Addr: e.Addr, Addrs: e.Addrs, Cell: e.Cell, State: terminating, Weight: e.Weight, StartedMS: e.Started.Milliseconds()}
+	if e.State == choice.Removed {
+		ended.State = terminated
+	}
+	return ended
+}
+
 // Limits for one server.
 const (
 	maxAddrs  = 16
 	maxShapes = 64
 )
 
-// terminating is the state of a server that drains.
-const terminating = "terminating"
+// States of servers.
+const (
+	terminating = "terminating" // it drains
+	terminated  = "terminated"
+)
 
-var states = map[string]choice.State{"in_service": choice.Ready, terminating: choice.Draining,
-	"terminated": choice.Removed}
+var states = map[string]choice.State{"in_service": choice.Ready, terminating: choice.Draining, terminated: choice.Removed}
 
 // Server converts an entry for the choice module. The module's clock counts from the Unix epoch, so a start time only changes its unit,
 // and 0 still means "long ago".
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -67,7 +67,7 @@
 	Discovery     string               // address of the list service
 	Freshness     *discovery.Freshness // is kept up to date while the list service is watched; may be nil
 	Pacing        pacing.Settings
-	Feed          Feed // if not nil, it provides the list; InitialList, Discovery and Inherited are ignored then
+	Feed          Feed // if not nil, it provides the list; InitialList is ignored then
 	Pool          *pool.Pool
 	Transports    map[choice.Protocols]Transport // by the protocol that a server speaks
 	Log           *slog.Logger
@@ -241,7 +241,9 @@
 // Run runs the event loop until ctx ends: it handles one event at a time, and timers when they are due.
 func (c *Core) Run(ctx context.Context) {
 	if c.set.Feed != nil {
+		c.discovery = c.set.Discovery
 		c.execute(c.tracker.Start(c.Now()))
+		c.inheritOperatorState()
 		c.startFeed(ctx)
 	} else {
 		c.switchDiscovery(ctx, c.set.Discovery, c.set.InitialList)
--- a/internal/host/core/handover.go
+++ b/internal/host/core/handover.go
@@ -50,8 +50,12 @@
 	s, err = queryUrgent(ctx, c, func() handover.State {
 		c.subscribers[sub] = true
 		s := handover.State{Discovery: c.discovery, Overrides: c.tracker.Overrides(), IDs: c.tracker.RecentIDs(c.Now())}
-		if len(c.list.Servers) > 0 {
-			s.List, _ = json.Marshal(c.list) // consists of plain values; nil if encoding fails regardless
+		list := c.list
+		if c.set.Feed != nil {
+			list, s.Discovery = c.set.Feed.PlatformList()
+		}
+		if len(list.Servers) > 0 {
+			s.List, _ = json.Marshal(list) // consists of plain values; nil if encoding fails regardless
 		}
 		var learned calltrack.Learned
 		c.tracker.Export(c.Now(), &learned, nil)
@@ -102,7 +106,11 @@
 				drainedOrRemoved = append(drainedOrRemoved, e)
 			}
 		}
-		if len(drainedOrRemoved) > 0 {
+		switch {
+		case len(drainedOrRemoved) == 0:
+		case c.set.Feed != nil:
+			c.set.Feed.EndedElsewhere(ctx, drainedOrRemoved)
+		default:
 			c.applyEntries(discovery.List{Version: c.list.Version, Servers: drainedOrRemoved})
 		}
 		return true
@@ -141,44 +149,17 @@
 
 // recordList updates the current list, and notifies other processes of the servers that the change drains or removes.
 func (c *Core) recordList(l discovery.List) {
-	if !c.set.OpsEnabled { // without an operations address there is never another process
-		return
-	}
-	var drainedOrRemoved []discovery.Entry
-	indexes := make(map[string]int, len(c.list.Servers))
-	for i, e := range c.list.Servers {
-		indexes[e.ID] = i
-	}
-	if l.Full {
-		present := make(map[string]bool, len(l.Servers))
-		for _, e := range l.Servers {
-			present[e.ID] = true
-		}
-		for _, e := range c.list.Servers {
-			if !present[e.ID] {
-				e.State = "terminated"
-				drainedOrRemoved = append(drainedOrRemoved, e)
-			}
-		}
-		c.list.Servers, indexes = nil, map[string]int{}
+	if c.set.OpsEnabled { // without an operations address there is never another process
+		c.notifyEnded(c.list.Apply(l))
 	}
-	for _, e := range l.Servers {
-		i, known := indexes[e.ID]
-		if !known {
-			i = len(c.list.Servers)
-			indexes[e.ID] = i
-			c.list.Servers = append(c.list.Servers, e)
-		}
-		c.list.Servers[i] = e
-		if e.State != "in_service" {
-			drainedOrRemoved = append(drainedOrRemoved, e)
-		}
+}
+
+// notifyEnded notifies other processes of servers that drain or were removed.
+func (c *Core) notifyEnded(ended []discovery.Entry) {
+	if len(ended) == 0 || len(c.subscribers) == 0 {
+		return
 	}
-	c.list.Servers = slices.DeleteFunc(c.list.Servers, func(e discovery.Entry) bool { return e.State == "terminated" })
-	c.list.Version, c.list.Full = l.Version, true
-	if len(drainedOrRemoved) > 0 && len(c.subscribers) > 0 {
-		if text, err := json.Marshal(drainedOrRemoved); err == nil {
-			c.notifySubscribers(handover.Update{Ended: text}, nil)
-		}
+	if text, err := json.Marshal(ended); err == nil {
+		c.notifySubscribers(handover.Update{Ended: text}, nil)
 	}
 }
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -13,14 +13,31 @@
 // maxLoggedServers limits how many servers a log line names.
 const maxLoggedServers = 20
 
-// Feed delivers changes of the list of servers from a source other than a single list service, until the context ends.
-type Feed func(ctx context.Context, deliver func([]calltrack.Entry))
+// Feed provides the list of servers from sources other than a single list service. Its methods may be called from any goroutine.
+type Feed interface {
+	// Feed delivers changes of the list until the context ends.
+	Feed(ctx context.Context, deliver func([]calltrack.Entry))
+
+	// PlatformList returns the latest list of the list service, and the address of that.
+	PlatformList() (discovery.List, string)
+
+	// EndedElsewhere applies what another process of this agent has heard: servers that drain or were removed.
+	EndedElsewhere(ctx context.Context, ended []discovery.Entry)
+}
 
 // startFeed starts applying the changes that a Feed delivers.
 func (c *Core) startFeed(ctx context.Context) {
-	go c.set.Feed(ctx, func(changes []calltrack.Entry) {
+	go c.set.Feed.Feed(ctx, func(changes []calltrack.Entry) {
 		c.postUrgent(ctx, func() {
 			c.execute(c.tracker.UpdateServers(c.Now(), false, changes))
+			var ended []discovery.Entry
+			for _, e := range changes {
+				if e.State != choice.Ready {
+					ended = append(ended, discovery.EndedEntry(e))
+				}
+			}
+			c.notifyEnded(ended)
+			c.inheritLearned()
 			c.importNewlyListed()
 			c.markReady()
 			c.log.Info("list", "changes", len(changes), "backends", c.tracker.ServerCount())
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,8 +37,14 @@
 	events     chan func()
 	listSource int // source number of the platform's list; -1 for none
 
-	mu      sync.Mutex // held while the goroutine of Feed uses the membership
-	members *membership.Set
+	mu        sync.Mutex // held while the goroutine of Feed uses the membership
+	members   *membership.Set
+	list      discovery.List // the platform's list
+	discovery string         // address of the platform's list
+
+	// The following fields are used by the goroutine of Feed only.
+	deliver   func([]calltrack.Entry)
+	stopWatch context.CancelFunc // of the platform's list
 }
 
 // noExpiry is how long the reports of a source without a configured limit stay valid; it stands for no limit.
@@ -48,7 +55,8 @@
 
 // New returns a Host that has not started its sources; Feed does.
 func New(set Settings) *Host {
-	h := &Host{set: set, events: make(chan func(), 64), listSource: -1}
+	h := &Host{set: set, events: make(chan func(), 64), listSource: -1, list: set.LastList, discovery: set.Discovery}
+	h.list.Servers = slices.Clone(set.LastList.Servers)
 	m := set.Membership
 	hold := func(d time.Duration) time.Duration {
 		if d == 0 {
@@ -69,11 +77,12 @@
 
 // Feed implements core.Feed: it runs the sources and delivers every change of the list until ctx is done.
 func (h *Host) Feed(ctx context.Context, deliver func([]calltrack.Entry)) {
+	h.deliver = deliver
 	if h.listSource >= 0 {
 		if len(h.set.LastList.Servers) > 0 {
 			h.report(h.listReport(h.set.LastList), deliver)
 		}
-		go h.watch(ctx, deliver)
+		h.startWatch(ctx, h.set.Discovery, h.set.LastList)
 	}
 	for i, d := range h.set.DNS {
 		number := h.listSource + 1 + i
@@ -140,7 +149,7 @@
 
 // listReport converts a platform's list to a report for the membership.
 func (h *Host) listReport(l discovery.List) membership.Report {
-	r := membership.Report{Source: h.listSource, Full: l.Full, Version: l.Version}
+	r := membership.Report{Source: h.listSource, Full: l.Full, Version: max(l.Version, 0)} // 0 for discovery.UnknownVersion
 	for _, e := range l.Servers {
 		s, err := e.Server(h.set.Zones)
 		if err != nil {
@@ -157,16 +166,52 @@
 	return r
 }
 
-// watch keeps watching the platform's list and reports each update, until ctx is done.
-func (h *Host) watch(ctx context.Context, deliver func([]calltrack.Entry)) {
-	client := discovery.New(h.set.Discovery, h.set.LastList, h.set.Log)
+// startWatch keeps watching the platform's list at an address and reports each update, until ctx is done or another watch is started. It runs on
+// the goroutine of Feed.
+func (h *Host) startWatch(ctx context.Context, addr string, known discovery.List) {
+	ctx, h.stopWatch = context.WithCancel(ctx)
+	post := func(event func()) { // nothing of an ended watch is applied
+		h.post(ctx, func() {
+			if ctx.Err() == nil {
+				event()
+			}
+		})
+	}
+	client := discovery.New(addr, known, h.set.Log)
 	client.ReportFreshness(h.set.Freshness)
-	client.KeepWatching(ctx, pacing.New(h.set.Pacing, h.set.Seed), func(l discovery.List) {
+	go client.KeepWatching(ctx, pacing.New(h.set.Pacing, h.set.Seed), func(l discovery.List) {
 		r := h.listReport(l)
-		h.post(ctx, func() { h.report(r, deliver) })
+		post(func() {
+			h.mu.Lock()
+			h.list.Apply(l)
+			h.mu.Unlock()
+			h.report(r, h.deliver)
+		})
 	}, func() {
-		h.post(ctx, func() {
-			h.change(deliver, func(s *membership.Set) []calltrack.Entry { return s.SourceUnreachable(clock.Now(), h.listSource) })
+		post(func() {
+			h.change(h.deliver, func(s *membership.Set) []calltrack.Entry { return s.SourceUnreachable(clock.Now(), h.listSource) })
+		})
+	})
+}
+
+// PlatformList implements core.Feed.
+func (h *Host) PlatformList() (discovery.List, string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := h.list
+	list.Servers = slices.Clone(list.Servers)
+	return list, h.discovery
+}
+
+// EndedElsewhere implements core.Feed.
+func (h *Host) EndedElsewhere(ctx context.Context, ended []discovery.Entry) {
+	go h.post(ctx, func() {
+		h.change(h.deliver, func(s *membership.Set) []calltrack.Entry {
+			ids := make([]string, 0, len(ended))
+			for _, e := range ended {
+				ids = append(ids, e.ID)
+			}
+			return s.Drain(clock.Now(), ids)
 		})
 	})
 }
--- a/internal/host/peers/peers.go
+++ b/internal/host/peers/peers.go
@@ -109,6 +109,12 @@
 	}
 }
 
+// PlatformList implements core.Feed: an agent that shares lists can't be replaced while it runs.
+func (h *Host) PlatformList() (discovery.List, string) { return discovery.List{}, "" }
+
+// EndedElsewhere implements core.Feed, see PlatformList.
+func (h *Host) EndedElsewhere(context.Context, []discovery.Entry) {}
+
 // receive reads datagrams until the socket is closed. It drops those that do not come from the address of the agent that
 // they name.
 func (h *Host) receive(ctx context.Context, deliver func([]calltrack.Entry)) {
