--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -17,6 +17,7 @@
 
 	"ternbeam/internal/discovery"
 	"ternbeam/internal/lab/testkit"
+	"ternbeam/internal/settings/sourceconf"
 )
 
 // discoveryServer is a discovery service that pushes lists from changes to its watchers, and numbers versions by itself.
@@ -157,6 +158,22 @@
 // A new configuration names another discovery service, which numbers versions differently: the agent requests its full list and
 // watches from there. A file that can't be read changes nothing.
 func TestReloadSwitchesDiscovery(t *testing.T) {
+	for name, sources := range map[string]*sourceconf.Config{"the list alone": nil, "with SRV records": silentSources(t)} {
+		t.Run(name, func(t *testing.T) { testReloadSwitchesDiscovery(t, sources) })
+	}
+}
+
+// silentSources returns sources of servers beside the platform's list: a name server that never answers.
+func silentSources(t *testing.T) *sourceconf.Config {
+	t.Helper()
+	conf, err := sourceconf.Parse([]byte("[[dns]]\nname = \"_forms._tcp.example.org\"\nservers = [\"127.0.0.1:1\"]\n[guard]\nshare = 1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conf
+}
+
+func testReloadSwitchesDiscovery(t *testing.T, sources *sourceconf.Config) {
 	entry := func(id string) discovery.Entry {
 		return discovery.Entry{ID: id, Addr: "127.0.0.1:1", State: "in_service"}
 	}
@@ -164,7 +181,12 @@
 	cfg := testConfig{}.config(t)
 	cfg.Discovery, cfg.Path = first.addr(), filepath.Join(t.TempDir(), "config.json")
 	cfg.Pacing.Grace = 10 * time.Second // avoids a second call in parallel to one that is answered, also on a busy machine
-	r := start(t, cfg)
+	cfg.Listen = "127.0.0.1:0"
+	a, err := NewWithOptions(cfg, Options{Sources: sources}, discardLog())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := runAgent(t, a, cfg)
 	testkit.Eventually(t, "the first is watched", func() bool { return len(first.requests()) == 1 })
 	first.changes <- discovery.List{Version: 41, Full: true, Servers: []discovery.Entry{entry("old")}}
 	testkit.Eventually(t, "its list is in use", func() bool { return slices.Equal(r.serverIDs(), []string{"old"}) })
--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -260,6 +260,11 @@
 	}
 }
 
+// SourceReplaced records that the next reports of a source come from another instance of it, which numbers its versions anew.
+func (s *Set) SourceReplaced(source int) {
+	s.sources[source].version, s.sources[source].olderSince = 0, 0
+}
+
 // Drain records that servers drain, by the word of another process of this agent: until a source says otherwise.
 func (s *Set) Drain(now time.Duration, ids []string) []calltrack.Entry {
 	s.begin(now)
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -18,6 +18,9 @@
 	// Feed delivers changes of the list until the context ends.
 	Feed(ctx context.Context, deliver func([]calltrack.Entry))
 
+	// SetDiscovery switches to the list service at an address. It reports whether it can.
+	SetDiscovery(ctx context.Context, addr string) bool
+
 	// PlatformList returns the latest list of the list service, and the address of that.
 	PlatformList() (discovery.List, string)
 
@@ -48,12 +51,16 @@
 // SetDiscovery switches to the list service at an address. It has no effect if that one is watched already.
 func (c *Core) SetDiscovery(ctx context.Context, addr string) {
 	c.post(func() {
-		if c.set.Feed != nil {
-			c.log.Info("the list comes from the sources of a file, as before")
-			return
-		}
 		c.log.Info("new configuration", "discovery", addr, "before", c.discovery)
-		if addr != c.discovery {
+		switch {
+		case addr == c.discovery:
+		case c.set.Feed != nil:
+			if !c.set.Feed.SetDiscovery(ctx, addr) {
+				c.log.Warn("the address of discovery is not changed while the agent runs, where lists come from other agents or no list is a source")
+				return
+			}
+			c.discovery = addr
+		default:
 			c.switchDiscovery(ctx, addr, discovery.List{Version: discovery.UnknownVersion})
 			go c.startWatch()
 		}
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -194,6 +194,27 @@
 	})
 }
 
+// SetDiscovery implements core.Feed: it switches to the platform's list at another address. What the list before has told counts until the first
+// list of the new one, whose versions are not related to the former ones.
+func (h *Host) SetDiscovery(ctx context.Context, addr string) bool {
+	if h.listSource < 0 {
+		return false
+	}
+	h.mu.Lock()
+	h.discovery = addr
+	h.mu.Unlock()
+	go h.post(ctx, func() {
+		h.mu.Lock()
+		latest := h.discovery // another call may have followed
+		h.list.Version = discovery.UnknownVersion
+		h.members.SourceReplaced(h.listSource)
+		h.mu.Unlock()
+		h.stopWatch()
+		h.startWatch(ctx, latest, discovery.List{Version: discovery.UnknownVersion})
+	})
+	return true
+}
+
 // PlatformList implements core.Feed.
 func (h *Host) PlatformList() (discovery.List, string) {
 	h.mu.Lock()
--- a/internal/host/peers/peers.go
+++ b/internal/host/peers/peers.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// SetDiscovery implements core.Feed: agents that share lists do not switch while they run.
+func (h *Host) SetDiscovery(context.Context, string) bool { return false }
+
 // PlatformList implements core.Feed: an agent that shares lists can't be replaced while it runs.
 func (h *Host) PlatformList() (discovery.List, string) { return discovery.List{}, "" }
 
