--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -152,6 +152,9 @@
 	a.stateStore = statestore.New(statestore.Settings{Config: set, Name: a.cfg.Name, Seed: a.cfg.Seed, Log: a.log})
 }
 
+// AssumeProcessesKnown makes the processes of servers count as known, see pool.Pool.AssumeProcessesKnown.
+func (a *Agent) AssumeProcessesKnown() { a.pool.AssumeProcessesKnown() }
+
 // logReuseDelay logs that a server has sent data without a request, and that connections to all servers rest for longer because of that.
 func (a *Agent) logReuseDelay(s *lifecycle.Server, after, delay time.Duration) {
 	a.log.Warn("a server sent data on an idle connection, as if it answered twice", "server", s.ID, "after", after.Round(time.Millisecond), "reuse_delay", delay.Round(time.Millisecond))
--- a/internal/host/pool/identity.go
+++ b/internal/host/pool/identity.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -119,11 +120,12 @@
 	return p.identities.isCertain(c.state.Server, c, listCurrentAt)
 }
 
-// SetListingDelay replaces lifecycle.ListingDelay. Only tests use it, where the processes of servers are known.
-func (p *Pool) SetListingDelay(d time.Duration) {
+// AssumeProcessesKnown makes the process behind each connection count as known from the start, unless connections are lost. It is for laboratories
+// and tests whose servers are never replaced.
+func (p *Pool) AssumeProcessesKnown() {
 	p.identities.mu.Lock()
 	defer p.identities.mu.Unlock()
-	p.identities.listingDelay = d
+	p.identities.listingDelay = math.MinInt64 / 2 // below any difference of two times
 }
 
 // Close closes the connection.
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -58,6 +58,7 @@
 	if w.Agent, err = agent.NewWithOptions(cfg, agent.Options{Service: service, Shapes: shapes}, log); err != nil {
 		return w, err
 	}
+	w.Agent.AssumeProcessesKnown()
 	addrs, err := w.Agent.Listen()
 	if err != nil {
 		return w, err
