Agents call a service that kept up in time after it has dropped them

Change: an agent remembers that a response came within 5 s / N, so that calls of all agents can't be what keeps the service busy. Then drops do not lengthen the period for 30 s, and the next call begins 6 s after the one before at the latest. Services that are not known to keep up are called less and less often, as before: TestVerySlowService holds unchanged.

The new test fails on the code as reviewed (called again after 18 s) and passes.

--- a/internal/decide/pacing/pacing.go
+++ b/internal/decide/pacing/pacing.go
@@ -53,10 +53,12 @@
 	// while calls fail.
 	minPeriod        = 500 * time.Millisecond
 	maxFailurePeriod = 3 * time.Second
-	// maxPeriod is the period of agents that the service has dropped again and again. After a failed call list changes
-	// count as known only after four times the usual time, and the next call has to come before that.
+	// crowdPatience is for how long agents call a service that drops them, but has kept up with all of them, as often as one that fails: the
+	// platform's service is out of reach for up to 23 s, and when it is back changes count as known after knownAfterSilence.
+	crowdPatience = 30 * time.Second
+	// maxPeriod is the period of agents that a service that is not known to keep up, or no longer, has dropped again and again.
 	maxPeriod = 24 * time.Second
-	// backoffFactor is by how much the period grows with each dropped call, from the second on.
+	// backoffFactor is by how much the period grows with each call that such a service drops, from the second on.
 	backoffFactor = 3
 	// slowdownMargin is how much slower the service may have become than it was measured to be.
 	slowdownMargin = 1.5
@@ -77,6 +79,9 @@
 	unreachable bool            // no connection to the service could be established for the latest call
 	failures    int             // calls in a row that brought no list though they were not dropped
 	rejections  int             // calls in a row that the service dropped
+	crowdSince  time.Duration   // when the first of them began
+	backoffs    int             // those of them that lengthen the period
+	keepsUp     bool            // the service was measured to be fast enough for calls of all agents in each defaultPeriod
 	silences    int             // calls in a row that got no response at all
 	waits       []time.Duration // of recent calls until their response began
 	silentSince time.Duration   // when a watch fell silent, if no list has been received since; 0 otherwise
@@ -122,11 +127,13 @@
 	if s.answered {
 		return
 	}
-	s.answered, s.rejections, s.silences = true, 0, 0
+	s.answered, s.rejections, s.backoffs, s.silences = true, 0, 0, 0
 	if len(s.waits) == maxWaits {
 		s.waits = s.waits[1:]
 	}
-	s.waits = append(s.waits, now-s.calledAt)
+	wait := now - s.calledAt
+	s.waits = append(s.waits, wait)
+	s.keepsUp = s.keepsUp || time.Duration(s.settings.Agents)*wait <= defaultPeriod // a wait includes the agent's own work, and maybe a queue
 }
 
 // ListReceived records that the call has brought a list that was accepted.
@@ -149,20 +156,27 @@
 	case s.delivered:
 	case s.unreachable: // no sign of a queue: no caller got into one
 		s.failures++
-		s.rejections, s.silences = 0, 0
+		s.rejections, s.backoffs, s.silences = 0, 0, 0
 	case hung && s.silences == 1: // a service with a queue reports sooner or later that it drops a caller; a first silence is a broken link
 		s.failures++
 	case s.answered || now-s.calledAt < minQueueWait/2: // a service that drops callers lets them wait for longer, without an answer
 		s.failures++
 	default:
+		if s.rejections == 0 {
+			s.crowdSince = s.calledAt
+		}
 		s.rejections++
+		s.keepsUp = s.keepsUp && now-s.crowdSince < crowdPatience
+		if !s.keepsUp && s.rejections > 1 {
+			s.backoffs++
+		}
 		s.waits = nil // the service is slower than it was measured to be
 	}
 	period := s.basePeriod(silent)
-	if s.rejections > 1 {
-		// A call in the next slot would meet the same queue, and each call makes it longer. After 8 steps the period is
+	if s.backoffs > 0 {
+		// Calls in the usual slots may be what makes the queue: a call in the next slot would meet the same queue, and each call makes it longer. After 8 steps the period is
 		// maxPeriod in any case. The next call is not made before half of the period has passed since the latest one.
-		for range min(s.rejections-1, 8) {
+		for range min(s.backoffs, 8) {
 			period = min(period*backoffFactor, maxPeriod)
 		}
 		return s.nextSlot(max(now, s.calledAt+period/2), period)
@@ -172,11 +186,16 @@
 	if left := s.silentSince + knownAfterSilence + s.settings.Grace - usualCallTime - now; s.silentSince > 0 && left > 0 {
 		period = min(period, max(left, minPeriod))
 	}
+	// The service may have been back since the call began, and the list has to arrive before its changes count as known.
+	left := max(s.calledAt+knownAfterSilence+s.settings.Grace-usualCallTime-now, minPeriod)
 	if s.unreachable {
-		// The service may have been back since the call began, and the list has to arrive before its changes count as known.
-		period = min(period, max(s.calledAt+knownAfterSilence+s.settings.Grace-usualCallTime-now, minPeriod))
+		return s.nextSlot(now, min(period, left))
 	}
-	return s.nextSlot(now, period)
+	next := s.nextSlot(now, period)
+	if s.rejections > 0 && s.keepsUp && next > now+left { // the usual slot is kept where it is early enough, as the service may have a queue
+		return s.nextSlot(now, left)
+	}
+	return next
 }
 
 // basePeriod returns the period without the backoff for dropped calls, after nothing was received for the time silent.
--- a/internal/decide/pacing/pacing_test.go
+++ b/internal/decide/pacing/pacing_test.go
@@ -407,6 +407,42 @@
 	}
 }
 
+// Guards against agents that take a service that turns callers away for a while, and has kept up with them before, for one that is too slow, and call
+// it only long after its return. One that is too slow for them, or turns them away for longer, is called less and less often.
+func TestServiceThatTurnsCallersAwayIsCalledInTimeAfterItsReturn(t *testing.T) {
+	const longestOutage = 23 * time.Second
+	for _, agents := range []int{2, 5, 12, 300, 900} {
+		for _, wait := range []time.Duration{minQueueWait, 2500 * time.Millisecond, CallTimeout - time.Millisecond} {
+			for seed := range uint64(50) {
+				a := New(Settings{Shared: true, Agents: agents, Me: int(seed) % agents, MustAsk: mustAsk, Grace: defaultGrace}, seed)
+				begin := time.Hour + time.Duration(seed)*1234*time.Millisecond
+				a.CallStarted(begin)
+				a.ResponseStarted(begin + defaultPeriod/time.Duration(agents))
+				a.ListReceived()
+				down := begin + time.Minute
+				now := a.CallEnded(down, 0)
+				called := down
+				for now < down+longestOutage {
+					called = now
+					a.CallStarted(now)
+					now = a.CallEnded(now+wait, 0)
+					if late := now + usualCallTime - called - knownAfterSilence - defaultGrace; late > 0 {
+						t.Fatalf("%d agents, dropped after %v: called again after %v, %v too late", agents, wait, now-called, late)
+					}
+				}
+				for range 4 { // it is too slow by now
+					a.CallStarted(now)
+					now = a.CallEnded(now+wait, 0)
+				}
+				a.CallStarted(now)
+				if next := a.CallEnded(now+wait, 0); agents > 2 && next-now < maxPeriod/2 {
+					t.Errorf("%d agents, dropped after %v for long: called again after %v", agents, wait, next-now)
+				}
+			}
+		}
+	}
+}
+
 // A call to a shared service gets no response while the service is down, and still none after its return. The next call
 // is made in time for the list to arrive before its changes count as known, 6 s after the return, plus the grace of a
 // drain.
