Two tests no longer depend on how soon a busy machine does something

Change: the client leaves its 20 or 60 ms after the first attempt, for which the test waits; what may follow is judged as before. The successor's address is tried again for 1 s where it is in use.

--- a/cmd/ternbeam/leavingclient_test.go
+++ b/cmd/ternbeam/leavingclient_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"ternbeam/internal/lab/testkit"
 )
 
 // attemptRecord is an attempt as servers see it.
@@ -50,7 +52,7 @@
 	name     string
 	requests int
 	bytes    int           // of each request, about
-	stay     time.Duration // before it closes
+	stay     time.Duration // from its first attempt until it closes
 	reset    bool          // it closes with a reset
 	silent   bool          // servers do not answer
 }
@@ -101,6 +103,7 @@
 		fmt.Fprintf(&text, "X-Facts: %s\r\n\r\n", strings.Repeat("f", c.bytes-200))
 	}
 	go io.WriteString(conn, text.String())
+	testkit.Eventually(t, "an attempt is made", func() bool { return len(servers.all()) > 0 })
 	time.Sleep(c.stay)
 	if c.reset {
 		conn.(*net.TCPConn).SetLinger(0)
@@ -120,9 +123,6 @@
 	if late > 0 {
 		t.Errorf("%d of %d attempts began after their client had left, the last %v after", late, len(all), latest)
 	}
-	if len(all) == 0 {
-		t.Error("no attempt was made")
-	}
 	if t.Failed() {
 		t.Log(p.log)
 	}
--- a/cmd/ternbeam/successor_test.go
+++ b/cmd/ternbeam/successor_test.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -27,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.ListenTCP("tcp", tcp)
+	l, err := listenAgain(tcp)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,6 +38,16 @@
 	return s
 }
 
+// listenAgain listens on an address that a listener of this process may just have left. A child process that another test has forked holds that
+// listener for the moments until it executes its program.
+func listenAgain(addr *net.TCPAddr) (l *net.TCPListener, err error) {
+	for end := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+		if l, err = net.ListenTCP("tcp", addr); !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return l, err
+		}
+	}
+}
+
 // serve answers the requests on a connection.
 func (s *mortalServer) serve(conn *net.TCPConn) {
 	s.mu.Lock()
