A withdrawal that both sources have made is not held up by the guard

Change: a deferred withdrawal of another source confirms. A row in TestRules.

The row fails without the change (state "ready" by rule guarded).

--- a/internal/decide/membership/membership.go
+++ b/internal/decide/membership/membership.go
@@ -442,10 +442,10 @@
 	s.markDirty(c.member)
 }
 
-// confirmedElsewhere reports whether another source reports the server as draining or gone, too.
+// confirmedElsewhere reports whether another source reports the server as draining or gone, too, even if that is deferred.
 func (s *Set) confirmedElsewhere(c *claim) bool {
 	return slices.ContainsFunc(c.member.claims, func(o *claim) bool {
-		return o.source != c.source && (o.withdrawn || o.State == choice.Draining)
+		return o.source != c.source && (o.withdrawn || o.withdrawAt > 0 || o.State == choice.Draining)
 	})
 }
 
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -161,6 +161,10 @@
 			b.advance(time.Hour)
 		}, "draining", Drained},
 		{"SRV is suddenly empty", func(b *harness) { b.report(srv, true, 0) }, "ready", Guarded},
+		{"SRV is suddenly empty, and then the list withdraws as many", func(b *harness) {
+			b.report(srv, true, 0)
+			b.report(list, true, 2, claims(listClaim, 4)[3:]...)
+		}, "", Withdrawn},
 		{"SRV is empty for longer than the guard waits", func(b *harness) { b.report(srv, true, 0); b.advance(Defaults.GuardWait) }, "", Withdrawn},
 		{"SRV was empty and recovers", func(b *harness) {
 			b.report(srv, true, 0)
