--- a/cmd/ternbeam/thriftclients_test.go
+++ b/cmd/ternbeam/thriftclients_test.go
@@ -24,6 +24,7 @@
 	httpAddr, thriftAddr string // its listen addresses
 	arguments            string // program arguments
 	env                  []string
+	server               *standin.Server
 }
 
 // newThriftAgent starts a list and a server and configures an agent without starting it.
@@ -40,7 +41,7 @@
 	}
 	t.Cleanup(server.Close)
 	list.Update(server.Entry())
-	agent := &thriftAgent{httpAddr: unusedAddr(t), thriftAddr: unusedAddr(t)}
+	agent := &thriftAgent{httpAddr: unusedAddr(t), thriftAddr: unusedAddr(t), server: server}
 	folder := t.TempDir()
 	config, service := filepath.Join(folder, "config.json"), filepath.Join(folder, "thrift.toml")
 	platform := standin.Platform{Listen: agent.httpAddr, Discovery: list.Addr(), InitialList: list.Full(), Deadline: deadline, Sockets: sockets}
