The other process hears only what the platform's list has ended

A tier that closes is one of them, and the other process would have kept its servers out until their sources had said otherwise.

Change: the sources tell what the platform's list drains or removes, as the core does without them. A server that is known to drain is not drained again by the echo.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -72,15 +72,6 @@
 	return ended
 }
 
-// EndedEntry returns the entry of a server of a merged list that drains or was removed.
-func EndedEntry(e calltrack.Entry) Entry {
-	ended := Entry{ID: e.ID, Addr: e.Addr, Addrs: e.Addrs, Cell: e.Cell, State: terminating, Weight: e.Weight, StartedMS: e.Started.Milliseconds()}
-	if e.State == choice.Removed {
-		ended.State = terminated
-	}
-	return ended
-}
-
 // Limits for one server.
 const (
 	maxAddrs  = 16
--- a/internal/host/core/handover.go
+++ b/internal/host/core/handover.go
@@ -102,7 +102,7 @@
 		for _, e := range reported {
 			known, listed := c.tracker.ListedServer(e.ID)
 			s, err := e.Server(c.set.Zones)
-			if listed && err == nil && handover.Applies(known, s) {
+			if heard := c.set.Feed != nil && known.State != choice.Ready; listed && err == nil && !heard && handover.Applies(known, s) {
 				drainedOrRemoved = append(drainedOrRemoved, e)
 			}
 		}
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -24,22 +24,21 @@
 	// PlatformList returns the latest list of the list service, and the address of that.
 	PlatformList() (discovery.List, string)
 
+	// OnEnded has f called with the servers that the list service drains or removes. It is called before Feed.
+	OnEnded(f func([]discovery.Entry))
+
 	// EndedElsewhere applies what another process of this agent has heard: servers that drain or were removed.
 	EndedElsewhere(ctx context.Context, ended []discovery.Entry)
 }
 
 // startFeed starts applying the changes that a Feed delivers.
 func (c *Core) startFeed(ctx context.Context) {
+	c.set.Feed.OnEnded(func(ended []discovery.Entry) {
+		c.postUrgent(ctx, func() { c.notifyEnded(ended) })
+	})
 	go c.set.Feed.Feed(ctx, func(changes []calltrack.Entry) {
 		c.postUrgent(ctx, func() {
 			c.execute(c.tracker.UpdateServers(c.Now(), false, changes))
-			var ended []discovery.Entry
-			for _, e := range changes {
-				if e.State != choice.Ready {
-					ended = append(ended, discovery.EndedEntry(e))
-				}
-			}
-			c.notifyEnded(ended)
 			c.inheritLearned()
 			c.importNewlyListed()
 			c.markReady()
--- a/internal/host/members/members.go
+++ b/internal/host/members/members.go
@@ -44,6 +44,7 @@
 
 	// The following fields are used by the goroutine of Feed only.
 	deliver   func([]calltrack.Entry)
+	onEnded   func([]discovery.Entry)
 	stopWatch context.CancelFunc // of the platform's list
 }
 
@@ -55,7 +56,7 @@
 
 // New returns a Host that has not started its sources; Feed does.
 func New(set Settings) *Host {
-	h := &Host{set: set, events: make(chan func(), 64), listSource: -1, list: set.LastList, discovery: set.Discovery}
+	h := &Host{set: set, events: make(chan func(), 64), listSource: -1, onEnded: func([]discovery.Entry) {}, list: set.LastList, discovery: set.Discovery}
 	h.list.Servers = slices.Clone(set.LastList.Servers)
 	m := set.Membership
 	hold := func(d time.Duration) time.Duration {
@@ -183,8 +184,9 @@
 		r := h.listReport(l)
 		post(func() {
 			h.mu.Lock()
-			h.list.Apply(l)
+			ended := h.list.Apply(l)
 			h.mu.Unlock()
+			h.onEnded(ended)
 			h.report(r, h.deliver)
 		})
 	}, func() {
@@ -224,6 +226,9 @@
 	return list, h.discovery
 }
 
+// OnEnded implements core.Feed. What SRV records tell each process asks for by itself.
+func (h *Host) OnEnded(f func([]discovery.Entry)) { h.onEnded = f }
+
 // EndedElsewhere implements core.Feed.
 func (h *Host) EndedElsewhere(ctx context.Context, ended []discovery.Entry) {
 	go h.post(ctx, func() {
--- a/internal/host/peers/peers.go
+++ b/internal/host/peers/peers.go
@@ -115,6 +115,9 @@
 // PlatformList implements core.Feed: an agent that shares lists can't be replaced while it runs.
 func (h *Host) PlatformList() (discovery.List, string) { return discovery.List{}, "" }
 
+// OnEnded implements core.Feed, see PlatformList.
+func (h *Host) OnEnded(func([]discovery.Entry)) {}
+
 // EndedElsewhere implements core.Feed, see PlatformList.
 func (h *Host) EndedElsewhere(context.Context, []discovery.Entry) {}
 
