A replacement leaves a discovery that SIGHUP has moved its predecessor from

Cause: NODE_DISCOVERY goes before the file at the start, also where it is older: after SIGHUP had moved discovery, a process that replaced the moved one watched the address in its environment again, for good. Nothing told it that its environment is older than the file.

Change: what is handed over names the addresses that SIGHUP has left, at most 16, over any number of replacements. Where the environment names one of these, the file counts. Any other address goes before the file as before.

--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"sync"
 
 	"golang.org/x/sys/unix"
@@ -73,6 +74,7 @@
 		return
 	}
 	a.handover.received = received
+	a.leaveAbandonedDiscovery(received.State)
 	var list discovery.List
 	if json.Unmarshal(received.State.List, &list) == nil && len(list.Servers) > 0 {
 		if received.State.Discovery != a.cfg.Discovery {
@@ -84,12 +86,30 @@
 	a.log.Info("replacing another process", "servers", len(list.Servers), "out", len(received.State.Overrides.Offline), "listeners", len(received.Listeners))
 }
 
+// leaveAbandonedDiscovery replaces the address of discovery by the one in the configuration file, or else by that of the process before, if a new
+// configuration has moved that process away from it. The address then comes from an environment that is older than the file: an old service does not
+// tell of servers that drain, and would not be left again before the next SIGHUP.
+func (a *Agent) leaveAbandonedDiscovery(previous handover.State) {
+	if !slices.Contains(previous.Abandoned, a.cfg.Discovery) {
+		return
+	}
+	addr, err := a.cfg.ReloadDiscovery()
+	if err != nil {
+		addr = previous.Discovery
+	}
+	if addr != a.cfg.Discovery {
+		a.log.Warn("discovery was moved by a new configuration: the address of the environment is not used", "discovery", addr, "environment", a.cfg.Discovery)
+		a.cfg.Discovery = addr
+	}
+}
+
 // receivedState returns the state that was handed over, with which the core starts, or nil if there is none.
 func (h *handoverState) receivedState() *core.InheritedState {
 	if h.received == nil {
 		return nil
 	}
-	return &core.InheritedState{Overrides: h.received.State.Overrides, Learned: h.received.State.Learned, IDs: h.received.State.IDs}
+	return &core.InheritedState{Overrides: h.received.State.Overrides, Learned: h.received.State.Learned, IDs: h.received.State.IDs,
+		Abandoned: h.received.State.Abandoned}
 }
 
 // receivedListener returns the listener that was handed over for an address, or nil, and passes its ownership to the caller.
--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"slices"
 
 	"ternbeam/choice"
 	"ternbeam/internal/decide/overrides"
@@ -17,12 +18,32 @@
 // State is the state that a process takes over from the one that it replaces.
 type State struct {
 	Name      string             `json:"name"`
-	Discovery string             `json:"discovery"`         // address of List's source; list versions differ between sources
-	List      json.RawMessage    `json:"list"`              // the server list, in discovery's format
-	Overrides overrides.Snapshot `json:"said"`              // operators' overrides of servers; the key is part of the handover format
-	Learned   *choice.Memory     `json:"learned,omitempty"` // what the decision module has learned
-	IDs       []recentids.Hash   `json:"ids,omitempty"`     // of calls that may have run or are in progress
-	Listeners []string           `json:"listeners"`         // addresses of the listeners, in the order in which their descriptors are passed
+	Discovery string             `json:"discovery"`           // address of List's source; list versions differ between sources
+	Abandoned Abandoned          `json:"abandoned,omitempty"` // what an older environment may still name
+	List      json.RawMessage    `json:"list"`                // the server list, in discovery's format
+	Overrides overrides.Snapshot `json:"said"`                // operators' overrides of servers; the key is part of the handover format
+	Learned   *choice.Memory     `json:"learned,omitempty"`   // what the decision module has learned
+	IDs       []recentids.Hash   `json:"ids,omitempty"`       // of calls that may have run or are in progress
+	Listeners []string           `json:"listeners"`           // addresses of the listeners, in the order in which their descriptors are passed
+}
+
+// Abandoned holds the addresses of discovery services from which a new configuration has moved an agent while it ran, the oldest first. The
+// environment of a process that replaces it may still name one of them.
+type Abandoned []string
+
+// maxAbandoned is the number of addresses that are kept. An environment names the address of some start; more than this many moves since are not
+// expected, and the state stays small.
+const maxAbandoned = 16
+
+// Moved returns the addresses after a move of the agent from one address to another.
+func (a Abandoned) Moved(from, to string) Abandoned {
+	a = append(a.Without(from), from).Without(to)
+	return a[max(0, len(a)-maxAbandoned):]
+}
+
+// Without returns the addresses other than one that is in use again.
+func (a Abandoned) Without(addr string) Abandoned {
+	return slices.DeleteFunc(slices.Clone(a), func(other string) bool { return other == addr })
 }
 
 // Update is a notification between the old and the new process while both are running.
--- a/internal/decide/handover/handover_test.go
+++ b/internal/decide/handover/handover_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -60,3 +62,31 @@
 		}
 	}
 }
+
+// Only addresses that are not in use are abandoned, each once, and the oldest are forgotten.
+func TestAbandonedAddresses(t *testing.T) {
+	var a Abandoned
+	for _, move := range []struct{ from, to, want string }{
+		{"a", "b", "[a]"},
+		{"b", "c", "[a b]"},
+		{"c", "a", "[b c]"},
+		{"a", "b", "[c a]"},
+		{"b", "b", "[c a]"},
+	} {
+		before := fmt.Sprint(a)
+		next := a.Moved(move.from, move.to)
+		if got := fmt.Sprint(next); got != move.want || fmt.Sprint(a) != before {
+			t.Errorf("%s, from %s to %s: %s, and %s is changed to %s", before, move.from, move.to, got, before, a)
+		}
+		a = next
+	}
+	if got := fmt.Sprint(a.Without("c"), a); got != "[a] [c a]" {
+		t.Errorf("without c: %s", got)
+	}
+	for i := range 2 * maxAbandoned {
+		a = a.Moved(fmt.Sprint(i), fmt.Sprint(i+1))
+	}
+	if len(a) != maxAbandoned || !slices.Contains(a, fmt.Sprint(2*maxAbandoned-1)) {
+		t.Errorf("after many moves: %v", a)
+	}
+}
--- a/internal/host/core/core.go
+++ b/internal/host/core/core.go
@@ -16,6 +16,7 @@
 	"ternbeam/choice"
 	"ternbeam/internal/clock"
 	"ternbeam/internal/decide/calltrack"
+	"ternbeam/internal/decide/handover"
 	"ternbeam/internal/decide/learned"
 	"ternbeam/internal/decide/pacing"
 	"ternbeam/internal/decide/recentids"
@@ -108,6 +109,7 @@
 	requests     *requestLog
 	timers       timers
 	discovery    string               // address of the list service being watched
+	abandoned    handover.Abandoned   // of those watched before
 	startWatch   func()               // watches that list service
 	stopWatch    func()               // ends the watch; lists that it has delivered are no longer applied
 	learnedClock func() learned.Clock // nil if no learned state was restored
@@ -240,6 +242,9 @@
 
 // Run runs the event loop until ctx ends: it handles one event at a time, and timers when they are due.
 func (c *Core) Run(ctx context.Context) {
+	if c.set.Inherited != nil {
+		c.abandoned = c.set.Inherited.Abandoned.Without(c.set.Discovery)
+	}
 	if c.set.Feed != nil {
 		c.discovery = c.set.Discovery
 		c.execute(c.tracker.Start(c.Now()))
--- a/internal/host/core/handover.go
+++ b/internal/host/core/handover.go
@@ -18,6 +18,7 @@
 	Overrides overrides.Snapshot
 	Learned   *choice.Memory
 	IDs       []recentids.Hash // of calls that the other process has received
+	Abandoned handover.Abandoned
 }
 
 // Subscriber is another process of this agent, which receives this process's updates while both are serving.
@@ -49,7 +50,7 @@
 	sub = &Subscriber{notify}
 	s, err = queryUrgent(ctx, c, func() handover.State {
 		c.subscribers[sub] = true
-		s := handover.State{Discovery: c.discovery, Overrides: c.tracker.Overrides(), IDs: c.tracker.RecentIDs(c.Now())}
+		s := handover.State{Discovery: c.discovery, Abandoned: c.abandoned, Overrides: c.tracker.Overrides(), IDs: c.tracker.RecentIDs(c.Now())}
 		list := c.list
 		if c.set.Feed != nil {
 			list, s.Discovery = c.set.Feed.PlatformList()
--- a/internal/host/core/list.go
+++ b/internal/host/core/list.go
@@ -58,8 +58,10 @@
 				c.log.Warn("the address of discovery is not changed while the agent runs, where lists come from other agents or no list is a source")
 				return
 			}
+			c.abandoned = c.abandoned.Moved(c.discovery, addr)
 			c.discovery = addr
 		default:
+			c.abandoned = c.abandoned.Moved(c.discovery, addr)
 			c.switchDiscovery(ctx, addr, discovery.List{Version: discovery.UnknownVersion})
 			go c.startWatch()
 		}
