The explorer knows answers that begin, and finds the attempt cancelled then

Besides, choice's fingerprint left out whether an answer had begun, although later decisions read it; no world of the explorer reported that before.

Change: two steps of a host (the answer starts; it does not continue), one of the loop that tells the module, the property that such an attempt is not cancelled as at a silent server, a world (begun), a planted bug, and the fingerprint.

--- a/choice/explore.go
+++ b/choice/explore.go
@@ -76,7 +76,7 @@
 		for _, a := range r.attempts {
 			server(a.srv)
 			num(float64(a.sent), float64(a.zone), float64(a.cell))
-			flags(a.inFlight, a.neverRan, a.canceledAsSilent, a.zoneUnknown, a.cellUnknown)
+			flags(a.inFlight, a.neverRan, a.canceledAsSilent, a.answerStarted, a.zoneUnknown, a.cellUnknown)
 		}
 	}
 	return dst
--- a/internal/lab/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -78,6 +78,7 @@
 		"a race of dials":   {Servers: 1, Calls: []choice.Effect{choice.Unsafe}, Attempts: 1, Places: 2, Lists: 1, Races: true},
 		"more changes":      {Servers: 1, Calls: []choice.Effect{choice.Unsafe}, Attempts: 1, Places: 1, Lists: 2, More: true},
 		"withdrawals":       {Servers: 2, Calls: []choice.Effect{choice.Unsafe}, Attempts: 2, Places: 2, Past: QuickServers},
+		"begun":             {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 2, Past: QuickServers, Begins: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/lab/explore/key.go
+++ b/internal/lab/explore/key.go
@@ -101,6 +101,9 @@
 		server(t.Server)
 		flag(t.hostCanceled && stage != lifecycle.Ended, t.balancerCanceled && stage != lifecycle.Ended, t.mayHaveRun, a.MayHaveRun(),
 			t.hung, t.paused, t.awaitsDial, t.relayPending, t.relayStarted, t.replyDropped)
+		if w.cfg.Begins {
+			num(int(t.answerStart))
+		}
 		if t.conn != nil && (exact || !w.hasSparePlaces()) {
 			num(int(t.conn.State()), slices.Index(w.pool.Queue(), t.conn))
 		}
--- a/internal/lab/explore/planted_test.go
+++ b/internal/lab/explore/planted_test.go
@@ -53,6 +53,7 @@
 	{"sent again after it ran at an unknown process", "internal/decide/calltrack/groupsends.go", "return !s.certain }):", "return false }):", "replaced"},
 	{"copy sent to an unknown process", "internal/decide/calltrack/groupsends.go", "len(sends.begun) > 0 && !certain", "false", "replaced-2"},
 	{"address that two listed servers have counts as either's", "internal/decide/calltrack/addressbook.go", "return o != id })", "return false })", "taken-over"},
+	{"attempt whose answer has begun is cancelled as at a silent server", "choice/lateattempt.go", "!a.answerStarted && ", "", "begun"},
 	{"answered after its client left", "internal/decide/calltrack/tracker.go", "\tt.stats.Disconnected++\n\tt.markClosed(call)\n", "\tt.stats.Disconnected++\n", "unsafe"},
 }
 
--- a/internal/lab/explore/properties.go
+++ b/internal/lab/explore/properties.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// checkCancel checks that no attempt is canceled as at a silent server once the balancer has been told that its answer has started.
+func (w *world) checkCancel(t *attempt, a choice.Action) {
+	if told := t.answerStart == startTaken || t.answerStart == stallTaken; told && a.Reason == choice.ServerSilent {
+		w.violate("attempt %d of %s is canceled as at a silent server, but its answer has started", t.Number, t.Call.ID)
+	}
+}
+
 // checkRun checks that an unsafe call runs at most once, and a keyed one only within its deduplication scope and window.
 func (w *world) checkRun(c *call) {
 	first, last := c.runs[0], c.runs[len(c.runs)-1]
--- a/internal/lab/explore/steps.go
+++ b/internal/lab/explore/steps.go
@@ -27,6 +27,7 @@
 	FireTimer                         // the loop fires the next timer that is due
 	TakeEnd                           // the loop processes the end of an attempt; N is the attempt from here on
 	TakeRelayStart                    // the loop processes that the relay of its answer has started
+	TakeAnswerStart                   // the loop processes that its answer has started, or does not continue
 	Acquire                           // the attempt asks for a connection
 	AcquireStrayBytes                 // the same; the idle connection that it would get has received unsolicited bytes
 	AcquireClosed                     // the same; that connection was idle for too long or closed by its server
@@ -52,6 +53,8 @@
 	AnswerBegins                      // the server's answer is long, and its relay to the client starts
 	AnswerEnds                        // that answer is complete
 	AnswerBreaks                      // the server breaks it off
+	AnswerStarts                      // the server's answer starts, and may be long; it is held and not relayed yet
+	AnswerStalls                      // that answer does not continue for some time
 	Reset                             // the connection breaks after the last byte was written
 	Hang                              // no more network events for it
 	Pause                             // its host pauses until something that it depends on changes
@@ -65,20 +68,22 @@
 )
 
 // mayDraw reports whether the balancer may draw random numbers in such a step.
-func (k StepKind) mayDraw() bool { return k == CallArrives || k == FireTimer || k == TakeEnd }
+func (k StepKind) mayDraw() bool {
+	return k == CallArrives || k == FireTimer || k == TakeEnd || k == TakeAnswerStart
+}
 
 // kindNames has the names of the kinds of steps, as printed and as stored in trace files.
 var kindNames = [kindCount]string{"asks", "leaves", "drains", "restarts", "is gone", "is missing from the whole list", "moves",
 	"is taken out", "is put back",
 	"time passes",
-	"the loop fires a timer", "is over for the loop", "begins to be passed on for the loop", "asks for a connection",
+	"the loop fires a timer", "is over for the loop", "begins to be passed on for the loop", "has an answer that begins, for the loop", "asks for a connection",
 	"asks for a connection, where the idle one has spoken unasked", "asks for a connection, where the idle one is closed",
 	"has waited long enough for a place", "dial succeeds", "dial fails", "dials the next address, too", "second dial succeeds",
 	"second dial fails", "other dial succeeds after the first", "is sent, if it still may be",
 	"last byte is written", "breaks before the first byte", "breaks before the last byte", "breaks, nobody can tell where",
 	"is turned away before all is written", "is answered with an error before all is written", "is served",
 	"is answered with an error", "is turned away", "is served twice", "gets a garbled answer", "gets an answer that begins to be passed on",
-	"has its answer passed on whole", "has its answer broken off", "breaks after the last byte",
+	"has its answer passed on whole", "has its answer broken off", "gets the begin of an answer", "gets no more of that answer for a while", "breaks after the last byte",
 	"hangs", "rests", "gives its connection back", "is seen to be withdrawn", "is out of time",
 	"gets a reply to what was given up", "has written all", "breaks before it has written anything"}
 
@@ -164,6 +169,8 @@
 	inFlight := false
 	for _, t := range w.attempts {
 		switch {
+		case t.answerStart == startReported || t.answerStart == stallReported:
+			add(TakeAnswerStart, t.index)
 		case t.relayPending: // it is queued ahead of the attempt's end
 			add(TakeRelayStart, t.index)
 		case t.State.Stage() == lifecycle.Ended && t.conn == nil:
@@ -210,7 +217,7 @@
 	}
 	if t.hung || w.cfg.allOrders() { // what ends a wait for the network
 		switch stage := t.State.Stage(); {
-		case stage != lifecycle.Dialing && stage != lifecycle.Writing && stage != lifecycle.Waiting:
+		case stage != lifecycle.Dialing && stage != lifecycle.Writing && stage != lifecycle.Waiting && !t.isHeld():
 		case t.hostCanceled:
 			all = append(all, Cancel)
 		case stage == lifecycle.Writing && t.SendBy != 0 && w.now >= t.SendBy:
@@ -257,12 +264,22 @@
 		if w.cfg.Streams {
 			all = append(all, AnswerBegins)
 		}
+		if w.cfg.Begins {
+			all = append(all, AnswerStarts)
+		}
 		if t.race != nil && len(t.race.Dialing()) > 0 {
 			all = append(all, LoserConnects)
 		}
 		return orHang()
 	case lifecycle.Reading:
-		return append(all, AnswerEnds, AnswerBreaks)
+		all = append(all, AnswerEnds, AnswerBreaks)
+		if !t.isHeld() {
+			return all
+		}
+		if t.answerStart == startReported || t.answerStart == startTaken {
+			all = append(all, AnswerStalls)
+		}
+		return orHang()
 	}
 	if t.conn != nil {
 		all = append(all, Release)
@@ -293,6 +310,15 @@
 		t.relayPending = false
 		w.execute(w.tracker.RelayStarted(w.now, t.Attempt, calltrack.AttemptOutcome{Result: choice.OK, Report: choice.NoReport, Reply: t.Attempt}))
 		w.checkRelayStart(t)
+	case TakeAnswerStart:
+		stalled := t.answerStart == stallReported
+		t.answerStart++
+		w.execute(w.tracker.AnswerStarted(w.now, t.Attempt, stalled))
+	case AnswerStarts:
+		t.ReportIllegalStep(t.State.Read())
+		t.answerStart = startReported
+	case AnswerStalls:
+		t.answerStart = stallReported
 	case AnswerBegins:
 		t.ReportIllegalStep(t.State.Read())
 		t.relayPending, t.relayStarted = true, true
--- a/internal/lab/explore/trace.go
+++ b/internal/lab/explore/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -139,6 +140,9 @@
 	if !slices.Contains([]Replacement{NotReplaced, JustReplaced, ReplacedListed}, c.Replaced) || c.Replaced != NotReplaced && (c.Unlisted > 0 || c.Lists > 0) {
 		return fmt.Errorf("replaced %q: not known, or with unlisted servers or changes of the list", c.Replaced)
 	}
+	if c.Begins && (c.Lines || c.Streams) {
+		return errors.New("answers that start to be held: not with multiplexed connections or relayed answers")
+	}
 	for _, e := range c.Calls {
 		if e < choice.Safe || e > choice.Unsafe {
 			return fmt.Errorf("effect %d: must be 0 to 2", e)
@@ -179,5 +183,6 @@
 	"replaced":    {Servers: 3, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Replaced: JustReplaced},
 	"replaced-2":  {Servers: 3, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Leaves: 1, Cells: 2, Past: LostCalls, Replaced: JustReplaced},
 	"taken-over":  {Servers: 3, Calls: []choice.Effect{choice.Keyed}, Attempts: 2, Places: 2, Cells: 2, Replaced: ReplacedListed},
+	"begun":       {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 2, Leaves: 1, Cells: 1, Past: QuickServers, Begins: true},
 	"late":        {Servers: 2, Calls: []choice.Effect{choice.Safe}, Attempts: 2, Places: 1, Leaves: 1, Cells: 1, Past: LostCalls},
 }
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -28,6 +28,7 @@
 	Lists    int             // maximum changes of the server list
 	Words    int             `json:",omitempty"` // maximum operator commands (offline, online)
 	Streams  bool            `json:",omitempty"` // answers may be relayed before they are complete
+	Begins   bool            `json:",omitempty"` // the start of an answer may be reported, as of one that may be long; without Lines
 	More     bool            `json:",omitempty"` // servers may be missing from a full list, or change their address
 	Leaves   int             // maximum clients that disconnect
 	Cells    int             // number of cells that the servers are spread over
@@ -176,9 +177,27 @@
 	relayPending     bool            // the relay of its answer has started; the loop has not yet processed that
 	relayStarted     bool            // the relay of its answer has started
 	replyDropped     bool            // the loop discarded its reply
+	answerStart      answerStart     // what has been reported of an answer that is held
 	paused           bool            // its host takes no step until something that it depends on changes
 }
 
+// answerStart is what the host has reported of the start of an answer, and what the loop has processed of that.
+type answerStart int
+
+// The values of answerStart, in their order. A stall may be reported before the loop has processed the start; it then counts for both.
+const (
+	notStarted answerStart = iota
+	startReported
+	startTaken
+	stallReported
+	stallTaken
+)
+
+// isHeld reports whether the answer has started and is held, so that the attempt may still be canceled.
+func (t *attempt) isHeld() bool {
+	return t.answerStart != notStarted && t.State.Stage() == lifecycle.Reading && !t.relayStarted
+}
+
 // connData is the simulated state of a connection.
 type connData struct {
 	strayBytes bool    // unsolicited bytes were received
@@ -217,6 +236,7 @@
 		for _, t := range m.w.attempts {
 			if t.Call.ID == a.Request && t.Number == a.Attempt {
 				t.balancerCanceled, t.paused = true, false
+				m.w.checkCancel(t, a)
 			}
 		}
 	}
